Add the frame: settings, life cycle, platform client, design

The project starts empty. The frame holds what every program needs: YAML documents checked whole with a fault for each wrong place, an application object with life-cycle hooks, a client of the platform's log service and instance list, typed JSON messages, and rendezvous homes. docs/design.md holds the requirements, the parts and their interfaces.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that check ratios, never times."""
--- /dev/null
+++ b/src/crocusproxy/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts within milliseconds."""
--- /dev/null
+++ b/src/crocusproxy/application.py
@@ -0,0 +1,119 @@
+"""The life cycle that all daemons share, and their admin endpoints."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import aiomisc
+import uvloop
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
+
+from .logs import log
+
+Hook = Callable[[], Awaitable[None]]
+ReadinessCheck = Callable[[], str]
+
+_UNAVAILABLE = 503
+
+
+@dataclass(slots=True)
+class Application:
+    """Runs a daemon and owns its start and clean-up.
+
+    ``on_start`` and ``on_ready`` hooks run in order. On SIGTERM or SIGINT the
+    ``on_drain`` hooks run in order, with work still being served, and then the
+    ``on_stop`` hooks in reverse order. ``drain_limit`` bounds the shutdown.
+    """
+
+    name: str
+    drain_limit: timedelta = timedelta(seconds=60)
+    on_start: list[Hook] = field(default_factory=list)
+    on_ready: list[Hook] = field(default_factory=list)
+    on_drain: list[Hook] = field(default_factory=list)
+    on_stop: list[Hook] = field(default_factory=list)
+    readiness: list[ReadinessCheck] = field(default_factory=list)
+    draining: bool = False
+
+    async def start(self) -> None:
+        """Run the start hooks and then the ready hooks."""
+        for hook in (*self.on_start, *self.on_ready):
+            await hook()
+        log('started')
+
+    async def stop(self) -> None:
+        """Drain and stop; a failing hook does not prevent the others."""
+        self.draining = True
+        log('draining')
+        for hook in (*self.on_drain, *reversed(self.on_stop)):
+            try:
+                await hook()
+            except Exception as error:  # noqa: BLE001 - clean-up goes on
+                log('shutdown_hook_failed', error=repr(error))
+        log('stopped')
+
+    def not_ready_reasons(self) -> tuple[str, ...]:
+        """Return why no work should be sent here; empty when ready."""
+        reasons = tuple(check() for check in self.readiness)
+        draining = ('shutting_down',) if self.draining else ()
+        return draining + tuple(reason for reason in reasons if reason)
+
+    def admin_routes(self) -> list[web.RouteDef]:
+        """Return the routes for /metrics, /healthz and /readyz."""
+        return [
+            web.get('/metrics', _metrics),
+            web.get('/healthz', _health),
+            web.get('/readyz', self._ready),
+        ]
+
+    def run(self) -> None:
+        """Run on a uvloop event loop until SIGTERM or SIGINT."""
+        with aiomisc.entrypoint(
+            _LifeCycle(self),
+            loop_factory=uvloop.new_event_loop,
+            log_config=False,
+            catch_signals=(signal.SIGTERM, signal.SIGINT),
+            shutdown_timeout=self.drain_limit.total_seconds(),
+        ) as loop:
+            loop.run_forever()
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        reasons = self.not_ready_reasons()
+        status = _UNAVAILABLE if reasons else web.HTTPOk.status_code
+        return web.json_response({'not_ready': reasons}, status=status)
+
+
+class _LifeCycle(aiomisc.Service):
+    def __init__(self, application: Application) -> None:
+        super().__init__()
+        self.application = application
+
+    async def start(self) -> None:
+        await self.application.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        await self.application.stop()
+
+
+async def serve(
+    handler: web.Application,
+    host: str,
+    port: int,
+) -> web.AppRunner:
+    """Serve ``handler``; the caller cleans the returned runner up."""
+    runner = web.AppRunner(handler, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    return runner
+
+
+async def _metrics(_: web.Request) -> web.Response:
+    return web.Response(
+        body=generate_latest(REGISTRY),
+        headers={'Content-Type': CONTENT_TYPE_LATEST},
+    )
+
+
+async def _health(_: web.Request) -> web.Response:
+    return web.json_response({'status': 'ok'})
--- /dev/null
+++ b/src/crocusproxy/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level objectives and the rate at which budgets burn."""
--- /dev/null
+++ b/src/crocusproxy/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: model, changes, fold, snapshots and daemon."""
--- /dev/null
+++ b/src/crocusproxy/config/model.py
@@ -0,0 +1,91 @@
+"""The configuration document: services and the upstreams behind them."""
+
+from collections.abc import Mapping
+from dataclasses import field
+from datetime import timedelta
+
+from pydantic.dataclasses import dataclass
+
+from ..durations import Duration
+from ..settings import STRICT
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Upstream:
+    """One server's place in a service; ``address`` has the form IP:port."""
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+
+    @property
+    def key(self) -> str:
+        """Return the key that identifies the upstream in a document."""
+        return f'{self.service}/{self.name}'
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class OlderBalancer:
+    """The balancer being replaced; ``share`` of callers still goes there."""
+
+    address: str
+    share: float
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Objective:
+    """``share`` of requests is answered ``within`` the time, per ``window``."""
+
+    within: Duration = timedelta(milliseconds=250)
+    share: float = 0.99
+    window: Duration = timedelta(days=28)
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class ProbeBudget:
+    """Ceiling on probes, summed over all instances."""
+
+    per_second: float = 2
+    bytes_per_second: int = 4096
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Service:
+    """How the requests of one service are shared and limited.
+
+    ``depth`` is the number of requests sent to an upstream beyond its slots,
+    ``queue`` the number that may wait at one home.
+    """
+
+    name: str
+    deadline: Duration = timedelta(seconds=2)
+    homes: int = 1
+    depth: int = 2
+    queue: int = 256
+    retry_share: float = 0.02
+    max_eject_share: float = 0.5
+    probe_budget: ProbeBudget = field(default_factory=ProbeBudget)
+    objective: Objective = field(default_factory=Objective)
+    older_balancer: OlderBalancer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One generation of the configuration.
+
+    ``upstreams`` is keyed by ``service/name``.
+    """
+
+    generation: int = 0
+    services: Mapping[str, Service] = field(default_factory=dict)
+    upstreams: Mapping[str, Upstream] = field(default_factory=dict)
+
+    def upstreams_of(self, service: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of one service, ordered by key."""
+        return tuple(
+            self.upstreams[key]
+            for key in sorted(self.upstreams)
+            if self.upstreams[key].service == service
+        )
--- /dev/null
+++ b/src/crocusproxy/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' forms."""
--- /dev/null
+++ b/src/crocusproxy/durations.py
@@ -0,0 +1,64 @@
+"""Durations with units, as they are written in YAML documents."""
+
+import re
+from datetime import timedelta
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator, PlainSerializer
+
+_UNITS = {  # noqa: WPS407 - read-only by convention
+    'us': timedelta(microseconds=1),
+    'ms': timedelta(milliseconds=1),
+    's': timedelta(seconds=1),
+    'min': timedelta(minutes=1),
+    'h': timedelta(hours=1),
+    'd': timedelta(days=1),
+}
+_PATTERN = re.compile(r'(\d{1,9}(?:\.\d{1,6})?)\s*(us|ms|s|min|h|d)')
+
+
+def parse_duration(text: str) -> timedelta:
+    """Parse a number with a unit out of us, ms, s, min, h and d.
+
+    Raises:
+        ValueError: the text is not such a duration.
+
+    >>> parse_duration('250ms')
+    datetime.timedelta(microseconds=250000)
+    """
+    match = _PATTERN.fullmatch(text.strip())
+    if match is None:
+        raise ValueError('a duration with a unit, such as 250ms, 2s or 28d')
+    return float(match.group(1)) * _UNITS[match.group(2)]
+
+
+def format_duration(duration: timedelta) -> str:
+    """Write a duration in the largest unit that divides it.
+
+    >>> format_duration(timedelta(seconds=120))
+    '2min'
+    >>> format_duration(timedelta())
+    '0s'
+    """
+    if not duration:
+        return '0s'
+    for name in ('d', 'h', 'min', 's', 'ms'):
+        if not duration % _UNITS[name]:
+            return f'{duration // _UNITS[name]}{name}'
+    return f'{duration // _UNITS["us"]}us'
+
+
+def _read(raw: Any) -> timedelta:
+    match raw:
+        case timedelta():
+            return raw
+        case str():
+            return parse_duration(raw)
+    raise ValueError('a duration with a unit, such as 250ms, 2s or 28d')
+
+
+Duration = Annotated[
+    timedelta,
+    BeforeValidator(_read),
+    PlainSerializer(format_duration, return_type=str),
+]
--- /dev/null
+++ b/src/crocusproxy/errors.py
@@ -0,0 +1,83 @@
+"""Exceptions with a stable code and a hint that tells what to do."""
+
+from dataclasses import dataclass
+
+
+class CrocusError(Exception):
+    """Base of every error that the project raises on purpose.
+
+    Attributes:
+        code: stable identifier in snake case, listed in docs/operations.md.
+        message: what happened.
+        hint: what the reader can do about it; may be empty.
+    """
+
+    code = 'internal_error'
+
+    def __init__(self, message: str, *, hint: str = '', code: str = '') -> None:
+        super().__init__(message)
+        self.message = message
+        self.hint = hint
+        if code:
+            self.code = code
+
+    def __str__(self) -> str:
+        """Join code, message and hint on one line."""
+        text = f'[{self.code}] {self.message}'
+        return f'{text} ({self.hint})' if self.hint else text
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that is wrong in a checked document.
+
+    ``path`` is dotted, for example ``services.redaccion.homes``.
+    """
+
+    path: str
+    expected: str
+    found: str
+    code: str
+
+    def __str__(self) -> str:
+        """Format the fault as one line."""
+        path = self.path or '(document)'
+        return (
+            f'{path}: expected {self.expected}, '
+            f'found {self.found} [{self.code}]'
+        )
+
+
+class InvalidDocumentError(CrocusError):
+    """A document was rejected; ``faults`` lists every reason."""
+
+    code = 'invalid_document'
+
+    def __init__(self, source: str, faults: tuple[Fault, ...]) -> None:
+        super().__init__(
+            f'{source} has {len(faults)} fault(s)',
+            hint='correct the listed lines and try again',
+        )
+        self.source = source
+        self.faults = faults
+
+
+class PlatformUnavailableError(CrocusError):
+    """The platform did not answer, and the operation did not take effect.
+
+    Raised by reads, and by writes whose connection was never opened.
+    """
+
+    code = 'platform_unavailable'
+
+
+class AppendUnknownError(CrocusError):
+    """An append was sent but its answer was lost; it may have taken effect."""
+
+    code = 'append_unknown'
+
+
+class NotReachableError(CrocusError):
+    """Another program of the system did not answer."""
+
+    code = 'not_reachable'
--- /dev/null
+++ b/src/crocusproxy/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run of each non-idempotent request."""
--- /dev/null
+++ b/src/crocusproxy/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on queues, callers and retries."""
--- /dev/null
+++ b/src/crocusproxy/locator/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that tells callers which addresses to use."""
--- /dev/null
+++ b/src/crocusproxy/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Load reports, and probes within the operators' budget."""
--- /dev/null
+++ b/src/crocusproxy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are live, and which of them are a service's homes."""
--- /dev/null
+++ b/src/crocusproxy/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the project's own processes and their JSON codec."""
--- /dev/null
+++ b/src/crocusproxy/protocol/feed.py
@@ -0,0 +1,53 @@
+"""The long polls by which programs follow configuration and instances."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ..config.model import Document
+from ..errors import NotReachableError
+from ..membership.view import InstanceView
+from .codec import decode
+
+_OK = 200
+_GRACE = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, slots=True)
+class FeedClient:
+    """Reads the feeds of the configuration daemon at ``address``."""
+
+    session: ClientSession
+    address: str
+
+    async def document(self, after: int, wait: timedelta) -> Document:
+        """Return a document above generation ``after``, or the current one.
+
+        Raises:
+            NotReachableError: the daemon did not answer with a document.
+        """
+        return decode(Document, await self._poll('config', after, wait))
+
+    async def view(self, after: int, wait: timedelta) -> InstanceView:
+        """Return an instance view above version ``after``, or the current one.
+
+        Raises:
+            NotReachableError: the daemon did not answer with a view.
+        """
+        return decode(InstanceView, await self._poll('view', after, wait))
+
+    async def _poll(self, feed: str, after: int, wait: timedelta) -> bytes:
+        milliseconds = wait // timedelta(milliseconds=1)
+        url = f'http://{self.address}/v1/{feed}'
+        query = {'after': str(after), 'wait_ms': str(milliseconds)}
+        timeout = ClientTimeout(total=(wait + _GRACE).total_seconds())
+        try:
+            async with self.session.get(
+                url, params=query, timeout=timeout
+            ) as response:
+                if response.status != _OK:
+                    raise NotReachableError(f'{url}: {response.status}')
+                return await response.read()
+        except (ClientError, TimeoutError) as error:
+            raise NotReachableError(f'{url}: {error}') from error
--- /dev/null
+++ b/src/crocusproxy/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that forwards requests to upstreams."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo only."""
