--- a/src/crocusproxy/ledger/__init__.py
+++ b/src/crocusproxy/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""At most one run of each non-idempotent request."""
+"""Claims: the records that let a non-idempotent request run at most once."""
