--- /dev/null
+++ b/tests/limits/test_queue.py
@@ -0,0 +1,65 @@
+"""Guards against late service, unfair service and unbounded waiting."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocusproxy.limits.queue import DeadlineQueue
+
+
+def ms(number):
+    return timedelta(milliseconds=number)
+
+
+def test_the_earliest_deadline_goes_first_within_a_caller():
+    queue = DeadlineQueue(10, 10)
+    for number in (30, 10, 20):
+        assert queue.push(number, 'a', ms(number)) is None
+    assert [queue.pop(ms(0)) for _ in range(4)] == [10, 20, 30, None]
+
+
+def test_a_flood_neither_fills_the_queue_nor_delays_the_others():
+    queue = DeadlineQueue(16, 16)
+    refusals = [queue.push('flood', 'f', ms(100)) for _ in range(100)]
+    assert refusals[-1].code == 'caller_over_limit'
+    assert queue.push('other', 'o', ms(900)) is None
+    assert 'other' in {queue.pop(ms(0)) for _ in range(2)}
+
+
+def test_expired_requests_are_returned_once_and_never_served():
+    queue = DeadlineQueue(10, 10)
+    queue.push('early', 'a', ms(5))
+    queue.push('late', 'a', ms(50))
+    assert queue.pop(ms(5)) == 'late'
+    assert queue.expired(ms(5)) == ['early']
+    assert not queue.expired(ms(5))
+    assert not queue
+
+
+def test_a_request_that_would_wait_past_its_deadline_is_refused_at_once():
+    queue = DeadlineQueue(100, 100)
+    for number in range(40):
+        queue.push(number, 'a', ms(10_000))
+    for number in range(30):
+        queue.pop(ms(number * 10))
+    refusal = queue.push('x', 'b', ms(310), now=ms(300))
+    assert refusal.code == 'queue_full'
+    assert refusal.retry_after >= ms(50)
+
+
+@given(st.lists(st.tuples(st.sampled_from('abc'), st.integers(1, 50))))
+def test_every_request_leaves_exactly_once(entries):
+    queue = DeadlineQueue(20, 10)
+    held = [
+        number
+        for number, (caller, deadline) in enumerate(entries)
+        if queue.push(number, caller, ms(deadline)) is None
+    ]
+    left = []
+    for now in range(60):
+        popped = queue.pop(ms(now))
+        left.extend([] if popped is None else [popped])
+        left.extend(queue.expired(ms(now)))
+    assert sorted(left) == held
+    assert not queue
