--- a/src/crocusproxy/burn/__init__.py
+++ b/src/crocusproxy/burn/__init__.py
@@ -1,1 +1,1 @@
-"""Service-level objectives and the rate at which budgets burn."""
+"""Service-level objectives: window counts, burn rates and error budgets."""
--- /dev/null
+++ b/standins/upstream_state.py
@@ -0,0 +1,49 @@
+"""Faults that the upstream stand-in injects and figures that it keeps."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Faults:
+    """Faults to inject, set with ``POST /admin/faults``.
+
+    ``slow`` multiplies service times. ``drain`` is empty, ``announce`` (work is
+    still accepted) or ``refuse``. ``cut_body`` is the number of responses to
+    break in the middle. ``reported_in_flight`` replaces the true figure in load
+    reports. A request whose path contains ``crash_on`` ends the process.
+    """
+
+    slow: float = 1.0
+    fail_fast: bool = False
+    drain: str = ''
+    shed: bool = False
+    cut_body: int = 0
+    reported_in_flight: int | None = None
+    crash_on: str = ''
+
+
+@dataclass
+class Counters:
+    """What the upstream has seen, returned by ``GET /admin/counters``.
+
+    ``runs`` counts requests that took a slot or failed fast, so that a request
+    with an effect is never left out. ``sent`` holds the marks of the responses
+    written for each request id. ``last_arrival_after_drain_ms`` is counted from
+    the start of draining.
+    """
+
+    runs: int = 0
+    answered: int = 0
+    refused: int = 0
+    failed_fast: int = 0
+    cancelled: int = 0
+    cut: int = 0
+    probes: int = 0
+    probe_bytes: int = 0
+    most_running: int = 0
+    arrivals_after_drain: int = 0
+    last_arrival_after_drain_ms: float = 0
+    runs_by_key: Counter = field(default_factory=Counter)
+    runs_by_request: Counter = field(default_factory=Counter)
+    sent: dict = field(default_factory=lambda: defaultdict(list))
