--- /dev/null
+++ b/src/crocusproxy/locator/main.py
@@ -0,0 +1,77 @@
+"""The program ``crocus-locator``."""
+
+from dataclasses import dataclass, field
+
+import fire
+from aiohttp import ClientSession, web
+
+from ..application import Application, serve
+from ..clock import SystemClock
+from ..logs import start_logging
+from ..protocol.feed import FeedClient
+from ..protocol.follow import FeedFollower
+from ..settings import load_or_exit
+from .addresses import AddressBook
+from .server import locator_application
+from .settings import LocatorSettings
+
+
+@dataclass(slots=True)
+class LocatorDaemon:
+    """Connects the address book with its feeds and with callers."""
+
+    settings: LocatorSettings
+    application: Application = field(
+        default_factory=lambda: Application('crocus-locator')
+    )
+    book: AddressBook = field(init=False)
+    session: ClientSession = field(init=False)
+    follower: FeedFollower = field(init=False)
+    runner: web.AppRunner = field(init=False)
+
+    def prepare(self) -> Application:
+        """Register the life-cycle hooks and return the application."""
+        domains = self.settings.domains()
+        self.book = AddressBook(domains, self.settings.validity)
+        self.application.readiness.append(self.book.not_ready_reason)
+        self.application.on_start.extend((self.follow, self.listen))
+        self.application.on_stop.extend((self.stop_follow, self.stop_listen))
+        return self.application
+
+    async def follow(self) -> None:
+        """Start to follow configuration and instances."""
+        self.session = ClientSession()
+        addresses = (self.settings.config, *self.settings.peers)
+        feeds = tuple(FeedClient(self.session, one) for one in addresses)
+        self.follower = FeedFollower(feeds, SystemClock())
+        self.follower.on_document.append(self.book.use_document)
+        self.follower.on_view.append(self.book.use_view)
+        await self.follower.start()
+
+    async def listen(self) -> None:
+        """Serve callers."""
+        admin = self.application.admin_routes()
+        handler = locator_application(self.book, admin)
+        listen = self.settings.listen
+        self.runner = await serve(handler, listen.host, listen.port)
+
+    async def stop_listen(self) -> None:
+        """Finish the requests in progress and accept no more."""
+        await self.runner.cleanup()
+
+    async def stop_follow(self) -> None:
+        """Stop to follow; answers do not change any more."""
+        await self.follower.stop()
+        await self.session.close()
+
+
+def run(settings: str) -> None:
+    """Run the locator with the settings file at the path ``settings``."""
+    checked = load_or_exit(LocatorSettings, settings)
+    start_logging('crocus-locator', checked.instance.name)
+    LocatorDaemon(checked).prepare().run()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run)
