--- a/src/crocusproxy/locator/main.py
+++ b/src/crocusproxy/locator/main.py
@@ -32,7 +32,7 @@
     def prepare(self) -> Application:
         """Register the life-cycle hooks and return the application."""
         domains = self.settings.domains()
-        self.book = AddressBook(domains, self.settings.validity)
+        self.book = AddressBook(domains, self.settings.locate_validity)
         self.application.readiness.append(self.book.not_ready_reason)
         self.application.on_start.extend((self.follow, self.listen))
         self.application.on_stop.extend((self.stop_follow, self.stop_listen))
@@ -41,8 +41,9 @@
     async def follow(self) -> None:
         """Start to follow configuration and instances."""
         self.session = ClientSession()
-        addresses = (self.settings.config, *self.settings.peers)
-        feeds = tuple(FeedClient(self.session, one) for one in addresses)
+        feeds = tuple(
+            FeedClient(self.session, address) for address in self.settings.feeds
+        )
         self.follower = FeedFollower(feeds, SystemClock())
         self.follower.on_document.append(self.book.use_document)
         self.follower.on_view.append(self.book.use_view)
--- a/src/crocusproxy/locator/settings.py
+++ b/src/crocusproxy/locator/settings.py
@@ -1,7 +1,9 @@
 """Settings of ``crocus-locator``."""
 
 from datetime import timedelta
+from typing import Annotated
 
+from pydantic import Field
 from pydantic.dataclasses import dataclass
 
 from ..durations import Duration
@@ -13,18 +15,17 @@
     """Contents of the settings file.
 
     Attributes:
-        config: address of the instance's own configuration daemon, IP:port.
-        peers: configuration daemons of other instances, asked if it is down.
+        feeds: addresses of configuration daemons, IP:port; the instance's own
+            comes first, the others are asked if it does not answer.
         nearest: other failure domains, the nearest first.
-        validity: how long callers keep an answer.
+        locate_validity: how long callers keep an answer.
     """
 
     instance: InstanceIdentity
     listen: Listen
-    config: str
-    peers: tuple[str, ...] = ()
+    feeds: Annotated[tuple[str, ...], Field(min_length=1)]
     nearest: tuple[str, ...] = ()
-    validity: Duration = timedelta(seconds=5)
+    locate_validity: Duration = timedelta(seconds=5)
 
     def domains(self) -> tuple[str, ...]:
         """Return failure domains by distance, the instance's own first."""
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,187 @@
+"""Starts and stops real processes, for the demo and for tests.
+
+Only processes that were started here are ever ended, by their own handle.
+"""
+
+import asyncio
+import ctypes
+import importlib.util
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+_PR_SET_PDEATHSIG = 1
+_TAIL_LINES = 15
+_POLL_SECONDS = 0.05
+_LIBC = ctypes.CDLL(None)
+
+MODULES = {
+    'crocus-proxy': 'crocusproxy.proxy.main',
+    'crocus-locator': 'crocusproxy.locator.main',
+    'crocus-config': 'crocusproxy.config.main',
+    'crocus-console': 'crocusproxy.console.main',
+    'crocusctl': 'crocusproxy.cli.main',
+}
+
+
+class ProcessFailedError(Exception):
+    """A process ended or did not become ready; the text names its log."""
+
+
+@dataclass
+class Processes:
+    """Processes that end with the ``with`` block that this object opens.
+
+    Standard output and error go to ``NAME.log`` in ``folder``.
+    """
+
+    folder: Path
+    running: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def __enter__(self) -> 'Processes':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop_all()
+
+    def start(self, name: str, command: Sequence[str]) -> subprocess.Popen:
+        """Start ``command`` in a session of its own.
+
+        A Ctrl-C on the terminal then reaches only the parent, which ends its
+        children in order.
+        """
+        with self.log_path(name).open('ab') as log:
+            process = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=_die_with_parent,
+            )
+        self.running[name] = process
+        return process
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a crash would."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop_all(self, grace_seconds: float = 6) -> tuple[str, ...]:
+        """Send SIGTERM to all, and SIGKILL to those that outlast the grace.
+
+        Return the names of the latter.
+        """
+        for process in self.running.values():
+            # A frozen process would not see SIGTERM.
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        end = time.monotonic() + grace_seconds
+        late = []
+        for name, process in self.running.items():
+            try:
+                process.wait(max(0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                late.append(name)
+                process.kill()
+                process.wait()
+        self.running.clear()
+        return tuple(late)
+
+    def check_alive(self) -> None:
+        """Raise ProcessFailedError if a process ended by itself."""
+        for name, process in self.running.items():
+            if process.poll() is not None:
+                raise ProcessFailedError(self._describe(name, 'ended'))
+
+    async def wait_ready(self, name: str, url: str, seconds: float) -> None:
+        """Return once ``url`` is answered with 200.
+
+        Raises:
+            ProcessFailedError: the process ended, or ``seconds`` passed.
+        """
+        end = time.monotonic() + seconds
+        async with ClientSession(timeout=ClientTimeout(total=1)) as session:
+            while not await _answers(session, url):
+                if self.running[name].poll() is not None:
+                    raise ProcessFailedError(self._describe(name, 'ended'))
+                if time.monotonic() > end:
+                    reason = f'was not ready after {seconds} s'
+                    raise ProcessFailedError(self._describe(name, reason))
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def finish(self, name: str, seconds: float) -> None:
+        """Return once a process has ended with code 0.
+
+        Raises:
+            ProcessFailedError: it failed, or ``seconds`` passed.
+        """
+        end = time.monotonic() + seconds
+        while self.running[name].poll() is None and time.monotonic() < end:
+            await asyncio.sleep(_POLL_SECONDS)
+        code = self.running[name].poll()
+        if code is None:
+            raise ProcessFailedError(self._describe(name, 'did not end'))
+        if code:
+            raise ProcessFailedError(self._describe(name, 'failed'))
+        self.running.pop(name)
+
+    def log_path(self, name: str) -> Path:
+        return self.folder / f'{name}.log'
+
+    def _describe(self, name: str, event: str) -> str:
+        path = self.log_path(name)
+        lines = path.read_text(errors='replace').splitlines()[-_TAIL_LINES:]
+        code = self.running[name].poll()
+        ending = '' if code is None else f' with code {code}'
+        shown = '\n'.join(f'  {line}' for line in lines)
+        return f'{name} {event}{ending}; the end of {path}:\n{shown}'
+
+
+def program(name: str, *arguments: str) -> list[str] | None:
+    """Return the command of one of our programs; None without its module."""
+    if importlib.util.find_spec(MODULES[name]) is None:
+        return None
+    return [str(Path(sys.executable).with_name(name)), *arguments]
+
+
+def standin(name: str, /, **options: object) -> list[str]:
+    """Return the command that runs ``standins.NAME`` with ``options``."""
+    flags = [f'--{key}={setting}' for key, setting in options.items()]
+    return [sys.executable, '-m', f'standins.{name}', *flags]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return different loopback ports that are free at present."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(('127.0.0.1', 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+async def _answers(session: ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except (ClientError, TimeoutError):
+        return False
+
+
+def _die_with_parent() -> None:
+    """Have the kernel end the child when a killed parent cannot."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        os._exit(1)
--- /dev/null
+++ b/tests/standins/test_audit.py
@@ -0,0 +1,54 @@
+"""Guards against breaches of the guarantees that the demo would not count."""
+
+import pytest
+
+from standins.audit import Audit, audit, quantile
+from standins.caller import CallRecord
+
+CLEAN = Audit(duplicated=0, cut_short=0, foreign=0, false_not_run=0)
+
+
+def answered(**changes):
+    record = CallRecord('POST', key='k1', outcome='answered', request_id='r1')
+    record.response_mark = 'm1'
+    for name, setting in changes.items():
+        setattr(record, name, setting)
+    return record
+
+
+def upstream(runs=1, sent=(('r1', 'm1'),)):
+    return {
+        'runs_by_key': {'k1': runs},
+        'sent': {request_id: [mark] for request_id, mark in sent},
+    }
+
+
+@pytest.mark.parametrize(
+    ('record', 'upstreams', 'breach'),
+    [
+        (answered(), [upstream()], {}),
+        (answered(), [upstream(runs=2)], {'duplicated': 1}),
+        (answered(), [upstream(), upstream(sent=())], {'duplicated': 1}),
+        (answered(upstream_responses=2), [upstream()], {'duplicated': 1}),
+        (answered(whole=False), [upstream()], {'cut_short': 1}),
+        (answered(), [upstream(sent=(('r1', 'm2'),))], {'cut_short': 1}),
+        (answered(own=False), [upstream()], {'foreign': 1}),
+        (answered(outcome='not-run'), [upstream()], {'false_not_run': 1}),
+        (answered(outcome='unknown'), [upstream()], {}),
+    ],
+)
+def test_each_breach_is_counted(record, upstreams, breach):
+    found = audit([record], upstreams)
+    assert found == Audit(**(vars(CLEAN) | breach))
+    assert found.clean == (not breach)
+
+
+def test_repeated_runs_of_an_idempotent_request_are_no_duplicate():
+    record = answered(key='', upstream_responses=2)
+    assert audit([record], [upstream(runs=1)]).clean
+
+
+def test_quantiles_of_few_values():
+    assert quantile([], 0.99) == 0
+    assert quantile([3, 1, 2], 0.5) == 2
+    assert quantile([3, 1, 2], 0.99) == 3
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -7,6 +7,7 @@
 import pytest
 from aiohttp import ClientPayloadError, ClientSession, web
 
+from standins.processes import Processes, free_ports, standin
 from standins.upstream import Upstream
 
 
@@ -145,3 +146,33 @@
         assert counters['arrivals_after_drain'] == ('drain' in fault)
 
     run(test)
+
+
+def test_sigterm_finishes_the_requests_in_progress(tmp_path):
+    port = free_ports(1)[0]
+    url = f'http://127.0.0.1:{port}'
+
+    async def test(processes):
+        command = standin('upstream', port=port, service_ms=500, spread=0)
+        process = processes.start('u1', command)
+        await processes.wait_ready('u1', f'{url}/admin/counters', 20)
+        async with ClientSession(url) as session:
+            call = asyncio.create_task(session.get('/a?size=90000'))
+            while not (await counters(session))['running']:
+                await asyncio.sleep(0)
+            process.terminate()
+            response = await call
+            body = await response.read()
+        await processes.finish('u1', 20)
+        return response, body
+
+    with Processes(tmp_path) as processes:
+        response, body = asyncio.run(test(processes))
+    assert response.headers['Upstream-State'] == 'draining'
+    mark = hashlib.sha256(body).hexdigest()
+    assert mark == response.headers['Upstream-Response-Mark']
+
+
+async def counters(session):
+    async with session.get('/admin/counters') as response:
+        return await response.json()
