Add the configuration daemon and the command line

Cause: operators need to bring a configuration into force, and every program needs to follow it.

Change: change records with pure validation and fold, a stream reader, a publisher that appends a submission once and reads on for its verdict,

The feed sends edits to a reader that asks for them. Durations of up to 18 digits are read back, because a valid duration was written in a form that was then refused.

--- /dev/null
+++ b/src/crocusproxy/cli/exits.py
@@ -0,0 +1,41 @@
+"""Exit codes of the command line."""
+
+import enum
+
+from ..config.publisher import NoConfigurationError, NotKnownYetError
+from ..errors import (
+    CrocusError,
+    InvalidDocumentError,
+    NotReachableError,
+    PlatformUnavailableError,
+)
+
+
+class Exit(enum.IntEnum):
+    """What the exit code of a command means."""
+
+    done = 0
+    rejected = 1
+    wrong_input = 2
+    not_reachable = 3
+    not_known_yet = 4
+
+
+class WrongInputError(CrocusError):
+    """The command line or the tool's settings do not make sense."""
+
+    code = 'wrong_input'
+
+
+def exit_code_of(error: CrocusError) -> Exit:
+    """Return the exit code that reports an error."""
+    match error:
+        case InvalidDocumentError() | WrongInputError():
+            return Exit.wrong_input
+        case NotKnownYetError():
+            return Exit.not_known_yet
+        case PlatformUnavailableError() | NotReachableError():
+            return Exit.not_reachable
+        case NoConfigurationError():
+            return Exit.not_reachable
+    return Exit.rejected
--- /dev/null
+++ b/src/crocusproxy/cli/output.py
@@ -0,0 +1,68 @@
+"""Printing of results, for people or as JSON."""
+
+import json
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from ..config.change import Edit, Put
+from ..errors import CrocusError, Fault, InvalidDocumentError
+from ..protocol import codec
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a command found: ``plain`` for --json, ``text`` for people."""
+
+    plain: Any
+    text: str
+    exit_code: int = 0
+
+
+def print_result(result: Result, as_json: bool) -> None:
+    """Print a result on standard output."""
+    print(json.dumps(result.plain, indent=2) if as_json else result.text)
+
+
+def print_error(error: CrocusError, as_json: bool) -> None:
+    """Print an error; JSON goes to standard output, text to standard error."""
+    faults = error.faults if isinstance(error, InvalidDocumentError) else ()
+    if as_json:
+        print(json.dumps(_plain_error(error, faults), indent=2))
+        return
+    print(error, file=sys.stderr)
+    for fault in faults:
+        print(f'  {fault}', file=sys.stderr)
+
+
+def edit_line(edit: Edit) -> str:
+    """Write an edit as one line."""
+    sign = '+' if isinstance(edit, Put) else '-'
+    return f'{sign} {edit.kind} {edit.key}'
+
+
+def table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Align rows under their header.
+
+    >>> print(table(('name', 'slots'), [('a', 2)]))
+    name  slots
+    a     2
+    """
+    cells = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    )
+
+
+def _plain_error(error: CrocusError, faults: Sequence[Fault]) -> Any:
+    return {
+        'code': error.code,
+        'message': error.message,
+        'hint': error.hint,
+        'faults': [codec.to_plain(fault) for fault in faults],
+    }
--- /dev/null
+++ b/src/crocusproxy/config/daemon.py
@@ -0,0 +1,84 @@
+"""The configuration daemon, assembled from its parts."""
+
+from random import Random
+
+from aiohttp import ClientSession, web
+from prometheus_client import REGISTRY, CollectorRegistry, Gauge
+
+from ..application import Application, serve
+from ..clock import Clock, SystemClock
+from .served import Served
+from .server import FeedServer
+from .settings import ConfigSettings
+from .snapshot_writer import SnapshotWriter
+from .source import Source
+
+
+class ConfigDaemon:
+    """Follows the configuration and serves it; owns its connections."""
+
+    def __init__(
+        self,
+        settings: ConfigSettings,
+        clock: Clock | None = None,
+        random: Random | None = None,
+        registry: CollectorRegistry = REGISTRY,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.random = random or Random(settings.identity.name)
+        self.served = Served()
+        self.application = Application(
+            'crocus-config',
+            on_start=[self.start],
+            on_drain=[self.drain],
+            on_stop=[self.stop],
+        )
+        _add_gauges(registry, self.served)
+
+    async def start(self) -> None:
+        """Serve, and start to follow."""
+        self.session = ClientSession()
+        self.source = Source(
+            self.settings, self.session, self.served, self.clock, self.random
+        )
+        self.writer = SnapshotWriter(
+            self.source.reader,
+            self.clock,
+            self.random,
+            self.settings.platform.retention,
+        )
+        self.application.readiness.append(self.source.not_ready_reason)
+        handler = web.Application()
+        handler.add_routes(self.application.admin_routes())
+        handler.add_routes(FeedServer(self.served, self.source).routes())
+        listen = self.settings.listen
+        self.runner = await serve(handler, listen.host, listen.port)
+        await self.source.start()
+        await self.writer.start()
+
+    async def drain(self) -> None:
+        """End all long polls."""
+        self.served.changes.close()
+
+    async def stop(self) -> None:
+        """Stop to follow and to serve."""
+        await self.writer.stop()
+        await self.source.stop()
+        await self.runner.cleanup()
+        await self.session.close()
+
+
+def _add_gauges(registry: CollectorRegistry, served: Served) -> None:
+    generation = Gauge(
+        'crocus_config_generation',
+        'Generation of the configuration that is served.',
+        registry=registry,
+    )
+    generation.set_function(lambda: served.document.generation)
+    version = Gauge(
+        'crocus_config_view_version',
+        'Version of the instance view that is served.',
+        registry=registry,
+    )
+    version.set_function(lambda: served.view.version)
--- a/src/crocusproxy/config/model.py
+++ b/src/crocusproxy/config/model.py
@@ -1,13 +1,17 @@
 """The configuration document: services and the upstreams behind them."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass as plain_dataclass
 from dataclasses import field
 from datetime import timedelta
+from typing import Annotated
 
+from pydantic import PlainSerializer
 from pydantic.dataclasses import dataclass
 
 from ..durations import Duration
 from ..settings import STRICT
+from .table import UpstreamTable
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
@@ -71,7 +75,15 @@
     older_balancer: OlderBalancer | None = None
 
 
-@dataclass(frozen=True, slots=True)
+Upstreams = Annotated[
+    Mapping[str, Upstream],
+    PlainSerializer(dict, return_type=dict[str, Upstream]),
+]
+
+
+# Not a pydantic data class: its constructor would check every upstream again
+# for each generation. Documents from outside are checked by the codec.
+@plain_dataclass(frozen=True, slots=True)
 class Document:
     """One generation of the configuration.
 
@@ -80,12 +92,19 @@
 
     generation: int = 0
     services: Mapping[str, Service] = field(default_factory=dict)
-    upstreams: Mapping[str, Upstream] = field(default_factory=dict)
+    upstreams: Upstreams = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Group the upstreams by service."""
+        table = UpstreamTable.of(self.upstreams)
+        object.__setattr__(self, 'upstreams', table)  # noqa: WPS609 - frozen
+
+    @property
+    def table(self) -> UpstreamTable:
+        """Return the upstreams grouped by service."""
+        return UpstreamTable.of(self.upstreams)
 
     def upstreams_of(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of one service, ordered by key."""
-        return tuple(
-            self.upstreams[key]
-            for key in sorted(self.upstreams)
-            if self.upstreams[key].service == service
-        )
+        group = self.table.group(service)
+        return tuple(group[key] for key in sorted(group))
--- /dev/null
+++ b/src/crocusproxy/config/peers.py
@@ -0,0 +1,91 @@
+"""Long polls of peers, one after the other until one is current."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+
+from aiohttp import ClientSession
+
+from ..errors import CrocusError
+from ..logs import log
+from ..protocol.document_feed import apply_reply
+from ..protocol.feed import FeedClient
+from .served import Served
+
+# Bounds how long a frozen peer can hold back a change.
+_POLL_WAIT = timedelta(seconds=2)
+# Peers asked in one round when the platform does not answer.
+_ASKED_AT_ONCE = 3
+
+Poll = Callable[[str, timedelta], Awaitable[bool]]
+
+
+class Rotation:
+    """Remembers which of a list of peers is polled next."""
+
+    def __init__(self) -> None:
+        self.turn = 0
+
+    async def poll(self, peers: tuple[str, ...], poll: Poll) -> bool:
+        """Poll one peer; return false once every peer has failed in turn.
+
+        A peer that answers with less than is known here counts as failed.
+        """
+        address = peers[self.turn % len(peers)]
+        if await _succeeds(poll, address, _POLL_WAIT):
+            self.turn = 0
+            return True
+        self.turn += 1
+        return bool(self.turn % len(peers))
+
+
+class Peers:
+    """Takes documents and views from other configuration daemons."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        served: Served,
+        random: Random,
+    ) -> None:
+        self.session = session
+        self.served = served
+        self.random = random
+
+    async def document(self, address: str, wait: timedelta) -> bool:
+        """Take a peer's document; return false if the peer is behind.
+
+        Raises:
+            CrocusError: the peer did not answer with a document.
+        """
+        current = self.served.document
+        feed = FeedClient(self.session, address)
+        reply = await feed.reply(current.generation, wait)
+        self.served.offer_document(apply_reply(current, reply))
+        return reply.generation >= current.generation
+
+    async def view(self, address: str, wait: timedelta) -> bool:
+        """Take a peer's view; return false if the peer is behind.
+
+        Raises:
+            CrocusError: the peer did not answer with a view.
+        """
+        current = self.served.view.version
+        view = await FeedClient(self.session, address).view(current, wait)
+        self.served.offer_view(view)
+        return view.version >= current
+
+    async def ask_some(self, peers: tuple[str, ...]) -> None:
+        """Take the newest generation and view of a few peers, at once."""
+        count = min(_ASKED_AT_ONCE, len(peers))
+        for address in self.random.sample(peers, count):
+            if await _succeeds(self.document, address, timedelta()):
+                await _succeeds(self.view, address, timedelta())
+
+
+async def _succeeds(poll: Poll, address: str, wait: timedelta) -> bool:
+    try:
+        return await poll(address, wait)
+    except CrocusError as error:
+        log('peer_unreachable', peer=address, error=str(error))
+    return False
--- /dev/null
+++ b/src/crocusproxy/config/publisher.py
@@ -0,0 +1,186 @@
+"""Submits one change and finds out what became of it."""
+
+import uuid
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from ..errors import (
+    AppendUnknownError,
+    CrocusError,
+    PlatformUnavailableError,
+)
+from ..logs import log
+from ..platform_client import PlatformClient
+from ..protocol import codec
+from .change import Change, Edit, edits_between
+from .model import Document
+from .reader import CONFIG_STREAM, StreamReader
+from .validation import check_change
+from .verdict import CONFIG_INVALID, GENERATION_CONFLICT, Rejected, Verdict
+
+_POLL = timedelta(seconds=1)
+_RETRY_DELAY = timedelta(milliseconds=200)
+
+
+class NotKnownYetError(CrocusError):
+    """The submission may still take effect; its record was not found yet."""
+
+    code = 'not_known_yet'
+
+    def __init__(self, submission: str) -> None:
+        super().__init__(
+            f'submission {submission} was not found in the stream yet',
+            hint='look it up with: crocusctl history --submission ID',
+        )
+        self.submission = submission
+
+
+class NoConfigurationError(CrocusError):
+    """The stream cannot be folded, so there is no base for a change."""
+
+    code = 'no_configuration'
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A submission id and its verdict."""
+
+    id: str
+    verdict: Verdict
+
+
+def new_submission_id() -> str:
+    """Return a fresh id; one id is appended at most once."""
+    return uuid.uuid4().hex
+
+
+class Publisher:
+    """Publishes through its own reader of the stream.
+
+    ``limit`` bounds the wait for a verdict after the append.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        clock: Clock,
+        limit: timedelta = timedelta(seconds=10),
+    ) -> None:
+        self.client = client
+        self.clock = clock
+        self.limit = limit
+        self.reader = StreamReader(client)
+
+    async def current(self) -> Document:
+        """Return the newest generation in the stream.
+
+        Raises:
+            PlatformUnavailableError: the log service did not answer.
+            NoConfigurationError: the stream cannot be folded.
+        """
+        await self.reader.catch_up()
+        state = self.reader.state
+        if state.unknown_rules:
+            raise NoConfigurationError(
+                f'the stream uses validation rules {state.unknown_rules}',
+                hint='update this program',
+                code='config_rules_unknown',
+            )
+        if not state.following:
+            raise NoConfigurationError(
+                'the oldest records have expired and no snapshot is complete',
+                hint='wait until an instance has written a snapshot',
+            )
+        return state.document
+
+    async def replace(
+        self,
+        wanted: Document,
+        operator: str,
+        base: int | None = None,
+    ) -> Submission | None:
+        """Replace the whole content; return None if nothing differs.
+
+        If ``base`` is given, only that generation is replaced.
+
+        Raises:
+            PlatformUnavailableError: the change was certainly not made.
+            NoConfigurationError: the stream cannot be folded.
+            NotKnownYetError: the change may or may not take effect.
+        """
+        current = await self.current()
+        edits = edits_between(current, wanted)
+        if not edits:
+            return None
+        number = current.generation if base is None else base
+        return await self.submit(self.change(edits, number, operator))
+
+    def change(
+        self,
+        edits: tuple[Edit, ...],
+        base: int,
+        operator: str,
+    ) -> Change:
+        """Make a change with a fresh submission id."""
+        return Change(
+            submission=new_submission_id(),
+            base=base,
+            edits=edits,
+            operator=operator,
+            at=self.clock.now(),
+        )
+
+    async def submit(self, change: Change) -> Submission:
+        """Append a change once and wait for its verdict.
+
+        A change that is certain to be rejected is not appended.
+
+        Raises:
+            PlatformUnavailableError: the change was certainly not made.
+            NoConfigurationError: the stream cannot be folded.
+            NotKnownYetError: the change may or may not take effect.
+        """
+        current = await self.current()
+        rejected = _reject_early(current, change)
+        if rejected is not None:
+            return Submission(change.submission, rejected)
+        try:
+            await self.client.append(CONFIG_STREAM, codec.to_plain(change))
+        except AppendUnknownError as error:
+            log(
+                'config_append_unknown',
+                submission=change.submission,
+                error=str(error),
+            )
+        return Submission(change.submission, await self.find(change.submission))
+
+    async def find(self, submission: str) -> Verdict:
+        """Read on until the verdict of a submission is found.
+
+        Raises:
+            NotKnownYetError: it was not found within ``limit``.
+        """
+        end = self.clock.monotonic() + self.limit
+        while True:
+            verdict = self.reader.state.verdicts.get(submission)
+            if verdict is not None:
+                return verdict
+            left = end - self.clock.monotonic()
+            if left <= timedelta() or self.reader.state.unknown_rules:
+                raise NotKnownYetError(submission)
+            await self._read_on(min(left, _POLL))
+
+    async def _read_on(self, wait: timedelta) -> None:
+        try:
+            await self.reader.poll(wait)
+        except PlatformUnavailableError:
+            await self.clock.sleep(_RETRY_DELAY)
+
+
+def _reject_early(current: Document, change: Change) -> Rejected | None:
+    generation = current.generation
+    if change.base != generation:
+        return Rejected(GENERATION_CONFLICT, generation)
+    _, faults = check_change(current, change)
+    return Rejected(CONFIG_INVALID, generation, faults) if faults else None
--- /dev/null
+++ b/src/crocusproxy/config/server.py
@@ -0,0 +1,109 @@
+"""HTTP endpoints of the configuration daemon."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from aiohttp import web
+
+from ..protocol.codec import encode
+from .change import RULES
+from .served import Served
+from .source import Source
+
+_MAX_WAIT = timedelta(seconds=60)
+_JSON = 'application/json'
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonStatus:
+    """State of one configuration daemon, for operators.
+
+    ``offset`` is the last record that was folded; -1 if the daemon does not
+    read the platform.
+    """
+
+    generation: int
+    view_version: int
+    reads_platform: bool
+    following: bool
+    offset: int
+    rules: int
+    problem: str
+    snapshot_generation: int
+
+
+class FeedServer:
+    """Serves the long polls ``/v1/config`` and ``/v1/view``."""
+
+    def __init__(self, served: Served, source: Source) -> None:
+        self.served = served
+        self.source = source
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the feeds and of the status."""
+        return [
+            web.get('/v1/config', self.config),
+            web.get('/v1/view', self.view),
+            web.get('/v1/status', self.status),
+        ]
+
+    async def config(self, request: web.Request) -> web.Response:
+        """Answer once the generation is above ``after``."""
+        after = _number(request, 'after', -1)
+        await self.served.changes.wait_until(
+            lambda: self.served.document.generation > after,
+            _wait(request),
+        )
+        self._check_open()
+        edits = request.query.get('edits') == '1'
+        body = self.served.document_body(after, edits)
+        return web.Response(body=body, content_type=_JSON)
+
+    async def view(self, request: web.Request) -> web.Response:
+        """Answer once the version of the view is above ``after``."""
+        after = _number(request, 'after', -1)
+        await self.served.changes.wait_until(
+            lambda: self.served.view.version > after,
+            _wait(request),
+        )
+        self._check_open()
+        return web.Response(body=self.served.view_body, content_type=_JSON)
+
+    async def status(self, _: web.Request) -> web.Response:
+        """Report what this daemon follows."""
+        state = self.source.reader.state
+        status = DaemonStatus(
+            generation=self.served.document.generation,
+            view_version=self.served.view.version,
+            reads_platform=self.source.reads_platform(),
+            following=self.source.reader.started and state.following,
+            offset=state.offset,
+            rules=RULES,
+            problem=self.source.problem(),
+            snapshot_generation=(
+                state.snapshot.generation if state.snapshot else 0
+            ),
+        )
+        return web.Response(body=encode(status), content_type=_JSON)
+
+    def _check_open(self) -> None:
+        # Readers turn to another daemon instead of polling a closing one.
+        if self.served.changes.closed:
+            raise web.HTTPServiceUnavailable
+
+
+def _wait(request: web.Request) -> timedelta:
+    wait = _number(request, 'wait_ms', 0)
+    limit = _MAX_WAIT // timedelta(milliseconds=1)
+    return timedelta(milliseconds=min(max(wait, 0), limit))
+
+
+def _number(request: web.Request, name: str, default: int) -> int:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    try:
+        return int(text)
+    except ValueError as error:
+        reason = f'{name} must be a whole number'
+        raise web.HTTPBadRequest(text=reason) from error
--- /dev/null
+++ b/src/crocusproxy/config/source.py
@@ -0,0 +1,141 @@
+"""Keeps a daemon's document and view current, from the platform or peers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+
+from aiohttp import ClientSession
+
+from ..clock import Clock
+from ..errors import CrocusError, PlatformUnavailableError
+from ..logs import log
+from ..platform_client import PlatformClient
+from .peers import Peers, Rotation
+from .reader import StreamReader
+from .readers import is_reader, parents
+from .served import Served
+from .settings import ConfigSettings
+
+# Short, so that a reader that is cut off from the platform turns to its peers
+# within the time in which a change must be in force.
+_PLATFORM_WAIT = timedelta(seconds=2)
+_RETRY_DELAY = timedelta(milliseconds=500)
+
+
+class Source:
+    """Follows the stream and the instance list, or the daemons that do."""
+
+    def __init__(
+        self,
+        settings: ConfigSettings,
+        session: ClientSession,
+        served: Served,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.settings = settings
+        self.served = served
+        self.clock = clock
+        self.peers = Peers(session, served, random)
+        self.document_rotation = Rotation()
+        self.view_rotation = Rotation()
+        self.client = PlatformClient(session, settings.platform.address)
+        self.reader = StreamReader(self.client)
+        self.platform_down = False
+        self.tasks: tuple[asyncio.Task[None], ...] = ()
+
+    async def start(self) -> None:
+        """Start to follow; return without waiting for a first document."""
+        await self.ask_peers()
+        self.tasks = (
+            asyncio.create_task(self._repeat(self.follow_config)),
+            asyncio.create_task(self._repeat(self.follow_view)),
+        )
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def reads_platform(self) -> bool:
+        """Tell whether this instance is one of the platform's readers."""
+        identity = self.settings.identity
+        return is_reader(
+            self.served.view, identity.name, identity.failure_domain
+        )
+
+    def problem(self) -> str:
+        """Return what is wrong, as a code; empty if nothing is."""
+        state = self.reader.state
+        if state.unknown_rules:
+            return 'config_rules_unknown'
+        if self.platform_down:
+            return 'platform_unavailable'
+        if self.reader.started and not state.following:
+            return 'no_snapshot'
+        return ''
+
+    def not_ready_reason(self) -> str:
+        """Return why there is nothing to serve; empty if there is."""
+        if self.served.document.generation:
+            return ''
+        return self.problem() or 'no_configuration'
+
+    async def ask_peers(self) -> None:
+        """Take what the peers have before the platform is asked."""
+        await self.peers.ask_some(self.peer_addresses())
+
+    async def follow_config(self) -> None:
+        """Take the next step towards the newest generation."""
+        if self.reader.state.unknown_rules:
+            # The last generation stays; only a newer program goes on.
+            await self.clock.sleep(_PLATFORM_WAIT)
+            return
+        peers = self.peer_addresses()
+        if self.reads_platform() or not peers:
+            wait = _PLATFORM_WAIT if self.reader.started else timedelta()
+            await self._read_platform(wait)
+        elif not await self.document_rotation.poll(peers, self.peers.document):
+            await self._read_platform(timedelta())
+
+    async def follow_view(self) -> None:
+        """Take the next step towards the newest instance view."""
+        peers = self.peer_addresses()
+        if self.reads_platform() or not peers:
+            await self._list_instances(_PLATFORM_WAIT)
+        elif not await self.view_rotation.poll(peers, self.peers.view):
+            await self._list_instances(timedelta())
+
+    def peer_addresses(self) -> tuple[str, ...]:
+        """Return the daemons to poll, the preferred first."""
+        identity = self.settings.identity
+        listed = parents(
+            self.served.view, identity.name, identity.failure_domain
+        )
+        return tuple(dict.fromkeys((*listed, *self.settings.peers)))
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await step()
+            except CrocusError as error:
+                log('config_source_failed', error=str(error))
+                await self.clock.sleep(_RETRY_DELAY)
+
+    async def _read_platform(self, wait: timedelta) -> None:
+        try:
+            found = await self.reader.poll(wait)
+        except PlatformUnavailableError:
+            self.platform_down = True
+            await self.ask_peers()
+            raise
+        self.platform_down = False
+        self.served.offer_document(self.reader.state.document)
+        if not found and not self.reader.state.following:
+            await self.ask_peers()
+
+    async def _list_instances(self, wait: timedelta) -> None:
+        version = self.served.view.version
+        self.served.offer_view(await self.client.instances(version, wait))
--- /dev/null
+++ b/src/crocusproxy/config/table.py
@@ -0,0 +1,140 @@
+"""Immutable mapping of upstreams, grouped by service.
+
+A new generation shares every group that it does not change, so an edit costs
+the size of one group, and two generations are compared by identity of groups.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .model import Upstream
+
+_Group = Mapping[str, 'Upstream']
+_Bucket = dict[str, tuple['Upstream', ...]]
+_Buckets = tuple[_Bucket, ...]
+
+_BUCKET_COUNT = 256
+_NO_ADDRESSES: _Buckets = ({},) * _BUCKET_COUNT
+
+
+class UpstreamTable(Mapping[str, 'Upstream']):
+    """Upstreams by key, which has the form ``service/name``."""
+
+    __slots__ = ('groups', 'addresses', 'size')
+
+    def __init__(
+        self,
+        groups: Mapping[str, _Group],
+        addresses: _Buckets = _NO_ADDRESSES,
+    ) -> None:
+        self.groups = groups
+        self.addresses = addresses
+        self.size = sum(len(group) for group in groups.values())
+
+    @classmethod
+    def of(cls, upstreams: Mapping[str, 'Upstream']) -> 'UpstreamTable':
+        """Group a plain mapping; a table is returned as it is."""
+        if isinstance(upstreams, UpstreamTable):
+            return upstreams
+        return cls({}).edited(upstreams, ())
+
+    def edited(
+        self,
+        put: Mapping[str, 'Upstream'],
+        removed: Iterable[str],
+    ) -> 'UpstreamTable':
+        """Return a table with some upstreams replaced, added or removed."""
+        changed: dict[str, dict[str, Upstream]] = {}
+        addresses = _AddressEdits(self.addresses)
+        for gone in removed:
+            addresses.remove(self._writable(changed, gone).pop(gone, None))
+        for key, upstream in put.items():
+            group = self._writable(changed, key)
+            addresses.remove(group.get(key))
+            addresses.add(upstream)
+            group[key] = upstream
+        merged = {**self.groups, **changed}
+        for service, group in changed.items():
+            if not group:
+                merged.pop(service)
+        return UpstreamTable(merged, addresses.finished())
+
+    def at_address(self, address: str) -> tuple['Upstream', ...]:
+        """Return the upstreams of all services that share an address."""
+        return self.addresses[_bucket_of(address)].get(address, ())
+
+    def group(self, service: str) -> _Group:
+        """Return the upstreams of one service by key."""
+        return self.groups.get(service, {})
+
+    def __getitem__(self, key: str) -> 'Upstream':
+        """Return the upstream with this key."""
+        return self.group(_service_of(key))[key]
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the keys, service by service."""
+        for group in self.groups.values():
+            yield from group
+
+    def __len__(self) -> int:
+        """Return the number of upstreams."""
+        return self.size
+
+    def __repr__(self) -> str:
+        """Show the table as a plain mapping."""
+        return repr(dict(self))
+
+    def _writable(
+        self,
+        changed: dict[str, dict[str, 'Upstream']],
+        key: str,
+    ) -> dict[str, 'Upstream']:
+        service = _service_of(key)
+        if service not in changed:
+            changed[service] = dict(self.group(service))
+        return changed[service]
+
+
+class _AddressEdits:
+    """Edits the buckets of an address index; each is copied at most once."""
+
+    def __init__(self, buckets: _Buckets) -> None:
+        self.buckets = list(buckets)
+        self.changed: dict[int, _Bucket] = {}
+
+    def add(self, upstream: 'Upstream') -> None:
+        bucket = self._writable(upstream.address)
+        others = bucket.get(upstream.address, ())
+        bucket[upstream.address] = (*others, upstream)
+
+    def remove(self, upstream: 'Upstream | None') -> None:
+        if upstream is None:
+            return
+        bucket = self._writable(upstream.address)
+        others = tuple(
+            other
+            for other in bucket.pop(upstream.address, ())
+            if other.key != upstream.key
+        )
+        if others:
+            bucket[upstream.address] = others
+
+    def finished(self) -> _Buckets:
+        for number, bucket in self.changed.items():
+            self.buckets[number] = bucket
+        return tuple(self.buckets)
+
+    def _writable(self, address: str) -> '_Bucket':
+        number = _bucket_of(address)
+        if number not in self.changed:
+            self.changed[number] = dict(self.buckets[number])
+        return self.changed[number]
+
+
+def _bucket_of(address: str) -> int:
+    return hash(address) % _BUCKET_COUNT
+
+
+def _service_of(key: str) -> str:
+    return key.partition('/')[0]
--- /dev/null
+++ b/src/crocusproxy/config/validation.py
@@ -0,0 +1,292 @@
+"""Rules for changes and documents; pure, and the same in every reader."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from typing import Any
+
+from ..durations import format_duration
+from ..errors import Fault
+from .change import Change, Put, apply_edits
+from .model import Document, OlderBalancer, Service, Upstream
+
+MAX_EDITS = 20_000
+_MAX_FAULTS = 50
+_MAX_FOUND_CHARACTERS = 60
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._~-]{0,63}')
+_ADDRESS = re.compile(r'(?:\[([0-9a-f:.]+)\]|([0-9.]+)):([1-9][0-9]{0,4})')
+_MAX_PORT = 65535
+_MILLISECOND = timedelta(milliseconds=1)
+_HOUR = timedelta(hours=1)
+_YEAR = timedelta(days=365)
+
+
+def check_change(
+    document: Document,
+    change: Change,
+) -> tuple[Document, tuple[Fault, ...]]:
+    """Return the next generation, and why it must not be taken.
+
+    Only the objects that the change touches are checked.
+    """
+    faults = list(_envelope_faults(change))
+    wanted = apply_edits(document, change.edits, document.generation + 1)
+    if not faults:
+        faults.extend(_edit_faults(document, wanted, change))
+    return wanted, tuple(faults[:_MAX_FAULTS])
+
+
+def check_content(document: Document) -> tuple[Fault, ...]:
+    """Return every fault of a whole document."""
+    faults: list[Fault] = []
+    for service in document.services.values():
+        faults.extend(service_faults(service))
+    domains: dict[str, str] = {}
+    for upstream in document.upstreams.values():
+        faults.extend(upstream_faults(upstream))
+        faults.extend(_service_known(document, upstream))
+        faults.extend(_domain_fault(domains, upstream))
+    return tuple(faults)
+
+
+def service_faults(service: Service) -> Iterator[Fault]:
+    """Check one service by itself."""
+    path = service_path(service.name)
+    yield from _name(path, service.name)
+    yield from _number_faults(path, service)
+    yield from _duration(
+        f'{path}.deadline', service.deadline, _MILLISECOND, _HOUR
+    )
+    yield from _budget_faults(f'{path}.probe_budget', service)
+    yield from _objective_faults(f'{path}.objective', service)
+    if service.older_balancer is not None:
+        yield from _older_faults(
+            f'{path}.older_balancer', service.older_balancer
+        )
+
+
+def _number_faults(path: str, service: Service) -> Iterator[Fault]:
+    yield from _range(f'{path}.homes', service.homes, 1, 64)
+    yield from _range(f'{path}.depth', service.depth, 0, 64)
+    yield from _range(f'{path}.queue', service.queue, 0, 65_536)
+    yield from _share(f'{path}.retry_share', service.retry_share)
+    yield from _share(f'{path}.max_eject_share', service.max_eject_share)
+
+
+def upstream_faults(upstream: Upstream) -> Iterator[Fault]:
+    """Check one upstream by itself."""
+    path = upstream_path(upstream.key)
+    yield from _name(path, upstream.name)
+    yield from _address(f'{path}.address', upstream.address)
+    yield from _name(f'{path}.failure_domain', upstream.failure_domain)
+    yield from _range(f'{path}.slots', upstream.slots, 1, 1024)
+
+
+def service_path(name: str) -> str:
+    """Return the path of a service in an operators' document."""
+    return f'services.{_short(name)}'
+
+
+def upstream_path(key: str) -> str:
+    """Return the path of an upstream in an operators' document."""
+    service, _, name = key.partition('/')
+    return f'{service_path(service)}.upstreams.{_short(name)}'
+
+
+def _envelope_faults(change: Change) -> Iterator[Fault]:
+    if _NAME.fullmatch(change.submission) is None:
+        yield _name_fault('submission', change.submission)
+    if not change.edits:
+        yield Fault('edits', 'at least one edit', 'none', 'no_edits')
+    if len(change.edits) > MAX_EDITS:
+        found = str(len(change.edits))
+        yield Fault('edits', f'at most {MAX_EDITS}', found, 'too_many_edits')
+    seen: set[tuple[str, str]] = set()
+    for edit in change.edits:
+        target = (edit.kind, edit.key)
+        if target in seen:
+            yield Fault(_short(edit.key), 'one edit', 'two', 'duplicate_edit')
+        seen.add(target)
+        if isinstance(edit, Put):
+            yield from _key_fault(edit)
+
+
+def _key_fault(edit: Put) -> Iterator[Fault]:
+    match edit.value:
+        case Service(name=name):
+            own = ('service', name)
+        case Upstream() as upstream:
+            own = ('upstream', upstream.key)
+    if (edit.kind, edit.key) != own:
+        found = f'{edit.kind} {_short(edit.key)}'
+        expected = f'{own[0]} {_short(own[1])}'
+        yield Fault(_short(edit.key), expected, found, 'key_mismatch')
+
+
+def _edit_faults(
+    document: Document,
+    wanted: Document,
+    change: Change,
+) -> Iterator[Fault]:
+    put_upstreams = []
+    for edit in change.edits:
+        match edit:
+            case Put(value=Service() as service):
+                yield from service_faults(service)
+            case Put(value=Upstream() as upstream):
+                put_upstreams.append(upstream)
+                yield from upstream_faults(upstream)
+                yield from _service_known(wanted, upstream)
+            case _:
+                yield from _delete_faults(document, wanted, edit)
+    yield from _shared_address_faults(wanted, put_upstreams)
+
+
+def _delete_faults(
+    document: Document,
+    wanted: Document,
+    edit: Any,
+) -> Iterator[Fault]:
+    if edit.kind == 'upstream':
+        if edit.key not in document.upstreams:
+            path = upstream_path(edit.key)
+            yield Fault(path, 'a known upstream', 'none', 'upstream_unknown')
+        return
+    path = service_path(edit.key)
+    if edit.key not in document.services:
+        yield Fault(path, 'a known service', 'none', 'service_unknown')
+    left = len(wanted.table.group(edit.key))
+    if left:
+        yield Fault(path, 'no upstreams', str(left), 'service_in_use')
+
+
+def _shared_address_faults(
+    wanted: Document,
+    put_upstreams: Iterable[Upstream],
+) -> Iterator[Fault]:
+    for upstream in put_upstreams:
+        for other in wanted.table.at_address(upstream.address):
+            yield from _domain_fault(
+                {other.address: other.failure_domain}, upstream
+            )
+
+
+def _domain_fault(
+    domains: dict[str, str],
+    upstream: Upstream,
+) -> Iterator[Fault]:
+    known = domains.setdefault(upstream.address, upstream.failure_domain)
+    if known != upstream.failure_domain:
+        yield Fault(
+            f'{upstream_path(upstream.key)}.failure_domain',
+            f'{_short(known)}, where {upstream.address} already is',
+            _short(upstream.failure_domain),
+            'address_in_two_failure_domains',
+        )
+
+
+def _service_known(document: Document, upstream: Upstream) -> Iterator[Fault]:
+    if upstream.service not in document.services:
+        yield Fault(
+            f'{upstream_path(upstream.key)}.service',
+            'a service of the document',
+            _short(upstream.service),
+            'service_unknown',
+        )
+
+
+def _budget_faults(path: str, service: Service) -> Iterator[Fault]:
+    budget = service.probe_budget
+    for name, amount, limit in (
+        ('per_second', budget.per_second, 100_000),
+        ('bytes_per_second', budget.bytes_per_second, 1_000_000_000),
+    ):
+        if not 0 < amount <= limit:
+            expected = f'a number above 0, at most {limit}'
+            yield Fault(
+                f'{path}.{name}', expected, str(amount), 'budget_out_of_range'
+            )
+
+
+def _objective_faults(path: str, service: Service) -> Iterator[Fault]:
+    objective = service.objective
+    yield from _duration(
+        f'{path}.within', objective.within, _MILLISECOND, _HOUR
+    )
+    yield from _duration(f'{path}.window', objective.window, _HOUR, _YEAR)
+    # A share of 1 leaves no error budget, so no burn rate can be computed.
+    if not 0 < objective.share < 1:
+        yield Fault(
+            f'{path}.share',
+            'a number above 0 and below 1',
+            str(objective.share),
+            'share_out_of_range',
+        )
+
+
+def _older_faults(path: str, older: OlderBalancer) -> Iterator[Fault]:
+    yield from _address(f'{path}.address', older.address)
+    yield from _share(f'{path}.share', older.share)
+
+
+def _name(path: str, name: str) -> Iterator[Fault]:
+    if _NAME.fullmatch(name) is None:
+        yield _name_fault(path, name)
+
+
+def _name_fault(path: str, name: str) -> Fault:
+    expected = '1 to 64 of A-Z a-z 0-9 . _ ~ -, a letter or digit first'
+    return Fault(path, expected, repr(_short(name)), 'name_invalid')
+
+
+def _address(path: str, address: str) -> Iterator[Fault]:
+    if not is_address(address):
+        expected = 'IP:port, such as 127.0.0.1:9001'
+        yield Fault(path, expected, _short(address), 'address_invalid')
+
+
+def is_address(text: str) -> bool:
+    """Tell whether ``text`` is IP:port in its canonical form.
+
+    >>> [is_address(text) for text in ('127.0.0.1:80', '[::1]:80', 'host:80')]
+    [True, True, False]
+    """
+    match = _ADDRESS.fullmatch(text)
+    if match is None or int(match.group(3)) > _MAX_PORT:
+        return False
+    six, four, _ = match.groups()
+    try:
+        host = ipaddress.ip_address(six or four)
+    except ValueError:
+        return False
+    return str(host) == (six or four) and (host.version == 6) == bool(six)
+
+
+def _range(path: str, number: int, low: int, high: int) -> Iterator[Fault]:
+    if not low <= number <= high:
+        expected = f'a number from {low} to {high}'
+        yield Fault(path, expected, str(number), 'out_of_range')
+
+
+def _share(path: str, share: float) -> Iterator[Fault]:
+    if math.isnan(share) or not 0 <= share <= 1:
+        expected = 'a number from 0 to 1'
+        yield Fault(path, expected, str(share), 'share_out_of_range')
+
+
+def _duration(
+    path: str,
+    duration: timedelta,
+    low: timedelta,
+    high: timedelta,
+) -> Iterator[Fault]:
+    if not low <= duration <= high:
+        expected = f'{format_duration(low)} to {format_duration(high)}'
+        found = format_duration(duration)
+        yield Fault(path, expected, found, 'duration_out_of_range')
+
+
+def _short(text: str) -> str:
+    return text[:_MAX_FOUND_CHARACTERS]
--- a/src/crocusproxy/documents.py
+++ b/src/crocusproxy/documents.py
@@ -122,13 +122,29 @@
     Raises:
         InvalidDocumentError: the file cannot be read or is not valid.
     """
+    text = read_text(path)
+    return check_document(model, parse_yaml(text, str(path)), str(path))
+
+
+def read_text(path: Path) -> str:
+    """Read a UTF-8 file, and of a file over the limit only its beginning.
+
+    Raises:
+        InvalidDocumentError: the file cannot be read.
+    """
     try:
-        text = path.read_text(encoding='utf-8')
+        return _decoded(path)
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, 'strerror', None) or 'bytes that are not UTF-8'
         fault = Fault('', 'a readable UTF-8 file', reason, 'file_unreadable')
         raise InvalidDocumentError(str(path), (fault,)) from error
-    return check_document(model, parse_yaml(text, str(path)), str(path))
+
+
+def _decoded(path: Path) -> str:
+    with path.open('rb') as source:
+        raw = source.read(MAX_BYTES + 1)
+    # What is cut off may end within a character; the size is the fault.
+    return raw.decode(errors='replace' if len(raw) > MAX_BYTES else 'strict')
 
 
 def _syntax_fault(error: Exception) -> Fault:
--- a/src/crocusproxy/durations.py
+++ b/src/crocusproxy/durations.py
@@ -14,7 +14,7 @@
     'h': timedelta(hours=1),
     'd': timedelta(days=1),
 }
-_PATTERN = re.compile(r'(\d{1,9}(?:\.\d{1,6})?)\s*(us|ms|s|min|h|d)')
+_PATTERN = re.compile(r'([0-9]{1,18}(?:\.[0-9]{1,6})?)\s*(us|ms|s|min|h|d)')
 
 
 def parse_duration(text: str) -> timedelta:
@@ -29,7 +29,15 @@
     match = _PATTERN.fullmatch(text.strip())
     if match is None:
         raise ValueError('a duration with a unit, such as 250ms, 2s or 28d')
-    return float(match.group(1)) * _UNITS[match.group(2)]
+    try:
+        return _scale(match.group(1), _UNITS[match.group(2)])
+    except OverflowError as error:
+        raise ValueError('a duration below 1000000000d') from error
+
+
+def _scale(number: str, unit: timedelta) -> timedelta:
+    # Whole numbers stay exact; a float has too few digits for microseconds.
+    return int(number) * unit if number.isdecimal() else float(number) * unit
 
 
 def format_duration(duration: timedelta) -> str:
--- a/src/crocusproxy/protocol/feed.py
+++ b/src/crocusproxy/protocol/feed.py
@@ -9,6 +9,7 @@
 from ..errors import NotReachableError
 from ..membership.view import InstanceView
 from .codec import decode
+from .document_feed import DocumentReply, apply_reply
 
 _OK = 200
 _GRACE = timedelta(seconds=2)
@@ -21,13 +22,39 @@
     session: ClientSession
     address: str
 
-    async def document(self, after: int, wait: timedelta) -> Document:
+    async def document(
+        self,
+        after: int,
+        wait: timedelta,
+        current: Document | None = None,
+    ) -> Document:
         """Return a document above generation ``after``, or the current one.
 
+        If the reader passes the document that it has, only edits are sent
+        where possible, and a lower generation is never returned.
+
+        Raises:
+            NotReachableError: the daemon did not answer with a document.
+            RulesUnknownError: the document was made under newer rules.
+            MalformedMessageError: the answer has another form.
+        """
+        reply = await self.reply(after, wait, edits=current is not None)
+        return apply_reply(current or Document(-1), reply)
+
+    async def reply(
+        self,
+        after: int,
+        wait: timedelta,
+        edits: bool = True,
+    ) -> DocumentReply:
+        """Return the daemon's answer; with ``edits``, relative to ``after``.
+
         Raises:
             NotReachableError: the daemon did not answer with a document.
+            MalformedMessageError: the answer has another form.
         """
-        return decode(Document, await self._poll('config', after, wait))
+        body = await self._poll('config', after, wait, edits)
+        return decode(DocumentReply, body)
 
     async def view(self, after: int, wait: timedelta) -> InstanceView:
         """Return an instance view above version ``after``, or the current one.
@@ -37,10 +64,18 @@
         """
         return decode(InstanceView, await self._poll('view', after, wait))
 
-    async def _poll(self, feed: str, after: int, wait: timedelta) -> bytes:
+    async def _poll(
+        self,
+        feed: str,
+        after: int,
+        wait: timedelta,
+        edits: bool = False,
+    ) -> bytes:
         milliseconds = wait // timedelta(milliseconds=1)
         url = f'http://{self.address}/v1/{feed}'
         query = {'after': str(after), 'wait_ms': str(milliseconds)}
+        if edits:
+            query['edits'] = '1'
         timeout = ClientTimeout(total=(wait + _GRACE).total_seconds())
         try:
             async with self.session.get(
--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -68,7 +68,9 @@
                 turn = 0
 
     async def _poll_document(self, feed: FeedClient) -> None:
-        document = await feed.document(self.document.generation, _WAIT)
+        document = await feed.document(
+            self.document.generation, _WAIT, self.document
+        )
         if document.generation > self.document.generation:
             self.document = document
             for listener in self.on_document:
