Add history and instances, and send edits of the view

Cause: an operator must be able to look a submission up by its id and see which generation each instance serves. The view was sent whole to each poll.

Change: crocusctl history and instances; the view feed sends edits to readers that ask for them, as the document feed does. Names on the command line are always text: fire read a file called 1e5 as a number.

--- a/src/crocusproxy/cli/main.py
+++ b/src/crocusproxy/cli/main.py
@@ -4,15 +4,27 @@
 import getpass
 import sys
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import fire
+from fire.decorators import SetParseFn
 
 from ..errors import CrocusError
 from . import commands
 from .exits import WrongInputError, exit_code_of
+from .history import history as show_history
+from .instances import instances as show_instances
 from .output import Result, print_error, print_result
 from .system import System, connect, tool_settings
 
+_Method = TypeVar('_Method', bound=Callable[..., None])
+
+
+def _text(*names: str) -> Callable[[_Method], _Method]:
+    """Keep fire from reading a name such as 1e5 as a number."""
+    decorator: Callable[[_Method], _Method] = SetParseFn(str, *names)
+    return decorator
+
 
 class Crocusctl:
     """Operate crocusproxy.
@@ -22,7 +34,9 @@
       diff FILE        show what publishing the file would change
       publish FILE     bring the file into force and wait for the verdict
       show             show the current configuration in the form of a file
+      history          show the last submissions and their verdicts
       locate SERVICE   show the homes of a service
+      instances        show the instances and the generation each one serves
 
     Exit codes: 0 done, 1 rejected, 2 wrong input, 3 not reachable,
     4 not known yet. With --json a command prints one JSON document.
@@ -33,6 +47,7 @@
         settings: YAML file with the keys config, platform and wait.
     """
 
+    @_text('config', 'platform', 'settings')
     def __init__(
         self,
         *,
@@ -40,10 +55,11 @@
         platform: str = '',
         settings: str = '',
     ) -> None:
-        self._config = str(config)
-        self._platform = str(platform)
-        self._settings = str(settings)
+        self._config = config
+        self._platform = platform
+        self._settings = settings
 
+    @_text('file')
     def check(self, file: str, json: bool = False) -> None:
         """Check FILE; needs no running system.
 
@@ -51,8 +67,9 @@
             file: YAML document of services and upstreams.
             json: print JSON.
         """
-        _finish(lambda: commands.check(str(file)), json)
+        _finish(lambda: commands.check(file), json)
 
+    @_text('file', 'operator')
     def publish(
         self,
         file: str,
@@ -73,9 +90,9 @@
         """
         if base is not None and not isinstance(base, int):
             _fail(WrongInputError('--base is not a whole number'), json)
-        name = str(operator) or getpass.getuser()
+        name = operator or getpass.getuser()
         self._run(
-            lambda system: commands.publish(system, str(file), name, base), json
+            lambda system: commands.publish(system, file, name, base), json
         )
 
     def show(self, json: bool = False) -> None:
@@ -86,6 +103,7 @@
         """
         self._run(commands.show, json)
 
+    @_text('file')
     def diff(self, file: str, json: bool = False) -> None:
         """Show what publishing FILE would change.
 
@@ -93,8 +111,9 @@
             file: YAML document of services and upstreams.
             json: print JSON.
         """
-        self._run(lambda system: commands.diff(system, str(file)), json)
+        self._run(lambda system: commands.diff(system, file), json)
 
+    @_text('service')
     def locate(self, service: str, json: bool = False) -> None:
         """Show the homes of SERVICE.
 
@@ -102,7 +121,31 @@
             service: name of a service.
             json: print JSON.
         """
-        self._run(lambda system: commands.locate(system, str(service)), json)
+        self._run(lambda system: commands.locate(system, service), json)
+
+    @_text('submission')
+    def history(
+        self,
+        limit: int = 20,
+        submission: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show the last submissions and their verdicts; needs --platform.
+
+        Args:
+            limit: number of submissions.
+            submission: show only this one; the exit code is its verdict.
+            json: print JSON.
+        """
+        self._run(lambda system: show_history(system, limit, submission), json)
+
+    def instances(self, json: bool = False) -> None:
+        """Show the instances and the generation that each one serves.
+
+        Args:
+            json: print JSON.
+        """
+        self._run(show_instances, json)
 
     def _run(
         self,
--- a/src/crocusproxy/config/peers.py
+++ b/src/crocusproxy/config/peers.py
@@ -10,6 +10,7 @@
 from ..logs import log
 from ..protocol.document_feed import apply_reply
 from ..protocol.feed import FeedClient
+from ..protocol.view_feed import apply_view
 from .served import Served
 
 # Bounds how long a frozen peer can hold back a change.
@@ -70,10 +71,11 @@
         Raises:
             CrocusError: the peer did not answer with a view.
         """
-        current = self.served.view.version
-        view = await FeedClient(self.session, address).view(current, wait)
-        self.served.offer_view(view)
-        return view.version >= current
+        current = self.served.view
+        feed = FeedClient(self.session, address)
+        reply = await feed.view_reply(current.version, wait)
+        self.served.offer_view(apply_view(current, reply))
+        return reply.version >= current.version
 
     async def ask_some(self, peers: tuple[str, ...]) -> None:
         """Take the newest generation and view of a few peers, at once."""
--- a/src/crocusproxy/config/publisher.py
+++ b/src/crocusproxy/config/publisher.py
@@ -52,7 +52,8 @@
 
 def new_submission_id() -> str:
     """Return a fresh id; one id is appended at most once."""
-    return uuid.uuid4().hex
+    # The letter keeps command lines from reading an id as a number.
+    return f's{uuid.uuid4().hex}'
 
 
 class Publisher:
--- a/src/crocusproxy/config/reader.py
+++ b/src/crocusproxy/config/reader.py
@@ -1,14 +1,17 @@
 """Reads stream ``config`` from the platform and folds it."""
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
 from ..logs import log
-from ..platform_client import Page, PlatformClient
+from ..platform_client import Page, PlatformClient, StoredRecord
 from .fold import FoldState, SnapshotProblem, fold, initial_state
-from .records import Unreadable, read_record
+from .records import Record, Unreadable, read_record
 
 CONFIG_STREAM = 'config'
 
+RecordListener = Callable[[StoredRecord, Record], None]
+
 
 class StreamReader:
     """One reader of the stream; ``state`` is what it has folded so far.
@@ -17,6 +20,8 @@
         oldest: time of the oldest record that this reader met.
         snapshot_time: time of the newest snapshot; None without one.
         first: the oldest offset that the platform still keeps.
+        on_record: called with each record; twice with those that are read
+            again after a snapshot was adopted.
     """
 
     def __init__(self, client: PlatformClient) -> None:
@@ -26,6 +31,7 @@
         self.first = 0
         self.oldest: datetime | None = None
         self.snapshot_time: datetime | None = None
+        self.on_record: list[RecordListener] = []
 
     async def poll(self, wait: timedelta = timedelta()) -> int:
         """Fold the next page and return its number of records.
@@ -69,6 +75,8 @@
                     offset=stored.offset,
                     reason=record.reason,
                 )
+            for listener in self.on_record:
+                listener(stored, record)
             before = self.state
             self.state = fold(before, stored.offset, record)
             self._note_changes(before, stored.time)
--- a/src/crocusproxy/config/served.py
+++ b/src/crocusproxy/config/served.py
@@ -3,16 +3,19 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Generic, TypeVar
 
 from ..membership.view import InstanceView
 from ..protocol.codec import encode
 from ..protocol.document_feed import reply_between
+from ..protocol.view_feed import view_between
 from .model import Document
 
-# A reader that is further behind receives the whole document.
-_KEPT_DOCUMENTS = 64
+# A reader that is further behind receives the whole state.
+_KEPT_STATES = 64
 _KEPT_BODIES = 16
-_EMPTY = Document()
+
+_State = TypeVar('_State')
 
 
 class Changes:
@@ -46,50 +49,77 @@
             return
 
 
-class Served:
-    """The newest generation and view; neither is ever replaced by a lower."""
+class History(Generic[_State]):
+    """The newest state and a few before it, and the answers for readers.
 
-    def __init__(self) -> None:
-        self.document = _EMPTY
-        self.view = InstanceView()
-        self.view_body = encode(self.view)
-        self.changes = Changes()
-        self.recent: dict[int, Document] = {0: _EMPTY}
+    The newest is never replaced by one with a lower number. ``describe`` makes
+    the message that turns an earlier state into the newest.
+    """
+
+    def __init__(
+        self,
+        empty: _State,
+        describe: Callable[[_State, _State], object],
+    ) -> None:
+        self.empty = empty
+        self.describe = describe
+        self.newest = empty
+        self.number = 0
+        self.recent: dict[int, _State] = {0: empty}
         self.bodies: dict[int, bytes] = {}
 
-    def offer_document(self, document: Document) -> bool:
-        """Serve the document if its generation is above the current one."""
-        if document.generation <= self.document.generation:
+    def offer(self, number: int, state: _State) -> bool:
+        """Take the state if its number is above that of the newest."""
+        if number <= self.number:
             return False
-        self.document = document
-        self.recent[document.generation] = document
-        if len(self.recent) > _KEPT_DOCUMENTS:
+        self.newest = state
+        self.number = number
+        self.recent[number] = state
+        if len(self.recent) > _KEPT_STATES:
             self.recent.pop(min(self.recent))
         self.bodies.clear()
-        self.changes.announce()
-        return True
-
-    def offer_view(self, view: InstanceView) -> bool:
-        """Serve the view if its version is above the current one."""
-        if view.version <= self.view.version:
-            return False
-        self.view = view
-        self.view_body = encode(view)
-        self.changes.announce()
         return True
 
-    def document_body(self, after: int, edits: bool) -> bytes:
-        """Return the answer for a reader that has generation ``after``."""
-        base = self._base(after) if edits else _EMPTY
-        body = self.bodies.get(base.generation)
+    def body(self, after: int, edits: bool) -> bytes:
+        """Return the answer for a reader that has the state ``after``."""
+        # A reader that is ahead is told so by an answer without edits.
+        base = min(after, self.number) if edits else 0
+        if base not in self.recent:
+            base = 0
+        body = self.bodies.get(base)
         if body is None:
-            body = encode(reply_between(base, self.document))
+            body = encode(
+                self.describe(self.recent.get(base, self.empty), self.newest)
+            )
             if len(self.bodies) < _KEPT_BODIES:
-                self.bodies[base.generation] = body
+                self.bodies[base] = body
         return body
 
-    def _base(self, after: int) -> Document:
-        """Return the document to which the edits of an answer relate."""
-        if after >= self.document.generation:
-            return self.document
-        return self.recent.get(after, _EMPTY)
+
+class Served:
+    """The newest generation and view, and the polls that wait for a newer."""
+
+    def __init__(self) -> None:
+        self.documents = History(Document(), reply_between)
+        self.views = History(InstanceView(), view_between)
+        self.changes = Changes()
+
+    @property
+    def document(self) -> Document:
+        """Return the newest document."""
+        return self.documents.newest
+
+    @property
+    def view(self) -> InstanceView:
+        """Return the newest instance view."""
+        return self.views.newest
+
+    def offer_document(self, document: Document) -> None:
+        """Serve the document if its generation is above the current one."""
+        if self.documents.offer(document.generation, document):
+            self.changes.announce()
+
+    def offer_view(self, view: InstanceView) -> None:
+        """Serve the view if its version is above the current one."""
+        if self.views.offer(view.version, view):
+            self.changes.announce()
--- a/src/crocusproxy/config/server.py
+++ b/src/crocusproxy/config/server.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 from aiohttp import web
 
 from ..protocol.codec import encode
 from .change import RULES
-from .served import Served
+from .served import History, Served
 from .source import Source
 
 _MAX_WAIT = timedelta(seconds=60)
@@ -49,25 +50,11 @@
 
     async def config(self, request: web.Request) -> web.Response:
         """Answer once the generation is above ``after``."""
-        after = _number(request, 'after', -1)
-        await self.served.changes.wait_until(
-            lambda: self.served.document.generation > after,
-            _wait(request),
-        )
-        self._check_open()
-        edits = request.query.get('edits') == '1'
-        body = self.served.document_body(after, edits)
-        return web.Response(body=body, content_type=_JSON)
+        return await self._answer(request, self.served.documents)
 
     async def view(self, request: web.Request) -> web.Response:
         """Answer once the version of the view is above ``after``."""
-        after = _number(request, 'after', -1)
-        await self.served.changes.wait_until(
-            lambda: self.served.view.version > after,
-            _wait(request),
-        )
-        self._check_open()
-        return web.Response(body=self.served.view_body, content_type=_JSON)
+        return await self._answer(request, self.served.views)
 
     async def status(self, _: web.Request) -> web.Response:
         """Report what this daemon follows."""
@@ -86,10 +73,19 @@
         )
         return web.Response(body=encode(status), content_type=_JSON)
 
-    def _check_open(self) -> None:
-        # Readers turn to another daemon instead of polling a closing one.
-        if self.served.changes.closed:
+    async def _answer(
+        self,
+        request: web.Request,
+        history: History[Any],
+    ) -> web.Response:
+        after = _number(request, 'after', -1)
+        changes = self.served.changes
+        await changes.wait_until(lambda: history.number > after, _wait(request))
+        if changes.closed:
+            # Readers turn to another daemon instead of polling a closing one.
             raise web.HTTPServiceUnavailable
+        body = history.body(after, request.query.get('edits') == '1')
+        return web.Response(body=body, content_type=_JSON)
 
 
 def _wait(request: web.Request) -> timedelta:
--- a/src/crocusproxy/config/source.py
+++ b/src/crocusproxy/config/source.py
@@ -8,7 +8,7 @@
 from aiohttp import ClientSession
 
 from ..clock import Clock
-from ..errors import CrocusError, PlatformUnavailableError
+from ..errors import PlatformUnavailableError
 from ..logs import log
 from ..platform_client import PlatformClient
 from .peers import Peers, Rotation
@@ -95,8 +95,7 @@
             return
         peers = self.peer_addresses()
         if self.reads_platform() or not peers:
-            wait = _PLATFORM_WAIT if self.reader.started else timedelta()
-            await self._read_platform(wait)
+            await self._read_platform(self._platform_wait())
         elif not await self.document_rotation.poll(peers, self.peers.document):
             await self._read_platform(timedelta())
 
@@ -120,10 +119,18 @@
         while True:
             try:
                 await step()
-            except CrocusError as error:
-                log('config_source_failed', error=str(error))
+            except Exception as error:  # noqa: BLE001 - following goes on
+                log('config_source_failed', error=repr(error))
                 await self.clock.sleep(_RETRY_DELAY)
 
+    def _platform_wait(self) -> timedelta:
+        """Return how long to wait for a record; not at all after a failure.
+
+        A platform that does not answer is then noticed after one timeout.
+        """
+        tried = self.reader.started and not self.platform_down
+        return _PLATFORM_WAIT if tried else timedelta()
+
     async def _read_platform(self, wait: timedelta) -> None:
         try:
             found = await self.reader.poll(wait)
--- a/src/crocusproxy/protocol/feed.py
+++ b/src/crocusproxy/protocol/feed.py
@@ -10,6 +10,7 @@
 from ..membership.view import InstanceView
 from .codec import decode
 from .document_feed import DocumentReply, apply_reply
+from .view_feed import ViewReply, apply_view
 
 _OK = 200
 _GRACE = timedelta(seconds=2)
@@ -56,20 +57,44 @@
         body = await self._poll('config', after, wait, edits)
         return decode(DocumentReply, body)
 
-    async def view(self, after: int, wait: timedelta) -> InstanceView:
+    async def view(
+        self,
+        after: int,
+        wait: timedelta,
+        current: InstanceView | None = None,
+    ) -> InstanceView:
         """Return an instance view above version ``after``, or the current one.
 
+        If the reader passes the view that it has, only edits are sent where
+        possible, and a lower version is never returned.
+
+        Raises:
+            NotReachableError: the daemon did not answer with a view.
+            MalformedMessageError: the answer has another form.
+        """
+        reply = await self.view_reply(after, wait, edits=current is not None)
+        return apply_view(current or InstanceView(-1), reply)
+
+    async def view_reply(
+        self,
+        after: int,
+        wait: timedelta,
+        edits: bool = True,
+    ) -> ViewReply:
+        """Return the daemon's answer; with ``edits``, relative to ``after``.
+
         Raises:
             NotReachableError: the daemon did not answer with a view.
+            MalformedMessageError: the answer has another form.
         """
-        return decode(InstanceView, await self._poll('view', after, wait))
+        return decode(ViewReply, await self._poll('view', after, wait, edits))
 
     async def _poll(
         self,
         feed: str,
         after: int,
         wait: timedelta,
-        edits: bool = False,
+        edits: bool,
     ) -> bytes:
         milliseconds = wait // timedelta(milliseconds=1)
         url = f'http://{self.address}/v1/{feed}'
--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -77,7 +77,7 @@
                 listener(document)
 
     async def _poll_view(self, feed: FeedClient) -> None:
-        view = await feed.view(self.view.version, _WAIT)
+        view = await feed.view(self.view.version, _WAIT, self.view)
         if view.version > self.view.version:
             self.view = view
             for listener in self.on_view:
