--- /dev/null
+++ b/src/crocusproxy/cli/main.py
@@ -0,0 +1,182 @@
+"""Entry point of ``crocusctl``."""
+
+import asyncio
+import getpass
+import sys
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import fire
+from fire.decorators import SetParseFn
+
+from ..errors import CrocusError
+from . import commands
+from .exits import WrongInputError, exit_code_of
+from .history import history as show_history
+from .instances import instances as show_instances
+from .output import Result, print_error, print_result
+from .system import System, connect, tool_settings
+
+_Method = TypeVar('_Method', bound=Callable[..., None])
+
+
+def _text(*names: str) -> Callable[[_Method], _Method]:
+    """Keep fire from reading a name such as 1e5 as a number."""
+    decorator: Callable[[_Method], _Method] = SetParseFn(str, *names)
+    return decorator
+
+
+class Crocusctl:
+    """Operate crocusproxy.
+
+    Commands; `crocusctl COMMAND --help` lists the flags of each:
+      check FILE       check a configuration file; needs no running system
+      diff FILE        show what publishing the file would change
+      publish FILE     bring the file into force and wait for the verdict
+      show             show the current configuration in the form of a file
+      history          show the last submissions and their verdicts
+      locate SERVICE   show the homes of a service
+      instances        show the instances and the generation each one serves
+
+    Exit codes: 0 done, 1 rejected, 2 wrong input, 3 not reachable,
+    4 not known yet. With --json a command prints one JSON document.
+
+    Args:
+        config: address (IP:port) of a crocus-config daemon.
+        platform: address (IP:port) of the platform.
+        settings: YAML file with the keys config, platform and wait.
+    """
+
+    @_text('config', 'platform', 'settings')
+    def __init__(
+        self,
+        *,
+        config: str = '',
+        platform: str = '',
+        settings: str = '',
+    ) -> None:
+        self._config = config
+        self._platform = platform
+        self._settings = settings
+
+    @_text('file')
+    def check(self, file: str, json: bool = False) -> None:
+        """Check FILE; needs no running system.
+
+        Args:
+            file: YAML document of services and upstreams.
+            json: print JSON.
+        """
+        _finish(lambda: commands.check(file), json)
+
+    @_text('file', 'operator')
+    def publish(
+        self,
+        file: str,
+        operator: str = '',
+        base: int | None = None,
+        json: bool = False,
+    ) -> None:
+        """Bring FILE into force and wait for the verdict.
+
+        Services and upstreams that FILE does not name are removed.
+        Needs --platform.
+
+        Args:
+            file: YAML document of services and upstreams.
+            operator: name to record; default is the user's.
+            base: publish only if this is the current generation.
+            json: print JSON.
+        """
+        if base is not None and not isinstance(base, int):
+            _fail(WrongInputError('--base is not a whole number'), json)
+        name = operator or getpass.getuser()
+        self._run(
+            lambda system: commands.publish(system, file, name, base), json
+        )
+
+    def show(self, json: bool = False) -> None:
+        """Show the current configuration in the form that publish reads.
+
+        Args:
+            json: print JSON.
+        """
+        self._run(commands.show, json)
+
+    @_text('file')
+    def diff(self, file: str, json: bool = False) -> None:
+        """Show what publishing FILE would change.
+
+        Args:
+            file: YAML document of services and upstreams.
+            json: print JSON.
+        """
+        self._run(lambda system: commands.diff(system, file), json)
+
+    @_text('service')
+    def locate(self, service: str, json: bool = False) -> None:
+        """Show the homes of SERVICE.
+
+        Args:
+            service: name of a service.
+            json: print JSON.
+        """
+        self._run(lambda system: commands.locate(system, service), json)
+
+    @_text('submission')
+    def history(
+        self,
+        limit: int = 20,
+        submission: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show the last submissions and their verdicts; needs --platform.
+
+        Args:
+            limit: number of submissions.
+            submission: show only this one; the exit code is its verdict.
+            json: print JSON.
+        """
+        self._run(lambda system: show_history(system, limit, submission), json)
+
+    def instances(self, json: bool = False) -> None:
+        """Show the instances and the generation that each one serves.
+
+        Args:
+            json: print JSON.
+        """
+        self._run(show_instances, json)
+
+    def _run(
+        self,
+        command: Callable[[System], Awaitable[Result]],
+        as_json: bool,
+    ) -> None:
+        async def connected() -> Result:  # noqa: WPS430 - binds the command
+            settings = tool_settings(
+                self._settings, self._config, self._platform
+            )
+            async with connect(settings) as system:
+                return await command(system)
+
+        _finish(lambda: asyncio.run(connected()), as_json)
+
+
+def main() -> None:
+    """Read the command line and run one command."""
+    fire.Fire(Crocusctl, name='crocusctl')
+
+
+def _finish(command: Callable[[], Result], as_json: bool) -> None:
+    try:
+        result = command()
+    except CrocusError as error:
+        _fail(error, as_json)
+    else:
+        print_result(result, as_json)
+        sys.exit(result.exit_code)
+
+
+def _fail(error: CrocusError, as_json: bool) -> None:
+    print_error(error, as_json)
+    sys.exit(exit_code_of(error))
--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -68,14 +68,16 @@
                 turn = 0
 
     async def _poll_document(self, feed: FeedClient) -> None:
-        document = await feed.document(self.document.generation, _WAIT)
+        document = await feed.document(
+            self.document.generation, _WAIT, self.document
+        )
         if document.generation > self.document.generation:
             self.document = document
             for listener in self.on_document:
                 listener(document)
 
     async def _poll_view(self, feed: FeedClient) -> None:
-        view = await feed.view(self.view.version, _WAIT)
+        view = await feed.view(self.view.version, _WAIT, self.view)
         if view.version > self.view.version:
             self.view = view
             for listener in self.on_view:
