--- /dev/null
+++ b/src/crocusproxy/proxy/attempt.py
@@ -0,0 +1,169 @@
+"""One attempt to get a response from one upstream."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+from aiohttp.http import RawResponseMessage
+
+from ..clock import Clock
+from ..logs import log
+from ..routing.results import (
+    Answered,
+    Cancelled,
+    Failed,
+    Rejected,
+    Result,
+)
+from .connection import BrokenResponseError, DeadlineError
+from .exchange import Exchange
+from .inbound import Inbound
+from .messages import load_report, retry_after
+from .pool import ConnectionPool, NotOpenedError
+from .problems import NOT_RUN, RefusalError
+from .relay import Relay
+from .service import Ticket
+
+_SHEDDING = frozenset((429, 503))
+_FAILING = frozenset((500, 502, 504))
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The upstream was not reached, or said that it did not run the request."""
+
+    message: RawResponseMessage | None = None
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Broke:
+    """The request was written, and no usable response came back."""
+
+    refusal: RefusalError
+
+
+class Attempt:
+    """Sends a request to the upstream of ``ticket`` and reports the end.
+
+    ``may_send`` is asked immediately before the first byte is written.
+    """
+
+    __slots__ = (
+        'buffer_limit',
+        'clock',
+        'end',
+        'exchange',
+        'inbound',
+        'may_send',
+        'relay',
+        'ticket',
+    )
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        relay: Relay,
+        pool: ConnectionPool,
+        clock: Clock,
+        may_send: Callable[[], bool] | None,
+        buffer_limit: int,
+    ) -> None:
+        self.ticket = ticket
+        self.relay = relay
+        self.inbound: Inbound = relay.inbound
+        self.clock = clock
+        self.may_send = may_send
+        self.buffer_limit = buffer_limit
+        self.exchange = Exchange(pool, ticket.upstream.address, relay.inbound)
+        self.end: Result = Cancelled()
+
+    async def run(self) -> web.StreamResponse | NotRun | Broke:
+        """Return the response to pass on, or how the attempt failed.
+
+        Raises:
+            RefusalError: the request must not be sent any more.
+        """
+        try:
+            return await self._run()
+        except NotOpenedError as error:
+            self.end = Failed()
+            self._log('upstream_not_reached', error)
+            return NotRun()
+        except BrokenResponseError as error:
+            self.end = Failed()
+            return self._broke(error)
+        finally:
+            self.exchange.close()
+            self.ticket.finish(self.end)
+
+    async def _run(self) -> web.StreamResponse | NotRun:
+        written_before = self.inbound.written
+        message = await self._send()
+        self._note(message)
+        body, whole = await self.exchange.body(self.buffer_limit)
+        outcome = ''
+        if _is_not_run(message):
+            self.inbound.written = written_before
+            outcome = self.inbound.outcome_now()
+        if not whole:
+            response = await self.relay.stream(
+                self.exchange, body, outcome=outcome
+            )
+            self.end = self._result(message)
+            return response
+        self.end = self._result(message)
+        if outcome:
+            return NotRun(message, body)
+        return self.relay.whole(message, body)
+
+    async def _send(self) -> RawResponseMessage:
+        inbound = self.inbound
+        await self.exchange.open(inbound.deadline - self.clock.monotonic())
+        now = self.clock.monotonic()
+        if now >= inbound.deadline:
+            raise RefusalError('deadline_exceeded')
+        if self.may_send is not None and not self.may_send():
+            raise RefusalError('platform_unavailable', 'the claim has lapsed')
+        inbound.written = True
+        return await self.exchange.send(now)
+
+    def _note(self, message: RawResponseMessage) -> None:
+        ticket = self.ticket
+        load = load_report(message, self.clock.monotonic())
+        if load is not None:
+            ticket.route.report(ticket.upstream, load)
+        if message.headers.get('Upstream-State') == 'draining':
+            ticket.route.balancer.drain(ticket.upstream)
+
+    def _result(self, message: RawResponseMessage) -> Result:
+        if message.code in _SHEDDING:
+            return Rejected(retry_after(message))
+        if message.code in _FAILING:
+            return Failed()
+        return Answered(self.clock.monotonic() - self.ticket.started)
+
+    def _broke(self, error: BrokenResponseError) -> Broke:
+        code = 'upstream_failed'
+        if isinstance(error, DeadlineError):
+            code = 'deadline_exceeded'
+        elif self.exchange.message is not None:
+            code = 'response_incomplete'
+        self._log('response_broken', error)
+        return Broke(RefusalError(code, str(error)))
+
+    def _log(self, event: str, error: Exception) -> None:
+        log(
+            event,
+            request_id=self.inbound.request_id,
+            traceparent=self.inbound.headers.get('traceparent', ''),
+            upstream=self.ticket.upstream.key,
+            error=str(error),
+        )
+
+
+def _is_not_run(message: RawResponseMessage) -> bool:
+    return (
+        message.code in _SHEDDING
+        and message.headers.get('Upstream-Outcome') == NOT_RUN
+    )
--- /dev/null
+++ b/src/crocusproxy/proxy/claims.py
@@ -0,0 +1,53 @@
+"""Claims of non-idempotent requests, as the dispatcher uses them."""
+
+from ..ledger.ledger import Ledger
+from ..ledger.results import (
+    AlreadyClaimed,
+    Claimed,
+    ClaimState,
+    ClaimUnavailable,
+)
+from .inbound import Inbound
+from .problems import NOT_RUN, UNKNOWN, RefusalError
+
+_REFUSAL_CODES = {  # noqa: WPS407 - read-only by convention
+    'deadline_passed': 'deadline_exceeded',
+    'expired': 'idempotency_key_expired',
+    'expiry_too_far': 'idempotency_expiry_too_far',
+}
+
+
+async def claim(ledger: Ledger, inbound: Inbound) -> str:
+    """Claim the key of a request and return the nonce of the claim.
+
+    Raises:
+        RefusalError: the request must not be dispatched.
+    """
+    assert inbound.expires is not None
+    digest = inbound.digest()
+    answer = await ledger.claim(
+        f'{inbound.service}/{inbound.key}',
+        digest,
+        inbound.expires,
+        inbound.deadline,
+    )
+    if isinstance(answer, Claimed):
+        inbound.claimed = True
+        return answer.nonce
+    if isinstance(answer, AlreadyClaimed):
+        raise _already_claimed(answer.state, digest)
+    assert isinstance(answer, ClaimUnavailable)
+    code = _REFUSAL_CODES.get(answer.reason, 'platform_unavailable')
+    raise RefusalError(code, f'no claim: {answer.reason}')
+
+
+def _already_claimed(state: ClaimState, digest: str) -> RefusalError:
+    if state.digest != digest:
+        return RefusalError('idempotency_key_reused', outcome=NOT_RUN)
+    if state.status is None:
+        return RefusalError('request_in_progress', outcome=UNKNOWN)
+    return RefusalError(
+        'request_already_ran',
+        outcome=UNKNOWN,
+        earlier_status=state.status,
+    )
--- /dev/null
+++ b/src/crocusproxy/proxy/connection.py
@@ -0,0 +1,208 @@
+"""One HTTP/1.1 connection to an upstream, with one request at a time.
+
+The connection uses aiohttp's response parser directly. aiohttp's client session
+sends an idempotent request again by itself when a reused connection breaks;
+here each send is one call of ``send`` and thereby counted.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpResponseParser, RawResponseMessage
+
+_READ_BUFFER = 64 * 1024
+_MAX_HEADER_FIELD = 16 * 1024
+_BODILESS = frozenset((204, 304))
+_FIRST_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+
+
+class BrokenResponseError(Exception):
+    """No complete response arrived on a connection that had been written to."""
+
+
+class DeadlineError(BrokenResponseError):
+    """The deadline passed before the response was complete."""
+
+
+class UpstreamConnection(BaseProtocol):
+    """Sends a request and hands out the head of its response.
+
+    ``on_lost`` is called once when the connection is closed by the peer or by
+    a fault. ``tag`` is free for the owner.
+    """
+
+    __slots__ = (
+        'aborted',
+        'broken',
+        'echoes',
+        'expects_body',
+        'idle_since',
+        'last_request',
+        'message',
+        'on_lost',
+        'payload',
+        'tag',
+        'timer',
+        'waiter',
+    )
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_lost: Callable[['UpstreamConnection'], None],
+    ) -> None:
+        super().__init__(loop)
+        self.on_lost = on_lost
+        self.waiter: asyncio.Future[RawResponseMessage] | None = None
+        self.message: RawResponseMessage | None = None
+        self.payload: StreamReader | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.broken = ''
+        self.aborted = False
+        self.expects_body = True
+        self.idle_since = float()
+        self.last_request = ''
+        self.echoes = False
+        self.tag: Any = None
+
+    @property
+    def usable(self) -> bool:
+        """Return whether a request can be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def send(
+        self,
+        request: bytes,
+        *,
+        expects_body: bool,
+        timeout: float,
+    ) -> asyncio.Future[RawResponseMessage]:
+        """Write a whole request; the future yields the head of its response.
+
+        ``timeout`` in seconds covers the whole response. The body is in
+        ``payload``.
+
+        Raises (from the future):
+            BrokenResponseError: the response is not usable.
+        """
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            _READ_BUFFER,
+            payload_exception=BrokenResponseError,
+            response_with_body=expects_body,
+            auto_decompress=False,
+            max_line_size=_MAX_HEADER_FIELD,
+            max_field_size=_MAX_HEADER_FIELD,
+        )
+        self.message = None
+        self.payload = None
+        self.expects_body = expects_body
+        self.waiter = self._loop.create_future()
+        self.timer = self._loop.call_later(timeout, self._expire)
+        assert self.transport is not None
+        self.transport.write(request)
+        return self.waiter
+
+    def finish(self) -> bool:
+        """End the exchange and return whether the connection can be reused."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        complete = self._is_complete()
+        self.waiter = None
+        self.payload = None
+        self._parser = None
+        transport = self.transport
+        reusable = (
+            complete
+            and transport is not None
+            and not transport.is_closing()
+            # An upstream may answer before it has read the whole request.
+            and not transport.get_write_buffer_size()
+        )
+        if not reusable:
+            self.abort()
+        return reusable
+
+    def abort(self) -> None:
+        """Close the connection at once, which cancels a running request."""
+        self.aborted = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse received bytes; bytes that nobody asked for are a fault."""
+        if self._parser is None:
+            if data:
+                self._break('data outside of a response')
+            return
+        try:
+            messages, upgraded, _ = self._parser.feed_data(data)
+        except Exception as error:  # noqa: BLE001 - any parser fault
+            self._break(f'malformed response: {error}')
+            return
+        for message, payload in messages:
+            self._take(message, payload)
+        if upgraded:
+            self._break('protocol switch that was not asked for')
+        waiter = self.waiter
+        if messages and waiter is not None and not waiter.done():
+            # An informational response leaves the message unset.
+            if self.message is not None:
+                waiter.set_result(self.message)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the open exchange and tell the owner."""
+        super().connection_lost(exc)
+        self._fail(BrokenResponseError('the connection was lost'))
+        self.on_lost(self)
+
+    def _is_complete(self) -> bool:
+        if self.message is None or self.payload is None or self.broken:
+            return False
+        return self.payload.is_eof() and not self.message.should_close
+
+    def _take(self, message: RawResponseMessage, payload: StreamReader) -> None:
+        if message.code < _FIRST_FINAL_STATUS:
+            if message.code == _SWITCHING_PROTOCOLS:
+                self._break('protocol switch that was not asked for')
+            return
+        if self.message is not None:
+            self._break('more than one response')
+            return
+        self.message = message
+        self.payload = payload
+        if not self._is_framed(message):
+            # Its end could not be told from a broken connection.
+            self._break('response without declared length')
+
+    def _is_framed(self, message: RawResponseMessage) -> bool:
+        return (
+            message.chunked
+            or 'Content-Length' in message.headers
+            or not self.expects_body
+            or message.code in _BODILESS
+        )
+
+    def _expire(self) -> None:
+        self.timer = None
+        self.broken = 'deadline exceeded'
+        self._fail(DeadlineError(self.broken))
+        self.abort()
+
+    def _break(self, reason: str) -> None:
+        self.broken = self.broken or reason
+        self._fail(BrokenResponseError(reason))
+        self.abort()
+
+    def _fail(self, error: BrokenResponseError) -> None:
+        self.broken = self.broken or str(error)
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(error)
+        if self.payload is not None and not self.payload.is_eof():
+            self.payload.set_exception(error)
--- /dev/null
+++ b/src/crocusproxy/proxy/core.py
@@ -0,0 +1,86 @@
+"""The parts of a proxy, wired together without ports or feeds."""
+
+from random import Random
+
+from ..clock import Clock
+from ..config.model import Document, Service, Upstream
+from ..ledger.ledger import Ledger
+from ..logs import log
+from ..membership.view import InstanceView
+from ..routing.balancer import Balancer
+from .dispatch import Dispatcher
+from .forward import Forwarder
+from .front import Front
+from .inbound import InboundReader
+from .metrics import ProxyMetrics
+from .pool import ConnectionPool
+from .service import ServiceRoute
+from .settings import ProxySettings
+
+
+class ProxyCore:
+    """Serves requests under the newest document and instance view."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        clock: Clock,
+        random: Random,
+        metrics: ProxyMetrics,
+        ledger: Ledger | None = None,
+    ) -> None:
+        limits = settings.limits
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.view = InstanceView()
+        self.pool = ConnectionPool(
+            limits.connect_timeout, limits.idle_connection
+        )
+        self.reader = InboundReader(limits, settings.platform.retention, random)
+        self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
+        self.dispatcher = Dispatcher(self.pool, clock, limits, ledger)
+        self.front = Front(
+            self.reader,
+            self.forwarder,
+            self.dispatcher,
+            metrics,
+            clock,
+            log_answered=settings.log_answered,
+        )
+
+    def apply_document(self, document: Document) -> None:
+        """Apply a newer configuration."""
+        routes = self.dispatcher.routes
+        for name, service in document.services.items():
+            upstreams = document.upstreams_of(name)
+            if name not in routes:
+                routes[name] = self._route(service, upstreams)
+            routes[name].update(service, upstreams)
+        for gone in routes.keys() - document.services.keys():
+            routes.pop(gone)
+        self.reader.services = document.services
+        log('configuration_applied', generation=document.generation)
+
+    def apply_view(self, view: InstanceView) -> None:
+        """Apply a newer instance view."""
+        self.view = view
+        self.forwarder.update(view)
+        for route in self.dispatcher.routes.values():
+            route.drain(view.leaving_upstreams)
+
+    def _route(
+        self, service: Service, upstreams: tuple[Upstream, ...]
+    ) -> ServiceRoute:
+        balancer = Balancer(
+            service,
+            upstreams,
+            self.settings.instance.failure_domain,
+            self.clock,
+            self.random,
+        )
+        per_caller = self.settings.limits.queued_per_caller
+        route = ServiceRoute(service, balancer, self.clock, per_caller)
+        route.leaving = self.view.leaving_upstreams
+        return route
--- /dev/null
+++ b/src/crocusproxy/proxy/exchange.py
@@ -0,0 +1,144 @@
+"""One send of a request to one address, with the checks on its response."""
+
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+from aiohttp.http import RawResponseMessage
+
+from .connection import BrokenResponseError, UpstreamConnection
+from .inbound import Inbound
+from .messages import request_bytes
+from .pool import ConnectionPool
+
+# A connection that was idle for longer may be closing at the upstream, and a
+# non-idempotent request must not be lost on it.
+_KEYED_IDLE_SECONDS = 1.0
+
+
+class Exchange:
+    """Sends ``inbound`` once; ``close`` must follow whatever happens.
+
+    ``sent`` tells whether a byte may have been written.
+    """
+
+    __slots__ = ('address', 'connection', 'inbound', 'message', 'pool', 'sent')
+
+    def __init__(
+        self, pool: ConnectionPool, address: str, inbound: Inbound
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.inbound = inbound
+        self.connection: UpstreamConnection | None = None
+        self.message: RawResponseMessage | None = None
+        self.sent = False
+
+    async def open(self, remaining: timedelta) -> None:
+        """Take or open a connection.
+
+        Raises:
+            NotOpenedError: there is no connection.
+        """
+        idle_limit = _KEYED_IDLE_SECONDS if self.inbound.key else None
+        self.connection = self.pool.take_idle(
+            self.address, self.inbound.request_id, idle_limit
+        )
+        if self.connection is None:
+            self.connection = await self.pool.open(
+                self.address, remaining.total_seconds()
+            )
+
+    async def send(
+        self, now: timedelta, *, to_home: bool = False
+    ) -> RawResponseMessage:
+        """Write the request and return the head of its response.
+
+        Raises:
+            BrokenResponseError: there is no response to this request.
+        """
+        inbound = self.inbound
+        connection = self.connection
+        assert connection is not None
+        reused = bool(connection.last_request)
+        connection.last_request = inbound.request_id
+        connection.tag = inbound
+        request = request_bytes(inbound, self.address, now, to_home=to_home)
+        self.sent = True
+        self.message = await connection.send(
+            request,
+            expects_body=inbound.method != 'HEAD',
+            timeout=(inbound.deadline - now).total_seconds(),
+        )
+        self._check_match(connection, self.message, reused)
+        return self.message
+
+    async def body(self, limit: int) -> tuple[bytes, bool]:
+        """Return the body and True, or its begin if it exceeds ``limit``.
+
+        Raises:
+            BrokenResponseError: the response is not complete.
+        """
+        connection = self.connection
+        assert connection is not None
+        payload = connection.payload
+        if payload is None:
+            raise BrokenResponseError(connection.broken)
+        if payload.is_eof():
+            body = payload.read_nowait()
+            self.check_whole()
+            return body, True
+        if self._declared_length() > limit:
+            return b'', False
+        chunks = []
+        size = 0
+        while not payload.at_eof() and size <= limit:
+            chunk = await payload.readany()
+            chunks.append(chunk)
+            size += len(chunk)
+        whole = payload.at_eof()
+        if whole:
+            self.check_whole()
+        return b''.join(chunks), whole
+
+    async def rest(self) -> AsyncIterator[bytes]:
+        """Yield what ``body`` has left unread.
+
+        Raises:
+            BrokenResponseError: the response is not complete.
+        """
+        connection = self.connection
+        assert connection is not None
+        payload = connection.payload
+        while payload is not None and not payload.at_eof():
+            yield await payload.readany()
+        self.check_whole()
+
+    def check_whole(self) -> None:
+        """Raise BrokenResponseError if the connection showed a fault."""
+        if self.connection is not None and self.connection.broken:
+            raise BrokenResponseError(self.connection.broken)
+
+    def close(self) -> None:
+        """Give the connection back, or close it unless all is complete."""
+        if self.connection is not None:
+            self.pool.release(self.address, self.connection)
+            self.connection = None
+
+    def _check_match(
+        self,
+        connection: UpstreamConnection,
+        message: RawResponseMessage,
+        reused: bool,
+    ) -> None:
+        echo = message.headers.get('X-Request-ID')
+        if echo == self.inbound.request_id:
+            connection.echoes = True
+            return
+        # Only a reused connection can carry a late response without an id.
+        if echo is not None or (reused and connection.echoes):
+            connection.broken = 'response to another request'
+            raise BrokenResponseError(connection.broken)
+
+    def _declared_length(self) -> int:
+        assert self.message is not None
+        return int(self.message.headers.get('Content-Length', 0))
--- /dev/null
+++ b/src/crocusproxy/proxy/front.py
@@ -0,0 +1,225 @@
+"""The HTTP front end towards callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage, LineTooLong
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+
+from ..clock import Clock
+from ..config.model import Service
+from ..logs import log
+from .dispatch import Dispatcher
+from .forward import Forwarder
+from .inbound import Inbound, InboundReader
+from .metrics import ProxyMetrics
+from .problems import ANSWERED, FAILED, UNKNOWN, RefusalError
+from .relay import Relay, StreamCutError
+from .settings import Limits
+
+# A refused body is read for this long, so that the caller gets the refusal
+# rather than a reset connection.
+_LINGER_SECONDS = 1
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_TOO_MANY = 'Too many headers'
+
+
+class Front:
+    """Takes requests from callers and returns their final responses.
+
+    ``closing`` is set during shutdown: responses then ask callers to connect
+    elsewhere. ``idle`` is set while no request is being served.
+    """
+
+    def __init__(
+        self,
+        reader: InboundReader,
+        forwarder: Forwarder,
+        dispatcher: Dispatcher,
+        metrics: ProxyMetrics,
+        clock: Clock,
+        *,
+        log_answered: bool = False,
+    ) -> None:
+        self.reader = reader
+        self.forwarder = forwarder
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.clock = clock
+        self.log_answered = log_answered
+        self.not_ready: Callable[[], str] = str
+        self.closing = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        self.metrics.in_flight += 1
+        self.idle.clear()
+        try:  # noqa: WPS501 - also when the caller goes away
+            response = await self._serve(request)
+        finally:
+            self.metrics.in_flight -= 1
+            if not self.metrics.in_flight:
+                self.idle.set()
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        started = self.clock.monotonic()
+        inbound = Inbound(request._message, started)  # noqa: SLF001, WPS437
+        self.reader.identify(inbound, request.remote or '')
+        relay = Relay(request, inbound)
+        code = ''
+        try:
+            response = await self._answer(request, inbound, relay)
+        except RefusalError as refusal:
+            code = refusal.code
+            outcome = refusal.outcome or inbound.outcome_now()
+            response = relay.refusal(refusal, outcome)
+            if not request.content.is_eof():
+                response.force_close()
+        except StreamCutError as cut:
+            code = 'response_incomplete'
+            relay.outcome = UNKNOWN if inbound.key else FAILED
+            response = cut.response
+        self._record(relay, code, response.status)
+        return response
+
+    async def _answer(
+        self, request: web.BaseRequest, inbound: Inbound, relay: Relay
+    ) -> web.StreamResponse:
+        reason = self.not_ready()
+        if reason:
+            raise RefusalError('not_ready', reason)
+        service = self.reader.check(inbound, self.clock.now())
+        await self._read_body(request, inbound)
+        return await self._route(service, inbound, relay)
+
+    async def _route(
+        self, service: Service, inbound: Inbound, relay: Relay
+    ) -> web.StreamResponse:
+        if not inbound.hops:
+            homes = self.forwarder.homes(service)
+            if homes:
+                budget = self.dispatcher.routes[service.name].budget
+                response = await self.forwarder.forward(
+                    inbound, relay, homes, budget
+                )
+                if response is not None:
+                    return response
+        return await self.dispatcher.run(inbound, relay)
+
+    async def _read_body(
+        self, request: web.BaseRequest, inbound: Inbound
+    ) -> None:
+        content = request.content
+        if content.is_eof():
+            inbound.body = content.read_nowait()
+            self._check_size(len(inbound.body))
+            return
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(_CONTINUE)
+        remaining = inbound.deadline - self.clock.monotonic()
+        chunks = []
+        size = 0
+        try:
+            async with asyncio.timeout(remaining.total_seconds()):
+                while not content.at_eof():
+                    chunk = await content.readany()
+                    chunks.append(chunk)
+                    size += len(chunk)
+                    self._check_size(size)
+        except TimeoutError as error:
+            raise RefusalError('deadline_exceeded') from error
+        except RequestPayloadError as error:
+            raise RefusalError('malformed_request', str(error)) from error
+        inbound.body = b''.join(chunks)
+
+    def _check_size(self, size: int) -> None:
+        if size > self.reader.limits.request_body:
+            raise RefusalError('body_too_large')
+
+    def _record(self, relay: Relay, code: str, status: int) -> None:
+        inbound = relay.inbound
+        service = self.reader.services.get(inbound.service)
+        latency = self.clock.monotonic() - inbound.started
+        self.metrics.finished(service, relay.outcome, code, latency, status)
+        if code or self.log_answered or relay.outcome != ANSWERED:
+            log(
+                'request_finished',
+                request_id=inbound.request_id,
+                traceparent=inbound.headers.get('traceparent', ''),
+                service=inbound.service,
+                caller=inbound.caller,
+                status=status,
+                outcome=relay.outcome,
+                code=code,
+                milliseconds=latency / timedelta(milliseconds=1),
+            )
+
+
+class _CallerConnection(RequestHandler):
+    """Answers input that is not HTTP with the system's own error codes."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return a problem document and close the connection."""
+        if request.writer.output_size > 0:
+            raise ConnectionError('the response has already begun')
+        refusal = _refusal_of(exc, status)
+        log('request_not_handled', code=refusal.code, error=repr(exc))
+        # Whether this was a re-send of a keyed request cannot be seen.
+        headers = refusal.headers()
+        headers['Crocus-Outcome'] = UNKNOWN
+        response = web.Response(
+            status=refusal.status,
+            headers=headers,
+            body=refusal.body(UNKNOWN),
+        )
+        response.force_close()
+        return response
+
+
+def _refusal_of(error: BaseException | None, status: int) -> RefusalError:
+    if isinstance(error, LineTooLong) or _TOO_MANY in str(error):
+        return RefusalError('headers_too_large')
+    if isinstance(error, BadHttpMessage) or status < 500:
+        return RefusalError('malformed_request', 'not a valid HTTP request')
+    return RefusalError('internal_error', 'the request could not be handled')
+
+
+class _CallerServer(web.Server):
+    def __call__(self) -> RequestHandler:
+        return _CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+def caller_server(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    limits: Limits,
+) -> web.Server:
+    """Return the HTTP server for callers.
+
+    A handler is cancelled when its caller disconnects. Bodies are passed on
+    as they are, so they are not decompressed.
+    """
+    options: dict[str, Any] = {
+        'access_log': None,
+        'auto_decompress': False,
+        'max_line_size': limits.header_field,
+        'max_field_size': limits.header_field,
+        'max_headers': limits.header_count,
+        'lingering_time': _LINGER_SECONDS,
+    }
+    return _CallerServer(handler, handler_cancellation=True, **options)
--- /dev/null
+++ b/src/crocusproxy/proxy/main.py
@@ -0,0 +1,122 @@
+"""The daemon ``crocus-proxy``."""
+
+import asyncio
+from random import SystemRandom
+
+import fire
+from aiohttp import ClientSession, web
+
+from ..application import Application, serve
+from ..clock import SystemClock
+from ..ledger.ledger import Ledger
+from ..ledger.results import LedgerSettings
+from ..logs import start_logging
+from ..platform_client import PlatformClient
+from ..protocol.codec import encode
+from ..protocol.feed import FeedClient
+from ..protocol.follow import FeedFollower
+from ..settings import load_or_exit
+from .core import ProxyCore
+from .front import caller_server
+from .metrics import ProxyMetrics
+from .settings import ProxySettings
+
+_PROGRAM = 'crocus-proxy'
+_BACKLOG = 1024
+_SWEEP_SECONDS = 1
+
+
+class ProxyDaemon:
+    """Opens the ports of one process and owns its life cycle."""
+
+    def __init__(self, settings: ProxySettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.application = Application(_PROGRAM, settings.drain_limit)
+        self.metrics = ProxyMetrics(self.clock, settings.instance.name)
+        self.application.on_start.append(self.start)
+        self.application.on_drain.append(self.drain)
+        self.application.on_stop.append(self.stop)
+
+    async def start(self) -> None:
+        """Build the parts, follow the feeds and open both ports."""
+        settings = self.settings
+        self.session = ClientSession()
+        self.ledger = self._ledger()
+        self.core = ProxyCore(
+            settings, self.clock, SystemRandom(), self.metrics, self.ledger
+        )
+        self.follower = FeedFollower(
+            tuple(FeedClient(self.session, one) for one in settings.feeds),
+            self.clock,
+        )
+        self.core.front.not_ready = self.follower.not_ready_reason
+        self.application.readiness.append(self.follower.not_ready_reason)
+        self.follower.on_document.append(self.core.apply_document)
+        self.follower.on_view.append(self.core.apply_view)
+        if self.ledger is not None:
+            await self.ledger.start()
+        await self.follower.start()
+        self.sweeper = asyncio.create_task(self._sweep())
+        await self._listen()
+
+    async def drain(self) -> None:
+        """Serve until no locate response names this instance any more."""
+        self.core.front.closing = True
+        await self.clock.sleep(self.settings.locate_validity)
+        await self.site.stop()
+        await self.core.front.idle.wait()
+
+    async def stop(self) -> None:
+        """Close the ports and everything that was opened."""
+        await self.runner.cleanup()
+        self.sweeper.cancel()
+        await self.follower.stop()
+        if self.ledger is not None:
+            await self.ledger.stop()
+        self.core.pool.close()
+        await self.session.close()
+        await self.admin.cleanup()
+
+    def _ledger(self) -> Ledger | None:
+        platform = self.settings.platform
+        if not platform.address:
+            return None
+        client = PlatformClient(self.session, platform.address)
+        return Ledger(client, self.clock, LedgerSettings(platform.retention))
+
+    async def _listen(self) -> None:
+        admin = web.Application()
+        admin.add_routes(self.application.admin_routes())
+        admin.add_routes([web.get('/v1/burn', self._burn)])
+        listen = self.settings.admin
+        self.admin = await serve(admin, listen.host, listen.port)
+        server = caller_server(self.core.front.handle, self.settings.limits)
+        self.runner = web.ServerRunner(server)
+        await self.runner.setup()
+        listen = self.settings.listen
+        self.site = web.TCPSite(
+            self.runner, listen.host, listen.port, backlog=_BACKLOG
+        )
+        await self.site.start()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            self.core.pool.close_idle()
+
+    async def _burn(self, _: web.Request) -> web.Response:
+        report = encode(self.metrics.burn_report())
+        return web.Response(body=report, content_type='application/json')
+
+
+def run(settings: str) -> None:
+    """Run the proxy with the given settings file until SIGTERM."""
+    loaded = load_or_exit(ProxySettings, settings)
+    start_logging(_PROGRAM, loaded.instance.name)
+    ProxyDaemon(loaded).application.run()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run)
--- /dev/null
+++ b/src/crocusproxy/proxy/messages.py
@@ -0,0 +1,141 @@
+"""Headers of requests to upstreams and of responses to callers."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from aiohttp.http import RawResponseMessage
+from multidict import CIMultiDict
+
+from ..routing.results import LoadReport
+from .inbound import Inbound
+
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+#: Written anew for each request.
+_REPLACED = _HOP_BY_HOP | {
+    b'host',
+    b'content-length',
+    b'expect',
+    b'crocus-timeout-ms',
+    b'crocus-caller',
+    b'crocus-hops',
+    b'x-request-id',
+}
+#: Meant for the proxy, or set by it.
+_NOT_FOR_CALLERS = _HOP_BY_HOP | {
+    b'crocus-outcome',
+    b'endpoint-load-metrics',
+    b'upstream-state',
+    b'upstream-outcome',
+    b'x-request-id',
+}
+_LOAD_HEADER = 'Endpoint-Load-Metrics'
+_LOAD_FORMAT = 'TEXT '
+_LOAD_PREFIX = 'named_metrics.'
+_LOAD_NAMES = frozenset(('in_flight', 'slots', 'queued'))
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+def request_bytes(
+    inbound: Inbound,
+    address: str,
+    now: timedelta,
+    *,
+    to_home: bool = False,
+) -> bytes:
+    """Return the whole request as it is sent to an upstream or a home."""
+    remaining = max(1, (inbound.deadline - now) // _MILLISECOND)
+    target = inbound.path if to_home else inbound.target
+    lines = [
+        f'{inbound.method} {target} HTTP/1.1\r\n'
+        f'Host: {address}\r\n'
+        f'X-Request-ID: {inbound.request_id}\r\n'
+        f'Crocus-Caller: {inbound.caller}\r\n'
+        f'Crocus-Timeout-Ms: {remaining}\r\n'.encode('utf-8', 'surrogateescape')
+    ]
+    if to_home:
+        lines.append(b'Crocus-Hops: 1\r\n')
+    raw_headers = inbound.message.raw_headers
+    dropped = _listed_in_connection(raw_headers)
+    for name, value in raw_headers:
+        lowered = name.lower()
+        if lowered not in _REPLACED and lowered not in dropped:
+            lines.append(b'%b: %b\r\n' % (name, value))
+    if inbound.body or 'Content-Length' in inbound.headers:
+        lines.append(b'Content-Length: %d\r\n' % len(inbound.body))
+    lines.append(b'\r\n')
+    lines.append(inbound.body)
+    return b''.join(lines)
+
+
+def response_headers(message: RawResponseMessage) -> CIMultiDict[str]:
+    """Return the headers to pass on, without those between two hops."""
+    headers: CIMultiDict[str] = CIMultiDict()
+    dropped = _listed_in_connection(message.raw_headers)
+    for name, value in message.headers.items():
+        lowered = name.lower().encode('utf-8', 'surrogateescape')
+        if lowered not in _NOT_FOR_CALLERS and lowered not in dropped:
+            headers.add(name, value)
+    return headers
+
+
+def load_report(
+    message: RawResponseMessage, now: timedelta
+) -> LoadReport | None:
+    """Return the piggybacked load report; an unusable one is ignored.
+
+    >>> parse_load('TEXT named_metrics.in_flight=1, named_metrics.slots=2')
+    {'in_flight': 1, 'slots': 2}
+    """
+    text = message.headers.get(_LOAD_HEADER)
+    if text is None:
+        return None
+    load = parse_load(text)
+    if 'in_flight' not in load or load.get('slots', 0) < 1:
+        return None
+    return LoadReport(
+        load['in_flight'], load['slots'], load.get('queued', 0), now
+    )
+
+
+def parse_load(text: str) -> dict[str, int]:
+    """Return the known metrics of the ORCA text form."""
+    load: dict[str, int] = {}
+    for part in text.removeprefix(_LOAD_FORMAT).split(','):
+        name, _, figure = part.strip().partition('=')
+        name = name.removeprefix(_LOAD_PREFIX)
+        if name in _LOAD_NAMES:
+            try:
+                load[name] = int(float(figure))
+            except (ValueError, OverflowError):
+                return {}
+    return load if min(load.values(), default=0) >= 0 else {}
+
+
+def retry_after(message: RawResponseMessage) -> timedelta | None:
+    """Return the upstream's back-off hint in seconds, if it gives one."""
+    text = message.headers.get('Retry-After', '')
+    if text.isascii() and text.isdigit() and len(text) < 6:
+        return timedelta(seconds=int(text))
+    return None
+
+
+def _listed_in_connection(
+    raw_headers: Iterable[tuple[bytes, bytes]],
+) -> frozenset[bytes]:
+    listed: set[bytes] = set()
+    for name, value in raw_headers:
+        if len(name) == 10 and name.lower() == b'connection':
+            listed.update(part.strip().lower() for part in value.split(b','))
+    return frozenset(listed)
--- /dev/null
+++ b/src/crocusproxy/proxy/pool.py
@@ -0,0 +1,141 @@
+"""Connections to upstreams and to homes, kept for reuse by address."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from .connection import UpstreamConnection
+
+#: Called with the address and the tags of the requests that were in flight.
+CrashListener = Callable[[str, tuple[Any, ...]], None]
+
+
+class NotOpenedError(Exception):
+    """No connection could be opened, so nothing was written."""
+
+
+class _Peer:
+    """The connections to one address; ``lost`` holds tags of broken ones."""
+
+    __slots__ = ('idle', 'lost', 'open')
+
+    def __init__(self) -> None:
+        self.open: set[UpstreamConnection] = set()
+        self.idle: list[UpstreamConnection] = []
+        self.lost: list[Any] = []
+
+
+class ConnectionPool:
+    """Opens connections and keeps idle ones for up to ``idle_limit``.
+
+    ``on_crash`` is called when the last connection to an address has dropped
+    while requests were in flight there.
+    """
+
+    def __init__(
+        self,
+        connect_timeout: timedelta,
+        idle_limit: timedelta,
+        on_crash: CrashListener | None = None,
+    ) -> None:
+        self.connect_timeout = connect_timeout.total_seconds()
+        self.idle_limit = idle_limit.total_seconds()
+        self.on_crash = on_crash
+        self.peers: dict[str, _Peer] = {}
+
+    def take_idle(
+        self,
+        address: str,
+        request_id: str,
+        idle_limit: float | None = None,
+    ) -> UpstreamConnection | None:
+        """Return an idle connection that can tell this request's response.
+
+        A connection whose last request had the same id is closed, because a
+        late second response to that request would look like the new one's.
+        """
+        peer = self.peers.get(address)
+        if peer is None:
+            return None
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - (idle_limit or self.idle_limit)
+        while peer.idle:
+            connection = peer.idle.pop()
+            if (
+                connection.usable
+                and connection.idle_since > oldest
+                and connection.last_request != request_id
+            ):
+                return connection
+            connection.abort()
+        return None
+
+    async def open(self, address: str, timeout: float) -> UpstreamConnection:
+        """Open a connection within ``timeout`` seconds and the own limit.
+
+        Raises:
+            NotOpenedError: there is no connection.
+        """
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(':')
+        peer = self.peers.setdefault(address, _Peer())
+
+        def lost(connection: UpstreamConnection) -> None:  # noqa: WPS430
+            self._lost(address, peer, connection)
+
+        try:
+            async with asyncio.timeout(min(timeout, self.connect_timeout)):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(loop, lost),
+                    host.strip('[]'),
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotOpenedError(f'{address}: {error}') from error
+        if not connection.usable:
+            raise NotOpenedError(f'{address}: closed at once')
+        peer.open.add(connection)
+        return connection
+
+    def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Take back a connection after an exchange, or close it."""
+        connection.tag = None
+        if connection.finish():
+            connection.idle_since = asyncio.get_running_loop().time()
+            self.peers[address].idle.append(connection)
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for too long."""
+        oldest = asyncio.get_running_loop().time() - self.idle_limit
+        for address, peer in tuple(self.peers.items()):
+            for connection in tuple(peer.idle):
+                if connection.idle_since <= oldest:
+                    peer.idle.remove(connection)
+                    connection.abort()
+            if not peer.open:
+                self.peers.pop(address)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for peer in self.peers.values():
+            for connection in tuple(peer.open):
+                connection.abort()
+
+    def _lost(
+        self,
+        address: str,
+        peer: _Peer,
+        connection: UpstreamConnection,
+    ) -> None:
+        peer.open.discard(connection)
+        if connection in peer.idle:
+            peer.idle.remove(connection)
+        if connection.tag is not None and not connection.aborted:
+            peer.lost.append(connection.tag)
+        if peer.open:
+            return
+        lost = tuple(peer.lost)
+        peer.lost.clear()
+        if lost and self.on_crash is not None:
+            self.on_crash(address, lost)
--- /dev/null
+++ b/src/crocusproxy/proxy/problems.py
@@ -0,0 +1,108 @@
+"""Refusals: error codes, their HTTP status and their outcome."""
+
+import json
+import math
+from datetime import timedelta
+
+from ..errors import CrocusError
+
+ANSWERED = 'answered'
+NOT_RUN = 'not-run'
+FAILED = 'failed'
+UNKNOWN = 'unknown'
+
+_STATUS = {  # noqa: WPS407 - read-only by convention
+    'malformed_request': 400,
+    'idempotency_key_missing': 400,
+    'idempotency_expiry_invalid': 400,
+    'idempotency_expiry_too_far': 400,
+    'timeout_invalid': 400,
+    'service_unknown': 404,
+    'request_in_progress': 409,
+    'request_already_ran': 409,
+    'idempotency_key_expired': 410,
+    'body_too_large': 413,
+    'idempotency_key_reused': 422,
+    'caller_over_limit': 429,
+    'headers_too_large': 431,
+    'internal_error': 500,
+    'upstream_failed': 502,
+    'response_incomplete': 502,
+    'queue_full': 503,
+    'no_upstream': 503,
+    'platform_unavailable': 503,
+    'shutting_down': 503,
+    'not_ready': 503,
+    'request_suspected': 503,
+    'deadline_passed': 504,
+    'deadline_exceeded': 504,
+}
+#: Statuses after which a later attempt may succeed.
+_RETRYABLE = frozenset((429, 503))
+_DEFAULT_RETRY = timedelta(seconds=1)
+_SECOND = timedelta(seconds=1)
+
+
+class RefusalError(CrocusError):
+    """The final answer to a request that got no upstream response.
+
+    ``outcome`` is empty as long as nothing was dispatched; the outcome then
+    follows from the request.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        message: str = '',
+        *,
+        outcome: str = '',
+        retry_after: timedelta | None = None,
+        earlier_status: int | None = None,
+    ) -> None:
+        super().__init__(message or code.replace('_', ' '), code=code)
+        self.outcome = outcome
+        self.earlier_status = earlier_status
+        self.status = _STATUS.get(code, 500)
+        if retry_after is None and self.status in _RETRYABLE:
+            retry_after = _DEFAULT_RETRY
+        self.retry_after = retry_after
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers that belong to the refusal itself."""
+        headers = {'Content-Type': 'application/problem+json'}
+        if self.retry_after is not None:
+            # Whole seconds are the only form that Retry-After allows.
+            seconds = max(1, math.ceil(self.retry_after / _SECOND))
+            headers['Retry-After'] = str(seconds)
+        return headers
+
+    def body(self, outcome: str) -> bytes:
+        """Return the problem document."""
+        document: dict[str, str | int] = {
+            'code': self.code,
+            'title': self.code.replace('_', ' '),
+            'detail': self.message,
+            'outcome': outcome,
+        }
+        if self.earlier_status is not None:
+            document['earlier_status'] = self.earlier_status
+        return json.dumps(document).encode()
+
+
+def outcome_before_dispatch(
+    *,
+    keyed: bool,
+    first_attempt: bool,
+    no_earlier_claim: bool = False,
+) -> str:
+    """Return the outcome of a request that is refused before dispatch.
+
+    An earlier attempt of a keyed request may have run, unless the caller or
+    the ledger rules it out.
+
+    >>> outcome_before_dispatch(keyed=True, first_attempt=False)
+    'unknown'
+    """
+    if not keyed or first_attempt or no_earlier_claim:
+        return NOT_RUN
+    return UNKNOWN
--- /dev/null
+++ b/src/crocusproxy/proxy/relay.py
@@ -0,0 +1,123 @@
+"""Passing a response on to the caller, whole or as a stream."""
+
+from aiohttp import HttpVersion11, web
+from aiohttp.http import RawResponseMessage
+from multidict import CIMultiDict
+
+from .connection import BrokenResponseError
+from .exchange import Exchange
+from .inbound import Inbound
+from .messages import response_headers
+from .problems import ANSWERED, RefusalError
+
+
+class StreamCutError(Exception):
+    """The caller has received a part of ``response`` and will get no more."""
+
+    def __init__(self, response: web.StreamResponse, reason: str) -> None:
+        super().__init__(reason)
+        self.response = response
+
+
+class Relay:
+    """The way back to the caller of one request.
+
+    ``outcome`` is what the caller was told.
+    """
+
+    __slots__ = ('inbound', 'outcome', 'request')
+
+    def __init__(self, request: web.BaseRequest, inbound: Inbound) -> None:
+        self.request = request
+        self.inbound = inbound
+        self.outcome = ANSWERED
+
+    def whole(
+        self,
+        message: RawResponseMessage,
+        body: bytes,
+        *,
+        outcome: str = '',
+    ) -> web.Response:
+        """Return a complete response."""
+        headers = self._headers(message, outcome)
+        if self.inbound.method != 'HEAD':
+            # aiohttp writes the length of the body that it is given.
+            headers.popall('Content-Length', None)
+        return web.Response(
+            status=message.code,
+            reason=message.reason,
+            headers=headers,
+            body=body or None,
+        )
+
+    async def stream(
+        self,
+        exchange: Exchange,
+        begin: bytes,
+        *,
+        outcome: str = '',
+    ) -> web.StreamResponse:
+        """Pass on a large response while it arrives.
+
+        If it breaks, the caller's connection is closed before the end that
+        was declared, so that the caller sees it as incomplete.
+
+        Raises:
+            BrokenResponseError: the response cannot be streamed.
+            StreamCutError: the response began and was cut off.
+        """
+        message = exchange.message
+        assert message is not None
+        response = web.StreamResponse(
+            status=message.code,
+            reason=message.reason,
+            headers=self._headers(message, outcome),
+        )
+        if 'Content-Length' not in message.headers:
+            if self.request.version < HttpVersion11:
+                raise BrokenResponseError('HTTP/1.0 has no chunked coding')
+            response.enable_chunked_encoding()
+        await response.prepare(self.request)
+        try:
+            await _copy(response, begin, exchange)
+        except (BrokenResponseError, ConnectionError) as error:
+            if self.request.transport is not None:
+                self.request.transport.close()
+            raise StreamCutError(response, str(error)) from error
+        return response
+
+    def refusal(self, refusal: RefusalError, outcome: str) -> web.Response:
+        """Return the problem document of a refusal."""
+        self.outcome = outcome
+        headers = refusal.headers()
+        headers['Crocus-Outcome'] = outcome
+        headers['X-Request-ID'] = self.inbound.request_id
+        return web.Response(
+            status=refusal.status,
+            headers=headers,
+            body=refusal.body(outcome),
+        )
+
+    def _headers(
+        self,
+        message: RawResponseMessage,
+        outcome: str,
+    ) -> CIMultiDict[str]:
+        self.outcome = outcome or ANSWERED
+        headers = response_headers(message)
+        headers['Crocus-Outcome'] = self.outcome
+        headers['X-Request-ID'] = self.inbound.request_id
+        return headers
+
+
+async def _copy(
+    response: web.StreamResponse,
+    begin: bytes,
+    exchange: Exchange,
+) -> None:
+    if begin:
+        await response.write(begin)
+    async for chunk in exchange.rest():
+        await response.write(chunk)
+    await response.write_eof()
--- /dev/null
+++ b/src/crocusproxy/proxy/service.py
@@ -0,0 +1,207 @@
+"""Admission of one service's requests: balancer, queue and retry budget."""
+
+import asyncio
+from datetime import timedelta
+
+from ..clock import Clock
+from ..config.model import Service, Upstream
+from ..limits.queue import DeadlineQueue
+from ..limits.refusal import Refuse
+from ..limits.retry_budget import RetryBudget
+from ..routing.balancer import Balancer
+from ..routing.results import (
+    Cancelled,
+    Dispatch,
+    LoadReport,
+    RequestInfo,
+    Result,
+    Wait,
+)
+
+# Room can open with time alone, for example when an ejection ends.
+_TICK_SECONDS = 0.02
+_ANY_REQUEST = RequestInfo()
+
+
+class Ticket:
+    """A request that counts as in flight at ``upstream``."""
+
+    __slots__ = ('number', 'route', 'started', 'upstream')
+
+    def __init__(
+        self,
+        route: 'ServiceRoute',
+        upstream: Upstream,
+        started: timedelta,
+    ) -> None:
+        self.route = route
+        self.upstream = upstream
+        self.started = started
+        self.number = route.balancer.started(upstream, started)
+
+    def finish(self, outcome: Result) -> None:
+        """Report the end of the request and let the next one in."""
+        route = self.route
+        now = route.clock.monotonic()
+        route.balancer.finished(self.upstream, outcome, now, self.number)
+        if len(route.queue):
+            route.pump()
+
+
+class _Waiting:
+    __slots__ = ('deadline', 'future', 'info', 'caller')
+
+    def __init__(
+        self,
+        info: RequestInfo,
+        caller: str,
+        deadline: timedelta,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.info = info
+        self.caller = caller
+        self.deadline = deadline
+        self.future: asyncio.Future[Ticket | Refuse] = loop.create_future()
+
+    def answer(self, answer: Ticket | Refuse) -> None:
+        if not self.future.done():
+            self.future.set_result(answer)
+
+    def withdraw(self) -> None:
+        """Give back an upstream that was assigned too late to be used."""
+        if not self.future.done() or self.future.cancelled():
+            return
+        answer = self.future.result()
+        if isinstance(answer, Ticket):
+            answer.finish(Cancelled())
+
+
+class ServiceRoute:
+    """Answers each request with an upstream, now or later, or a refusal."""
+
+    def __init__(
+        self,
+        service: Service,
+        balancer: Balancer,
+        clock: Clock,
+        queued_per_caller: int,
+    ) -> None:
+        self.service = service
+        self.balancer = balancer
+        self.clock = clock
+        self.queue: DeadlineQueue[_Waiting] = DeadlineQueue(
+            service.queue, queued_per_caller
+        )
+        self.budget = RetryBudget(service.retry_share)
+        self.upstreams: tuple[Upstream, ...] = ()
+        self.leaving: frozenset[str] = frozenset()
+        self.ticker: asyncio.TimerHandle | None = None
+
+    def update(self, service: Service, upstreams: tuple[Upstream, ...]) -> None:
+        """Apply a newer configuration."""
+        self.service = service
+        self.upstreams = upstreams
+        self.balancer.service = service
+        self.balancer.update(upstreams)
+        self.queue.limit = service.queue
+        self.budget.share = service.retry_share
+        self.drain(self.leaving)
+
+    def drain(self, leaving: frozenset[str]) -> None:
+        """Send no new work to the upstreams that the instance list names.
+
+        An upstream that is no longer named starts afresh.
+        """
+        returned = self.leaving - leaving
+        self.leaving = leaving
+        if returned:
+            stayed = [one for one in self.upstreams if one.key not in returned]
+            self.balancer.update(stayed)
+            self.balancer.update(self.upstreams)
+        for upstream in self.upstreams:
+            if upstream.key in leaving:
+                self.balancer.drain(upstream)
+        self.pump()
+
+    def report(self, upstream: Upstream, load: LoadReport) -> None:
+        """Pass on a piggybacked load report."""
+        self.balancer.report(upstream, load)
+
+    async def admit(
+        self,
+        info: RequestInfo,
+        caller: str,
+        deadline: timedelta,
+    ) -> Ticket | Refuse:
+        """Return an upstream to send to now, or why there is none."""
+        now = self.clock.monotonic()
+        if deadline <= now:
+            return Refuse('deadline_exceeded', timedelta())
+        if not len(self.queue):
+            choice = self.balancer.choose(info)
+            if isinstance(choice, Dispatch):
+                return Ticket(self, choice.upstream, now)
+            if isinstance(choice, Refuse):
+                return choice
+        waiting = _Waiting(info, caller, deadline)
+        refusal = self.queue.push(waiting, caller, deadline, now)
+        if refusal is not None:
+            return refusal
+        self.pump()
+        return await self._wait(waiting, deadline - now)
+
+    def pump(self) -> None:
+        """Give upstreams that have room to the requests that wait."""
+        while len(self.queue):
+            if isinstance(self.balancer.choose(_ANY_REQUEST), Wait):
+                break
+            if not self._serve_next(self.clock.monotonic()):
+                break
+        if len(self.queue) and self.ticker is None:
+            loop = asyncio.get_running_loop()
+            self.ticker = loop.call_later(_TICK_SECONDS, self._tick)
+
+    def _serve_next(self, now: timedelta) -> bool:
+        waiting = self.queue.pop(now)
+        if waiting is None:
+            return False
+        # The caller of an answered entry has gone away.
+        return waiting.future.done() or self._place(waiting, now)
+
+    def _place(self, waiting: _Waiting, now: timedelta) -> bool:
+        choice = self.balancer.choose(waiting.info)
+        if isinstance(choice, Dispatch):
+            waiting.answer(Ticket(self, choice.upstream, now))
+            return True
+        if isinstance(choice, Refuse):
+            waiting.answer(choice)
+            return True
+        # Only upstreams that this request has already tried have room.
+        refusal = self.queue.push(waiting, waiting.caller, waiting.deadline)
+        if refusal is not None:
+            waiting.answer(refusal)
+        return False
+
+    def _tick(self) -> None:
+        self.ticker = None
+        for late in self.queue.expired(self.clock.monotonic()):
+            late.answer(Refuse('deadline_exceeded', timedelta()))
+        self.pump()
+
+    async def _wait(
+        self,
+        waiting: _Waiting,
+        remaining: timedelta,
+    ) -> Ticket | Refuse:
+        timer = asyncio.get_running_loop().call_later(
+            remaining.total_seconds(),
+            waiting.answer,
+            Refuse('deadline_exceeded', timedelta()),
+        )
+        try:
+            return await waiting.future
+        except asyncio.CancelledError:
+            waiting.withdraw()
+            raise
+        finally:
+            timer.cancel()
--- /dev/null
+++ b/tests/proxy/test_front.py
@@ -0,0 +1,174 @@
+"""Guards against bad input that reaches an upstream or gets a vague answer."""
+
+import asyncio
+
+import pytest
+
+from crocusproxy.proxy.settings import Limits
+from tests.proxy.harness import (
+    FAR,
+    KEY,
+    OK,
+    answering,
+    read_message,
+    request,
+    run,
+    serving,
+)
+
+SMALL = Limits(request_body=10, header_field=200, header_count=20)
+
+
+def test_a_whole_response_is_passed_on_with_its_outcome():
+    async def scenario():
+        async with serving(answering()) as (proxy, upstream):
+            response = await proxy.call(
+                b'GET /s/a/b?c=d', b'X-Request-ID: r1\r\ntraceparent: t\r\n'
+            )
+            assert (response.status, response.body) == (200, b'ok')
+            assert response.outcome == 'answered'
+            assert response.headers['x-request-id'] == 'r1'
+            [sent] = upstream.requests
+            assert sent.first == 'GET /a/b?c=d HTTP/1.1'
+            assert sent.headers['x-request-id'] == 'r1'
+            assert sent.headers['traceparent'] == 't'
+            assert 0 < int(sent.headers['crocus-timeout-ms']) <= 2000
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status', 'code', 'outcome'),
+    [
+        (b'GARBAGE\r\n\r\n', 400, 'malformed_request', 'unknown'),
+        (request(b'GET x'), 400, 'malformed_request', 'unknown'),
+        (request(b'GET /nope/x'), 404, 'service_unknown', 'not-run'),
+        (request(b'GET /'), 404, 'service_unknown', 'not-run'),
+        (request(headers=b'A: ' + b'x' * 300 + b'\r\n'), 431,
+         'headers_too_large', 'unknown'),
+        (request(headers=b'A: x\r\n' * 30), 431, 'headers_too_large',
+         'unknown'),
+        (request(b'PUT /s/x', body=b'x' * 11), 413, 'body_too_large',
+         'not-run'),
+        (request(b'PUT /s/x', b'Transfer-Encoding: chunked\r\n')
+         + b'b\r\n01234567890\r\n0\r\n\r\n', 413, 'body_too_large', 'not-run'),
+        (request(b'POST /s/x', body=b'x'), 400, 'idempotency_key_missing',
+         'not-run'),
+        (request(b'POST /s/x', b'Idempotency-Key: k\r\n'), 400,
+         'idempotency_expiry_invalid', 'unknown'),
+        (request(b'POST /s/x', FAR), 400, 'idempotency_expiry_too_far',
+         'unknown'),
+        (request(b'GET /s/x', FAR + b'Crocus-Attempt: 1\r\n'), 400,
+         'idempotency_expiry_too_far', 'not-run'),
+        (request(b'POST /s/x', FAR.replace(b'2999', b'1999')), 410,
+         'idempotency_key_expired', 'unknown'),
+        (request(b'POST /s/x', KEY + b'Idempotency-Key: k2\r\n'), 400,
+         'malformed_request', 'unknown'),
+        (request(headers=b'Crocus-Timeout-Ms: soon\r\n'), 400,
+         'timeout_invalid', 'not-run'),
+        (request(headers=b'Crocus-Timeout-Ms: 0\r\n'), 504,
+         'deadline_passed', 'not-run'),
+        (request(headers=b'Crocus-Timeout-Ms: -5\r\n'), 504,
+         'deadline_passed', 'not-run'),
+    ],
+)  # fmt: skip
+def test_bad_input_is_refused_and_reaches_no_upstream(
+    sent, status, code, outcome
+):
+    async def scenario():
+        async with serving(answering(), limits=SMALL) as (proxy, upstream):
+            reader, writer = await proxy.connect()
+            writer.write(sent)
+            response = await read_message(reader)
+            writer.close()
+            assert (response.status, response.code) == (status, code)
+            assert response.outcome == outcome
+            assert upstream.connections == 0
+
+    run(scenario)
+
+
+def test_before_the_first_document_the_refusal_says_so():
+    async def scenario():
+        async with serving(answering()) as (proxy, upstream):
+            proxy.core.front.not_ready = lambda: 'no_configuration'
+            response = await proxy.call()
+            assert (response.status, response.code) == (503, 'not_ready')
+            assert int(response.headers['retry-after']) >= 1
+            assert upstream.connections == 0
+
+    run(scenario)
+
+
+def test_a_body_that_does_not_arrive_ends_at_the_deadline():
+    async def scenario():
+        async with serving(answering()) as (proxy, upstream):
+            headers = b'Content-Length: 5\r\nCrocus-Timeout-Ms: 20\r\n'
+            response = await proxy.call(b'PUT /s/x', headers)
+            assert response.code == 'deadline_exceeded'
+            assert response.outcome == 'not-run'
+            assert upstream.connections == 0
+
+    run(scenario)
+
+
+def test_expect_continue_gets_the_body():
+    async def scenario():
+        async with serving(answering()) as (proxy, upstream):
+            reader, writer = await proxy.connect()
+            headers = b'Expect: 100-continue\r\nContent-Length: 3\r\n'
+            writer.write(request(b'PUT /s/x', headers))
+            assert b' 100 ' in await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'abc')
+            assert (await read_message(reader)).status == 200
+            assert upstream.requests[0].body == b'abc'
+
+    run(scenario)
+
+
+def test_requests_on_one_kept_connection_get_their_own_responses():
+    async def script(upstream, reader, writer):
+        while True:
+            sent = await upstream.read(reader)
+            path = sent.first.split()[1].encode()
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+                % (len(path), path)
+            )
+
+    async def scenario():
+        async with serving(script) as (proxy, upstream):
+            reader, writer = await proxy.connect()
+            paths = [b'/%d' % number for number in range(50)]
+            for path in paths:
+                writer.write(request(b'GET /s' + path))
+            for path in paths:
+                assert (await read_message(reader)).body == path
+            assert upstream.connections == 1
+
+    run(scenario)
+
+
+def test_shutdown_marks_responses_and_waits_for_requests_in_flight():
+    async def scenario():
+        arrived, gate = asyncio.Event(), asyncio.Event()
+
+        async def script(upstream, reader, writer):
+            await upstream.read(reader)
+            arrived.set()
+            await gate.wait()
+            writer.write(OK)
+
+        async with serving(script) as (proxy, _):
+            front = proxy.core.front
+            front.closing = True
+            call = asyncio.create_task(proxy.call())
+            await arrived.wait()
+            assert not front.idle.is_set()
+            gate.set()
+            response = await call
+            assert (response.status, response.body) == (200, b'ok')
+            assert response.headers['connection'] == 'close'
+            await front.idle.wait()
+
+    run(scenario)
