--- /dev/null
+++ b/bench/call_cost.py
@@ -0,0 +1,233 @@
+"""Cost of a call through ``crocus-proxy`` beside a bare aiohttp proxy.
+
+Both proxies run as processes of their own on loopback, in front of the same
+upstream. Batches of calls to the upstream itself, to the bare proxy and to
+``crocus-proxy`` take turns in the same run, so that noise on the machine meets
+all three. The bound is on the ratio of the added latencies.
+"""
+
+import asyncio
+import json
+import socket
+import sys
+import tempfile
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+
+from crocusproxy.config.model import Document, Service, Upstream
+from crocusproxy.membership.view import InstanceView
+from crocusproxy.protocol.codec import encode
+
+MAX_RATIO = 1.25
+_CONCURRENCY = (1, 8)
+_ROUNDS = 30
+_CALLS = 400
+_SHORT_ROUNDS = 5
+_WARM_UP_CALLS = 500
+_START_ATTEMPTS = 200
+_BODY_BYTES = 1024
+
+
+class Caller(asyncio.Protocol):
+    """Sends one request after the other and notes how long each takes."""
+
+    def __init__(self, path: str, calls: int) -> None:
+        self.request = f'GET {path} HTTP/1.1\r\nHost: bench\r\n\r\n'.encode()
+        self.left = calls
+        self.seconds: list[float] = []
+        self.done = asyncio.get_running_loop().create_future()
+        self.received = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self._send()
+
+    def data_received(self, data: bytes) -> None:
+        if not self.received:
+            head = data.index(b'\r\n\r\n') + 4
+            if not data.startswith(b'HTTP/1.1 200'):
+                self.done.set_exception(RuntimeError(data.decode()))
+                return
+            self.received = -head
+        self.received += len(data)
+        if self.received >= _BODY_BYTES:
+            self.seconds.append(time.perf_counter() - self.sent)
+            self.left -= 1
+            self._send()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self.done.done():
+            self.done.set_exception(RuntimeError('connection lost'))
+
+    def _send(self) -> None:
+        if not self.left:
+            self.done.set_result(None)
+            self.transport.close()
+            return
+        self.received = 0
+        self.sent = time.perf_counter()
+        self.transport.write(self.request)
+
+
+async def call(port: int, path: str, concurrency: int, calls: int) -> list:
+    """Return the seconds of each of ``calls`` calls."""
+    loop = asyncio.get_running_loop()
+    callers = [Caller(path, calls // concurrency) for _ in range(concurrency)]
+    for caller in callers:
+        await loop.create_connection(
+            lambda caller=caller: caller, '127.0.0.1', port
+        )
+    for caller in callers:
+        await caller.done
+    return [seconds for caller in callers for seconds in caller.seconds]
+
+
+async def measure(
+    targets: dict[str, tuple[int, str]], concurrency: int, rounds: int
+) -> dict[str, list[float]]:
+    """Return the sorted seconds of all calls to each target."""
+    seconds: dict[str, list[float]] = {name: [] for name in targets}
+    for port, path in targets.values():
+        await call(port, path, concurrency, _WARM_UP_CALLS)
+    for _ in range(rounds):
+        for name, (port, path) in targets.items():
+            seconds[name] += await call(port, path, concurrency, _CALLS)
+    return {name: sorted(found) for name, found in seconds.items()}
+
+
+def added(
+    seconds: dict[str, list[float]], share: float
+) -> tuple[float, float, float]:
+    """Return a quantile: of direct calls, and added by each proxy."""
+    direct, bare, crocus = (
+        seconds[name][int(share * len(seconds[name]))]
+        for name in ('direct', 'bare', 'crocus')
+    )
+    return direct, bare - direct, crocus - direct
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+@asynccontextmanager
+async def process(*command: str):
+    """Run a process for the time of the block."""
+    child = await asyncio.create_subprocess_exec(
+        *command, stderr=asyncio.subprocess.DEVNULL
+    )
+    try:
+        yield child
+    finally:
+        child.terminate()
+        await child.wait()
+
+
+@asynccontextmanager
+async def feed(port: int, upstream: str):
+    """Serve one configuration with one service ``s``."""
+    # Slots are set so that no request of the benchmark has to queue.
+    entry = Upstream('u', 's', upstream, 'fd1', slots=16)
+    document = Document(1, {'s': Service('s')}, {entry.key: entry})
+    replies = {'config': encode(document), 'view': encode(InstanceView(1))}
+
+    async def answer(request: web.Request) -> web.Response:
+        if int(request.query['after']) > 0:
+            await asyncio.sleep(int(request.query['wait_ms']) / 1000)
+        return web.Response(body=replies[request.match_info['feed']])
+
+    app = web.Application()
+    app.router.add_get('/v1/{feed}', answer)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', port).start()
+    yield
+    await runner.cleanup()
+
+
+def write_settings(directory: str, port: int, feed_port: int) -> str:
+    listen = {'host': '127.0.0.1', 'port': port}
+    settings = {
+        'instance': {'name': 'i1', 'failure_domain': 'fd1'},
+        'listen': listen,
+        'admin': listen | {'port': free_port()},
+        'feeds': [f'127.0.0.1:{feed_port}'],
+        'locate_validity': '1ms',
+    }
+    path = Path(directory) / 'proxy.yaml'
+    path.write_text(json.dumps(settings))
+    return str(path)
+
+
+async def wait_until_serving(port: int, path: str) -> None:
+    for _ in range(_START_ATTEMPTS):
+        try:
+            await call(port, path, 1, 1)
+        except (OSError, RuntimeError):
+            await asyncio.sleep(0.05)
+        else:
+            return
+    raise RuntimeError(f'port {port} does not serve {path}')
+
+
+async def compare(rounds: int) -> dict[int, dict[str, list[float]]]:
+    """Return the sorted seconds of calls by concurrency and target."""
+    targets = {
+        'direct': (free_port(), '/x'),
+        'bare': (free_port(), '/x'),
+        'crocus': (free_port(), '/s/x'),
+    }
+    upstream = f'127.0.0.1:{targets["direct"][0]}'
+    servers = (sys.executable, '-m', 'bench.call_cost_servers')
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        feed_port = free_port()
+        settings = write_settings(directory, targets['crocus'][0], feed_port)
+        await enter(feed(feed_port, upstream))
+        for command in (
+            (*servers, 'upstream', str(targets['direct'][0])),
+            (*servers, 'bare_proxy', str(targets['bare'][0]), upstream),
+            (
+                sys.executable,
+                '-c',
+                'from crocusproxy.proxy.main import main; main()',
+                settings,
+            ),
+        ):
+            await enter(process(*command))
+        for port, path in targets.values():
+            await wait_until_serving(port, path)
+        return {
+            concurrency: await measure(targets, concurrency, rounds)
+            for concurrency in _CONCURRENCY
+        }
+
+
+def run(short: bool) -> bool:
+    """Print the table and return whether each ratio is within its bound."""
+    results = uvloop.run(compare(_SHORT_ROUNDS if short else _ROUNDS))
+    print('Latency of a 1 KiB call in microseconds, and what a proxy adds')
+    print('calls at once   quantile   direct   bare adds   crocus adds   ratio')
+    passed = True
+    for concurrency, seconds in results.items():
+        for name, share in (('median', 0.5), ('p99', 0.99)):
+            direct, bare, crocus = added(seconds, share)
+            ratio = crocus / bare
+            passed = passed and ratio <= MAX_RATIO
+            print(
+                f'{concurrency:13} {name:>10} {direct * 1e6:8.0f}'
+                f' {bare * 1e6:11.0f} {crocus * 1e6:13.0f} {ratio:7.2f}'
+            )
+    print(f'bound: ratio at most {MAX_RATIO}: {"met" if passed else "MISSED"}')
+    return passed
+
+
+if __name__ == '__main__':
+    sys.exit(not run(short='--short' in sys.argv))
--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -103,6 +103,8 @@
                 return answer
             last = _to_report(last, answer)
             excluded |= {ticket.upstream.key}
+            if len(excluded) >= len(route.upstreams):
+                break
             if not _may_repeat(route, inbound, answer):
                 break
         return _give_up(last, None, relay)
