--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -103,16 +103,19 @@
                 return answer
             last = _to_report(last, answer)
             excluded |= {ticket.upstream.key}
-            if len(excluded) >= len(route.upstreams):
-                break
-            if not _may_repeat(route, inbound, answer):
+            if not _may_repeat(route, inbound, answer, excluded):
                 break
         return _give_up(last, None, relay)
 
 
 def _may_repeat(
-    route: ServiceRoute, inbound: Inbound, failure: NotRun | Broke
+    route: ServiceRoute,
+    inbound: Inbound,
+    failure: NotRun | Broke,
+    tried: frozenset[str],
 ) -> bool:
+    if len(tried) >= len(route.upstreams):
+        return False
     if isinstance(failure, Broke):
         if inbound.key or failure.refusal.code == 'deadline_exceeded':
             return False
