Use one form of the instance and platform settings in all programs

The daemons were written side by side and named the same settings differently (identity, instance), so one settings generator could not serve them. The lock file now pins the hashes of every distribution, and pip checks them.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
--- a/src/crocusproxy/proxy/settings.py
+++ b/src/crocusproxy/proxy/settings.py
@@ -6,15 +6,10 @@
 from pydantic.dataclasses import dataclass
 
 from ..durations import Duration
-from ..settings import STRICT, InstanceIdentity, Listen
+from ..settings import STRICT, InstanceIdentity, Listen, PlatformSettings
 
-
-@dataclass(frozen=True, slots=True, config=STRICT)
-class PlatformSettings:
-    """The log service at ``address``, and how long it keeps records."""
-
-    address: str = ''
-    retention: Duration = timedelta(hours=24)
+#: Keyed requests are refused by a proxy that has no platform.
+WITHOUT_PLATFORM = PlatformSettings(address='')
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
@@ -49,7 +44,7 @@
     listen: Listen
     admin: Listen
     feeds: tuple[str, ...]
-    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    platform: PlatformSettings = WITHOUT_PLATFORM
     limits: Limits = field(default_factory=Limits)
     locate_validity: Duration = timedelta(seconds=5)
     drain_limit: Duration = timedelta(seconds=60)
