--- a/standins/demo.py
+++ b/standins/demo.py
@@ -23,6 +23,7 @@
 from .caller import Caller, CallRecord, send_load
 from .demo_report import OUTCOMES, count, print_table, summary
 from .demo_settings import (
+    OPERATOR,
     PROBES_PER_SECOND,
     SERVICE,
     SERVICE_MS,
@@ -136,9 +137,11 @@
         write_yaml(path, configuration(self.layout))
         command = program(
             'crocusctl',
-            'apply',
-            str(path),
+            f'--config={self.layout.instances[0].config}',
             f'--platform={self.layout.platform}',
+            'publish',
+            str(path),
+            f'--operator={OPERATOR}',
         )
         self.processes.start('crocusctl', command)
         await self.processes.finish('crocusctl', READY_SECONDS)
@@ -230,7 +233,7 @@
 
 def main(seconds: float = 12) -> None:
     """Run the demo, sending calls for ``seconds``."""
-    for one in (signal.SIGTERM, signal.SIGHUP):
+    for one in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         signal.signal(one, _interrupt)
     folder = Path(tempfile.mkdtemp(prefix='crocus-demo-'))
     print(f'settings files and logs are in {folder}')
--- a/standins/demo_settings.py
+++ b/standins/demo_settings.py
@@ -105,7 +105,7 @@
     }
     return {
         'crocus-config': {
-            'instance': identity,
+            'identity': identity,
             'listen': _listen(one.config),
             'platform': {'address': layout.platform},
             'peers': peers,
@@ -123,10 +123,11 @@
             'nearest': [name for name in DOMAINS if name != one.failure_domain],
             'locate_validity': VALIDITY,
         },
-        'crocus-console': follows
-        | {
+        'crocus-console': {
+            'identity': identity,
             'listen': _listen(one.console),
-            'platform': {'address': layout.platform},
+            'platform': layout.platform,
+            'feeds': follows['feeds'],
             'operators': [operator],
             'secure_cookies': False,
         },
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -194,6 +194,8 @@
         port=port,
         print=None,
         access_log=None,
+        # Long polls in progress would otherwise delay the end by a minute.
+        shutdown_timeout=1,
     )
 
 
