--- a/standins/demo_settings.py
+++ b/standins/demo_settings.py
@@ -105,7 +105,7 @@
     }
     return {
         'crocus-config': {
-            'identity': identity,
+            'instance': identity,
             'listen': _listen(one.config),
             'platform': {'address': layout.platform},
             'peers': peers,
@@ -124,7 +124,7 @@
             'locate_validity': VALIDITY,
         },
         'crocus-console': {
-            'identity': identity,
+            'instance': identity,
             'listen': _listen(one.console),
             'platform': layout.platform,
             'feeds': follows['feeds'],
