Back off while no configuration daemon answers

Cause: the follower retried every 200 ms for each feed and logged each failure, about 10 lines a second in a demo without daemons. Change: a line for each feed and outage, and a delay that doubles up to 2 s once every feed has failed.

--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -13,6 +13,7 @@
 
 _WAIT = timedelta(seconds=20)
 _RETRY_DELAY = timedelta(milliseconds=200)
+_MAX_RETRY_DELAY = timedelta(seconds=2)
 
 DocumentListener = Callable[[Document], None]
 ViewListener = Callable[[InstanceView], None]
@@ -55,17 +56,27 @@
         self,
         poll: Callable[[FeedClient], Awaitable[None]],
     ) -> None:
-        turn = 0
+        failures = 0
         while True:
-            feed = self.feeds[turn % len(self.feeds)]
+            feed = self.feeds[failures % len(self.feeds)]
             try:
                 await poll(feed)
             except CrocusError as error:
-                log('feed_unreachable', feed=feed.address, error=str(error))
-                turn += 1
-                await self.clock.sleep(_RETRY_DELAY)
+                self._log_failure(feed, error, failures)
+                failures += 1
+                await self.clock.sleep(_delay(failures, len(self.feeds)))
             else:
-                turn = 0
+                failures = 0
+
+    def _log_failure(
+        self,
+        feed: FeedClient,
+        error: CrocusError,
+        failures: int,
+    ) -> None:
+        # One line a feed and outage; a long outage would fill the log.
+        if failures < len(self.feeds):
+            log('feed_unreachable', feed=feed.address, error=str(error))
 
     async def _poll_document(self, feed: FeedClient) -> None:
         document = await feed.document(
@@ -82,3 +93,9 @@
             self.view = view
             for listener in self.on_view:
                 listener(view)
+
+
+def _delay(failures: int, feeds: int) -> timedelta:
+    """Try each feed once without much delay, then double up to a limit."""
+    rounds = min(failures // feeds, 4)
+    return min(_RETRY_DELAY * 2**rounds, _MAX_RETRY_DELAY)
