--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -14,6 +14,7 @@
 _WAIT = timedelta(seconds=20)
 _RETRY_DELAY = timedelta(milliseconds=200)
 _MAX_RETRY_DELAY = timedelta(seconds=2)
+_MAX_DOUBLINGS = 4
 
 DocumentListener = Callable[[Document], None]
 ViewListener = Callable[[InstanceView], None]
@@ -97,5 +98,5 @@
 
 def _delay(failures: int, feeds: int) -> timedelta:
     """Try each feed once without much delay, then double up to a limit."""
-    rounds = min(failures // feeds, 4)
-    return min(_RETRY_DELAY * 2**rounds, _MAX_RETRY_DELAY)
+    factor = 1 << min(failures // feeds, _MAX_DOUBLINGS)
+    return min(_RETRY_DELAY * factor, _MAX_RETRY_DELAY)
