Keep the homes of all services over view changes

A property test compares it with the full choice. Ruled out: recomputing in the background, which costs the same time.

--- a/src/crocusproxy/locator/addresses.py
+++ b/src/crocusproxy/locator/addresses.py
@@ -7,7 +7,7 @@
 
 from ..config.model import Document, Service
 from ..errors import CrocusError
-from ..membership.homes import choose_homes
+from ..membership.homes import HomeTable
 from ..membership.view import Instance, InstanceView
 from ..protocol.locate import Located, LocatedAddress
 from .stickiness import goes_to_older_balancer
@@ -42,24 +42,21 @@
     nearest: tuple[str, ...]
     validity: timedelta
     document: Document = field(default_factory=Document)
-    view: InstanceView = field(default_factory=InstanceView)
-    homes: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
+    homes: HomeTable = field(default_factory=HomeTable)
 
     def use_document(self, document: Document) -> None:
         """Answer from ``document`` from now on."""
         self.document = document
-        self.homes.clear()
 
     def use_view(self, view: InstanceView) -> None:
         """Answer from ``view`` from now on."""
-        self.view = view
-        self.homes.clear()
+        self.homes.use_view(view)
 
     def not_ready_reason(self) -> str:
         """Return why no caller can be answered; empty when one can."""
         if not self.document.generation:
             return 'no_configuration'
-        return '' if self.view.version else 'no_instance_list'
+        return '' if self.homes.view.version else 'no_instance_list'
 
     def locate(self, service: str, caller: str) -> Located:
         """Return the addresses of ``service`` for ``caller``.
@@ -104,12 +101,9 @@
         )
 
     def _homes(self, service: Service) -> tuple[Instance, ...]:
-        if not self.view.version:
+        if not self.homes.view.version:
             raise NotReadyError('this locator has no instance list yet')
-        homes = self.homes.get(service.name)
-        if homes is None:
-            homes = choose_homes(service.name, self.view, service.homes)
-            self.homes[service.name] = homes
+        homes = self.homes.homes(service.name, service.homes)
         if not homes:
             raise NoHomeError('the instance list has no live instance')
         return homes
--- a/src/crocusproxy/membership/homes.py
+++ b/src/crocusproxy/membership/homes.py
@@ -35,3 +35,52 @@
 
 def _weight(service: str, instance: str) -> int:
     return xxhash.xxh3_64_intdigest(f'{service}\0{instance}'.encode())
+
+
+class HomeTable:
+    """Homes of every service that was asked for, kept over view changes.
+
+    A full choice costs time for each instance. A new view therefore drops only
+    the choices that it can change: those with a home that is gone, and those
+    that an instance that joined is now part of.
+    """
+
+    def __init__(self, view: InstanceView | None = None) -> None:
+        self.view = view or InstanceView()
+        self.chosen: dict[tuple[str, int], tuple[Instance, ...]] = {}
+
+    def use_view(self, view: InstanceView) -> None:
+        """Answer from ``view`` from now on."""
+        before = set(self.view.live())
+        after = set(view.live())
+        gone = before - after
+        joined = tuple(after - before)
+        self.view = view
+        self.chosen = {
+            choice: self._with_joined(choice, homes, joined)
+            for choice, homes in self.chosen.items()
+            if gone.isdisjoint(homes)
+        }
+
+    def homes(self, service: str, count: int) -> tuple[Instance, ...]:
+        """Return what ``choose_homes`` returns for the newest view."""
+        choice = (service, count)
+        homes = self.chosen.get(choice)
+        if homes is None:
+            homes = choose_homes(service, self.view, count)
+            self.chosen[choice] = homes
+        return homes
+
+    def _with_joined(
+        self,
+        choice: tuple[str, int],
+        homes: tuple[Instance, ...],
+        joined: tuple[Instance, ...],
+    ) -> tuple[Instance, ...]:
+        if not joined:
+            return homes
+        # An instance that loses against the homes of its own failure domain
+        # loses against them in the full list too, so the others don't matter.
+        service, count = choice
+        candidates = InstanceView(instances=(*homes, *joined))
+        return choose_homes(service, candidates, count)
--- a/tests/locator/test_addresses.py
+++ b/tests/locator/test_addresses.py
@@ -54,7 +54,7 @@
     nearest = (first, *(domain for domain in DOMAINS if domain != first))
     made = book(homes=6, nearest=nearest)
     addresses = located(made)
-    homes = choose_homes('redaccion', made.view, 6)
+    homes = choose_homes('redaccion', made.homes.view, 6)
     assert {one.address for one in addresses} == {one.proxy for one in homes}
     distances = [nearest.index(one.failure_domain) for one in addresses]
     assert distances == sorted(distances)
--- a/tests/membership/test_homes.py
+++ b/tests/membership/test_homes.py
@@ -1,6 +1,8 @@
 """Guards against homes that move needlessly or share a failure domain."""
 
-from crocusproxy.membership.homes import choose_homes
+from hypothesis import given, settings, strategies
+
+from crocusproxy.membership.homes import HomeTable, choose_homes
 from crocusproxy.membership.view import Instance, InstanceView
 
 
@@ -42,3 +44,27 @@
 def test_a_leaving_instance_is_no_home():
     members = view(instance(1, 'leaving'), instance(2))
     assert choose_homes('redaccion', members, 2) == (instance(2),)
+
+
+_STATES = strategies.sampled_from(['live', 'leaving', 'absent'])
+_VIEWS = strategies.lists(
+    strategies.lists(_STATES, min_size=9, max_size=9), min_size=1, max_size=8
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(_VIEWS, strategies.integers(1, 6))
+def test_kept_homes_equal_a_full_choice_after_any_view_changes(views, count):
+    table = HomeTable()
+    for states in views:
+        changed = view(
+            *(
+                instance(number, state)
+                for number, state in enumerate(states)
+                if state != 'absent'
+            )
+        )
+        table.use_view(changed)
+        for service in ('redaccion', 'teletipo', 'dispatch'):
+            expected = choose_homes(service, changed, count)
+            assert table.homes(service, count) == expected
