--- a/src/crocusproxy/proxy/forward.py
+++ b/src/crocusproxy/proxy/forward.py
@@ -14,10 +14,13 @@
 from .exchange import Exchange
 from .inbound import Inbound
 from .pool import ConnectionPool, NotOpenedError
-from .problems import ANSWERED, RefusalError
+from .problems import ANSWERED, PROBLEM_TYPE, RefusalError
 from .relay import Relay
 from .settings import Limits
 
+_LACKING = frozenset((404, 503))
+_LACKING_CODES = (b'"code": "service_unknown"', b'"code": "not_ready"')
+
 
 class Forwarder:
     """Knows the homes of each service and sends requests there."""
@@ -68,19 +71,22 @@
         for home in homes:
             exchange = Exchange(self.pool, home.proxy, inbound)
             try:
-                return await self._send(exchange, relay)
+                response = await self._send(exchange, relay)
             except NotOpenedError as error:
                 log('home_not_reached', home=home.name, error=str(error))
+                continue
             except BrokenResponseError as error:
                 self._lost(exchange, error, home, budget)
                 return None
             finally:
                 exchange.close()
+            if response is not None:
+                return response
         return None
 
     async def _send(
         self, exchange: Exchange, relay: Relay
-    ) -> web.StreamResponse:
+    ) -> web.StreamResponse | None:
         inbound = exchange.inbound
         now = self.clock.monotonic()
         await exchange.open(inbound.deadline - now)
@@ -90,7 +96,10 @@
         inbound.written = True
         message = await exchange.send(now, to_home=True)
         body, whole = await exchange.body(self.limits.buffered_response)
-        outcome = _outcome(message)
+        outcome = message.headers.get('Crocus-Outcome', ANSWERED)
+        if whole and _lacks_service(message, body):
+            inbound.written = False
+            return None
         if whole:
             return relay.whole(message, body, outcome=outcome)
         return await relay.stream(exchange, body, outcome=outcome)
@@ -126,5 +135,14 @@
         )
 
 
-def _outcome(message: RawResponseMessage) -> str:
-    return message.headers.get('Crocus-Outcome', ANSWERED)
+def _lacks_service(message: RawResponseMessage, body: bytes) -> bool:
+    """Tell whether a home has no configuration for the service yet."""
+    headers = message.headers
+    if (
+        message.code not in _LACKING
+        or headers.get('Crocus-Outcome') == ANSWERED
+    ):
+        return False
+    if headers.get('Content-Type') != PROBLEM_TYPE:
+        return False
+    return any(code in body for code in _LACKING_CODES)
--- a/src/crocusproxy/proxy/metrics.py
+++ b/src/crocusproxy/proxy/metrics.py
@@ -12,7 +12,6 @@
 
 _BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
 _SERVER_ERROR = 500
-_MAX_CACHED = 10_000
 
 
 class ProxyMetrics:
@@ -28,7 +27,7 @@
         self.instance = instance
         self.started: datetime = clock.now()
         self.in_flight = 0
-        self.sends = 0
+        self.finished_count = 0
         self.burn: dict[str, BurnCounter] = {}
         self.requests = Counter(
             'crocus_proxy_requests',
@@ -65,6 +64,7 @@
         status: int,
     ) -> None:
         """Count one request; ``code`` is empty without a refusal."""
+        self.finished_count += 1
         name = '' if service is None else service.name
         self._counter(name, outcome, code).inc()
         if service is None:
--- a/src/crocusproxy/proxy/problems.py
+++ b/src/crocusproxy/proxy/problems.py
@@ -10,6 +10,7 @@
 NOT_RUN = 'not-run'
 FAILED = 'failed'
 UNKNOWN = 'unknown'
+PROBLEM_TYPE = 'application/problem+json'
 
 _STATUS = {  # noqa: WPS407 - read-only by convention
     'malformed_request': 400,
@@ -69,7 +70,7 @@
 
     def headers(self) -> dict[str, str]:
         """Return the headers that belong to the refusal itself."""
-        headers = {'Content-Type': 'application/problem+json'}
+        headers = {'Content-Type': PROBLEM_TYPE}
         if self.retry_after is not None:
             # Whole seconds are the only form that Retry-After allows.
             seconds = max(1, math.ceil(self.retry_after / _SECOND))
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -239,7 +239,8 @@
             assert response.code == 'deadline_exceeded'
             assert response.outcome == 'not-run'
             assert len(upstream.requests) == 1
-            first.cancel()
+            upstream.kill()
+            assert (await first).outcome == 'failed'
 
     run(scenario)
 
