--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -10,7 +10,7 @@
 from ..clock import SystemClock
 from ..ledger.ledger import Ledger
 from ..ledger.results import LedgerSettings
-from ..logs import start_logging
+from ..logs import log, start_logging
 from ..platform_client import PlatformClient
 from ..protocol.codec import encode
 from ..protocol.feed import FeedClient
@@ -65,6 +65,7 @@
         self.core.front.closing = True
         await self.clock.sleep(self.settings.locate_validity)
         await self.site.stop()
+        log('port_closed', in_flight=self.metrics.in_flight)
         await self.core.front.idle.wait()
 
     async def stop(self) -> None:
@@ -99,6 +100,12 @@
             self.runner, listen.host, listen.port, backlog=_BACKLOG
         )
         await self.site.start()
+        # With port 0 in the settings, the ports are chosen by the system.
+        log(
+            'listening',
+            port=self.runner.addresses[0][1],
+            admin_port=self.admin.addresses[0][1],
+        )
 
     async def _sweep(self) -> None:
         while True:
--- /dev/null
+++ b/tests/proxy/processes.py
@@ -0,0 +1,104 @@
+"""Starts a real ``crocus-proxy`` that follows a feed in the test's process."""
+
+import asyncio
+import json
+import sys
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from crocusproxy.config.model import Document, Service, Upstream
+from crocusproxy.membership.view import InstanceView
+from crocusproxy.protocol.codec import encode
+from tests.proxy.harness import read_message, request
+
+COMMAND = 'from crocusproxy.proxy.main import main; main()'
+
+
+class ProxyProcess:
+    """Log lines are events: ``seen`` waits for the first one of a type."""
+
+    def __init__(self):
+        self.events = {}
+
+    async def start(self, folder, feed_address, **settings):
+        here = {'host': '127.0.0.1', 'port': 0}
+        path = folder / 'proxy.yaml'
+        document = {
+            'instance': {'name': 'i1', 'failure_domain': 'fd1'},
+            'listen': here,
+            'admin': here,
+            'feeds': [feed_address],
+            'locate_validity': '1ms',
+            **settings,
+        }
+        path.write_text(json.dumps(document))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, '-c', COMMAND, str(path),
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        listening = await self.seen('listening')
+        self.port = listening['port']
+        self.admin_port = listening['admin_port']
+        await self.seen('configuration_applied')
+
+    async def seen(self, event):
+        while event not in self.events:
+            line = await self.process.stderr.readline()
+            assert line, f'the proxy ended before {event}'
+            entry = json.loads(line)
+            self.events.setdefault(entry.get('message_type'), entry)
+        return self.events[event]
+
+    async def connect(self, sent=b'', port=None):
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port or self.port
+        )
+        writer.write(sent)
+        return reader, writer
+
+    async def call(self, line=b'GET /s/x', headers=b'', port=None):
+        reader, writer = await self.connect(request(line, headers), port)
+        response = await read_message(reader)
+        writer.close()
+        return response
+
+    async def admin(self, path):
+        return await self.call(b'GET ' + path, port=self.admin_port)
+
+
+@asynccontextmanager
+async def feed(document):
+    """Serve one document and an empty instance view."""
+    replies = {'config': encode(document), 'view': encode(InstanceView(1))}
+
+    async def answer(sent):
+        if int(sent.query['after']) > 0:
+            await asyncio.Event().wait()
+        return web.Response(body=replies[sent.match_info['feed']])
+
+    app = web.Application()
+    app.router.add_get('/v1/{feed}', answer)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.01)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    yield f'127.0.0.1:{runner.addresses[0][1]}'
+    await runner.cleanup()
+
+
+@asynccontextmanager
+async def proxy_process(folder, upstream, **settings):
+    """Yield a proxy process in front of a scripted upstream."""
+    await upstream.start()
+    entry = Upstream('u', 's', upstream.address, 'fd1', 2)
+    document = Document(1, {'s': Service('s')}, {entry.key: entry})
+    proxy = ProxyProcess()
+    async with feed(document) as address:
+        try:
+            await proxy.start(folder, address, **settings)
+            yield proxy
+        finally:
+            if proxy.process.returncode is None:
+                proxy.process.kill()
+            await proxy.process.wait()
+            upstream.kill()
