Retry, refuse and void claims while the platform is slow or down

A claim whose append lost its response stays undecided under its nonce and is voided at the deadline; a retry repeats the same nonces and adds no new claims, so what is unknown stays bounded. A gap in the stream is closed by the time of the first record after it. shows_no_claim reads the stream's end, begun after the question.

--- /dev/null
+++ b/src/crocusproxy/ledger/appender.py
@@ -0,0 +1,97 @@
+"""Group commit: everything that waits goes into one append at a time."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..clock import Clock
+from ..errors import CrocusError, PlatformUnavailableError
+from ..logs import log
+from ..protocol import codec
+from .book import ClaimBook
+from .platform import STREAM, LogClient
+from .records import Batch
+
+_FIRST_RETRY_DELAY = timedelta(milliseconds=100)
+_LONGEST_RETRY_DELAY = timedelta(seconds=1)
+# A single lost response does not show that the platform is down.
+_FAILURES_WHEN_DOWN = 2
+
+
+class Appender:
+    """Appends what the book holds.
+
+    While appends fail, the last one is tried again with the same nonces and
+    no new claim is added to it, so the number of claims whose fate is unknown
+    stays bounded. ``on_down`` is called when the platform is found down.
+    """
+
+    def __init__(
+        self,
+        platform: LogClient,
+        book: ClaimBook,
+        clock: Clock,
+        on_down: Callable[[], None],
+    ) -> None:
+        self.platform = platform
+        self.book = book
+        self.clock = clock
+        self.on_down = on_down
+        self.down = False
+        self.failures = 0
+        self.work = asyncio.Event()
+        self.idle = asyncio.Event()
+
+    def notify(self) -> None:
+        """Note that the book may hold something to append."""
+        self.idle.clear()
+        self.work.set()
+
+    async def run(self) -> None:
+        """Append until cancelled."""
+        while True:
+            batch = self._next_batch()
+            if batch is None:
+                self.idle.set()
+                await self.work.wait()
+                self.work.clear()
+                continue
+            started = self.clock.monotonic()
+            await self._append(batch)
+            spent = self.clock.monotonic() - started
+            pause = self._interval() - spent
+            if pause > timedelta():
+                await self.clock.sleep(pause)
+
+    def _next_batch(self) -> Batch | None:
+        batch = self.book.next_batch(retry=self.failures > 0)
+        if batch is None and self.failures:
+            return Batch()  # shows when the platform answers again
+        return batch
+
+    def _interval(self) -> timedelta:
+        if not self.failures:
+            return self.book.settings.append_interval
+        delay = _FIRST_RETRY_DELAY * (1 << min(self.failures - 1, 8))
+        return min(delay, _LONGEST_RETRY_DELAY)
+
+    async def _append(self, batch: Batch) -> None:
+        newly_sent = self.book.sending(batch)
+        try:
+            await self.platform.append(STREAM, codec.to_plain(batch))
+        except PlatformUnavailableError as error:
+            self.book.not_sent(newly_sent)
+            self._failed(error, certain=True)
+        except CrocusError as error:
+            self._failed(error, certain=False)
+        else:
+            self.book.appended(batch)
+            self.failures = 0
+            self.down = False
+
+    def _failed(self, error: CrocusError, *, certain: bool) -> None:
+        log('claims_append_failed', error=str(error), failures=self.failures)
+        self.failures += 1
+        if certain or self.failures >= _FAILURES_WHEN_DOWN:
+            self.down = True
+            self.on_down()
--- a/src/crocusproxy/ledger/book.py
+++ b/src/crocusproxy/ledger/book.py
@@ -3,6 +3,7 @@
 The ledger passes in the times, the outcomes of appends and the records read.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
@@ -17,6 +18,8 @@
     LedgerSettings,
 )
 
+_CLEAN_UP_INTERVAL = timedelta(seconds=1)
+
 
 @dataclass(slots=True)
 class OwnClaim:
@@ -40,44 +43,80 @@
         self.clock = clock
         self.fold = ClaimsFold(settings.horizon, settings.clock_bound)
         self.own: dict[str, OwnClaim] = {}
+        self.own_keys: Counter[str] = Counter()
         # Entries that are not known to be in the stream, by nonce.
         self.claims: dict[str, Claim] = {}
         self.voids: dict[str, Void] = {}
         self.completions: dict[str, tuple[Completion, datetime]] = {}
+        self.mark_due = False
+        self.last_read = clock.monotonic()
+        self.last_clean_up = clock.monotonic()
+
+    def request(
+        self, claim: Claim, deadline: timedelta, *, down: bool = False
+    ) -> ClaimResult | None:
+        """Start a claim; None means that it waits for its record.
 
-    def request(self, claim: Claim, deadline: timedelta) -> ClaimResult | None:
-        """Start a claim; None means that it waits for its record."""
-        result = self._refusal(claim)
+        ``down`` tells that the platform is known not to answer.
+        """
+        result = self._refusal(claim, deadline)
+        if result is None and down:
+            result = ClaimUnavailable('platform_unavailable')
         if result is None:
             self.own[claim.nonce] = OwnClaim(claim, deadline)
+            self.own_keys[claim.key] += 1
             self.claims[claim.nonce] = claim
         return result
 
-    def next_batch(self) -> Batch | None:
+    def next_batch(self, *, retry: bool = False) -> Batch | None:
         """Return what the next append writes; None if there is nothing.
 
-        Entries stay until ``appended`` confirms them or they are settled, so
-        a repeated append writes the same nonces again.
+        Entries stay until ``appended`` confirms them or they are given up, so
+        a repeated append writes the same nonces again. With ``retry``, only
+        claims that an earlier append may have written are included.
         """
-        self._drop_expired()
+        self._clean_up()
         limit = self.settings.batch_limit
+        claims = tuple(
+            claim
+            for nonce, claim in self.claims.items()
+            if self.own[nonce].sent or not retry
+        )
         batch = Batch(
-            claims=tuple(self.claims.values())[:limit],
+            claims=claims[:limit],
             voids=tuple(self.voids.values())[:limit],
             completions=tuple(
                 completion for completion, _ in self.completions.values()
             )[:limit],
         )
-        if batch == Batch():
+        if batch == Batch() and not self.mark_due:
             return None
         return batch
 
-    def sending(self, batch: Batch) -> None:
-        """Note that an append of the batch is about to be sent."""
-        for claim in batch.claims:
-            own = self.own.get(claim.nonce)
-            if own:
-                own.sent = True
+    def sending(self, batch: Batch) -> tuple[OwnClaim, ...]:
+        """Note that the batch is about to be sent.
+
+        Return the claims that no earlier append may have written.
+        """
+        newly_sent = tuple(
+            self.own[claim.nonce]
+            for claim in batch.claims
+            if not self.own[claim.nonce].sent
+        )
+        for own in newly_sent:
+            own.sent = True
+        return newly_sent
+
+    def not_sent(self, newly_sent: tuple[OwnClaim, ...]) -> None:
+        """Note that the append of these claims certainly had no effect."""
+        for own in newly_sent:
+            own.sent = False
+            # Given up while the append was running: nothing is left to void.
+            self.voids.pop(own.claim.nonce, None)
+
+    def unsent(self) -> tuple[str, ...]:
+        """Return the nonces of claims that no append can have written."""
+        return tuple(nonce for nonce in self.claims if not self.own[nonce].sent)
 
     def appended(self, batch: Batch) -> None:
         """Note that the batch is in the stream."""
@@ -87,6 +126,7 @@
             self.voids.pop(void.nonce, None)
         for completion in batch.completions:
             self.completions.pop(completion.nonce, None)
+        self.mark_due = False
 
     def read(
         self, offset: int, time: datetime, batch: Batch | None
@@ -94,6 +134,7 @@
         """Apply a record; return the own claims that it decides."""
         if offset < self.fold.next:
             return ()
+        self.last_read = self.clock.monotonic()
         self.fold.apply(offset, time, batch)
         if batch is None:
             return ()
@@ -113,7 +154,7 @@
         It never becomes dispatchable, and its key is released as soon as the
         platform accepts the void.
         """
-        own = self.own.pop(nonce, None)
+        own = self._forget(nonce)
         if own is None:
             return None
         own.result = ClaimUnavailable(reason)
@@ -125,10 +166,12 @@
 
     def complete(self, nonce: str, status: int) -> None:
         """Record that the request of a confirmed claim ran."""
-        own = self.own.pop(nonce, None)
-        if own:
-            completion = Completion(nonce, own.claim.key, status)
-            self.completions[nonce] = (completion, own.claim.expiry)
+        own = self.own.get(nonce)
+        if own is None or not isinstance(own.result, Claimed):
+            return
+        self._forget(nonce)
+        completion = Completion(nonce, own.claim.key, status)
+        self.completions[nonce] = (completion, own.claim.expiry)
 
     def may_dispatch(self, nonce: str) -> bool:
         """Tell whether the request of a claim may be sent at this moment."""
@@ -141,18 +184,34 @@
             and self.clock.now() < own.claim.expiry
         )
 
-    def _refusal(self, claim: Claim) -> ClaimResult | None:
-        now = self.clock.now()
-        if claim.expiry <= now:
-            return ClaimUnavailable('expired')
-        if claim.expiry > now + self.settings.horizon:
-            return ClaimUnavailable('expiry_too_far')
+    def is_in_use(self, key: str) -> bool:
+        """Tell whether this process waits for or holds a claim of the key."""
+        return key in self.own_keys
+
+    def shows_no_claim(self, key: str, expiry: datetime) -> bool:
+        """Tell whether no claim was in the stream up to the last read."""
+        if self.is_in_use(key) or self.fold.holder(key):
+            return False
+        return self.fold.is_complete_for(expiry)
+
+    def is_quiet(self, interval: timedelta) -> bool:
+        """Tell whether no record was read for ``interval``."""
+        return self.clock.monotonic() - self.last_read >= interval
+
+    def _refusal(self, claim: Claim, deadline: timedelta) -> ClaimResult | None:
         holder = self.fold.holder(claim.key)
         if holder:
             return AlreadyClaimed(holder)
-        if len(self.claims) >= self.settings.pending_limit:
-            return ClaimUnavailable('overloaded')
-        return None
+        now = self.clock.now()
+        obstacles = {
+            'expired': claim.expiry <= now,
+            'expiry_too_far': claim.expiry > now + self.settings.horizon,
+            'deadline_passed': deadline <= self.clock.monotonic(),
+            'overloaded': len(self.claims) >= self.settings.pending_limit,
+        }
+        reasons = (reason for reason, applies in obstacles.items() if applies)
+        reason = next(reasons, None)
+        return ClaimUnavailable(reason) if reason else None
 
     def _is_open(self, nonce: str) -> bool:
         own = self.own.get(nonce)
@@ -164,7 +223,7 @@
         holder = self.fold.holder(own.claim.key)
         if verdict is Verdict.late and holder:
             own.result = AlreadyClaimed(holder)
-            self.own.pop(nonce)
+            self._forget(nonce)
             return
         reason = self._doubt(own, verdict)
         if reason:
@@ -181,11 +240,27 @@
             return 'deadline_passed'
         return ''
 
-    def _drop_expired(self) -> None:
-        now = self.clock.now() - 2 * self.settings.clock_bound
+    def _forget(self, nonce: str) -> OwnClaim | None:
+        own = self.own.pop(nonce, None)
+        if own:
+            self.own_keys[own.claim.key] -= 1
+            if not self.own_keys[own.claim.key]:
+                self.own_keys.pop(own.claim.key)
+        return own
+
+    def _clean_up(self) -> None:
+        now = self.clock.monotonic()
+        if now - self.last_clean_up < _CLEAN_UP_INTERVAL:
+            return
+        self.last_clean_up = now
+        # By now every reader treats such a key as expired.
+        past = self.clock.now() - 2 * self.settings.clock_bound
         for nonce, void in tuple(self.voids.items()):
-            if void.expiry <= now:
+            if void.expiry <= past:
                 self.voids.pop(nonce)
         for nonce, (_, expiry) in tuple(self.completions.items()):
-            if expiry <= now:
+            if expiry <= past:
                 self.completions.pop(nonce)
+        for nonce, own in tuple(self.own.items()):
+            if own.result and own.claim.expiry <= past:
+                self._forget(nonce)
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -1,70 +1,64 @@
-"""The ledger: claims in stream ``claims``, by group commit and a follower."""
+"""The ledger: claims for non-idempotent requests in stream ``claims``."""
 
 import asyncio
 import uuid
+from contextlib import suppress
 from datetime import datetime, timedelta
-from typing import Protocol
 
 from ..clock import Clock
-from ..errors import CrocusError, PlatformUnavailableError
-from ..logs import log
-from ..platform_client import Page
-from ..protocol import codec
+from .appender import Appender
 from .book import ClaimBook, OwnClaim
-from .records import Batch, Claim
+from .platform import LogClient
+from .reader import ClaimsReader
+from .records import Claim
 from .results import (
+    Claimed,
     ClaimResult,
     ClaimState,
     ClaimUnavailable,
     LedgerSettings,
 )
 
-_STREAM = 'claims'
-_POLL_WAIT = timedelta(seconds=20)
-_RETRY_DELAY = timedelta(milliseconds=100)
-
-
-class LogClient(Protocol):
-    """The part of the platform client that the ledger uses."""
-
-    async def append(self, stream: str, data: dict[str, object]) -> int:
-        """Append one record and return its offset."""
-
-    async def read(
-        self, stream: str, start: int, wait: timedelta = timedelta()
-    ) -> Page:
-        """Read records from ``start`` on."""
-
 
 class Ledger:
     """Claims keys for non-idempotent requests.
 
     A key includes its service. Between ``start`` and ``stop`` the ledger
-    follows the stream and appends what waits, one append at a time.
+    follows the stream and appends what waits.
     """
 
     def __init__(
         self, platform: LogClient, clock: Clock, settings: LedgerSettings
     ) -> None:
-        self.platform = platform
         self.clock = clock
         self.settings = settings
         self.book = ClaimBook(settings, clock)
+        self.reader = ClaimsReader(platform, self.book, clock, self._settle)
+        self.appender = Appender(
+            platform, self.book, clock, self._refuse_unsent
+        )
         self.waiting: dict[str, asyncio.Future[ClaimResult]] = {}
-        self.work = asyncio.Event()
         self.tasks: tuple[asyncio.Task[None], ...] = ()
 
     async def start(self) -> None:
         """Start to follow the stream and to append."""
         self.tasks = (
-            asyncio.create_task(self._follow()),
-            asyncio.create_task(self._append_batches()),
+            asyncio.create_task(self.reader.follow()),
+            asyncio.create_task(self.appender.run()),
+            asyncio.create_task(self._mark_quiet_stream()),
         )
 
     async def stop(self) -> None:
-        """Stop; claims that still wait are answered as unavailable."""
+        """Stop; claims that still wait are answered as unavailable.
+
+        Voids and completions get ``flush_limit`` to reach the stream.
+        """
         for nonce in tuple(self.waiting):
             self._give_up(nonce, 'stopped')
+        limit = self.settings.flush_limit.total_seconds()
+        self.appender.notify()
+        with suppress(TimeoutError):  # what is left is lost with the process
+            await asyncio.wait_for(self.appender.idle.wait(), limit)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -82,19 +76,19 @@
         ``deadline`` is the request's deadline on the monotonic clock. A claim
         that is not decided by then, or whose caller is cancelled, is voided.
         """
-        now = self.clock.monotonic()
         if deadline is None:
-            deadline = now + self.settings.claim_limit
+            deadline = self.clock.monotonic() + self.settings.claim_limit
         claim = Claim(uuid.uuid4().hex, key, digest, expiry)
-        result = self.book.request(claim, deadline)
+        result = self.book.request(claim, deadline, down=self.appender.down)
         if result is not None:
             return result
-        self.work.set()
+        self.appender.notify()
         loop = asyncio.get_running_loop()
         future: asyncio.Future[ClaimResult] = loop.create_future()
         self.waiting[claim.nonce] = future
+        remaining = deadline - self.clock.monotonic()
         try:
-            async with asyncio.timeout((deadline - now).total_seconds()):
+            async with asyncio.timeout(remaining.total_seconds()):
                 return await future
         except TimeoutError:
             self._give_up(claim.nonce, 'deadline_passed')
@@ -114,17 +108,17 @@
         return self.book.may_dispatch(nonce)
 
     async def void(self, nonce: str) -> None:
-        """Give up a claim whose request did not run.
+        """Give up a claim whose request did not run and will not.
 
-        Its request must not be dispatched any more. The record is appended in
-        the background.
+        The claim is never dispatchable again. Its record is appended in the
+        background, and the key is free once that record has been read.
         """
         self._give_up(nonce, 'voided')
 
     async def complete(self, nonce: str, status: int) -> None:
         """Record that the request ran; appended in the background."""
         self.book.complete(nonce, status)
-        self.work.set()
+        self.appender.notify()
 
     def known_claim(self, key: str) -> ClaimState | None:
         """Return the claim that the local fold has for ``key``.
@@ -141,67 +135,35 @@
         False also stands for not known, such as when the platform does not
         answer within ``wait`` or records are missing.
         """
-        return False
+        if self.book.is_in_use(key) or self.appender.down:
+            return False
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                was_read = await self.reader.read_to_end()
+        except TimeoutError:
+            return False
+        return was_read and self.book.shows_no_claim(key, expiry)
 
     def _give_up(self, nonce: str, reason: str) -> None:
         own = self.book.give_up(nonce, reason)
         if own:
             self._settle(own)
-        self.work.set()
+        self.appender.notify()
+
+    def _refuse_unsent(self) -> None:
+        for nonce in self.book.unsent():
+            self._give_up(nonce, 'platform_unavailable')
 
     def _settle(self, own: OwnClaim) -> None:
         future = self.waiting.get(own.claim.nonce)
         if future and not future.done() and own.result:
             future.set_result(own.result)
+        if not isinstance(own.result, Claimed):
+            self.appender.notify()  # a void may have to be appended
 
-    async def _follow(self) -> None:
-        while True:
-            try:
-                page = await self.platform.read(
-                    _STREAM, self.book.fold.next, _POLL_WAIT
-                )
-            except CrocusError as error:
-                log('claims_unreadable', error=str(error))
-                await self.clock.sleep(_RETRY_DELAY)
-            else:
-                self._take(page)
-
-    def _take(self, page: Page) -> None:
-        self.book.fold.skip_to(page.first)
-        for record in page.records:
-            batch = _batch_of(record.data)
-            decided = self.book.read(record.offset, record.time, batch)
-            for own in decided:
-                self._settle(own)
-
-    async def _append_batches(self) -> None:
+    async def _mark_quiet_stream(self) -> None:
         while True:
-            await self.work.wait()
-            self.work.clear()
-            batch = self.book.next_batch()
-            if batch:
-                await self._append(batch)
-                await self.clock.sleep(self.settings.append_interval)
-
-    async def _append(self, batch: Batch) -> None:
-        self.book.sending(batch)
-        try:
-            await self.platform.append(_STREAM, codec.to_plain(batch))
-        except PlatformUnavailableError as error:
-            log('claims_not_appended', error=str(error))
-            for claim in batch.claims:
-                self._give_up(claim.nonce, 'platform_unavailable')
-        except CrocusError as error:
-            log('claims_append_unknown', error=str(error))
-        else:
-            self.book.appended(batch)
-        if self.book.next_batch():
-            self.work.set()
-
-
-def _batch_of(data: dict[str, object]) -> Batch | None:
-    try:
-        return codec.from_plain(Batch, data)
-    except codec.MalformedMessageError as error:
-        log('claims_record_malformed', error=str(error))
-        return None
+            await self.clock.sleep(self.settings.mark_interval)
+            if self.book.is_quiet(self.settings.mark_interval):
+                self.book.mark_due = True
+                self.appender.notify()
--- a/src/crocusproxy/ledger/results.py
+++ b/src/crocusproxy/ledger/results.py
@@ -77,3 +77,12 @@
         """
         if self.horizon + 4 * self.clock_bound > self.retention:
             raise ValueError('horizon + 4 * clock_bound within the retention')
+
+    @property
+    def mark_interval(self) -> timedelta:
+        """Return after how long without a record one is appended.
+
+        A reader that starts fresh knows that no claim is missing once the
+        oldest record that is kept is older than the horizon.
+        """
+        return (self.retention - self.horizon) / 4
--- a/src/crocusproxy/platform_client.py
+++ b/src/crocusproxy/platform_client.py
@@ -17,7 +17,7 @@
 from .protocol.codec import decode
 
 _OK = 200
-_READ_LIMIT = 1000
+READ_LIMIT = 1000
 _POLL_GRACE = timedelta(seconds=5)
 
 
@@ -95,9 +95,7 @@
         Raises:
             PlatformUnavailableError: the log service did not answer.
         """
-        query = (
-            f'from={start}&limit={_READ_LIMIT}&wait_ms={_milliseconds(wait)}'
-        )
+        query = f'from={start}&limit={READ_LIMIT}&wait_ms={_milliseconds(wait)}'
         body = await self._get(f'/v1/streams/{stream}/records?{query}', wait)
         return decode(Page, body)
 
