Apply a change to the edited services only

Cause: a proxy went over all services and sorted all upstreams for each generation. Change: services whose objects the edit left alone are skipped. python -m bench.capacity at 10,050 upstreams: 17.2 ms before, 0.45 ms after (0.6 % and 0.02 % of a core at 0.36 changes a second).

--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -34,6 +34,7 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        self.document = Document()
         self.view = InstanceView()
         self.pool = ConnectionPool(
             limits.connect_timeout, limits.idle_connection
@@ -54,6 +55,8 @@
         """Apply a newer configuration."""
         routes = self.dispatcher.routes
         for name, service in document.services.items():
+            if self._unchanged(name, document):
+                continue
             upstreams = document.upstreams_of(name)
             if name not in routes:
                 routes[name] = self._route(service, upstreams)
@@ -61,6 +64,7 @@
         for gone in routes.keys() - document.services.keys():
             routes.pop(gone)
         self.reader.services = document.services
+        self.document = document
         log('configuration_applied', generation=document.generation)
 
     def apply_view(self, view: InstanceView) -> None:
@@ -70,6 +74,16 @@
         for route in self.dispatcher.routes.values():
             route.drain(view.leaving_upstreams)
 
+    def _unchanged(self, name: str, document: Document) -> bool:
+        """Tell whether a service and its upstreams are those applied last.
+
+        A document made by edits shares what the edits leave alone.
+        """
+        applied = self.document
+        return document.services[name] is applied.services.get(
+            name
+        ) and document.table.group(name) is applied.table.group(name)
+
     def _route(
         self, service: Service, upstreams: tuple[Upstream, ...]
     ) -> ServiceRoute:
