--- a/src/crocusproxy/proxy/attempt.py
+++ b/src/crocusproxy/proxy/attempt.py
@@ -18,7 +18,7 @@
 from .connection import BrokenResponseError, DeadlineError
 from .exchange import Exchange
 from .inbound import Inbound
-from .messages import load_report, retry_after
+from .messages import LOAD_HEADER, load_report, retry_after
 from .pool import ConnectionPool, NotOpenedError
 from .problems import NOT_RUN, RefusalError
 from .relay import Relay
@@ -119,7 +119,7 @@
 
     async def _send(self) -> RawResponseMessage:
         inbound = self.inbound
-        await self.exchange.open(inbound.deadline - self.clock.monotonic())
+        await self.exchange.open(self.clock)
         now = self.clock.monotonic()
         if now >= inbound.deadline:
             raise RefusalError('deadline_exceeded')
@@ -130,9 +130,10 @@
 
     def _note(self, message: RawResponseMessage) -> None:
         ticket = self.ticket
-        load = load_report(message, self.clock.monotonic())
-        if load is not None:
-            ticket.route.report(ticket.upstream, load)
+        if LOAD_HEADER in message.headers:
+            load = load_report(message, self.clock.monotonic())
+            if load is not None:
+                ticket.route.report(ticket.upstream, load)
         if message.headers.get('Upstream-State') == 'draining':
             ticket.route.balancer.drain(ticket.upstream)
 
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -5,6 +5,7 @@
 
 from aiohttp.http import RawResponseMessage
 
+from ..clock import Clock
 from .connection import BrokenResponseError, UpstreamConnection
 from .inbound import Inbound
 from .messages import request_bytes
@@ -33,8 +34,8 @@
         self.message: RawResponseMessage | None = None
         self.sent = False
 
-    async def open(self, remaining: timedelta) -> None:
-        """Take or open a connection.
+    async def open(self, clock: Clock) -> None:
+        """Take or open a connection before the request's deadline.
 
         Raises:
             NotOpenedError: there is no connection.
@@ -44,6 +45,7 @@
             self.address, self.inbound.request_id, idle_limit
         )
         if self.connection is None:
+            remaining = self.inbound.deadline - clock.monotonic()
             self.connection = await self.pool.open(
                 self.address, remaining.total_seconds()
             )
--- a/src/crocusproxy/proxy/forward.py
+++ b/src/crocusproxy/proxy/forward.py
@@ -88,8 +88,7 @@
         self, exchange: Exchange, relay: Relay
     ) -> web.StreamResponse | None:
         inbound = exchange.inbound
-        now = self.clock.monotonic()
-        await exchange.open(inbound.deadline - now)
+        await exchange.open(self.clock)
         now = self.clock.monotonic()
         if now >= inbound.deadline:
             raise RefusalError('deadline_exceeded')
--- a/src/crocusproxy/proxy/messages.py
+++ b/src/crocusproxy/proxy/messages.py
@@ -40,7 +40,7 @@
     b'upstream-outcome',
     b'x-request-id',
 }
-_LOAD_HEADER = 'Endpoint-Load-Metrics'
+LOAD_HEADER = 'Endpoint-Load-Metrics'
 _LOAD_FORMAT = 'TEXT '
 _LOAD_PREFIX = 'named_metrics.'
 _LOAD_NAMES = frozenset(('in_flight', 'slots', 'queued'))
@@ -98,7 +98,7 @@
     >>> parse_load('TEXT named_metrics.in_flight=1, named_metrics.slots=2')
     {'in_flight': 1, 'slots': 2}
     """
-    text = message.headers.get(_LOAD_HEADER)
+    text = message.headers.get(LOAD_HEADER)
     if text is None:
         return None
     load = parse_load(text)
