--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -3,9 +3,9 @@
 Both proxies run as processes of their own on loopback, in front of the same
 upstream. Batches of calls to the upstream itself, to the bare proxy and to
 ``crocus-proxy`` take turns in the same run, so that noise on the machine meets
-all three. Quantiles are taken in each round, and the median of the rounds is shown:
-a pause of the machine then spoils one round and not the result. The bound is on
-the ratio of the added latencies.
+all three. Quantiles are taken in each round, and their median is shown: a pause
+of the machine then spoils one round and not the result. The bound is on the
+ratio of the added latencies.
 """
 
 import asyncio
