Measure the processor time of calls and the memory of connections

The figures are those that crocus-proxy reports of itself, so that the caller's own time is left out.

--- /dev/null
+++ b/bench/capacity_calls.py
@@ -0,0 +1,115 @@
+"""Processor time and memory of ``crocus-proxy`` by the number of calls.
+
+The figures are those that the process reports of itself on ``/metrics``. Run
+``python -m bench.capacity_calls``; it takes about half a minute.
+"""
+
+import asyncio
+import json
+import re
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import uvloop
+from aiohttp import ClientSession
+
+from .call_cost import (
+    call,
+    feed,
+    free_port,
+    process,
+    wait_until_serving,
+    write_settings,
+)
+from .fitting import measure, print_table
+
+_CALLS = (4000, 8000, 16000, 32000)
+_CONNECTIONS = (50, 100, 200, 400)
+_CONCURRENCY = 8
+_WARM_UP = 4000
+_ANSWER_SECONDS = 5
+
+
+class Proxy:
+    """A running ``crocus-proxy`` in front of a raw upstream."""
+
+    def __init__(self, port: int, admin: str, session: ClientSession) -> None:
+        self.port = port
+        self.admin = admin
+        self.session = session
+
+    async def metric(self, name: str) -> float:
+        async with self.session.get(f'http://{self.admin}/metrics') as response:
+            text = await response.text()
+        found = re.search(rf'^{name} (\S+)$', text, re.MULTILINE)
+        return float(found.group(1))
+
+    async def cpu_us(self, calls: int) -> float:
+        """Return the processor time that ``calls`` calls take."""
+        before = await self.metric('process_cpu_seconds_total')
+        await call(self.port, '/s/x', _CONCURRENCY, calls)
+        after = await self.metric('process_cpu_seconds_total')
+        return (after - before) * 1e6
+
+    async def memory(self, connections: int) -> float:
+        """Return the memory with idle connections of callers."""
+        opened = [
+            await asyncio.open_connection('127.0.0.1', self.port)
+            for _ in range(connections)
+        ]
+        # One after the other, since a caller may queue only a few requests.
+        for reader, writer in opened:
+            writer.write(b'GET /s/x HTTP/1.1\r\nHost: bench\r\n\r\n')
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                await reader.readexactly(1024)
+        resident = await self.metric('process_resident_memory_bytes')
+        for _, writer in opened:
+            writer.close()
+        return resident
+
+
+async def _run() -> None:
+    async with AsyncExitStack() as stack:
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        session = await stack.enter_async_context(ClientSession())
+        ports = [free_port() for _ in range(3)]
+        upstream, feed_port, port = ports
+        settings = write_settings(directory, port, feed_port)
+        admin = json.loads(Path(settings).read_text())['admin']
+        await stack.enter_async_context(
+            feed(feed_port, f'127.0.0.1:{upstream}')
+        )
+        for command in (
+            ('-m', 'bench.call_cost_servers', 'upstream', str(upstream)),
+            (
+                '-c',
+                'from crocusproxy.proxy.main import main; main()',
+                settings,
+            ),
+        ):
+            await stack.enter_async_context(process(sys.executable, *command))
+        await wait_until_serving(port, '/s/x')
+        proxy = Proxy(port, f'127.0.0.1:{admin["port"]}', session)
+        at_rest = await proxy.metric('process_resident_memory_bytes')
+        await proxy.cpu_us(_WARM_UP)
+        cpu = {calls: await proxy.cpu_us(calls) for calls in _CALLS}
+        memory = {n: await proxy.memory(n) for n in _CONNECTIONS}
+        print_table(
+            (
+                measure('calls of 1 KiB', 'call', 'us', _CALLS, cpu.get),
+                measure(
+                    'resident memory',
+                    'connection of a caller',
+                    'B',
+                    _CONNECTIONS,
+                    memory.get,
+                ),
+            )
+        )
+        print(f'resident memory at rest: {at_rest / 1e6:.1f} MB')
+
+
+if __name__ == '__main__':
+    uvloop.run(_run())
