Add the console's sessions and the form of a service

The console needs a typed form that keeps what was typed, and sessions that other sites cannot use. Forms are checked by the same data classes as the configuration, so there is no second set of rules.

--- /dev/null
+++ b/src/crocusproxy/console/forms.py
@@ -0,0 +1,208 @@
+"""The form of one service: typed text in, a checked service out.
+
+A rejected form keeps every text as it was typed, with the fault at its field.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..adapters import adapter_for
+from ..config.model import Service, Upstream
+from ..documents import check_document
+from ..errors import Fault, InvalidDocumentError
+
+#: Empty rows that a form offers for new upstreams.
+SPARE_ROWS = 3
+MAX_ROWS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """One input; ``path`` is the dotted place in the service's YAML."""
+
+    path: str
+    label: str
+    help: str
+    number: bool = False
+
+
+FIELDS = (
+    Field('deadline', 'Deadline', 'with a unit, such as 500ms or 2s'),
+    Field('homes', 'Homes', 'instances that dispatch this service', True),
+    Field('depth', 'Depth', 'requests sent beyond the slots', True),
+    Field('queue', 'Queue', 'requests that may wait at a home', True),
+    Field('retry_share', 'Retry share', 'of calls, 0 to 1', True),
+    Field('max_eject_share', 'Ejection limit', 'of upstreams, 0 to 1', True),
+    Field('probe_budget.per_second', 'Probes', 'a second, at most', True),
+    Field('probe_budget.bytes_per_second', 'Probe bytes', 'a second', True),
+    Field('objective.within', 'Answered within', 'with a unit'),
+    Field('objective.share', 'Objective', 'share of requests, 0 to 1', True),
+    Field('objective.window', 'Objective window', 'such as 28d'),
+    Field('older_balancer.address', 'Older balancer', 'IP:port or empty'),
+    Field('older_balancer.share', 'Its share', 'of callers, 0 to 1', True),
+)
+COLUMNS = ('name', 'address', 'failure_domain', 'slots')
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRow:
+    """The four texts of one upstream's row."""
+
+    name: str = ''
+    address: str = ''
+    failure_domain: str = ''
+    slots: str = ''
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether the row holds nothing."""
+        return not (
+            self.name or self.address or self.failure_domain or self.slots
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceForm:
+    """A service as typed. ``base`` is the generation the form started from."""
+
+    name: str
+    base: int
+    texts: Mapping[str, str]
+    rows: tuple[UpstreamRow, ...]
+
+    def text(self, path: str) -> str:
+        """Return what was typed into the field at ``path``."""
+        return self.texts.get(path, '')
+
+    @property
+    def rows_to_show(self) -> tuple[UpstreamRow, ...]:
+        """Return the filled rows and some empty ones."""
+        filled = tuple(row for row in self.rows if not row.empty)
+        return filled + (UpstreamRow(),) * SPARE_ROWS
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedForm:
+    """The typed result of a form without faults."""
+
+    service: Service
+    upstreams: tuple[Upstream, ...]
+
+
+def form_of(
+    service: Service,
+    upstreams: tuple[Upstream, ...],
+    generation: int,
+) -> ServiceForm:
+    """Fill a form from the configuration."""
+    plain = adapter_for(Service).dump_python(service, mode='json')
+    texts = {field.path: _lookup(plain, field.path) for field in FIELDS}
+    rows = tuple(
+        UpstreamRow(
+            upstream.name,
+            upstream.address,
+            upstream.failure_domain,
+            str(upstream.slots),
+        )
+        for upstream in upstreams
+    )
+    return ServiceForm(service.name, generation, texts, rows)
+
+
+def read_form(posted: Mapping[str, str]) -> ServiceForm:
+    """Read the texts of a posted form.
+
+    Raises:
+        InvalidDocumentError: the generation is not a number.
+    """
+    base = posted.get('base', '')
+    if not base.isdecimal():
+        fault = Fault('base', 'a generation', repr(base[:20]), 'value_error')
+        raise InvalidDocumentError('form', (fault,))
+    texts = {field.path: posted.get(field.path, '').strip() for field in FIELDS}
+    rows = (_read_row(posted, number) for number in range(MAX_ROWS))
+    return ServiceForm(
+        posted.get('name', '').strip(),
+        int(base),
+        texts,
+        tuple(row for row in rows if not row.empty),
+    )
+
+
+def check_form(form: ServiceForm) -> CheckedForm:
+    """Check every field and row.
+
+    Raises:
+        InvalidDocumentError: with one fault for each field that is wrong;
+            paths of rows have the form ``upstreams.0.slots``.
+    """
+    faults: list[Fault] = []
+    service: Service | None = None
+    try:
+        service = check_document(Service, _plain_service(form), 'form')
+    except InvalidDocumentError as error:
+        faults.extend(error.faults)
+    upstreams = tuple(
+        upstream
+        for number, row in enumerate(form.rows)
+        if (upstream := _check_row(form.name, number, row, faults))
+    )
+    if faults or service is None:
+        raise InvalidDocumentError('form', tuple(faults))
+    return CheckedForm(service, upstreams)
+
+
+def _plain_service(form: ServiceForm) -> dict[str, object]:
+    plain: dict[str, object] = {'name': form.name}
+    for field in FIELDS:
+        text = form.text(field.path)
+        if text:
+            _store(plain, field.path, text)
+    return plain
+
+
+def _check_row(
+    service: str,
+    number: int,
+    row: UpstreamRow,
+    faults: list[Fault],
+) -> Upstream | None:
+    plain = {
+        column: getattr(row, column)
+        for column in COLUMNS
+        if getattr(row, column)
+    }
+    try:
+        return check_document(Upstream, {**plain, 'service': service}, 'form')
+    except InvalidDocumentError as error:
+        for fault in error.faults:
+            path = f'upstreams.{number}.{fault.path}'
+            faults.append(
+                Fault(path, fault.expected, fault.found, fault.code),
+            )
+    return None
+
+
+def _read_row(posted: Mapping[str, str], number: int) -> UpstreamRow:
+    texts = (
+        posted.get(f'upstreams.{number}.{column}', '').strip()
+        for column in COLUMNS
+    )
+    return UpstreamRow(*texts)
+
+
+def _lookup(plain: Mapping[str, object], path: str) -> str:
+    found: object = plain
+    for part in path.split('.'):
+        found = found.get(part, '') if isinstance(found, Mapping) else ''
+    return str(found)
+
+
+def _store(plain: dict[str, object], path: str, text: str) -> None:
+    *parents, last = path.split('.')
+    inner = plain
+    for parent in parents:
+        child = inner.setdefault(parent, {})
+        if isinstance(child, dict):
+            inner = child
+    inner[last] = text
--- /dev/null
+++ b/tests/console/test_sessions.py
@@ -0,0 +1,66 @@
+"""Guards against sign-in without a token and forms from other sites."""
+
+import hashlib
+from datetime import timedelta
+
+import pytest
+
+from crocusproxy.clock import ManualClock
+from crocusproxy.console.sessions import (
+    FAILURE_WINDOW,
+    MAX_FAILURES,
+    SESSION_LIFETIME,
+    ForgedRequestError,
+    SessionStore,
+    SignInError,
+    TooManySignInsError,
+)
+from crocusproxy.console.settings import Operator
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    digest = hashlib.sha256(b'secret').hexdigest()
+    return SessionStore((Operator('ana', digest),), clock)
+
+
+def test_the_token_names_the_operator(store):
+    assert store.sign_in('secret').operator == 'ana'
+
+
+def test_a_wrong_token_opens_no_session(store):
+    with pytest.raises(SignInError):
+        store.sign_in('guess')
+    assert not store.sessions
+
+
+def test_guessing_is_limited_also_for_the_right_token(store, clock):
+    for _ in range(MAX_FAILURES):
+        with pytest.raises(SignInError):
+            store.sign_in('guess')
+    with pytest.raises(TooManySignInsError):
+        store.sign_in('secret')
+    clock.advance(FAILURE_WINDOW + timedelta(seconds=1))
+    assert store.sign_in('secret').operator == 'ana'
+
+
+def test_a_session_ends_by_time_and_by_sign_out(store, clock):
+    first = store.sign_in('secret')
+    second = store.sign_in('secret')
+    store.sign_out(first)
+    assert store.find(first.identifier) is None
+    assert store.find(second.identifier) == second
+    clock.advance(SESSION_LIFETIME)
+    assert store.find(second.identifier) is None
+
+
+@pytest.mark.parametrize('form_token', ['', 'other', '\u00e9'])
+def test_a_form_from_another_page_is_refused(store, form_token):
+    session = store.sign_in('secret')
+    with pytest.raises(ForgedRequestError):
+        store.check_form(session, form_token)
