Keep the verdict of a change that is submitted again

Cause: Publisher.submit compared the base with the current generation before it looked for a verdict, so a repeated click after an accepted change was reported as a conflict. StreamReader.poll had no lock, so two requests of one console could fold the same page twice. Change: submit returns a verdict that is already in the stream; poll holds a lock over the read and the fold. Before and after: the two new tests fail without the change and pass with it. Ruled out: a reader per request, which reads the whole stream for each page.

--- a/src/crocusproxy/config/publisher.py
+++ b/src/crocusproxy/config/publisher.py
@@ -135,7 +135,8 @@
     async def submit(self, change: Change) -> Submission:
         """Append a change once and wait for its verdict.
 
-        A change that is certain to be rejected is not appended.
+        A change that is certain to be rejected is not appended, and neither
+        is one whose verdict is already in the stream.
 
         Raises:
             PlatformUnavailableError: the change was certainly not made.
@@ -143,9 +144,10 @@
             NotKnownYetError: the change may or may not take effect.
         """
         current = await self.current()
-        rejected = _reject_early(current, change)
-        if rejected is not None:
-            return Submission(change.submission, rejected)
+        known = self.reader.state.verdicts.get(change.submission)
+        verdict = known or _reject_early(current, change)
+        if verdict is not None:
+            return Submission(change.submission, verdict)
         try:
             await self.client.append(CONFIG_STREAM, codec.to_plain(change))
         except AppendUnknownError as error:
--- a/src/crocusproxy/config/reader.py
+++ b/src/crocusproxy/config/reader.py
@@ -1,5 +1,6 @@
 """Reads stream ``config`` from the platform and folds it."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -26,6 +27,7 @@
 
     def __init__(self, client: PlatformClient) -> None:
         self.client = client
+        self.lock = asyncio.Lock()
         self.state = FoldState()
         self.started = False
         self.first = 0
@@ -39,13 +41,15 @@
         Raises:
             PlatformUnavailableError: the log service did not answer.
         """
-        start = self.state.offset + 1 if self.started else 0
-        page = await self.client.read(CONFIG_STREAM, start, wait)
-        self.first = page.first
-        if not self.started or page.first > start:
-            self._restart(page.first)
-        self._fold(page)
-        return len(page.records)
+        # Two reads at once would fold the same page twice.
+        async with self.lock:
+            start = self.state.offset + 1 if self.started else 0
+            page = await self.client.read(CONFIG_STREAM, start, wait)
+            self.first = page.first
+            if not self.started or page.first > start:
+                self._restart(page.first)
+            self._fold(page)
+            return len(page.records)
 
     async def catch_up(self) -> None:
         """Fold until no record is left.
--- a/tests/config/test_publish.py
+++ b/tests/config/test_publish.py
@@ -10,8 +10,11 @@
 from aiohttp.test_utils import TestServer
 
 from crocusproxy.clock import SystemClock
+from crocusproxy.config.change import edits_between
+from crocusproxy.config.model import Document
 from crocusproxy.config.operator_document import read_operator_file
 from crocusproxy.config.publisher import NotKnownYetError, Publisher
+from crocusproxy.config.reader import StreamReader
 from crocusproxy.config.verdict import Accepted, Rejected
 from crocusproxy.errors import PlatformUnavailableError
 from crocusproxy.platform_client import PlatformClient
@@ -65,6 +68,31 @@
     run(publish)
 
 
+def test_a_change_submitted_again_keeps_its_verdict_without_an_append():
+    """A repeated click may reach another process, or come after a restart."""
+
+    async def publish(platform):
+        first = publisher(platform)
+        change = first.change(edits_between(Document(), EXAMPLE), 0, 'ana')
+        for writer in (first, publisher(platform)):
+            assert (await writer.submit(change)).verdict == Accepted(1)
+        assert platform.appends == 1
+
+    run(publish)
+
+
+def test_two_reads_at_once_fold_each_record_once():
+    async def read(platform):
+        await publisher(platform).replace(EXAMPLE, 'ana')
+        reader = StreamReader(platform.client)
+        seen = []
+        reader.on_record.append(lambda stored, _: seen.append(stored.offset))
+        await asyncio.gather(reader.poll(), reader.poll())
+        assert seen == [0]
+
+    run(read)
+
+
 def test_of_two_operators_at_once_one_wins_and_the_other_gets_the_generation():
     async def publish(platform):
         writers = (publisher(platform), publisher(platform))
