Add crocusctl burn and the shared fetching of burn reports

Cause: the merged burn of all instances could not be shown. Change: protocol/burn_client.py asks every proxy of the instance view and merges the answers; crocusctl burn prints them. The list of submissions moves from cli/history.py to config/history.py, where the console uses it too. Decision: the exit code is 3 if no instance answered, because the figures then say nothing; instances that are missing among others are only named.

--- a/src/crocusproxy/cli/commands.py
+++ b/src/crocusproxy/cli/commands.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from ..config.change import edits_between
+from ..config.history import edit_line
 from ..config.operator_document import format_operator_text, read_operator_file
 from ..config.publisher import Submission
 from ..config.validation import service_path
@@ -10,7 +11,7 @@
 from ..membership.homes import choose_homes
 from ..protocol import codec
 from .exits import Exit, WrongInputError
-from .output import Result, edit_line, table
+from .output import Result, table
 from .system import System
 
 
--- a/src/crocusproxy/cli/history.py
+++ b/src/crocusproxy/cli/history.py
@@ -1,33 +1,15 @@
 """The command ``history``: changes in the stream, with their verdicts."""
 
-from dataclasses import dataclass
-from datetime import datetime
-
-from ..config.change import Change
+from ..config.history import Entry, SubmissionLog, verdict_text
 from ..config.publisher import NotKnownYetError
 from ..config.reader import StreamReader
-from ..config.records import InvalidChange, Record
-from ..config.verdict import Accepted, Rejected, Verdict
-from ..platform_client import StoredRecord
+from ..config.verdict import Accepted, Rejected
 from ..protocol import codec
 from .exits import Exit
-from .output import Result, edit_line, table
+from .output import Result, table
 from .system import System
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One submission; ``verdict`` is None if it is no longer known."""
-
-    offset: int
-    time: datetime
-    submission: str
-    base: int
-    operator: str
-    edits: tuple[str, ...]
-    verdict: Verdict | None
-
-
 async def history(system: System, limit: int, submission: str) -> Result:
     """Show the last ``limit`` submissions, or only the one that is named.
 
@@ -46,36 +28,9 @@
 
 
 async def _read_entries(reader: StreamReader) -> list[Entry]:
-    found: dict[str, tuple[StoredRecord, Change | InvalidChange]] = {}
-
-    def remember(stored: StoredRecord, record: Record) -> None:  # noqa: WPS430
-        if isinstance(record, Change | InvalidChange):
-            found.setdefault(record.submission, (stored, record))
-
-    reader.on_record.append(remember)
+    found = SubmissionLog(reader)
     await reader.catch_up()
-    verdicts = reader.state.verdicts
-    return [
-        _entry(stored, record, verdicts.get(submission))
-        for submission, (stored, record) in found.items()
-    ]
-
-
-def _entry(
-    stored: StoredRecord,
-    record: Change | InvalidChange,
-    verdict: Verdict | None,
-) -> Entry:
-    change = record if isinstance(record, Change) else None
-    return Entry(
-        offset=stored.offset,
-        time=stored.time,
-        submission=record.submission,
-        base=record.base,
-        operator=change.operator if change else '',
-        edits=tuple(map(edit_line, change.edits)) if change else (),
-        verdict=verdict,
-    )
+    return found.entries()
 
 
 def _overview(entries: list[Entry]) -> str:
@@ -86,7 +41,7 @@
             entry.operator or '-',
             entry.base,
             len(entry.edits),
-            _verdict_text(entry.verdict),
+            verdict_text(entry.verdict),
         )
         for entry in entries
     ]
@@ -105,15 +60,6 @@
     )
 
 
-def _verdict_text(verdict: Verdict | None) -> str:
-    match verdict:
-        case Accepted(generation=generation):
-            return f'accepted as generation {generation}'
-        case Rejected(code=code, generation=generation):
-            return f'rejected at generation {generation} [{code}]'
-    return 'no longer known'
-
-
 def _exit_code(entry: Entry) -> int:
     match entry.verdict:
         case Accepted():
--- a/src/crocusproxy/cli/main.py
+++ b/src/crocusproxy/cli/main.py
@@ -11,6 +11,7 @@
 
 from ..errors import CrocusError
 from . import commands
+from .burn import burn as show_burn
 from .exits import WrongInputError, exit_code_of
 from .history import history as show_history
 from .instances import instances as show_instances
@@ -37,6 +38,7 @@
       history          show the last submissions and their verdicts
       locate SERVICE   show the homes of a service
       instances        show the instances and the generation each one serves
+      burn             show burn rates and error budgets of all services
 
     Exit codes: 0 done, 1 rejected, 2 wrong input, 3 not reachable,
     4 not known yet. With --json a command prints one JSON document.
@@ -147,6 +149,14 @@
         """
         self._run(show_instances, json)
 
+    def burn(self, json: bool = False) -> None:
+        """Show burn rates, error budgets and the instances without answer.
+
+        Args:
+            json: print JSON.
+        """
+        self._run(show_burn, json)
+
     def _run(
         self,
         command: Callable[[System], Awaitable[Result]],
--- a/src/crocusproxy/cli/output.py
+++ b/src/crocusproxy/cli/output.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..config.change import Edit, Put
 from ..errors import CrocusError, Fault, InvalidDocumentError
 from ..protocol import codec
 
@@ -36,12 +35,6 @@
         print(f'  {fault}', file=sys.stderr)
 
 
-def edit_line(edit: Edit) -> str:
-    """Write an edit as one line."""
-    sign = '+' if isinstance(edit, Put) else '-'
-    return f'{sign} {edit.kind} {edit.key}'
-
-
 def table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Align rows under their header.
 
