Finish the console and its daemon

Forms read every posted row; before, rows after the 500th were dropped, which would have deleted those upstreams. Ruled out: the browser's origin from Referrer, which the strictest policies omit; Referrer-Policy no-referrer, with which forms are sent with Origin null.

--- a/src/crocusproxy/console/forms.py
+++ b/src/crocusproxy/console/forms.py
@@ -3,7 +3,8 @@
 A rejected form keeps every text as it was typed, with the fault at its field.
 """
 
-from collections.abc import Mapping
+import re
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from ..adapters import adapter_for
@@ -13,7 +14,7 @@
 
 #: Empty rows that a form offers for new upstreams.
 SPARE_ROWS = 3
-MAX_ROWS = 500
+_ROW_KEY = re.compile('upstreams[.]([0-9]{1,5})[.][a-z_]+')
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceForm:
-    """A service as typed. ``base`` is the generation the form started from."""
+    """A service as typed.
+
+    ``base`` is the generation that the form started from and ``seen`` the
+    digest of the service in it, empty for a new service.
+    """
 
     name: str
     base: int
     texts: Mapping[str, str]
     rows: tuple[UpstreamRow, ...]
+    seen: str = ''
 
     def text(self, path: str) -> str:
         """Return what was typed into the field at ``path``."""
@@ -93,6 +99,7 @@
     service: Service,
     upstreams: tuple[Upstream, ...],
     generation: int,
+    seen: str = '',
 ) -> ServiceForm:
     """Fill a form from the configuration."""
     plain = adapter_for(Service).dump_python(service, mode='json')
@@ -106,7 +113,7 @@
         )
         for upstream in upstreams
     )
-    return ServiceForm(service.name, generation, texts, rows)
+    return ServiceForm(service.name, generation, texts, rows, seen)
 
 
 def read_form(posted: Mapping[str, str]) -> ServiceForm:
@@ -120,12 +127,13 @@
         fault = Fault('base', 'a generation', repr(base[:20]), 'value_error')
         raise InvalidDocumentError('form', (fault,))
     texts = {field.path: posted.get(field.path, '').strip() for field in FIELDS}
-    rows = (_read_row(posted, number) for number in range(MAX_ROWS))
+    rows = (_read_row(posted, number) for number in _row_numbers(posted))
     return ServiceForm(
         posted.get('name', '').strip(),
         int(base),
         texts,
         tuple(row for row in rows if not row.empty),
+        posted.get('seen', ''),
     )
 
 
@@ -147,6 +155,7 @@
         for number, row in enumerate(form.rows)
         if (upstream := _check_row(form.name, number, row, faults))
     )
+    faults.extend(_repeated_names(form.rows))
     if faults or service is None:
         raise InvalidDocumentError('form', tuple(faults))
     return CheckedForm(service, upstreams)
@@ -183,6 +192,21 @@
     return None
 
 
+def _repeated_names(rows: tuple[UpstreamRow, ...]) -> Iterator[Fault]:
+    """Find names given twice; only one of the rows would take effect."""
+    seen: set[str] = set()
+    for number, row in enumerate(rows):
+        if row.name in seen:
+            path = f'upstreams.{number}.name'
+            yield Fault(path, 'each name once', row.name, 'duplicate_upstream')
+        seen.add(row.name)
+
+
+def _row_numbers(posted: Mapping[str, str]) -> list[int]:
+    matches = (_ROW_KEY.fullmatch(key) for key in posted)
+    return sorted({int(match.group(1)) for match in matches if match})
+
+
 def _read_row(posted: Mapping[str, str], number: int) -> UpstreamRow:
     texts = (
         posted.get(f'upstreams.{number}.{column}', '').strip()
--- a/src/crocusproxy/console/settings.py
+++ b/src/crocusproxy/console/settings.py
@@ -1,20 +1,23 @@
 """Settings of the console."""
 
+from datetime import timedelta
 from typing import Annotated
 
-from pydantic import StringConstraints
+from pydantic import Field, StringConstraints
 from pydantic.dataclasses import dataclass
 
-from ..settings import STRICT, InstanceIdentity, Listen
+from ..durations import Duration
+from ..settings import STRICT, InstanceIdentity, Listen, PlatformSettings
 
 _Sha256 = Annotated[str, StringConstraints(pattern='^[0-9a-f]{64}$')]
+_Name = Annotated[str, StringConstraints(min_length=1, max_length=64)]
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
 class Operator:
     """Someone who may sign in; the settings hold only the token's digest."""
 
-    name: str
+    name: _Name
     token_sha256: _Sha256
 
 
@@ -23,11 +26,13 @@
     """``feeds`` are addresses of configuration daemons, the own one first.
 
     ``secure_cookies`` is off only where the console is reached without TLS.
+    ``wait`` bounds the wait for the verdict on a submission.
     """
 
-    identity: InstanceIdentity
+    instance: InstanceIdentity
     listen: Listen
-    platform: str
-    feeds: tuple[str, ...]
+    platform: PlatformSettings
+    feeds: Annotated[tuple[str, ...], Field(min_length=1)]
     operators: tuple[Operator, ...]
     secure_cookies: bool = True
+    wait: Duration = timedelta(seconds=5)
--- a/standins/demo_settings.py
+++ b/standins/demo_settings.py
@@ -126,7 +126,7 @@
         'crocus-console': {
             'instance': identity,
             'listen': _listen(one.console),
-            'platform': layout.platform,
+            'platform': {'address': layout.platform},
             'feeds': follows['feeds'],
             'operators': [operator],
             'secure_cookies': False,
--- /dev/null
+++ b/tests/console/harness.py
@@ -0,0 +1,140 @@
+"""A console with an in-process platform and a browser without scripts."""
+
+import asyncio
+import hashlib
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from html.parser import HTMLParser
+from pathlib import Path
+
+from aiohttp import CookieJar
+from aiohttp.test_utils import TestClient, TestServer
+
+from crocusproxy.clock import ManualClock
+from crocusproxy.config.operator_document import read_operator_file
+from crocusproxy.config.publisher import Publisher
+from crocusproxy.console.daemon import ConsoleDaemon
+from crocusproxy.console.settings import ConsoleSettings, Operator
+from crocusproxy.settings import InstanceIdentity, Listen, PlatformSettings
+from standins.platform import Platform
+
+EXAMPLE = read_operator_file(Path('examples/redaccion.yaml'))
+TOKENS = {'ana': 'secret-a', 'luz': 'secret-l'}
+
+
+class Form(HTMLParser):
+    """The inputs of the first form with this action, and the whole text."""
+
+    def __init__(self, page, action):
+        super().__init__()
+        self.action = action
+        self.inside = False
+        self.inputs = {}
+        self.feed(page)
+
+    def handle_starttag(self, tag, attributes):
+        given = dict(attributes)
+        if tag == 'form':
+            self.inside = given.get('action') == self.action
+        elif tag == 'input' and self.inside:
+            self.inputs[given['name']] = given.get('value', '')
+
+
+class Browser:
+    def __init__(self, server):
+        jar = CookieJar(unsafe=True)
+        self.client = TestClient(server, cookie_jar=jar)
+        self.origin = f'http://127.0.0.1:{server.port}'
+
+    async def get(self, path):
+        return await self.read(await self.client.get(path))
+
+    async def post(self, path, form, **headers):
+        headers = {'Origin': self.origin} | headers
+        return await self.read(
+            await self.client.post(path, data=form, headers=headers)
+        )
+
+    async def read(self, response):
+        self.status = response.status
+        self.response = response
+        self.page = await response.text()
+        return self.page
+
+    async def sign_in(self, operator='ana'):
+        return await self.post('/sign-in', {'token': TOKENS[operator]})
+
+    async def fill(self, path, **typed):
+        """Return the form of a service with some fields typed anew."""
+        form = Form(await self.get(path), '/preview').inputs
+        return form | {key.replace('__', '.'): typed[key] for key in typed}
+
+    async def preview(self, path='/services/redaccion', **typed):
+        """Return the form that the preview would publish."""
+        page = await self.post('/preview', await self.fill(path, **typed))
+        return Form(page, '/publish').inputs
+
+    async def publish(self, form):
+        return await self.post('/publish', form)
+
+
+@asynccontextmanager
+async def running_console():
+    """Yield a platform with the example in force, and a way to open browsers.
+
+    ``platform.console`` is the daemon.
+    """
+    platform = Platform()
+    platform_server = TestServer(platform.application())
+    await platform_server.start_server()
+    address = f'127.0.0.1:{platform_server.port}'
+    settings = ConsoleSettings(
+        InstanceIdentity('i1', 'mza-centro'),
+        Listen('127.0.0.1', 0),
+        PlatformSettings(address),
+        feeds=('127.0.0.1:9',),
+        operators=tuple(
+            Operator(name, hashlib.sha256(token.encode()).hexdigest())
+            for name, token in TOKENS.items()
+        ),
+        secure_cookies=False,
+        wait=timedelta(seconds=2),
+    )
+    daemon = ConsoleDaemon(settings, ManualClock())
+    server = TestServer(await daemon.open())
+    await server.start_server()
+    platform.console = daemon
+    client = daemon.console.desk.publisher.client
+    await Publisher(client, daemon.clock).replace(EXAMPLE, 'setup')
+    browsers = []
+
+    async def open_browser(operator='ana'):
+        browser = Browser(server)
+        browsers.append(browser)
+        if operator:
+            await browser.sign_in(operator)
+        return browser
+
+    try:
+        yield platform, open_browser
+    finally:
+        for browser in browsers:
+            await browser.client.close()
+        await server.close()
+        await daemon.session.close()
+        await platform_server.close()
+
+
+def with_console(test):
+    """Run a test with a console; it keeps its name and docstring."""
+
+    def run():
+        async def inside():
+            async with running_console() as (platform, open_browser):
+                await test(platform, open_browser)
+
+        asyncio.run(inside())
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
--- a/tests/console/test_forms.py
+++ b/tests/console/test_forms.py
@@ -60,3 +60,24 @@
 def test_a_form_without_its_generation_is_refused():
     with pytest.raises(InvalidDocumentError):
         read_form({'name': 'redaccion', 'base': '-1'})
+
+
+def test_a_long_list_of_upstreams_is_kept_whole():
+    many = tuple(
+        Upstream(f'u{number}', 'redaccion', f'127.0.0.1:{number}', 'fd', 1)
+        for number in range(1, 1200)
+    )
+    form = read_form(posted(form_of(SERVICE, many, 7)))
+    assert check_form(form).upstreams == many
+
+
+def test_a_name_given_twice_is_a_fault():
+    texts = posted(form_of(SERVICE, UPSTREAMS, 7))
+    texts['upstreams.1.name'] = 'red-1'
+    with pytest.raises(InvalidDocumentError) as caught:
+        check_form(read_form(texts))
+    (fault,) = caught.value.faults
+    assert (fault.path, fault.code) == (
+        'upstreams.1.name',
+        'duplicate_upstream',
+    )
--- /dev/null
+++ b/tests/console/test_report_pages.py
@@ -0,0 +1,48 @@
+"""Guards against a burn page that hides instances or breaks on any rate."""
+
+import math
+
+from crocusproxy.burn.rates import SPANS, BurnFigures, BurnRate
+from crocusproxy.console.report_pages import MAX_BAR, report_of
+from crocusproxy.membership.view import Instance, InstanceView
+from crocusproxy.protocol.burn_client import ServiceBurn
+from tests.console.harness import EXAMPLE, with_console
+
+
+def test_the_longest_bars_stay_inside_the_chart():
+    rates = zip(SPANS, (0, 1000, math.inf), strict=True)
+    figures = BurnFigures(
+        tuple(BurnRate(span, rate, 1, 1) for span, rate in rates), -5, None
+    )
+    report = report_of(ServiceBurn('redaccion', figures))
+    assert [line.bar for line in report.lines] == [0, MAX_BAR, MAX_BAR]
+    assert report.budget_left == '-500.0%'
+
+
+@with_console
+async def test_the_burn_page_names_instances_without_answer(
+    platform, open_browser
+):
+    browser = await open_browser()
+    follower = platform.console.follower
+    follower.document = EXAMPLE
+    follower.view = InstanceView(
+        1, (Instance('i7', 'fd1', 'live', '', '127.0.0.1:9', '', ''),)
+    )
+    page = await browser.get('/burn')
+    assert 'Without the counts of: i7' in page
+    assert 'no requests have been counted yet' in page
+
+
+@with_console
+async def test_pages_stay_readable_while_the_platform_is_down(
+    platform, open_browser
+):
+    browser = await open_browser()
+    await browser.publish(await browser.preview(homes='2'))
+    platform.console.follower.document = EXAMPLE
+    platform.faults.outage = True
+    for path in ('/', '/services/redaccion', '/history'):
+        page = await browser.get(path)
+        assert 'The platform cannot be read' in page
+        assert 'redaccion' in page
