Keep what was typed when a session has ended

Cause: sessions end with a restart of the console, and a form posted after it was lost. The burn page showed a full budget where nothing had been counted. Change: sign-in carries the form's texts and shows the form again; figures without requests behind them are shown as a dash. Ruled out: sessions that outlive the process, because instances keep no state.

--- a/src/crocusproxy/cli/burn.py
+++ b/src/crocusproxy/cli/burn.py
@@ -4,7 +4,13 @@
 from ..clock import SystemClock
 from ..durations import format_duration
 from ..protocol import codec
-from ..protocol.burn_client import MergedBurn, ServiceBurn, read_burn
+from ..protocol.burn_client import (
+    NOTHING_COUNTED,
+    MergedBurn,
+    ServiceBurn,
+    rate_text,
+    read_burn,
+)
 from .exits import Exit
 from .output import Result, table
 from .system import System
@@ -39,9 +45,9 @@
     since = figures.counted_since
     return (
         one.service,
-        *(f'{rate.rate:.2f}' for rate in figures.rates),
-        f'{figures.budget_left:.1%}',
-        since.isoformat(timespec='minutes') if since else '-',
+        *(rate_text(rate) for rate in figures.rates),
+        f'{figures.budget_left:.1%}' if since else NOTHING_COUNTED,
+        since.isoformat(timespec='minutes') if since else NOTHING_COUNTED,
     )
 
 
--- a/src/crocusproxy/console/console.py
+++ b/src/crocusproxy/console/console.py
@@ -91,6 +91,22 @@
         )
         return web.Response(text=text, status=status, content_type='text/html')
 
+    def sign_in_page(
+        self,
+        request: web.Request,
+        status: int,
+        fault: str = '',
+        typed: Mapping[str, str] | None = None,
+    ) -> web.Response:
+        """Ask for a token; ``typed`` is a form to go on with afterwards."""
+        return self.page(
+            request,
+            'sign_in.html',
+            status=status,
+            fault=fault,
+            typed=typed or {},
+        )
+
 
 async def read_post(request: web.Request) -> Mapping[str, str]:
     """Return the texts of a posted form.
--- a/src/crocusproxy/console/daemon.py
+++ b/src/crocusproxy/console/daemon.py
@@ -83,7 +83,7 @@
             services,
             PublishPages(self.console, services),
             ReportPages(self.console),
-            SignInPages(self.console),
+            SignInPages(self.console, services),
         ):
             pages.add_routes(part.routes())
         pages.add_routes(self.application.admin_routes())
--- a/src/crocusproxy/console/report_pages.py
+++ b/src/crocusproxy/console/report_pages.py
@@ -9,7 +9,7 @@
 from ..config.history import verdict_text
 from ..durations import format_duration
 from ..errors import CrocusError
-from ..protocol.burn_client import ServiceBurn, read_burn
+from ..protocol.burn_client import ServiceBurn, rate_text, read_burn
 from .console import Console
 
 #: Chart units per burn rate of 1, and the longest bar.
@@ -94,7 +94,7 @@
     return ServiceReport(
         service=burn.service,
         lines=tuple(_line(rate) for rate in burn.figures.rates),
-        budget_left=f'{burn.figures.budget_left:.1%}',
+        budget_left=f'{burn.figures.budget_left:.1%}' if since else '',
         counted_since=since.strftime('%Y-%m-%d %H:%M UTC') if since else '',
     )
 
@@ -105,6 +105,6 @@
         window=format_duration(rate.span),
         good=rate.good,
         bad=rate.bad,
-        rate=f'{rate.rate:.2f}',
+        rate=rate_text(rate),
         bar=round(min(bar, MAX_BAR), 1),
     )
--- a/src/crocusproxy/console/security.py
+++ b/src/crocusproxy/console/security.py
@@ -1,5 +1,6 @@
 """Checks that precede every page, and headers of every response."""
 
+from collections.abc import Mapping
 from urllib.parse import urlsplit
 
 from aiohttp import hdrs, web
@@ -14,6 +15,8 @@
 _OPEN_PATHS = frozenset(
     (SIGN_IN, '/static/console.css', '/metrics', '/healthz', '/readyz')
 )
+_FORM_PATHS = frozenset(('/preview', '/edit', '/publish'))
+_NOT_KEPT = frozenset(('token', 'form_token', 'seal', 'submission'))
 _HEADERS = (
     (
         'Content-Security-Policy',
@@ -91,17 +94,20 @@
                 if request.path != SIGN_IN:
                     self.console.sessions.check_form(session, token)
         if session is None and request.path not in _OPEN_PATHS:
-            return self._signed_out(request)
+            return await self._signed_out(request)
         return await handler(request)
 
-    def _signed_out(self, request: web.Request) -> web.StreamResponse:
+    async def _signed_out(self, request: web.Request) -> web.StreamResponse:
         if request.method != hdrs.METH_POST:
             raise web.HTTPSeeOther(SIGN_IN)
-        return self._problem(
+        # A restart of the console ends sessions; what was typed is kept.
+        posted = await read_post(request)
+        typed = typed_texts(posted) if request.path in _FORM_PATHS else {}
+        return self.console.sign_in_page(
             request,
             web.HTTPForbidden.status_code,
-            'Your session has ended; nothing was changed. Sign in, go back '
-            'to the form and preview again.',
+            'Your session has ended, and nothing was changed.',
+            typed,
         )
 
     def _problem(
@@ -133,6 +139,13 @@
     )
 
 
+def typed_texts(posted: Mapping[str, str]) -> Mapping[str, str]:
+    """Return what a service's form holds, without tokens and ids."""
+    if 'base' not in posted:
+        return {}
+    return {key: posted[key] for key in posted if key not in _NOT_KEPT}
+
+
 def _status_of(error: CrocusError) -> int:
     match error:
         case ForgedRequestError():
--- a/src/crocusproxy/console/service_pages.py
+++ b/src/crocusproxy/console/service_pages.py
@@ -94,7 +94,9 @@
             log('console_conflict', service=form.name)
             return self.conflict_page(request, form, error)
         except (PlatformUnavailableError, NoConfigurationError) as error:
-            return self.form_page(request, form, problem=str(error))
+            return self.form_page(
+                request, form, status=_UNAVAILABLE, problem=str(error)
+            )
         return self.preview_page(request, preview, notice)
 
     async def deletion(self, request: web.Request) -> web.StreamResponse:
@@ -168,7 +170,9 @@
             'deleted': found is None,
             'lines': differences(found, form),
         }
-        return self.form_page(request, rebased, conflict=conflict)
+        return self.form_page(
+            request, rebased, status=_CONFLICT, conflict=conflict
+        )
 
     def form_page(
         self,
@@ -176,12 +180,11 @@
         form: ServiceForm,
         faults: tuple[Fault, ...] = (),
         *,
+        status: int = _OK,
         conflict: Mapping[str, Any] | None = None,
         problem: str = '',
-    ) -> web.StreamResponse:
+    ) -> web.Response:
         """Show a form with what was typed, and what is wrong with it."""
-        status = _UNAVAILABLE if problem else _OK
-        status = _CONFLICT if conflict else status
         return self.console.page(
             request,
             'service.html',
--- a/src/crocusproxy/console/sign_in_pages.py
+++ b/src/crocusproxy/console/sign_in_pages.py
@@ -1,10 +1,14 @@
 """Pages that open and end a session."""
 
+from collections.abc import Mapping
+
 from aiohttp import web
 
 from ..logs import log
 from .console import SESSION, Console, read_post
-from .security import SIGN_IN
+from .forms import read_form
+from .security import SIGN_IN, typed_texts
+from .service_pages import ServicePages
 from .sessions import (
     FAILURE_WINDOW,
     SESSION_LIFETIME,
@@ -17,8 +21,9 @@
 class SignInPages:
     """Signs operators in and out."""
 
-    def __init__(self, console: Console) -> None:
+    def __init__(self, console: Console, services: ServicePages) -> None:
         self.console = console
+        self.services = services
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of these pages."""
@@ -30,28 +35,26 @@
 
     async def ask(self, request: web.Request) -> web.StreamResponse:
         """Ask for the operator's token."""
-        return self._ask(request, web.HTTPOk.status_code)
+        return self.console.sign_in_page(request, web.HTTPOk.status_code)
 
     async def sign_in(self, request: web.Request) -> web.StreamResponse:
         """Open a session, or ask again."""
-        token = (await read_post(request)).get('token', '').strip()
+        posted = await read_post(request)
+        typed = typed_texts(posted)
         try:
-            session = self.console.sessions.sign_in(token)
+            session = self.console.sessions.sign_in(
+                posted.get('token', '').strip()
+            )
         except SignInError as error:
             log('console_sign_in_failed', peer=request.remote)
-            return self._ask(
-                request, web.HTTPForbidden.status_code, error.message
+            return self.console.sign_in_page(
+                request, web.HTTPForbidden.status_code, error.message, typed
             )
         except TooManySignInsError as error:
             log('console_sign_in_limited', peer=request.remote)
-            response = self._ask(
-                request, web.HTTPTooManyRequests.status_code, str(error)
-            )
-            wait = int(FAILURE_WINDOW.total_seconds())
-            response.headers['Retry-After'] = str(wait)
-            return response
+            return self._limited(request, str(error), typed)
         log('console_signed_in', operator=session.operator, peer=request.remote)
-        return self._welcome(session)
+        return self._welcome(request, session, typed)
 
     async def sign_out(self, request: web.Request) -> web.StreamResponse:
         """End the session."""
@@ -62,18 +65,29 @@
         )
         return response
 
-    def _ask(
+    def _limited(
         self,
         request: web.Request,
-        status: int,
-        fault: str = '',
+        fault: str,
+        typed: Mapping[str, str],
     ) -> web.Response:
-        return self.console.page(
-            request, 'sign_in.html', status=status, fault=fault
+        response = self.console.sign_in_page(
+            request, web.HTTPTooManyRequests.status_code, fault, typed
         )
+        wait = int(FAILURE_WINDOW.total_seconds())
+        response.headers['Retry-After'] = str(wait)
+        return response
 
-    def _welcome(self, session: Session) -> web.Response:
+    def _welcome(
+        self,
+        request: web.Request,
+        session: Session,
+        typed: Mapping[str, str],
+    ) -> web.StreamResponse:
         response = _redirect('/')
+        if typed:
+            request[SESSION] = session
+            response = self.services.form_page(request, read_form(typed))
         response.set_cookie(
             self.console.cookie,
             session.identifier,
--- a/src/crocusproxy/protocol/burn_client.py
+++ b/src/crocusproxy/protocol/burn_client.py
@@ -6,13 +6,16 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from ..burn.rates import BurnFigures, burn_figures
+from ..burn.rates import BurnFigures, BurnRate, burn_figures
 from ..config.model import Document
 from ..errors import NotReachableError
 from ..membership.view import Instance, InstanceView
 from .burn import BurnReport, merge_reports
 from .codec import MalformedMessageError, decode
 
+#: Shown in place of a figure without requests behind it.
+NOTHING_COUNTED = '-'
+
 _OK = 200
 _CONCURRENT_READS = 32
 _READ_TIMEOUT = ClientTimeout(total=2)
@@ -35,6 +38,11 @@
     missing: tuple[str, ...]
 
 
+def rate_text(rate: BurnRate) -> str:
+    """Write a burn rate; without any request there is none."""
+    return f'{rate.rate:.2f}' if rate.good + rate.bad else NOTHING_COUNTED
+
+
 async def read_burn(
     session: ClientSession,
     view: InstanceView,
--- a/tests/cli/test_burn.py
+++ b/tests/cli/test_burn.py
@@ -67,3 +67,5 @@
 def test_a_report_without_any_instance_fails():
     result = asyncio.run(run_burn(proxy_answers=False))
     assert result.exit_code == Exit.not_reachable
+    row = next(line for line in result.text.splitlines() if 'redaccion' in line)
+    assert row.split() == ['redaccion', *'-----']
--- a/tests/console/test_security.py
+++ b/tests/console/test_security.py
@@ -5,7 +5,7 @@
 import pytest
 
 from crocusproxy.console.sessions import MAX_FAILURES
-from tests.console.harness import with_console
+from tests.console.harness import Form, with_console
 
 
 async def refused(browser, platform, path, form, **headers):
@@ -68,6 +68,27 @@
     assert await refused(signed_in, platform, '/publish', form) == 403
 
 
+@with_console
+async def test_what_was_typed_outlives_the_session(platform, open_browser):
+    """Sessions end with a restart of the console."""
+    browser = await open_browser()
+    form = await browser.fill('/services/redaccion', homes='2 or so')
+    platform.console.console.sessions.sessions.clear()
+    await browser.post('/preview', form)
+    assert browser.status == 403
+    again = Form(browser.page, '/sign-in').inputs
+    await browser.post('/sign-in', again | {'token': 'guess'})
+    again = Form(browser.page, '/sign-in').inputs
+    await browser.post('/sign-in', again | {'token': 'secret-a'})
+    kept = Form(browser.page, '/preview').inputs
+    assert kept['form_token'] != form['form_token']
+    assert kept == form | {'form_token': kept['form_token']}
+    platform.console.console.sessions.sessions.clear()
+    deletion = {'base': '1', 'name': 'redaccion'}
+    await browser.post('/delete', deletion)
+    assert Form(browser.page, '/sign-in').inputs.keys() == {'token'}
+
+
 @with_console
 async def test_sign_in_is_limited_and_tells_when_to_try_again(
     platform, open_browser
