--- /dev/null
+++ b/tests/config/test_daemon.py
@@ -0,0 +1,244 @@
+"""Guards against daemons that serve nothing, or something old, after faults."""
+
+import asyncio
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+from aiohttp.test_utils import unused_port
+
+from crocusproxy.clock import ManualClock, SystemClock
+from crocusproxy.config.change import apply_edits
+from crocusproxy.config.operator_document import read_operator_file
+from crocusproxy.config.reader import StreamReader
+from crocusproxy.config.snapshot_writer import SnapshotWriter
+from crocusproxy.protocol.codec import encode
+from crocusproxy.protocol.feed import FeedClient
+from crocusproxy.protocol.follow import FeedFollower
+from tests.config.running import run, until
+from tests.config.samples import put_service
+
+EXAMPLE = read_operator_file(Path('examples/redaccion.yaml'))
+NEXT = apply_edits(EXAMPLE, [put_service('teletipo')], 0)
+
+
+def generation(number):
+    return lambda served: served.document.generation >= number
+
+
+def test_a_publication_reaches_a_follower_as_edits():
+    async def follow(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        daemon = await system.daemon('one')
+        feed = FeedClient(system.session, daemon.address)
+        follower = FeedFollower((feed,), SystemClock())
+        arrived = asyncio.Queue()
+        follower.on_document.append(arrived.put_nowait)
+        await follower.start()
+        first = await asyncio.wait_for(arrived.get(), 10)
+        await system.publisher().replace(NEXT, 'ana')
+        second = await asyncio.wait_for(arrived.get(), 10)
+        await follower.stop()
+        assert (first.generation, second.generation) == (1, 2)
+        assert (
+            second.upstreams['redaccion/redaccion-1']
+            is (first.upstreams['redaccion/redaccion-1'])
+        )
+        assert daemon.application.not_ready_reasons() == ()
+
+    run(follow)
+
+
+def test_an_instance_that_starts_in_an_outage_takes_the_peers_generation():
+    async def start(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        peer = await system.daemon('one')
+        await until(peer, generation(1))
+        system.platform.faults.outage = True
+        lonely = await system.daemon('two')
+        fresh = await system.daemon('three', [peer.address])
+        await until(fresh, generation(1))
+        assert fresh.served.document == peer.served.document
+        assert fresh.application.not_ready_reasons() == ()
+        assert lonely.application.not_ready_reasons() != ()
+        await until(lonely, lambda _: lonely.source.platform_down)
+        assert lonely.application.not_ready_reasons() == (
+            'platform_unavailable',
+        )
+
+    run(start)
+
+
+def test_a_daemon_goes_on_with_the_platform_after_an_outage():
+    async def recover(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        daemon = await system.daemon('one')
+        await until(daemon, generation(1))
+        system.platform.faults.outage = True
+        await until_down(daemon)
+        assert daemon.served.document.generation == 1
+        system.platform.faults.outage = False
+        await system.publisher().replace(NEXT, 'ana')
+        await until(daemon, generation(2))
+
+    run(recover)
+
+
+async def until_down(daemon):
+    """Let the daemon meet the outage in its own time."""
+    async with asyncio.timeout(10):
+        while not daemon.source.platform_down:
+            await asyncio.sleep(0.01)
+
+
+def test_an_older_peer_is_passed_over_and_never_lowers_the_generation():
+    async def poll(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        await system.publisher().replace(NEXT, 'ana')
+        newer = await system.daemon('one')
+        await until(newer, generation(2))
+        old = apply_edits(EXAMPLE, [], 1)
+        older = await system.serve('/v1/config', encode(old))
+        unreachable = f'127.0.0.1:{unused_port()}'
+        daemon = await system.daemon(
+            'two', [older, newer.address], platform=unreachable
+        )
+        await until(daemon, generation(2))
+        await daemon.source.ask_peers()
+        assert daemon.served.document == newer.served.document
+
+    run(poll)
+
+
+def test_instances_that_are_no_readers_leave_the_platform_alone():
+    async def poll(system):
+        daemons = [await system.daemon(f'i{number}') for number in range(4)]
+        for number, daemon in enumerate(daemons):
+            system.list_instance(f'i{number}', daemon.address)
+        for daemon in daemons:
+            await until(daemon, lambda served: served.view.version == 4)
+        others = [one for one in daemons if not one.source.reads_platform()]
+        assert len(others) == 2
+        # A poll of the platform that was open when the view arrived may end.
+        await system.publisher().replace(EXAMPLE, 'ana')
+        for daemon in daemons:
+            await until(daemon, generation(1))
+        offsets = [daemon.source.reader.state.offset for daemon in others]
+        await system.publisher().replace(NEXT, 'ana')
+        for daemon in daemons:
+            await until(daemon, generation(2))
+        assert offsets == [one.source.reader.state.offset for one in others]
+
+    run(poll)
+
+
+def test_a_stopping_daemon_turns_its_readers_away():
+    async def stop(system):
+        daemon = await system.daemon('one')
+        feed = FeedClient(system.session, daemon.address)
+        poll = asyncio.create_task(feed.document(0, timedelta(seconds=60)))
+        await asyncio.sleep(0)
+        await daemon.drain()
+        (result,) = await asyncio.gather(poll, return_exceptions=True)
+        assert result.code == 'not_reachable'
+
+    run(stop)
+
+
+def writer_of(reader, clock, seed=0):
+    return SnapshotWriter(reader, clock, Random(seed), timedelta(hours=3))
+
+
+async def reader_of(system):
+    reader = StreamReader(system.client)
+    await reader.catch_up()
+    return reader
+
+
+def test_a_new_reader_starts_from_a_snapshot_when_the_records_have_expired():
+    async def expire(system):
+        first = await system.publisher().replace(EXAMPLE, 'ana')
+        reader = await reader_of(system)
+        assert await writer_of(reader, SystemClock()).write()
+        stream = system.platform.streams['config']
+        stream.expire(len(stream.records) - 1)
+        fresh = await reader_of(system)
+        assert fresh.state.document == reader.state.document
+        assert fresh.state.verdicts == {first.id: first.verdict}
+        second = await system.publisher().replace(NEXT, 'ana')
+        assert second.verdict.generation == 2
+
+    run(expire)
+
+
+def test_a_snapshot_is_written_only_once_the_newest_is_old():
+    async def write(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        reader = await reader_of(system)
+        clock = ManualClock(reader.oldest)
+        writer = writer_of(reader, clock)
+        assert not await writer.step()
+        clock.advance(timedelta(hours=1, seconds=1))
+        assert await writer.step()
+        await reader.catch_up()
+        clock.wall = reader.snapshot_time
+        assert not await writer.step()
+
+    run(write)
+
+
+def test_the_second_look_finds_the_snapshot_of_another_instance():
+    async def write(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        reader = await reader_of(system)
+        other = await reader_of(system)
+        clock = ManualClock(reader.oldest + timedelta(hours=2))
+        writer = writer_of(reader, clock)
+
+        class OtherIsFaster(ManualClock):
+            async def sleep(self, delay):
+                await writer_of(other, clock).write()
+                await reader.catch_up()
+                self.wall = reader.snapshot_time
+
+        writer.clock = OtherIsFaster(clock.now())
+        before = system.platform.appends
+        assert not await writer.step()
+        assert system.platform.appends == before + 2
+
+    run(write)
+
+
+def test_several_instances_may_write_a_snapshot_at_once():
+    async def write(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        readers = [await reader_of(system) for _ in range(3)]
+        writers = [writer_of(reader, SystemClock()) for reader in readers]
+        system.platform.faults.lose_answers = 1
+        assert all(
+            await asyncio.gather(*(writer.write() for writer in writers))
+        )
+        system.platform.streams['config'].expire(6)
+        fresh = await reader_of(system)
+        for reader in readers:
+            await reader.catch_up()
+            assert reader.state.problem is None
+            assert fresh.state.document == reader.state.document
+
+    run(write)
+
+
+def test_a_snapshot_is_due_at_once_when_the_newest_cannot_be_used():
+    async def expire(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        reader = await reader_of(system)
+        writer = writer_of(reader, SystemClock())
+        await writer.write()
+        await reader.catch_up()
+        assert not writer.due()
+        await system.publisher().replace(NEXT, 'ana')
+        system.platform.streams['config'].expire(1)
+        await reader.catch_up()
+        assert writer.due()
+
+    run(expire)
--- /dev/null
+++ b/tests/config/test_feed.py
@@ -0,0 +1,144 @@
+"""Guards against feeds that send too much, too little or an older state."""
+
+import pytest
+
+from crocusproxy.config.change import RULES, Delete, apply_edits
+from crocusproxy.config.model import Document
+from crocusproxy.config.readers import (
+    FAN_OUT,
+    READERS_PER_DOMAIN,
+    is_reader,
+    parents,
+    ranked,
+)
+from crocusproxy.config.served import Served
+from crocusproxy.membership.view import Instance, InstanceView
+from crocusproxy.protocol.codec import MalformedMessageError, decode, encode
+from crocusproxy.protocol.document_feed import (
+    DocumentReply,
+    RulesUnknownError,
+    apply_reply,
+)
+from crocusproxy.protocol.view_feed import ViewReply, apply_view
+from tests.config.samples import put_service, put_upstream
+
+FIRST = apply_edits(
+    Document(), [put_service('s'), put_upstream('s', 'a'), put_service('t')], 1
+)
+SECOND = apply_edits(
+    FIRST,
+    [
+        put_upstream('s', 'b', 9001),
+        Delete('upstream', 's/a'),
+        Delete('service', 't'),
+    ],
+    2,
+)
+
+
+def serving(*documents):
+    served = Served()
+    for document in documents:
+        served.offer_document(document)
+    return served.documents
+
+
+def test_a_reader_receives_only_the_edits_since_its_generation():
+    reply = decode(DocumentReply, serving(FIRST, SECOND).body(1, edits=True))
+    assert reply == DocumentReply(
+        2,
+        upstreams={'s/b': SECOND.upstreams['s/b']},
+        removed_services=('t',),
+        removed_upstreams=('s/a',),
+        base=1,
+    )
+    assert apply_reply(FIRST, reply) == SECOND
+
+
+def test_a_reader_that_is_too_far_behind_receives_the_whole_document():
+    generations = [Document(number) for number in range(2, 80)]
+    history = serving(FIRST, *generations, apply_edits(FIRST, [], 80))
+    reply = decode(DocumentReply, history.body(1, edits=True))
+    assert reply.base == 0
+    assert apply_reply(FIRST, reply).services == FIRST.services
+
+
+def test_an_older_reader_that_asks_for_no_edits_can_decode_the_answer():
+    body = serving(FIRST, SECOND).body(1, edits=False)
+    assert decode(Document, body) == SECOND
+
+
+def test_the_plain_document_of_an_older_daemon_is_understood():
+    reply = decode(DocumentReply, encode(SECOND))
+    assert apply_reply(FIRST, reply) == SECOND
+
+
+def test_a_reader_that_is_ahead_of_its_peer_keeps_its_generation():
+    for edits in (True, False):
+        reply = decode(DocumentReply, serving(FIRST).body(2, edits=edits))
+        assert apply_reply(SECOND, reply) is SECOND
+
+
+def test_edits_to_another_generation_are_refused():
+    with pytest.raises(MalformedMessageError):
+        apply_reply(FIRST, DocumentReply(9, base=5))
+
+
+def test_a_document_made_under_newer_rules_is_refused():
+    with pytest.raises(RulesUnknownError):
+        apply_reply(FIRST, DocumentReply(9, rules=RULES + 1))
+
+
+def instance(number, domain='fd0', state='live'):
+    address = f'127.0.0.1:{number}'
+    name = f'i{number}'
+    return Instance(name, domain, state, address, address, address, address)
+
+
+def test_edits_of_a_view_give_the_same_view():
+    old = InstanceView(1, (instance(1), instance(2)), frozenset({'s/a'}))
+    new = InstanceView(
+        4, (instance(2, state='leaving'), instance(3)), frozenset({'s/b'})
+    )
+    served = Served()
+    served.offer_view(old)
+    served.offer_view(new)
+    for current, edits in ((old, True), (old, False), (InstanceView(), True)):
+        body = served.views.body(current.version, edits=edits)
+        assert apply_view(current, decode(ViewReply, body)) == new
+    assert decode(InstanceView, served.views.body(1, edits=False)) == new
+
+
+def test_only_a_few_instances_read_the_platform_and_all_reach_a_reader():
+    count = 100
+    view = InstanceView(1, tuple(instance(number) for number in range(count)))
+    readers = {
+        one.config for one in view.instances if is_reader(view, one.name, 'fd0')
+    }
+    assert len(readers) == READERS_PER_DOMAIN
+    first = {
+        one.config: parents(view, one.name, 'fd0')[0]
+        for one in view.instances
+        if one.config not in readers
+    }
+    polled = list(first.values())
+    assert max(map(polled.count, polled)) <= FAN_OUT
+    for address in first:
+        for _ in range(4):
+            address = first.get(address, address)
+        assert address in readers
+
+
+def test_the_failure_of_a_reader_promotes_only_the_next_in_order():
+    members = tuple(instance(number) for number in range(10))
+    before = ranked(InstanceView(1, members), 'fd0')
+    rest = tuple(one for one in members if one != before[0])
+    after = ranked(InstanceView(2, rest), 'fd0')
+    assert after == before[1:]
+
+
+def test_an_instance_alone_in_its_failure_domain_reads_the_platform():
+    view = InstanceView(1, (instance(1, 'fd1'),))
+    assert is_reader(view, 'new', 'fd0')
+    assert not is_reader(view, 'new', 'fd1')
+    assert parents(view, 'new', 'fd1') == ('127.0.0.1:1',)
--- /dev/null
+++ b/tests/config/test_fold.py
@@ -0,0 +1,218 @@
+"""Guards against readers that reach different results from one stream."""
+
+from dataclasses import replace
+
+import pytest
+
+from crocusproxy.config.change import (
+    RULES,
+    Delete,
+    apply_edits,
+    edits_between,
+)
+from crocusproxy.config.fold import (
+    KEPT_VERDICTS,
+    FoldState,
+    fold,
+    initial_state,
+)
+from crocusproxy.config.model import Document
+from crocusproxy.config.records import (
+    InvalidChange,
+    UnknownRules,
+    Unreadable,
+    read_record,
+)
+from crocusproxy.config.snapshot import make_snapshot
+from crocusproxy.config.verdict import Accepted, Rejected
+from crocusproxy.protocol.codec import to_plain
+from tests.config.samples import change, put_service, put_upstream
+
+
+def folded(records, state=None, start=0):
+    state = state or initial_state(start)
+    for offset, record in enumerate(records, start):
+        state = fold(state, offset, record)
+    return state
+
+
+def snapshot_of(state):
+    return make_snapshot(state.document, state.verdicts, state.offset)
+
+
+CHANGES = (
+    change('one', 0, put_service('s'), put_upstream('s', 'a')),
+    change('two', 1, put_service('t')),
+    change('late', 1, Delete('service', 't')),
+)
+STATE = folded(CHANGES)
+
+
+def test_a_change_against_an_old_generation_is_rejected_with_the_current_one():
+    assert STATE.verdicts == {
+        'one': Accepted(1),
+        'two': Accepted(2),
+        'late': Rejected('generation_conflict', 2),
+    }
+
+
+def test_a_submission_found_twice_keeps_its_first_verdict():
+    state = fold(STATE, 3, CHANGES[0])
+    assert state.verdicts == STATE.verdicts
+    assert state.document == STATE.document
+
+
+def test_only_the_last_verdicts_are_kept():
+    state = STATE
+    for offset in range(3, 3 + KEPT_VERDICTS):
+        state = fold(state, offset, change(f's{offset}', 0, put_service('s')))
+    assert len(state.verdicts) == KEPT_VERDICTS
+    assert not state.verdicts.keys() & {'one', 'two', 'late'}
+
+
+def test_a_record_with_newer_rules_stops_the_fold():
+    newer = {**to_plain(CHANGES[0]), 'rules': RULES + 1, 'new': 1}
+    state = fold(STATE, 3, read_record(newer))
+    assert state.unknown_rules == RULES + 1
+    later = fold(state, 4, change('three', 2, put_service('u')))
+    assert (later.document, later.offset) == (STATE.document, 2)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'kind'),
+    [
+        ({}, Unreadable),
+        ({'rules': True, 'type': 'change'}, Unreadable),
+        ({'rules': 1, 'type': 'other'}, Unreadable),
+        ({'rules': 1, 'type': 'change', 'submission': 's'}, Unreadable),
+        ({'rules': 1, 'type': 'snapshot', 'through': []}, Unreadable),
+        ({'rules': 9, 'type': []}, UnknownRules),
+        (
+            {'rules': 1, 'type': 'change', 'submission': 's', 'base': 2},
+            InvalidChange,
+        ),
+    ],
+)
+def test_a_record_of_any_form_is_read_without_an_error(raw, kind):
+    record = read_record(raw)
+    assert isinstance(record, kind)
+    assert fold(STATE, 3, record).document == STATE.document
+
+
+def test_a_malformed_change_has_a_verdict_so_that_its_writer_does_not_wait():
+    raw = {**to_plain(CHANGES[0]), 'base': 2, 'submission': 'bad', 'edits': 1}
+    verdict = fold(STATE, 3, read_record(raw)).verdicts['bad']
+    assert (verdict.code, verdict.generation) == ('config_invalid', 2)
+    assert verdict.faults[0].path == 'edits'
+
+
+def test_a_snapshot_replaces_expired_records_and_keeps_the_verdicts():
+    parts = snapshot_of(STATE)
+    state = folded(parts, start=3)
+    assert state.following
+    assert state.document == STATE.document
+    assert state.verdicts == STATE.verdicts
+
+
+def test_changes_mixed_with_the_parts_are_folded_after_adoption():
+    # A reader must go back: the change lies before the last part.
+    first, *others = snapshot_of(STATE)
+    three = change('three', 2, put_service('u'))
+    stream = {3: first, 4: three, **dict(enumerate(others, 5))}
+    state = initial_state(3)
+    while state.offset < max(stream):
+        offset = state.offset + 1
+        state = fold(state, offset, stream[offset])
+    assert state.verdicts['three'] == Accepted(3)
+
+
+def test_a_snapshot_is_not_used_if_later_records_have_expired():
+    state = folded(snapshot_of(STATE), start=4)
+    assert not state.following
+
+
+def test_equal_snapshots_of_several_instances_complete_each_other():
+    parts = snapshot_of(STATE)
+    state = folded((parts[1], parts[0], parts[1], parts[0]), start=3)
+    assert state.document == STATE.document
+
+
+def test_snapshots_at_different_offsets_do_not_mix():
+    earlier = snapshot_of(folded(CHANGES[:2]))
+    parts = snapshot_of(STATE)
+    assert not folded((earlier[0], parts[1]), start=3).following
+
+
+def corrupted():
+    first, *others = snapshot_of(STATE)
+    return (replace(first, upstreams=()), *others)
+
+
+def test_a_corrupt_snapshot_is_ignored_by_a_new_reader():
+    state = folded(corrupted(), start=3)
+    assert not state.following
+    assert state.problem.code == 'snapshot_digest_wrong'
+    assert folded(snapshot_of(STATE), state, start=5).following
+
+
+def test_a_corrupt_snapshot_does_not_count_as_the_newest():
+    # Otherwise no other snapshot would be written in time for new readers.
+    state = folded(corrupted(), STATE, start=3)
+    assert state.snapshot is None
+    assert state.problem.code == 'snapshot_digest_wrong'
+    assert state.document == STATE.document
+
+
+@pytest.mark.parametrize(
+    ('generation', 'code'),
+    [(2, 'snapshot_differs'), (3, 'snapshot_from_the_future')],
+)
+def test_a_snapshot_that_differs_from_the_own_fold_is_ignored(generation, code):
+    forged = apply_edits(STATE.document, [put_service('x')], generation)
+    parts = make_snapshot(forged, STATE.verdicts, STATE.offset)
+    state = folded(parts, STATE, start=3)
+    assert state.problem.code == code
+    assert state.document == STATE.document
+
+
+def test_unfinished_snapshots_do_not_fill_the_memory():
+    state = FoldState(offset=99)
+    part = snapshot_of(STATE)[0]
+    for through in range(50):
+        state = fold(state, 100, replace(part, through=through))
+    assert len(state.open_snapshots) == 8
+
+
+def many(count):
+    edits = [put_service(f's{number}') for number in range(count // 10)]
+    edits += [
+        put_upstream(f's{number % (count // 10)}', f'u{number}', 1000 + number)
+        for number in range(count)
+    ]
+    return apply_edits(Document(), edits, 1)
+
+
+def test_an_edit_leaves_other_groups_untouched():
+    # Copying or comparing all upstreams for each change is too slow.
+    old = many(100)
+    new = apply_edits(old, [put_upstream('s1', 'new')], 2)
+    same = {
+        service
+        for service, group in old.table.groups.items()
+        if new.table.groups[service] is group
+    }
+    assert same == old.table.groups.keys() - {'s1'}
+    assert edits_between(old, new) == (put_upstream('s1', 'new'),)
+    assert apply_edits(old, edits_between(old, new), 2) == new
+    assert apply_edits(new, edits_between(new, old), 1) == old
+
+
+def test_the_address_index_forgets_upstreams_that_moved_or_left():
+    document = many(20)
+    upstream = document.upstreams['s1/u1']
+    moved = apply_edits(document, [put_upstream('s1', 'u1', 1)], 2)
+    left = apply_edits(document, [Delete('upstream', 's1/u1')], 2)
+    assert document.table.at_address(upstream.address) == (upstream,)
+    assert not moved.table.at_address(upstream.address)
+    assert not left.table.at_address(upstream.address)
+    assert 's1/u1' not in left.upstreams
--- /dev/null
+++ b/tests/config/test_state_machine.py
@@ -0,0 +1,249 @@
+"""Guards against readers that disagree, or whose generation falls.
+
+Publishes, duplicated and reordered appends, snapshots by several instances
+that mix, corrupt parts, expiry, restarts and catch-up from peers are combined
+in any order.
+"""
+
+import json
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from crocusproxy.config.change import Delete
+from crocusproxy.config.model import Document
+from crocusproxy.config.reader import StreamReader
+from crocusproxy.config.served import Served
+from crocusproxy.config.snapshot import make_snapshot
+from crocusproxy.config.verdict import Accepted, Rejected
+from crocusproxy.platform_client import Page, StoredRecord
+from crocusproxy.protocol.codec import decode, to_plain
+from crocusproxy.protocol.document_feed import DocumentReply, apply_reply
+from tests.config.samples import AT, change, put_service, put_upstream
+
+NAMES = ('a', 'b', 'c')
+READERS = st.integers(0, 3)
+
+
+class Log:
+    """The log service in memory; ``limit`` is the size of a page."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.limit = 1000
+
+    async def read(self, stream, start, wait):
+        begin = max(start, self.first)
+        found = self.records[begin : begin + self.limit]
+        return Page(self.first, begin + len(found), tuple(found))
+
+    def append(self, message):
+        data = json.loads(json.dumps(message))
+        self.records.append(StoredRecord(len(self.records), AT, data))
+
+
+class Instance:
+    def __init__(self, log):
+        self.reader = StreamReader(log)
+        self.served = Served()
+        self.seen = 0
+
+    def poll(self):
+        try:
+            self.reader.poll().send(None)
+        except StopIteration as result:
+            self.served.offer_document(self.reader.state.document)
+            return result.value
+
+    def catch_up(self):
+        while self.poll():
+            continue
+
+
+class Readers(RuleBasedStateMachine):
+    @initialize()
+    def start(self):
+        self.log = Log()
+        self.instances = [Instance(self.log) for _ in range(4)]
+        self.prepared = []
+        self.submissions = 0
+        self.model = {0: Document()}
+        self.verdicts = {}
+
+    @rule(
+        reader=READERS,
+        service=st.sampled_from(NAMES),
+        port=st.integers(1, 3),
+        kind=st.sampled_from(('service', 'upstream', 'delete', 'malformed')),
+    )
+    def prepare_change(self, reader, service, port, kind):
+        edits = {
+            'service': (put_service(service, homes=port),),
+            'upstream': (
+                put_service(service),
+                put_upstream(service, f'u{port}', port, f'fd{port % 2}'),
+            ),
+            'delete': (Delete('service', service),),
+            'malformed': (put_service(service, homes=0),),
+        }[kind]
+        self.submissions += 1
+        base = self.instances[reader].served.document.generation
+        submission = change(f's{self.submissions}', base, *edits)
+        self.prepared.append(to_plain(submission))
+
+    @precondition(lambda self: self.prepared)
+    @rule(choice=st.integers(0, 100), again=st.booleans())
+    def append_one(self, choice, again):
+        """Append in any order; a lost response may leave a second record."""
+        self.append(choice, again)
+
+    def append(self, choice, again):
+        message = self.prepared.pop(choice % len(self.prepared))
+        for _ in range(1 + again):
+            self.log.append(message)
+        if message['type'] == 'change':
+            self.judge(message)
+
+    @rule()
+    def append_all(self):
+        while self.prepared:
+            self.append(0, again=False)
+
+    def judge(self, message):
+        generation = len(self.model) - 1
+        if message['base'] != generation:
+            verdict = Rejected('generation_conflict', generation)
+        else:
+            verdict = self.judge_edits(message['edits'], generation)
+        self.verdicts[message['submission']] = verdict
+
+    def judge_edits(self, edits, generation):
+        """Decide as an operator would, without the code under test."""
+        document = self.model[generation]
+        services = dict(document.services)
+        upstreams = dict(document.upstreams)
+        for edit in edits:
+            valid = True
+            if edit['op'] == 'delete':
+                valid = edit['key'] in services and not any(
+                    upstream.service == edit['key']
+                    for upstream in upstreams.values()
+                )
+                services.pop(edit['key'], None)
+            elif edit['kind'] == 'service':
+                valid = edit['value']['homes'] > 0
+                homes = edit['value']['homes']
+                services[edit['key']] = put_service(
+                    edit['key'], homes=homes
+                ).value
+            else:
+                port = int(edit['value']['address'].partition(':')[2])
+                put = put_upstream(
+                    edit['value']['service'],
+                    edit['value']['name'],
+                    port,
+                    edit['value']['failure_domain'],
+                )
+                upstreams[put.key] = put.value
+            if not valid:
+                return 'config_invalid'
+        self.model[generation + 1] = Document(
+            generation + 1, services, upstreams
+        )
+        return Accepted(generation + 1)
+
+    @rule(reader=READERS, corrupt=st.booleans())
+    def prepare_snapshot(self, reader, corrupt):
+        state = self.instances[reader].reader.state
+        if not state.following or not state.document.generation:
+            return
+        document = state.document
+        parts = [
+            to_plain(part)
+            for part in make_snapshot(document, state.verdicts, state.offset)
+        ]
+        if corrupt:
+            parts[0]['services'] = parts[0]['services'][1:]
+        self.prepared.extend(parts)
+
+    @rule(reader=READERS, limit=st.integers(1, 4))
+    def poll(self, reader, limit):
+        self.log.limit = limit
+        self.instances[reader].poll()
+        self.log.limit = 1000
+
+    @rule(reader=READERS, peer=READERS, after=st.booleans())
+    def ask_peer(self, reader, peer, after):
+        served = self.instances[reader].served
+        current = served.document
+        history = self.instances[peer].served.documents
+        body = history.body(current.generation, edits=after)
+        reply = decode(DocumentReply, body)
+        served.offer_document(apply_reply(current, reply))
+
+    @rule(count=st.integers(1, 6))
+    def expire(self, count):
+        # One reader has read what expires; the others may have missed it.
+        self.instances[0].catch_up()
+        self.log.first = min(self.log.first + count, len(self.log.records))
+
+    @rule(reader=st.integers(1, 3))
+    def restart(self, reader):
+        self.instances[reader] = Instance(self.log)
+
+    @invariant()
+    def no_generation_falls_and_contents_agree(self):
+        for instance in getattr(self, 'instances', ()):
+            document = instance.served.document
+            assert document.generation >= instance.seen
+            instance.seen = document.generation
+            assert document == self.model[document.generation]
+            folded = instance.reader.state.document
+            assert folded == self.model[folded.generation]
+
+    def teardown(self):
+        if not hasattr(self, 'instances'):
+            return
+        steady = self.instances[0]
+        steady.catch_up()
+        state = steady.reader.state
+        if state.document.generation:
+            parts = make_snapshot(state.document, state.verdicts, state.offset)
+            for part in parts:
+                self.log.append(to_plain(part))
+        for instance in self.instances:
+            instance.catch_up()
+        self.no_generation_falls_and_contents_agree()
+        assert {one.served.document.generation for one in self.instances} == {
+            len(self.model) - 1
+        }
+        for instance in self.instances:
+            self.check_verdicts(instance.reader.state)
+
+    def check_verdicts(self, state):
+        if state.following:
+            assert state.verdicts.keys() == self.verdicts.keys()
+        for submission, verdict in state.verdicts.items():
+            wanted = self.verdicts[submission]
+            if wanted == 'config_invalid':
+                assert verdict.code == wanted
+            else:
+                assert verdict == wanted
+
+
+Readers.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+)
+TestReaders = Readers.TestCase
