--- a/src/crocusproxy/cli/commands.py
+++ b/src/crocusproxy/cli/commands.py
@@ -10,7 +10,7 @@
 from ..membership.homes import choose_homes
 from ..protocol import codec
 from .exits import Exit, WrongInputError
-from .output import Result, edit_line, table
+from .output import Result, change_line, table
 from .system import System
 
 
@@ -71,7 +71,8 @@
         'edits': [codec.to_plain(edit) for edit in edits],
     }
     text = f'generation {current.generation}, {len(edits)} edit(s)'
-    return Result(plain, '\n'.join((text, *map(edit_line, edits))))
+    lines = (change_line(current, edit) for edit in edits)
+    return Result(plain, '\n'.join((text, *lines)))
 
 
 async def locate(system: System, service: str) -> Result:
--- a/src/crocusproxy/cli/output.py
+++ b/src/crocusproxy/cli/output.py
@@ -2,11 +2,12 @@
 
 import json
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
-from ..config.change import Edit, Put
+from ..config.change import Delete, Edit, Put
+from ..config.model import Document, Service, Upstream
 from ..errors import CrocusError, Fault, InvalidDocumentError
 from ..protocol import codec
 
@@ -42,6 +43,26 @@
     return f'{sign} {edit.kind} {edit.key}'
 
 
+def change_line(current: Document, edit: Edit) -> str:
+    """Write what an edit does to the current document as one line."""
+    line = edit_line(edit)
+    if isinstance(edit, Delete):
+        return line
+    objects: Mapping[str, Service | Upstream] = (
+        current.services if edit.kind == 'service' else current.upstreams
+    )
+    old = objects.get(edit.key)
+    if old is None:
+        return line
+    before, after = codec.to_plain(old), codec.to_plain(edit.value)
+    fields = ', '.join(
+        f'{name} {before[name]} -> {after[name]}'
+        for name in after
+        if before[name] != after[name]
+    )
+    return f'~ {edit.kind} {edit.key}: {fields}'
+
+
 def table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Align rows under their header.
 
--- a/src/crocusproxy/config/daemon.py
+++ b/src/crocusproxy/config/daemon.py
@@ -26,7 +26,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.random = random or Random(settings.identity.name)
+        self.random = random or Random(settings.instance.name)
         self.served = Served()
         self.application = Application(
             'crocus-config',
--- a/src/crocusproxy/config/main.py
+++ b/src/crocusproxy/config/main.py
@@ -15,7 +15,7 @@
         settings: path of the YAML settings file.
     """
     checked = load_or_exit(ConfigSettings, str(settings))
-    start_logging('crocus-config', checked.identity.name)
+    start_logging('crocus-config', checked.instance.name)
     ConfigDaemon(checked).application.run()
 
 
--- a/src/crocusproxy/config/source.py
+++ b/src/crocusproxy/config/source.py
@@ -61,7 +61,7 @@
 
     def reads_platform(self) -> bool:
         """Tell whether this instance is one of the platform's readers."""
-        identity = self.settings.identity
+        identity = self.settings.instance
         return is_reader(
             self.served.view, identity.name, identity.failure_domain
         )
@@ -109,7 +109,7 @@
 
     def peer_addresses(self) -> tuple[str, ...]:
         """Return the daemons to poll, the preferred first."""
-        identity = self.settings.identity
+        identity = self.settings.instance
         listed = parents(
             self.served.view, identity.name, identity.failure_domain
         )
--- a/src/crocusproxy/protocol/document_feed.py
+++ b/src/crocusproxy/protocol/document_feed.py
@@ -35,6 +35,10 @@
 
 def reply_between(old: Document, new: Document) -> DocumentReply:
     """Describe what turns ``old`` into ``new``."""
+    if not old.generation:
+        return DocumentReply(
+            new.generation, dict(new.services), dict(new.upstreams)
+        )
     services: dict[str, Service] = {}
     upstreams: dict[str, Upstream] = {}
     removed: dict[str, list[str]] = {'service': [], 'upstream': []}
--- a/src/crocusproxy/settings.py
+++ b/src/crocusproxy/settings.py
@@ -1,6 +1,7 @@
 """Settings shared by all programs, read from one YAML file each."""
 
 import sys
+from datetime import timedelta
 from pathlib import Path
 from typing import TypeVar
 
@@ -8,6 +9,7 @@
 from pydantic.dataclasses import dataclass
 
 from .documents import read_document
+from .durations import Duration
 from .errors import InvalidDocumentError
 
 EXIT_WRONG_SETTINGS = 2
@@ -34,6 +36,14 @@
     failure_domain: str
 
 
+@dataclass(frozen=True, slots=True, config=STRICT)
+class PlatformSettings:
+    """The platform at ``address``, and how long its log keeps records."""
+
+    address: str
+    retention: Duration = timedelta(hours=24)
+
+
 def load_or_exit(model: type[_Settings], path: str) -> _Settings:
     """Read the settings file, or print its faults and exit with code 2."""
     try:
--- a/tests/config/running.py
+++ b/tests/config/running.py
@@ -12,9 +12,9 @@
 from crocusproxy.clock import SystemClock
 from crocusproxy.config.daemon import ConfigDaemon
 from crocusproxy.config.publisher import Publisher
-from crocusproxy.config.settings import ConfigSettings, PlatformSettings
+from crocusproxy.config.settings import ConfigSettings
 from crocusproxy.platform_client import PlatformClient
-from crocusproxy.settings import InstanceIdentity, Listen
+from crocusproxy.settings import InstanceIdentity, Listen, PlatformSettings
 from standins.platform import Platform
 
 LIMIT = 10
