--- a/src/crocusproxy/config/daemon.py
+++ b/src/crocusproxy/config/daemon.py
@@ -47,6 +47,7 @@
             self.clock,
             self.random,
             self.settings.platform.retention,
+            self.source.reads_platform,
         )
         self.application.readiness.append(self.source.not_ready_reason)
         handler = web.Application()
--- a/src/crocusproxy/config/peers.py
+++ b/src/crocusproxy/config/peers.py
@@ -15,6 +15,8 @@
 
 # Bounds how long a frozen peer can hold back a change.
 _POLL_WAIT = timedelta(seconds=2)
+# About a minute. A frozen peer costs a timeout each time that it is tried.
+_POLLS_BEFORE_RETURN = 30
 # Peers asked in one round when the platform does not answer.
 _ASKED_AT_ONCE = 3
 
@@ -22,22 +24,29 @@
 
 
 class Rotation:
-    """Remembers which of a list of peers is polled next."""
+    """Stays with a peer that answers, and now and then tries the preferred."""
 
     def __init__(self) -> None:
-        self.turn = 0
+        self.current = ''
+        self.polls = 0
+        self.failures = 0
 
     async def poll(self, peers: tuple[str, ...], poll: Poll) -> bool:
         """Poll one peer; return false once every peer has failed in turn.
 
         A peer that answers with less than is known here counts as failed.
         """
-        address = peers[self.turn % len(peers)]
-        if await _succeeds(poll, address, _POLL_WAIT):
-            self.turn = 0
+        if self.current not in peers or self.polls >= _POLLS_BEFORE_RETURN:
+            self.current = peers[0]
+            self.polls = 0
+        self.polls += 1
+        if await _succeeds(poll, self.current, _POLL_WAIT):
+            self.failures = 0
             return True
-        self.turn += 1
-        return bool(self.turn % len(peers))
+        self.failures += 1
+        following = (peers.index(self.current) + 1) % len(peers)
+        self.current = peers[following]
+        return bool(self.failures % len(peers))
 
 
 class Peers:
--- a/src/crocusproxy/config/records.py
+++ b/src/crocusproxy/config/records.py
@@ -14,6 +14,7 @@
 from ..errors import Fault
 from .change import RULES, Change
 from .snapshot import SnapshotPart
+from .validation import is_name
 
 _MAX_FAULTS = 20
 _MAX_TEXT = 200
@@ -62,13 +63,24 @@
         return UnknownRules(rules)
     match raw.get('type'):
         case 'change':
-            return _read_change(raw)
+            return _with_usable_id(_read_change(raw))
         case 'snapshot':
             return _read_part(raw)
     return Unreadable('type is neither change nor snapshot')
 
 
-def _read_change(raw: Mapping[str, Any]) -> Record:
+def _with_usable_id(
+    record: Change | InvalidChange | Unreadable,
+) -> Record:
+    # Ids are kept with their verdicts, so their length must be bounded.
+    if isinstance(record, Unreadable) or is_name(record.submission):
+        return record
+    return Unreadable('the submission id is not a name')
+
+
+def _read_change(
+    raw: Mapping[str, Any],
+) -> Change | InvalidChange | Unreadable:
     try:
         change: Change = adapter_for(Change).validate_python(raw)
     except ValidationError as error:
@@ -79,7 +91,7 @@
 def _invalid_change(
     raw: Mapping[str, Any],
     faults: tuple[Fault, ...],
-) -> Record:
+) -> InvalidChange | Unreadable:
     try:
         envelope = adapter_for(_Envelope).validate_python(
             {name: raw.get(name) for name in ('submission', 'base')}
--- a/src/crocusproxy/config/snapshot_writer.py
+++ b/src/crocusproxy/config/snapshot_writer.py
@@ -1,6 +1,7 @@
 """Appends a snapshot when the newest one becomes old."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
@@ -29,8 +30,10 @@
         clock: Clock,
         random: Random,
         retention: timedelta,
+        reads_platform: Callable[[], bool],
     ) -> None:
         self.reader = reader
+        self.reads_platform = reads_platform
         self.clock = clock
         self.random = random
         self.limit = retention / 3
@@ -103,9 +106,11 @@
             await self.step()
 
     def _can_write(self, state: FoldState) -> bool:
+        # The state of a daemon that has become no reader is out of date.
+        if not self.reads_platform() or not self.reader.started:
+            return False
         return (
-            self.reader.started
-            and state.following
+            state.following
             and not state.unknown_rules
             and bool(state.document.generation)
         )
--- a/src/crocusproxy/config/validation.py
+++ b/src/crocusproxy/config/validation.py
@@ -96,8 +96,6 @@
 
 
 def _envelope_faults(change: Change) -> Iterator[Fault]:
-    if _NAME.fullmatch(change.submission) is None:
-        yield _name_fault('submission', change.submission)
     if not change.edits:
         yield Fault('edits', 'at least one edit', 'none', 'no_edits')
     if len(change.edits) > MAX_EDITS:
@@ -181,7 +179,7 @@
     if known != upstream.failure_domain:
         yield Fault(
             f'{upstream_path(upstream.key)}.failure_domain',
-            f'{_short(known)}, where {upstream.address} already is',
+            f'{_short(known)}, where {_short(upstream.address)} already is',
             _short(upstream.failure_domain),
             'address_in_two_failure_domains',
         )
@@ -232,13 +230,14 @@
 
 
 def _name(path: str, name: str) -> Iterator[Fault]:
-    if _NAME.fullmatch(name) is None:
-        yield _name_fault(path, name)
+    if not is_name(name):
+        expected = '1 to 64 of A-Z a-z 0-9 . _ ~ -, a letter or digit first'
+        yield Fault(path, expected, repr(_short(name)), 'name_invalid')
 
 
-def _name_fault(path: str, name: str) -> Fault:
-    expected = '1 to 64 of A-Z a-z 0-9 . _ ~ -, a letter or digit first'
-    return Fault(path, expected, repr(_short(name)), 'name_invalid')
+def is_name(text: str) -> bool:
+    """Tell whether ``text`` can be a name, and a segment of a URL path."""
+    return _NAME.fullmatch(text) is not None
 
 
 def _address(path: str, address: str) -> Iterator[Fault]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 
 _DEFAULT_KEEP = 100_000
+# The first publication of 10,000 upstreams is one record of about 2 MiB.
+_MAX_RECORD_BYTES = 16 * 1024 * 1024
 
 
 @dataclass
@@ -62,7 +64,7 @@
         self.reads = 0
 
     def application(self) -> web.Application:
-        app = web.Application()
+        app = web.Application(client_max_size=_MAX_RECORD_BYTES)
         app.router.add_post('/v1/streams/{stream}/records', self.append)
         app.router.add_get('/v1/streams/{stream}/records', self.read)
         app.router.add_get('/v1/instances', self.list_instances)
--- a/tests/config/test_daemon.py
+++ b/tests/config/test_daemon.py
@@ -145,8 +145,9 @@
     run(stop)
 
 
-def writer_of(reader, clock, seed=0):
-    return SnapshotWriter(reader, clock, Random(seed), timedelta(hours=3))
+def writer_of(reader, clock, reads=True):
+    retention = timedelta(hours=3)
+    return SnapshotWriter(reader, clock, Random(0), retention, lambda: reads)
 
 
 async def reader_of(system):
@@ -179,6 +180,8 @@
         writer = writer_of(reader, clock)
         assert not await writer.step()
         clock.advance(timedelta(hours=1, seconds=1))
+        # An instance that no longer reads the platform has an old state.
+        assert not writer_of(reader, clock, reads=False).due()
         assert await writer.step()
         await reader.catch_up()
         clock.wall = reader.snapshot_time
--- a/tests/config/test_feed.py
+++ b/tests/config/test_feed.py
@@ -1,9 +1,12 @@
 """Guards against feeds that send too much, too little or an older state."""
 
+import asyncio
+
 import pytest
 
 from crocusproxy.config.change import RULES, Delete, apply_edits
 from crocusproxy.config.model import Document
+from crocusproxy.config.peers import Rotation
 from crocusproxy.config.readers import (
     FAN_OUT,
     READERS_PER_DOMAIN,
@@ -12,6 +15,7 @@
     ranked,
 )
 from crocusproxy.config.served import Served
+from crocusproxy.errors import NotReachableError
 from crocusproxy.membership.view import Instance, InstanceView
 from crocusproxy.protocol.codec import MalformedMessageError, decode, encode
 from crocusproxy.protocol.document_feed import (
@@ -129,6 +133,36 @@
         assert address in readers
 
 
+def test_a_frozen_peer_is_not_tried_again_after_each_answer_of_another():
+    polled = []
+
+    async def poll(address, wait):
+        polled.append(address)
+        if address == 'frozen':
+            raise NotReachableError(address)
+        return address != 'behind'
+
+    async def rotate():
+        rotation = Rotation()
+        peers = ('frozen', 'behind', 'good')
+        return [await rotation.poll(peers, poll) for _ in range(35)]
+
+    assert all(asyncio.run(rotate()))
+    assert polled[:4] == ['frozen', 'behind', 'good', 'good']
+    assert polled.count('frozen') == 2
+
+
+def test_the_platform_is_read_only_after_every_peer_has_failed():
+    async def poll(address, wait):
+        return False
+
+    async def rotate():
+        rotation = Rotation()
+        return [await rotation.poll(('a', 'b'), poll) for _ in range(4)]
+
+    assert asyncio.run(rotate()) == [True, False, True, False]
+
+
 def test_the_failure_of_a_reader_promotes_only_the_next_in_order():
     members = tuple(instance(number) for number in range(10))
     before = ranked(InstanceView(1, members), 'fd0')
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -86,6 +86,10 @@
         ({'rules': 1, 'type': 'other'}, Unreadable),
         ({'rules': 1, 'type': 'change', 'submission': 's'}, Unreadable),
         ({'rules': 1, 'type': 'snapshot', 'through': []}, Unreadable),
+        (
+            {**to_plain(CHANGES[0]), 'submission': 'x' * 65},
+            Unreadable,
+        ),
         ({'rules': 9, 'type': []}, UnknownRules),
         (
             {'rules': 1, 'type': 'change', 'submission': 's', 'base': 2},
