--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -179,6 +179,15 @@
     assert state.document == STATE.document
 
 
+@pytest.mark.parametrize('fields', [{'through': 50}, {'index': 7}])
+def test_a_part_that_cannot_be_true_is_ignored(fields):
+    # A reader that adopted it would pass over the records up to 50.
+    parts = [replace(part, **fields) for part in snapshot_of(STATE)]
+    state = folded(parts, start=3)
+    assert not state.following
+    assert state.problem.code == 'snapshot_malformed'
+
+
 def test_unfinished_snapshots_do_not_fill_the_memory():
     state = FoldState(offset=99)
     part = snapshot_of(STATE)[0]
