Name the submission before it is appended

Cause: an operator who interrupts publish during the wait for the verdict did not know the id by which the submission can be found.

Change: the publisher calls its listeners before the append, and crocusctl prints the id on standard error. A record with newer rules has a test with a daemon: the last generation stays in force and publishing is refused.

--- a/src/crocusproxy/cli/commands.py
+++ b/src/crocusproxy/cli/commands.py
@@ -1,8 +1,9 @@
 """The commands; each returns what is to be printed."""
 
+import sys
 from pathlib import Path
 
-from ..config.change import edits_between
+from ..config.change import Change, edits_between
 from ..config.operator_document import format_operator_text, read_operator_file
 from ..config.publisher import Submission
 from ..config.validation import service_path
@@ -33,6 +34,7 @@
     """Publish a file and wait for its verdict."""
     wanted = read_operator_file(Path(file))
     publisher = system.publisher()
+    publisher.on_append.append(_announce)
     submission = await publisher.replace(wanted, operator, base)
     if submission is None:
         generation = publisher.reader.state.document.generation
@@ -95,6 +97,11 @@
     return Result(plain, table(('home', 'failure domain', 'proxy'), rows))
 
 
+def _announce(change: Change) -> None:
+    # The id is known even if the command is interrupted during the wait.
+    print(f'submission {change.submission}', file=sys.stderr)
+
+
 def _rejected_text(rejected: Rejected) -> str:
     head = (
         f'rejected [{rejected.code}]; '
--- a/src/crocusproxy/config/publisher.py
+++ b/src/crocusproxy/config/publisher.py
@@ -1,6 +1,7 @@
 """Submits one change and finds out what became of it."""
 
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -59,7 +60,8 @@
 class Publisher:
     """Publishes through its own reader of the stream.
 
-    ``limit`` bounds the wait for a verdict after the append.
+    ``limit`` bounds the wait for a verdict after the append. ``on_append`` is
+    called with the change just before it is appended.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.clock = clock
         self.limit = limit
         self.reader = StreamReader(client)
+        self.on_append: list[Callable[[Change], None]] = []
 
     async def current(self) -> Document:
         """Return the newest generation in the stream.
@@ -146,6 +149,8 @@
         rejected = _reject_early(current, change)
         if rejected is not None:
             return Submission(change.submission, rejected)
+        for listener in self.on_append:
+            listener(change)
         try:
             await self.client.append(CONFIG_STREAM, codec.to_plain(change))
         except AppendUnknownError as error:
--- a/tests/config/running.py
+++ b/tests/config/running.py
@@ -54,7 +54,8 @@
         return daemon
 
     def list_instance(self, name, daemon):
-        listed = dict.fromkeys(('proxy', 'proxy_admin', 'locator'), 'x')
+        programs = ('proxy', 'proxy_admin', 'locator')
+        listed = dict.fromkeys(programs, f'127.0.0.1:{unused_port()}')
         self.platform.instances[name] = {
             **listed,
             'name': name,
--- a/tests/config/test_daemon.py
+++ b/tests/config/test_daemon.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from random import Random
 
+import pytest
 from aiohttp.test_utils import unused_port
 
 from crocusproxy.clock import ManualClock, SystemClock
@@ -12,6 +13,7 @@
 from crocusproxy.config.operator_document import read_operator_file
 from crocusproxy.config.reader import StreamReader
 from crocusproxy.config.snapshot_writer import SnapshotWriter
+from crocusproxy.errors import CrocusError
 from crocusproxy.protocol.codec import encode
 from crocusproxy.protocol.feed import FeedClient
 from crocusproxy.protocol.follow import FeedFollower
@@ -132,6 +134,24 @@
     run(poll)
 
 
+def test_a_record_with_newer_rules_leaves_the_last_generation_in_force():
+    async def stop_folding(system):
+        await system.publisher().replace(EXAMPLE, 'ana')
+        daemon = await system.daemon('one')
+        await until(daemon, generation(1))
+        await system.client.append('config', {'rules': 99, 'type': 'change'})
+        async with asyncio.timeout(10):
+            while daemon.source.problem() != 'config_rules_unknown':
+                await asyncio.sleep(0.01)
+        assert daemon.served.document.generation == 1
+        assert daemon.application.not_ready_reasons() == ()
+        with pytest.raises(CrocusError) as caught:
+            await system.publisher().replace(NEXT, 'ana')
+        assert caught.value.code == 'config_rules_unknown'
+
+    run(stop_folding)
+
+
 def test_a_stopping_daemon_turns_its_readers_away():
     async def stop(system):
         daemon = await system.daemon('one')
--- a/tests/config/test_publish.py
+++ b/tests/config/test_publish.py
@@ -27,7 +27,11 @@
 def test_a_lost_append_response_gives_the_verdict_without_a_second_append():
     async def publish(system):
         system.platform.faults.lose_answers = 1
-        submission = await system.publisher().replace(EXAMPLE, 'ana')
+        writer = system.publisher()
+        announced = []
+        writer.on_append.append(announced.append)
+        submission = await writer.replace(EXAMPLE, 'ana')
+        assert [change.submission for change in announced] == [submission.id]
         assert submission.verdict == Accepted(1)
         assert system.platform.appends == 1
 
