--- a/src/crocusproxy/cli/commands.py
+++ b/src/crocusproxy/cli/commands.py
@@ -1,9 +1,9 @@
 """The commands; each returns what is to be printed."""
 
+import sys
 from pathlib import Path
 
-from ..config.change import edits_between
-from ..config.history import edit_line
+from ..config.change import Change, edits_between
 from ..config.operator_document import format_operator_text, read_operator_file
 from ..config.publisher import Submission
 from ..config.validation import service_path
@@ -11,7 +11,7 @@
 from ..membership.homes import choose_homes
 from ..protocol import codec
 from .exits import Exit, WrongInputError
-from .output import Result, table
+from .output import Result, change_line, table
 from .system import System
 
 
@@ -34,6 +34,7 @@
     """Publish a file and wait for its verdict."""
     wanted = read_operator_file(Path(file))
     publisher = system.publisher()
+    publisher.on_append.append(_announce)
     submission = await publisher.replace(wanted, operator, base)
     if submission is None:
         generation = publisher.reader.state.document.generation
@@ -72,7 +73,8 @@
         'edits': [codec.to_plain(edit) for edit in edits],
     }
     text = f'generation {current.generation}, {len(edits)} edit(s)'
-    return Result(plain, '\n'.join((text, *map(edit_line, edits))))
+    lines = (change_line(current, edit) for edit in edits)
+    return Result(plain, '\n'.join((text, *lines)))
 
 
 async def locate(system: System, service: str) -> Result:
@@ -95,6 +97,11 @@
     return Result(plain, table(('home', 'failure domain', 'proxy'), rows))
 
 
+def _announce(change: Change) -> None:
+    # The id is known even if the command is interrupted during the wait.
+    print(f'submission {change.submission}', file=sys.stderr)
+
+
 def _rejected_text(rejected: Rejected) -> str:
     head = (
         f'rejected [{rejected.code}]; '
