--- a/standins/caller.py
+++ b/standins/caller.py
@@ -163,7 +163,7 @@
     async def _send(self, request: Request, record: CallRecord) -> None:
         for one in self.located.addresses if self.located else ():
             try:
-                await self._send_to(one.address, request, record)
+                await self.send_to(one.address, request, record)
             except ClientConnectorError:
                 continue
             except (ClientError, TimeoutError) as error:
@@ -171,9 +171,10 @@
             return
         raise NotSentError
 
-    async def _send_to(
+    async def send_to(
         self, address: str, request: Request, record: CallRecord
     ) -> None:
+        """Send once to ``address`` and note the response in ``record``."""
         async with self.session.request(
             request.method,
             f'http://{address}/{self.service}{request.path}',
@@ -244,15 +245,18 @@
     seconds: float,
     keyed_share: float,
     seed: int = 1,
+    stop: asyncio.Event | None = None,
 ) -> None:
     """Send calls at random moments and return when all have ended.
 
-    Calls do not wait for one another. Keyed calls are POSTs.
+    Calls do not wait for one another. Keyed calls are POSTs. ``stop`` ends the
+    load before ``seconds`` have passed.
     """
     source = Random(seed)
     end = time.monotonic() + seconds
+    stop = stop or asyncio.Event()
     async with asyncio.TaskGroup() as calls:
-        while time.monotonic() < end:
+        while time.monotonic() < end and not stop.is_set():
             await asyncio.sleep(source.expovariate(calls_per_second))
             keyed = source.random() < keyed_share
             size = source.choice((256, 4096, 65536))
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -59,22 +59,33 @@
 
     async def run(self) -> tuple[list[CallRecord], list[dict]]:
         """Return the callers' records and the upstreams' counters."""
+        await self.bring_up()
+        await self.send_calls()
+        return self.records(), await self.counters()
+
+    async def bring_up(self) -> None:
+        """Start everything and return once all programs are ready."""
         await self.start_platform()
         await self.start_upstreams()
         for one in self.layout.instances:
             self.start_instance(one)
         self.require_programs()
-        await self.publish()
+        for one in self.layout.instances:
+            await self.answers(one, 'crocus-config', one.config, 'healthz')
+        await self.publish(configuration(self.layout))
         await self.wait_ready()
-        await self.send_calls()
-        counters = [
-            await _get(f'http://{one.address}/admin/counters')
+
+    def records(self) -> list[CallRecord]:
+        return [record for caller in self.callers for record in caller.records]
+
+    async def counters(self) -> list[dict]:
+        return [
+            await get_json(f'http://{one.address}/admin/counters')
             for one in self.layout.upstreams
         ]
-        records = [
-            record for caller in self.callers for record in caller.records
-        ]
-        return records, counters
+
+    def settings_of(self, one: InstanceAddresses) -> dict[str, dict]:
+        return settings(self.layout, one)
 
     def say(self, text: str) -> None:
         print(f'{time.monotonic() - self.start:5.1f} s  {text}', flush=True)
@@ -88,7 +99,7 @@
         )
         for one in self.layout.instances:
             body = asdict(one) | {'state': 'live'}
-            await _post(f'http://{address}/v1/instances/{one.name}', body)
+            await post_json(f'http://{address}/v1/instances/{one.name}', body)
         self.say('platform stand-in is up; instance list filled')
 
     async def start_upstreams(self) -> None:
@@ -110,7 +121,7 @@
         )
 
     def start_instance(self, one: InstanceAddresses) -> None:
-        for name, document in settings(self.layout, one).items():
+        for name, document in self.settings_of(one).items():
             process = f'{one.name}-{name}'
             path = self.processes.folder / f'{process}.yaml'
             command = program(name, str(write_yaml(path, document)))
@@ -130,11 +141,10 @@
                 f'no call can be answered without {lacking}'
             )
 
-    async def publish(self) -> None:
-        for one in self.layout.instances:
-            await self.answers(one, 'crocus-config', one.config, 'healthz')
+    async def publish(self, document: dict) -> None:
+        """Publish with crocusctl and return once the change is accepted."""
         path = self.processes.folder / 'configuration.yaml'
-        write_yaml(path, configuration(self.layout))
+        write_yaml(path, document)
         command = program(
             'crocusctl',
             f'--config={self.layout.instances[0].config}',
@@ -199,7 +209,7 @@
         """Drain an upstream, and kill a proxy that callers use."""
         await asyncio.sleep(self.seconds / 3)
         drained = self.layout.upstreams[-1]
-        await _post(
+        await post_json(
             f'http://{drained.address}/admin/faults', {'drain': 'announce'}
         )
         self.say(f'{drained.name} starts to drain')
@@ -282,13 +292,13 @@
     raise KeyboardInterrupt
 
 
-async def _get(url: str) -> dict:
+async def get_json(url: str) -> dict:
     async with ClientSession() as session, session.get(url) as response:
         response.raise_for_status()
         return await response.json()
 
 
-async def _post(url: str, body: dict) -> None:
+async def post_json(url: str, body: dict) -> None:
     async with (
         ClientSession() as session,
         session.post(url, json=body) as response,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -246,6 +246,7 @@
         ] += 1
 
     def _count_arrival(self) -> None:
+        self.counters.last_arrival = time.monotonic()
         if self.drain_start is not None:
             self.counters.arrivals_after_drain += 1
             self.counters.last_arrival_after_drain_ms = _ms_since(
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -30,7 +30,8 @@
     ``runs`` counts requests that took a slot or failed fast, so that a request
     with an effect is never left out. ``sent`` holds the marks of the responses
     written for each request id. ``last_arrival_after_drain_ms`` is counted from
-    the start of draining.
+    the start of draining; ``last_arrival`` is the time of the newest request on
+    the monotonic clock, which all processes of a host share.
     """
 
     runs: int = 0
@@ -44,6 +45,7 @@
     most_running: int = 0
     arrivals_after_drain: int = 0
     last_arrival_after_drain_ms: float = 0
+    last_arrival: float = 0
     runs_by_key: Counter = field(default_factory=Counter)
     runs_by_request: Counter = field(default_factory=Counter)
     sent: dict = field(default_factory=lambda: defaultdict(list))
