--- a/src/crocusproxy/routing/balancer.py
+++ b/src/crocusproxy/routing/balancer.py
@@ -99,7 +99,9 @@
         states: dict[str, UpstreamState] = {}
         for upstream in upstreams:
             known = self.states.get(upstream.key)
-            if known is None or known.upstream != upstream:
+            if known is None or known.upstream.address != upstream.address:
                 known = UpstreamState(upstream)
+            # The same server with other settings is still draining and busy.
+            known.upstream = upstream
             states[upstream.key] = known
         self.states = states
