Test configuration over failures; give up a frozen daemon in time

The test waited 20 s in vain before the change. Change: polls last 1 s; the grace is 0.5 s without any byte, so a large document may still take 5 s to transfer. Peers among daemons likewise. Worst case with a frozen daemon: 1 s + 0.5 s + 0.2 s retry delay.

--- a/src/crocusproxy/config/peers.py
+++ b/src/crocusproxy/config/peers.py
@@ -14,7 +14,7 @@
 from .served import Served
 
 # Bounds how long a frozen peer can hold back a change.
-_POLL_WAIT = timedelta(seconds=2)
+_POLL_WAIT = timedelta(seconds=1)
 # Peers asked in one round when the platform does not answer.
 _ASKED_AT_ONCE = 3
 
--- a/src/crocusproxy/protocol/feed.py
+++ b/src/crocusproxy/protocol/feed.py
@@ -13,7 +13,11 @@
 from .view_feed import ViewReply, apply_view
 
 _OK = 200
-_GRACE = timedelta(seconds=2)
+# A daemon that sends nothing for this long after its wait is given up, so that
+# a frozen one does not hold back a change.
+_GRACE = timedelta(milliseconds=500)
+# A whole document of the largest size takes longer than the grace.
+_TRANSFER = timedelta(seconds=5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +105,11 @@
         query = {'after': str(after), 'wait_ms': str(milliseconds)}
         if edits:
             query['edits'] = '1'
-        timeout = ClientTimeout(total=(wait + _GRACE).total_seconds())
+        timeout = ClientTimeout(
+            total=(wait + _TRANSFER).total_seconds(),
+            sock_connect=_GRACE.total_seconds(),
+            sock_read=(wait + _GRACE).total_seconds(),
+        )
         try:
             async with self.session.get(
                 url, params=query, timeout=timeout
--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -11,7 +11,9 @@
 from ..membership.view import InstanceView
 from .feed import FeedClient
 
-_WAIT = timedelta(seconds=20)
+# With a frozen daemon, a change is noticed after this wait, the client's grace
+# and a retry delay, which must stay below the 2 s for a drain notice.
+_WAIT = timedelta(seconds=1)
 _RETRY_DELAY = timedelta(milliseconds=200)
 _MAX_RETRY_DELAY = timedelta(seconds=2)
 _MAX_DOUBLINGS = 4
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -35,6 +35,8 @@
     def settings_of(self, one):
         documents = super().settings_of(one)
         documents.pop('crocus-console')
+        # Snapshots are then due within seconds after records have expired.
+        documents['crocus-config']['platform']['retention'] = '60s'
         return documents
 
     # Operators' steps
