Pass drain notices in responses on to all instances

Cause: only the instance that received a response with the notice stopped sending; another one with few requests sent one 2.55 s after the notice. Change: POST /v1/drains on the admin port, to every other instance, at most once a second for each upstream. It is not repeated if it is lost. A unit test keeps an upstream on the instance list without work for an hour.

--- a/src/crocusproxy/proxy/attempt.py
+++ b/src/crocusproxy/proxy/attempt.py
@@ -134,7 +134,7 @@
         if load is not None:
             ticket.route.report(ticket.upstream, load)
         if message.headers.get('Upstream-State') == 'draining':
-            ticket.route.balancer.drain(ticket.upstream)
+            ticket.route.on_drain(ticket.upstream)
 
     def _result(self, message: RawResponseMessage) -> Result:
         if message.code in _SHEDDING:
--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -7,8 +7,10 @@
 from ..ledger.ledger import Ledger
 from ..logs import log
 from ..membership.view import InstanceView
+from ..protocol.drains import DrainNotice
 from ..routing.balancer import Balancer
 from .dispatch import Dispatcher
+from .drains import DrainNotices
 from .forward import Forwarder
 from .front import Front
 from .inbound import InboundReader
@@ -41,6 +43,7 @@
         self.reader = InboundReader(limits, settings.platform.retention, random)
         self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
         self.dispatcher = Dispatcher(self.pool, clock, limits, ledger)
+        self.drains = DrainNotices(self.dispatcher.routes, clock)
         self.front = Front(
             self.reader,
             self.forwarder,
@@ -67,6 +70,7 @@
         """Apply a newer instance view."""
         self.view = view
         self.forwarder.update(view)
+        self.drains.update(view.instances, self.settings.instance.name)
         for route in self.dispatcher.routes.values():
             route.drain(view.leaving_upstreams)
 
@@ -83,4 +87,8 @@
         per_caller = self.settings.limits.queued_per_caller
         route = ServiceRoute(service, balancer, self.clock, per_caller)
         route.leaving = self.view.leaving_upstreams
+        route.on_drain = self._noticed_drain
         return route
+
+    def _noticed_drain(self, upstream: Upstream) -> None:
+        self.drains.noticed(DrainNotice(upstream.service, upstream.address))
--- /dev/null
+++ b/src/crocusproxy/proxy/drains.py
@@ -0,0 +1,97 @@
+"""Tells the other instances of drain notices in responses.
+
+An instance that sends few requests to an upstream would otherwise learn of the
+notice long after it was given, by a request that should not have been sent.
+"""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ..clock import Clock
+from ..logs import log
+from ..membership.view import Instance
+from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.drains import DrainNotice
+from .service import ServiceRoute
+
+_TIMEOUT = ClientTimeout(total=1)
+# Every response of a draining upstream carries the notice.
+_REPEAT_INTERVAL = timedelta(seconds=1)
+
+
+class DrainNotices:
+    """Applies drain notices and passes on those that were not received.
+
+    ``connect`` makes notices leave this instance; ``others`` are their
+    receivers.
+    """
+
+    def __init__(
+        self, routes: Mapping[str, ServiceRoute], clock: Clock
+    ) -> None:
+        self.routes = routes
+        self.clock = clock
+        self.session: ClientSession | None = None
+        self.others: tuple[Instance, ...] = ()
+        self.passed_on: dict[DrainNotice, timedelta] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def connect(self, session: ClientSession) -> None:
+        """Pass notices on through ``session``."""
+        self.session = session
+
+    def update(self, instances: Iterable[Instance], own: str) -> None:
+        """Pass notices on to all ``instances`` but the own one."""
+        self.others = tuple(one for one in instances if one.name != own)
+
+    def noticed(self, notice: DrainNotice) -> None:
+        """Apply a notice from a response, and pass it on now and then."""
+        self._apply(notice)
+        now = self.clock.monotonic()
+        last = self.passed_on.get(notice)
+        if last is not None and now - last < _REPEAT_INTERVAL:
+            return
+        self._forget_old(now)
+        self.passed_on[notice] = now
+        for other in self.others:
+            task = asyncio.ensure_future(self._send(other, notice))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def receive(self, request: web.Request) -> web.Response:
+        """Serve ``POST /v1/drains``."""
+        try:
+            notice = decode(DrainNotice, await request.read())
+        except MalformedMessageError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self._apply(notice)
+        return web.Response(status=web.HTTPNoContent.status_code)
+
+    def _apply(self, notice: DrainNotice) -> None:
+        route = self.routes.get(notice.service)
+        if route is None:
+            return
+        for upstream in route.upstreams:
+            # A server that has replaced a leaving one has another address.
+            if upstream.address == notice.address:
+                route.balancer.drain(upstream)
+
+    def _forget_old(self, now: timedelta) -> None:
+        for notice, last in tuple(self.passed_on.items()):
+            if now - last >= _REPEAT_INTERVAL:
+                self.passed_on.pop(notice)
+
+    async def _send(self, other: Instance, notice: DrainNotice) -> None:
+        if self.session is None:
+            return
+        url = f'http://{other.proxy_admin}/v1/drains'
+        try:
+            async with self.session.post(
+                url, data=encode(notice), timeout=_TIMEOUT
+            ) as response:
+                response.release()
+        except (ClientError, TimeoutError) as error:
+            log('drain_not_passed_on', instance=other.name, error=repr(error))
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -50,6 +50,7 @@
             tuple(FeedClient(self.session, one) for one in settings.feeds),
             self.clock,
         )
+        self.core.drains.connect(self.session)
         self.core.front.not_ready = self.follower.not_ready_reason
         self.application.readiness.append(self.follower.not_ready_reason)
         self.follower.on_document.append(self.core.apply_document)
@@ -88,7 +89,12 @@
     async def _listen(self) -> None:
         admin = web.Application()
         admin.add_routes(self.application.admin_routes())
-        admin.add_routes([web.get('/v1/burn', self._burn)])
+        admin.add_routes(
+            [
+                web.get('/v1/burn', self._burn),
+                web.post('/v1/drains', self.core.drains.receive),
+            ]
+        )
         listen = self.settings.admin
         self.admin = await serve(admin, listen.host, listen.port)
         server = caller_server(self.core.front.handle, self.settings.limits)
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -1,6 +1,7 @@
 """Admission of one service's requests: balancer, queue and retry budget."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from ..clock import Clock
@@ -95,6 +96,8 @@
         self.budget = RetryBudget(service.retry_share)
         self.upstreams: tuple[Upstream, ...] = ()
         self.leaving: frozenset[str] = frozenset()
+        # Called with an upstream whose response holds a drain notice.
+        self.on_drain: Callable[[Upstream], None] = balancer.drain
         self.ticker: asyncio.TimerHandle | None = None
 
     def update(self, service: Service, upstreams: tuple[Upstream, ...]) -> None:
--- /dev/null
+++ b/tests/proxy/test_leaving.py
@@ -0,0 +1,35 @@
+"""Guards against new work for a leaving upstream, however long it takes."""
+
+import asyncio
+from datetime import datetime, timedelta, timezone
+from random import Random
+
+from crocusproxy.clock import ManualClock
+from crocusproxy.config.model import Service, Upstream
+from crocusproxy.proxy.service import ServiceRoute
+from crocusproxy.routing.balancer import Balancer
+from crocusproxy.routing.results import RequestInfo
+
+LEAVING, STAYING = (
+    Upstream(name, 's', f'127.0.0.1:{port}', 'fd1', slots=99)
+    for name, port in (('u1', 1), ('u2', 2))
+)
+
+
+def test_an_upstream_on_the_instance_list_gets_no_work_an_hour_later():
+    """The list is read when it changes, not again while it stays."""
+
+    async def scenario():
+        clock = ManualClock(datetime.now(timezone.utc))
+        service = Service('s')
+        balancer = Balancer(service, (), 'fd1', clock, Random(1))
+        route = ServiceRoute(service, balancer, clock, 9)
+        route.update(service, (LEAVING, STAYING))
+        route.drain(frozenset([LEAVING.key]))
+        for _ in range(60):
+            clock.advance(timedelta(minutes=1))
+            deadline = clock.monotonic() + timedelta(seconds=1)
+            ticket = await route.admit(RequestInfo(), 'c', deadline)
+            assert ticket.upstream == STAYING
+
+    asyncio.run(scenario())
