--- a/src/crocusproxy/config/peers.py
+++ b/src/crocusproxy/config/peers.py
@@ -14,9 +14,9 @@
 from .served import Served
 
 # Bounds how long a frozen peer can hold back a change.
-_POLL_WAIT = timedelta(seconds=2)
+_POLL_WAIT = timedelta(seconds=1)
 # About a minute. A frozen peer costs a timeout each time that it is tried.
-_POLLS_BEFORE_RETURN = 30
+_POLLS_BEFORE_RETURN = 60
 # Peers asked in one round when the platform does not answer.
 _ASKED_AT_ONCE = 3
 
