--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -8,6 +8,7 @@
 from ..logs import log
 from ..membership.view import InstanceView
 from ..routing.balancer import Balancer
+from .crashes import CrashWatch
 from .dispatch import Dispatcher
 from .forward import Forwarder
 from .front import Front
@@ -38,9 +39,13 @@
         self.pool = ConnectionPool(
             limits.connect_timeout, limits.idle_connection
         )
+        self.crashes = CrashWatch(clock)
+        self.pool.on_crash = self.crashes.lost
         self.reader = InboundReader(limits, settings.platform.retention, random)
         self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
-        self.dispatcher = Dispatcher(self.pool, clock, limits, ledger)
+        self.dispatcher = Dispatcher(
+            self.pool, clock, limits, self.crashes, ledger
+        )
         self.front = Front(
             self.reader,
             self.forwarder,
@@ -60,6 +65,7 @@
             routes[name].update(service, upstreams)
         for gone in routes.keys() - document.services.keys():
             routes.pop(gone)
+        self.crashes.apply_document(document)
         self.reader.services = document.services
         log('configuration_applied', generation=document.generation)
 
--- /dev/null
+++ b/src/crocusproxy/proxy/crashes.py
@@ -0,0 +1,107 @@
+"""Notices crashes of upstreams and tells the other homes of the service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ..clock import Clock
+from ..config.model import Document
+from ..logs import log
+from ..membership.view import Instance
+from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.crashes import CrashReport
+from .inbound import Inbound
+from .problems import RefusalError
+from .suspects import CrashSuspects
+
+_SHARE_TIMEOUT = ClientTimeout(total=1)
+
+#: Sends a report to the other homes of a service.
+Share = Callable[[str, CrashReport], Awaitable[None]]
+
+
+class CrashWatch:
+    """Refuses requests that have crashed two upstreams."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.suspects = CrashSuspects()
+        self.share: Share | None = None
+        self.keys: dict[tuple[str, str], str] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def apply_document(self, document: Document) -> None:
+        """Learn which upstream of a service has which address."""
+        self.keys = {
+            (upstream.service, upstream.address): key
+            for key, upstream in document.upstreams.items()
+        }
+
+    def check(self, inbound: Inbound) -> None:
+        """Raise RefusalError for a request that crashes upstreams."""
+        if not self.suspects.confirmed:
+            return
+        now = self.clock.monotonic()
+        left = self.suspects.expiry(inbound.fingerprint(), now)
+        if left is not None:
+            raise RefusalError('request_suspected', retry_after=left)
+
+    def answered(self, inbound: Inbound) -> None:
+        """Note that an upstream has answered a request in full."""
+        if self.suspects.crashes:
+            now = self.clock.monotonic()
+            self.suspects.forget_old(now)
+            self.suspects.clear(inbound.fingerprint())
+
+    def lost(self, address: str, inbounds: tuple[Inbound, ...]) -> None:
+        """Take in the loss of every connection to an upstream."""
+        service = inbounds[0].service
+        key = self.keys.get((service, address), f'{service}/{address}')
+        prints = frozenset(inbound.fingerprint() for inbound in inbounds)
+        report = CrashReport(key, tuple(sorted(prints)))
+        self.take(report)
+        if self.share is not None:
+            task = asyncio.ensure_future(self.share(service, report))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def take(self, report: CrashReport) -> None:
+        """Take in a crash that this instance or another one has seen."""
+        found = self.suspects.crashed(
+            report.upstream,
+            frozenset(report.fingerprints),
+            self.clock.monotonic(),
+        )
+        log(
+            'upstream_crashed',
+            upstream=report.upstream,
+            in_flight=len(report.fingerprints),
+            confirmed=sorted(found),
+        )
+
+    async def receive(self, request: web.Request) -> web.Response:
+        """Serve ``POST /v1/crashes``."""
+        try:
+            report = decode(CrashReport, await request.read())
+        except MalformedMessageError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self.take(report)
+        return web.Response(status=web.HTTPNoContent.status_code)
+
+
+async def send_report(
+    session: ClientSession, homes: tuple[Instance, ...], report: CrashReport
+) -> None:
+    """Send a crash report to each home; one that is missed is not retried."""
+    body = encode(report)
+    for home in homes:
+        url = f'http://{home.proxy_admin}/v1/crashes'
+        try:
+            response = await session.post(
+                url, data=body, timeout=_SHARE_TIMEOUT
+            )
+        except (ClientError, TimeoutError) as error:
+            log('crash_not_shared', home=home.name, error=repr(error))
+        else:
+            response.release()
--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -10,11 +10,12 @@
 from ..routing.results import RequestInfo
 from .attempt import Attempt, Broke, NotRun
 from .claims import claim
+from .crashes import CrashWatch
 from .inbound import Inbound
 from .pool import ConnectionPool
 from .problems import RefusalError
 from .relay import Relay
-from .service import ServiceRoute
+from .service import ServiceRoute, Ticket
 from .settings import Limits
 
 
@@ -30,8 +31,10 @@
         pool: ConnectionPool,
         clock: Clock,
         limits: Limits,
+        crashes: CrashWatch,
         ledger: Ledger | None = None,
     ) -> None:
+        self.crashes = crashes
         self.pool = pool
         self.clock = clock
         self.limits = limits
@@ -85,40 +88,59 @@
         excluded: frozenset[str] = frozenset()
         last: NotRun | Broke | None = None
         for _ in range(self.limits.attempts):
-            info = RequestInfo(
-                inbound.caller, not inbound.key, excluded=excluded
-            )
-            ticket = await route.admit(info, inbound.caller, inbound.deadline)
+            self.crashes.check(inbound)
+            ticket = await self._admit(route, inbound, excluded)
             if isinstance(ticket, Refuse):
                 return _give_up(last, ticket, relay)
-            answer = await Attempt(
-                ticket,
-                relay,
-                self.pool,
-                self.clock,
-                may_send,
-                self.limits.buffered_response,
-            ).run()
+            answer = await self._attempt(ticket, relay, may_send)
             if isinstance(answer, web.StreamResponse):
                 return answer
-            last = _to_report(last, answer)
             excluded |= {ticket.upstream.key}
-            if not _may_repeat(route, inbound, answer, excluded):
+            is_last = len(excluded) >= len(route.upstreams)
+            is_last = is_last or not _may_repeat(route, inbound, last, answer)
+            last = _to_report(last, answer)
+            if is_last:
                 break
         return _give_up(last, None, relay)
 
+    async def _admit(
+        self, route: ServiceRoute, inbound: Inbound, excluded: frozenset[str]
+    ) -> Ticket | Refuse:
+        info = RequestInfo(inbound.caller, not inbound.key, excluded=excluded)
+        return await route.admit(info, inbound.caller, inbound.deadline)
+
+    async def _attempt(
+        self,
+        ticket: Ticket,
+        relay: Relay,
+        may_send: Callable[[], bool] | None,
+    ) -> web.StreamResponse | NotRun | Broke:
+        attempt = Attempt(
+            ticket,
+            relay,
+            self.pool,
+            self.clock,
+            may_send,
+            self.limits.buffered_response,
+        )
+        answer = await attempt.run()
+        if isinstance(answer, web.StreamResponse):
+            self.crashes.answered(relay.inbound)
+        return answer
+
 
 def _may_repeat(
     route: ServiceRoute,
     inbound: Inbound,
+    earlier: NotRun | Broke | None,
     failure: NotRun | Broke,
-    tried: frozenset[str],
 ) -> bool:
-    if len(tried) >= len(route.upstreams):
-        return False
     if isinstance(failure, Broke):
         if inbound.key or failure.refusal.code == 'deadline_exceeded':
             return False
+        # A request that crashes upstreams costs two of them at most.
+        if isinstance(earlier, Broke):
+            return False
     elif failure.message is None:
         # A connection that was not opened has cost the upstreams nothing.
         return True
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -63,7 +63,8 @@
         assert connection is not None
         reused = bool(connection.last_request)
         connection.last_request = inbound.request_id
-        connection.tag = inbound
+        # The loss of a home is no crash of an upstream.
+        connection.tag = None if to_home else inbound
         request = request_bytes(inbound, self.address, now, to_home=to_home)
         self.sent = True
         self.message = await connection.send(
--- a/src/crocusproxy/proxy/forward.py
+++ b/src/crocusproxy/proxy/forward.py
@@ -56,6 +56,12 @@
             self.chosen[choice] = homes
         return homes
 
+    def other_homes(self, service: Service) -> tuple[Instance, ...]:
+        """Return the homes of a service except this instance."""
+        homes = choose_homes(service.name, self.view, service.homes)
+        own = self.identity.name
+        return tuple(home for home in homes if home.name != own)
+
     async def forward(
         self,
         inbound: Inbound,
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -13,10 +13,12 @@
 from ..logs import log, start_logging
 from ..platform_client import PlatformClient
 from ..protocol.codec import encode
+from ..protocol.crashes import CrashReport
 from ..protocol.feed import FeedClient
 from ..protocol.follow import FeedFollower
 from ..settings import load_or_exit
 from .core import ProxyCore
+from .crashes import send_report
 from .front import caller_server
 from .metrics import ProxyMetrics
 from .settings import ProxySettings
@@ -50,6 +52,7 @@
             tuple(FeedClient(self.session, one) for one in settings.feeds),
             self.clock,
         )
+        self.core.crashes.share = self._share
         self.core.front.not_ready = self.follower.not_ready_reason
         self.application.readiness.append(self.follower.not_ready_reason)
         self.follower.on_document.append(self.core.apply_document)
@@ -89,7 +92,12 @@
     async def _listen(self) -> None:
         admin = web.Application()
         admin.add_routes(self.application.admin_routes())
-        admin.add_routes([web.get('/v1/burn', self._burn)])
+        admin.add_routes(
+            [
+                web.get('/v1/burn', self._burn),
+                web.post('/v1/crashes', self.core.crashes.receive),
+            ]
+        )
         listen = self.settings.admin
         self.admin = await serve(admin, listen.host, listen.port)
         server = caller_server(self.core.front.handle, self.settings.limits)
@@ -112,6 +120,12 @@
             await asyncio.sleep(_SWEEP_SECONDS)
             self.core.pool.close_idle()
 
+    async def _share(self, service: str, report: CrashReport) -> None:
+        entry = self.core.reader.services.get(service)
+        if entry is not None:
+            homes = self.core.forwarder.other_homes(entry)
+            await send_report(self.session, homes, report)
+
     async def _burn(self, _: web.Request) -> web.Response:
         report = encode(self.metrics.burn_report())
         return web.Response(body=report, content_type='application/json')
--- /dev/null
+++ b/tests/proxy/test_crashes.py
@@ -0,0 +1,78 @@
+"""Guards upstreams against a request that crashes each one that runs it."""
+
+import asyncio
+from datetime import timedelta
+
+from crocusproxy.proxy.suspects import CrashSuspects
+from tests.proxy.harness import answering, run, serving
+
+SECOND = timedelta(seconds=1)
+BAD = frozenset(('bad',))
+
+
+def test_only_crashes_of_two_upstreams_within_a_minute_confirm():
+    suspects = CrashSuspects()
+    assert not suspects.crashed('s/a', BAD | {'x'}, 0 * SECOND)
+    assert not suspects.crashed('s/a', BAD, 1 * SECOND)
+    assert not suspects.crashed('s/b', frozenset(('y',)), 2 * SECOND)
+    assert not suspects.crashed('s/b', BAD, 62 * SECOND)
+    assert suspects.crashed('s/c', BAD | {'z'}, 63 * SECOND) == BAD
+    assert suspects.expiry('bad', 64 * SECOND) == 599 * SECOND
+    assert suspects.expiry('x', 64 * SECOND) is None
+    assert suspects.expiry('bad', 663 * SECOND) is None
+    assert not suspects.confirmed
+
+
+def test_a_request_that_was_answered_is_no_suspect():
+    """A popular request is in flight at unrelated crashes."""
+    suspects = CrashSuspects()
+    suspects.crashed('s/a', BAD, 0 * SECOND)
+    suspects.clear('bad')
+    assert not suspects.crashed('s/b', BAD, 1 * SECOND)
+
+
+async def crashing(upstream, reader, writer):
+    sent = await upstream.read(reader)
+    if 'bad' in sent.first:
+        upstream.kill()
+    else:
+        await answering()(upstream, reader, writer)
+
+
+def test_a_crashing_request_costs_two_upstreams_and_is_then_refused():
+    async def scenario():
+        async with serving(*[crashing] * 4) as (proxy, *upstreams):
+            reports = []
+
+            async def share(service, report):
+                reports.append((service, report.upstream))
+
+            proxy.core.crashes.share = share
+            assert (await proxy.call(b'GET /s/bad')).outcome == 'failed'
+            refused = await proxy.call(b'GET /s/bad')
+            assert refused.code == 'request_suspected'
+            assert refused.outcome == 'not-run'
+            assert 590 < int(refused.headers['retry-after']) <= 600
+            assert sum(len(one.requests) for one in upstreams) == 2
+            await asyncio.sleep(0)
+            assert len(set(reports)) == 2
+
+    run(scenario)
+
+
+def test_a_report_of_another_home_counts():
+    async def scenario():
+        async with serving(*[crashing] * 3) as (proxy, *upstreams):
+            watch = proxy.core.crashes
+            reports = []
+            take = watch.take
+            watch.take = lambda report: (reports.append(report), take(report))
+            proxy.core.dispatcher.routes['s'].budget.saved = 0
+            await proxy.call(b'GET /s/bad')
+            other = type(reports[0])('s/other', reports[0].fingerprints)
+            take(other)
+            refused = await proxy.call(b'GET /s/bad')
+            assert refused.code == 'request_suspected'
+            assert sum(len(one.requests) for one in upstreams) == 1
+
+    run(scenario)
