Count each send to an upstream, and keep view changes cheap

A view change went over the upstreams of every service, and a document over all upstreams for the crash watch. Only services whose leaving upstreams changed are visited now, and a crash looks its upstream up when it happens.

The remaining time that a home is told ends 5 ms before the entry instance's, so that the home's answer, whose outcome is more precise, arrives first.

--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -44,7 +44,7 @@
         self.reader = InboundReader(limits, settings.platform.retention, random)
         self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
         self.dispatcher = Dispatcher(
-            self.pool, clock, limits, self.crashes, ledger
+            self.pool, clock, limits, self.crashes, metrics, ledger
         )
         self.front = Front(
             self.reader,
@@ -65,16 +65,20 @@
             routes[name].update(service, upstreams)
         for gone in routes.keys() - document.services.keys():
             routes.pop(gone)
-        self.crashes.apply_document(document)
+        self.crashes.document = document
         self.reader.services = document.services
         log('configuration_applied', generation=document.generation)
 
     def apply_view(self, view: InstanceView) -> None:
         """Apply a newer instance view."""
+        changed = view.leaving_upstreams ^ self.view.leaving_upstreams
         self.view = view
         self.forwarder.update(view)
-        for route in self.dispatcher.routes.values():
-            route.drain(view.leaving_upstreams)
+        services = {key.partition('/')[0] for key in changed}
+        for service in sorted(services):
+            route = self.dispatcher.routes.get(service)
+            if route is not None:
+                route.drain(view.leaving_upstreams)
 
     def _route(
         self, service: Service, upstreams: tuple[Upstream, ...]
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -28,16 +28,9 @@
         self.clock = clock
         self.suspects = CrashSuspects()
         self.share: Share | None = None
-        self.keys: dict[tuple[str, str], str] = {}
+        self.document = Document()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def apply_document(self, document: Document) -> None:
-        """Learn which upstream of a service has which address."""
-        self.keys = {
-            (upstream.service, upstream.address): key
-            for key, upstream in document.upstreams.items()
-        }
-
     def check(self, inbound: Inbound) -> None:
         """Raise RefusalError for a request that crashes upstreams."""
         if not self.suspects.confirmed:
@@ -57,8 +50,8 @@
     def lost(self, address: str, inbounds: tuple[Inbound, ...]) -> None:
         """Take in the loss of every connection to an upstream."""
         service = inbounds[0].service
-        key = self.keys.get((service, address), f'{service}/{address}')
         prints = frozenset(inbound.fingerprint() for inbound in inbounds)
+        key = self._upstream_key(service, address)
         report = CrashReport(key, tuple(sorted(prints)))
         self.take(report)
         if self.share is not None:
@@ -89,6 +82,13 @@
         self.take(report)
         return web.Response(status=web.HTTPNoContent.status_code)
 
+    def _upstream_key(self, service: str, address: str) -> str:
+        for upstream in self.document.upstreams_of(service):
+            if upstream.address == address:
+                return upstream.key
+        # The upstream is no longer in the configuration.
+        return f'{service}/{address}'
+
 
 async def send_report(
     session: ClientSession, homes: tuple[Instance, ...], report: CrashReport
--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -12,6 +12,7 @@
 from .claims import claim
 from .crashes import CrashWatch
 from .inbound import Inbound
+from .metrics import ProxyMetrics
 from .pool import ConnectionPool
 from .problems import RefusalError
 from .relay import Relay
@@ -32,8 +33,10 @@
         clock: Clock,
         limits: Limits,
         crashes: CrashWatch,
+        metrics: ProxyMetrics,
         ledger: Ledger | None = None,
     ) -> None:
+        self.metrics = metrics
         self.crashes = crashes
         self.pool = pool
         self.clock = clock
@@ -123,7 +126,11 @@
             may_send,
             self.limits.buffered_response,
         )
-        answer = await attempt.run()
+        try:  # noqa: WPS501 - also when the caller goes away
+            answer = await attempt.run()
+        finally:
+            if attempt.exchange.sent:
+                self.metrics.sent(relay.inbound.service, attempt.end)
         if isinstance(answer, web.StreamResponse):
             self.crashes.answered(relay.inbound)
         return answer
--- a/src/crocusproxy/proxy/messages.py
+++ b/src/crocusproxy/proxy/messages.py
@@ -44,6 +44,8 @@
 _LOAD_FORMAT = 'TEXT '
 _LOAD_PREFIX = 'named_metrics.'
 _LOAD_NAMES = frozenset(('in_flight', 'slots', 'queued'))
+# The home knows more about the outcome, so its last word must arrive first.
+_HOME_MARGIN_MS = 5
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -55,8 +57,12 @@
     to_home: bool = False,
 ) -> bytes:
     """Return the whole request as it is sent to an upstream or a home."""
-    remaining = max(1, (inbound.deadline - now) // _MILLISECOND)
-    target = inbound.path if to_home else inbound.target
+    remaining = (inbound.deadline - now) // _MILLISECOND
+    target = inbound.target
+    if to_home:
+        target = inbound.path
+        remaining -= _HOME_MARGIN_MS
+    remaining = max(1, remaining)
     lines = [
         f'{inbound.method} {target} HTTP/1.1\r\n'
         f'Host: {address}\r\n'
--- a/src/crocusproxy/proxy/metrics.py
+++ b/src/crocusproxy/proxy/metrics.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..config.model import Service
 from ..protocol.burn import BurnReport
+from ..routing.results import Result
 
 _BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
 _SERVER_ERROR = 500
@@ -42,8 +43,15 @@
             buckets=_BUCKETS,
             registry=registry,
         )
+        self.sends = Counter(
+            'crocus_proxy_sends',
+            'Requests written to upstreams, by service and end.',
+            ('service', 'end'),
+            registry=registry,
+        )
         # Looking up a child by its labels costs more than counting.
         self.counters: dict[tuple[str, str, str], Counter] = {}
+        self.send_counters: dict[tuple[str, str], Counter] = {}
         self.histograms: dict[str, Histogram] = {}
         registry.register(self)
 
@@ -77,6 +85,15 @@
         in_time = latency <= service.objective.within
         burn.record(not code and status < _SERVER_ERROR and in_time)
 
+    def sent(self, service: str, end: Result) -> None:
+        """Count one request that was written to an upstream."""
+        labels = (service, type(end).__name__.lower())
+        counter = self.send_counters.get(labels)
+        if counter is None:
+            counter = self.sends.labels(*labels)
+            self.send_counters[labels] = counter
+        counter.inc()
+
     def burn_report(self) -> BurnReport:
         """Return the counts of good and bad requests per service."""
         return BurnReport(
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -11,6 +11,7 @@
     ClaimUnavailable,
 )
 from crocusproxy.membership.view import InstanceView
+from crocusproxy.proxy.settings import Limits
 from tests.proxy.harness import (
     KEY,
     NOT_RUN,
@@ -305,3 +306,49 @@
             assert response.headers['set-cookie'] == 'b'
 
     run(scenario)
+
+
+def test_one_caller_cannot_fill_the_queue():
+    async def scenario():
+        async def script(upstream, reader, writer):
+            await upstream.read(reader)
+            await reader.read()
+
+        limits = Limits(queued_per_caller=1)
+        shape = {'slots': 1, 'depth': 0, 'limits': limits}
+        async with serving(script, **shape) as (proxy, upstream):
+            route = proxy.core.dispatcher.routes['s']
+            flood = b'Crocus-Caller: flood\r\n'
+            calls = [asyncio.create_task(proxy.call(headers=flood))]
+            while not upstream.requests:
+                await asyncio.sleep(0)
+            calls.append(asyncio.create_task(proxy.call(headers=flood)))
+            while not len(route.queue):
+                await asyncio.sleep(0)
+            refused = await proxy.call(headers=flood)
+            assert (refused.status, refused.code) == (429, 'caller_over_limit')
+            assert int(refused.headers['retry-after']) >= 1
+            other = b'Crocus-Caller: other\r\n'
+            calls.append(asyncio.create_task(proxy.call(headers=other)))
+            while len(route.queue) < 2:
+                await asyncio.sleep(0)
+            upstream.kill()
+            await asyncio.gather(*calls)
+
+    run(scenario)
+
+
+def test_sends_are_counted_by_their_end():
+    async def scenario():
+        scripts = [answering(NOT_RUN, NOT_RUN), answering()]
+        async with serving(*scripts) as (proxy, *upstreams):
+            for _ in range(4):
+                await proxy.call()
+            sends = proxy.core.metrics.sends
+            counted = sum(
+                sends.labels('s', end)._value.get()
+                for end in ('answered', 'rejected', 'failed', 'cancelled')
+            )
+            assert counted == sum(len(one.requests) for one in upstreams)
+
+    run(scenario)
