Test mixed faults of upstreams and callers together

400 calls of 16 callers meet 11 kinds of upstream faults. Answers are whole and the caller's own, not-run means that no upstream ran the request, and keyed requests run at most once.

--- /dev/null
+++ b/tests/proxy/test_mixed_faults.py
@@ -0,0 +1,127 @@
+"""Guards the guarantees of answers when faults of all kinds come together."""
+
+import asyncio
+from collections import Counter
+from random import Random
+
+import pytest
+
+from tests.proxy.harness import (
+    KEY,
+    NOT_RUN,
+    FakeLedger,
+    read_message,
+    request,
+    serving,
+)
+
+CALLS = 400
+CALLERS = 16
+FAULTS = (
+    'none', 'none', 'none', 'no echo', 'not-run', 'reset', 'half a head',
+    'half a body', 'too long', 'foreign', 'never', 'late copy', 'early copy',
+    'close after',
+)  # fmt: skip
+
+
+def response(sent, body, echo=True):
+    own = f'X-Request-ID: {sent.headers["x-request-id"]}\r\n' if echo else ''
+    return (
+        f'HTTP/1.1 200 OK\r\n{own}Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+def faulty(random, runs):
+    """Return a script that counts runs by path and answers with faults."""
+
+    async def script(upstream, reader, writer):
+        previous = None
+        while True:
+            fault = random.choice(FAULTS)
+            if fault == 'reset' and previous is None:
+                return writer.transport.abort()
+            sent = await upstream.read(reader)
+            path = sent.first.split()[1]
+            if fault == 'not-run':
+                writer.write(NOT_RUN)
+                continue
+            runs[path] += 1
+            if fault == 'early copy' and previous is not None:
+                writer.write(previous)
+            own = response(sent, path, echo=fault != 'no echo')
+            previous = own
+            await answer(fault, own, sent, reader, writer)
+
+    return script
+
+
+async def answer(fault, own, sent, reader, writer):
+    match fault:
+        case 'half a head':
+            writer.write(own[:20])
+        case 'half a body':
+            writer.write(own[:-1])
+        case 'too long':
+            writer.write(own + b'x')
+        case 'foreign':
+            other = {'x-request-id': 'other'}
+            sent.headers.update(other)
+            writer.write(response(sent, 'foreign'))
+        case 'never':
+            await reader.read()
+            raise ConnectionError
+        case _:
+            writer.write(own)
+    if fault == 'late copy':
+        await asyncio.sleep(0)
+        writer.write(own)
+    if fault in {'half a head', 'half a body', 'reset', 'close after'}:
+        writer.transport.close()
+        raise ConnectionError
+
+
+async def call(proxy, number, random, runs):
+    """Send one request and check its answer; some callers go away."""
+    keyed = random.random() < 0.4
+    line = b'%b /s/%d' % (b'POST' if keyed else b'GET', number)
+    headers = b'Crocus-Attempt: 1\r\nCrocus-Timeout-Ms: 60\r\n'
+    reader, writer = await proxy.connect()
+    writer.write(request(line, headers + (KEY if keyed else b'')))
+    path = f'/{number}'
+    if random.random() < 0.1:
+        await asyncio.sleep(0)
+        return writer.transport.abort()
+    answered = await read_message(reader)
+    writer.close()
+    assert answered.complete
+    if answered.outcome == 'answered':
+        assert (answered.status, answered.body) == (200, path.encode())
+        assert runs[path] >= 1
+    if answered.outcome == 'not-run':
+        assert runs[path] == 0
+    assert answered.outcome != ('failed' if keyed else 'unknown')
+    if keyed:
+        assert runs[path] <= 1
+    return answered.outcome
+
+
+@pytest.mark.parametrize('seed', range(3))
+async def test_answers_stay_whole_own_and_truthful(seed):
+    random = Random(seed)
+    runs = Counter()
+    scripts = [faulty(random, runs)] * 4
+    shape = {'slots': 3, 'retry_share': 0.1, 'ledger': FakeLedger()}
+    async with serving(*scripts, **shape) as (proxy, *upstreams):
+        numbers = iter(range(CALLS))
+        outcomes = Counter()
+
+        async def caller():
+            for number in numbers:
+                outcomes[await call(proxy, number, random, runs)] += 1
+
+        await asyncio.gather(*(caller() for _ in range(CALLERS)))
+        await proxy.core.front.idle.wait()
+        assert {'answered', 'not-run', 'failed', 'unknown'} <= set(outcomes)
+        assert max(runs.values()) <= proxy.core.settings.limits.attempts
+        balancer = proxy.core.dispatcher.routes['s'].balancer
+        assert not any(one.in_flight for one in balancer.states.values())
