Write burn summaries, and derive the claim horizon from the retention

A replaced instance loses at most a minute of counts: ended windows go to stream burn once a minute, and the rest at shutdown. A summary whose append may have taken effect is not repeated, because readers would add it up twice.

The ledger's horizon of one hour made a proxy with a retention below 1 h 20 s fail at its start. The horizon is now at most half of the retention, and the front end refuses a later expiry itself.

--- /dev/null
+++ b/src/crocusproxy/proxy/burn_summary.py
@@ -0,0 +1,93 @@
+"""Writes the counts of ended minutes to stream ``burn``."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from datetime import datetime
+from random import Random
+from typing import Any, Protocol
+
+from ..burn.windows import WINDOW, WindowCounts
+from ..clock import Clock
+from ..errors import AppendUnknownError, CrocusError
+from ..logs import log
+from ..protocol import codec
+from ..protocol.burn import BurnReport
+from .metrics import ProxyMetrics
+
+_STREAM = 'burn'
+
+
+class Appender(Protocol):
+    """The part of the platform client that is used here."""
+
+    async def append(self, stream: str, data: dict[str, Any]) -> int:
+        """Append one record and return its offset."""
+
+
+class BurnSummaries:
+    """Writes each window once.
+
+    A summary whose append may have taken effect is not repeated, because
+    readers would add it up twice. One that certainly failed goes out with the
+    next.
+    """
+
+    def __init__(
+        self,
+        metrics: ProxyMetrics,
+        platform: Appender,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.metrics = metrics
+        self.platform = platform
+        self.clock = clock
+        self.random = random
+        self.written_until: datetime = metrics.started - WINDOW
+
+    async def run(self) -> None:
+        """Write a summary each minute until cancelled."""
+        # Instances that started together do not append together.
+        await self.clock.sleep(self.random.random() * WINDOW)
+        while True:
+            await self.clock.sleep(WINDOW)
+            await self.write(self.clock.now())
+
+    async def finish(self) -> None:
+        """Write what is left, the current minute included."""
+        await self.write(self.clock.now() + WINDOW)
+
+    async def write(self, now: datetime) -> None:
+        """Write the windows that have ended by ``now``."""
+        until = now - WINDOW
+        report = self.metrics.burn_report()
+        services = {
+            name: self._unwritten(counts, until)
+            for name, counts in report.services.items()
+        }
+        services = {name: found for name, found in services.items() if found}
+        if services and not await self._append(
+            replace(report, services=services)
+        ):
+            return
+        self.written_until = until
+
+    async def _append(self, report: BurnReport) -> bool:
+        try:
+            await self.platform.append(_STREAM, codec.to_plain(report))
+        except AppendUnknownError as error:
+            log('burn_summary_unknown', error=str(error))
+        except CrocusError as error:
+            log('burn_summary_not_written', error=str(error))
+            return False
+        return True
+
+    def _unwritten(
+        self, counts: Iterable[WindowCounts], until: datetime
+    ) -> tuple[WindowCounts, ...]:
+        return tuple(
+            entry
+            for entry in counts
+            if entry.length == WINDOW
+            and self.written_until < entry.start <= until
+        )
--- a/src/crocusproxy/proxy/claims.py
+++ b/src/crocusproxy/proxy/claims.py
@@ -1,5 +1,7 @@
 """Claims of non-idempotent requests, as the dispatcher uses them."""
 
+from datetime import timedelta
+
 from ..ledger.ledger import Ledger
 from ..ledger.results import (
     AlreadyClaimed,
@@ -17,6 +19,17 @@
 }
 
 
+_LONGEST_HORIZON = timedelta(hours=1)
+
+
+def claim_horizon(retention: timedelta) -> timedelta:
+    """Return how far ahead the expiry of a key may lie.
+
+    A claim must expire well before the platform drops its record.
+    """
+    return min(_LONGEST_HORIZON, retention / 2)
+
+
 async def claim(ledger: Ledger, inbound: Inbound) -> str:
     """Claim the key of a request and return the nonce of the claim.
 
--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -8,6 +8,7 @@
 from ..logs import log
 from ..membership.view import InstanceView
 from ..routing.balancer import Balancer
+from .claims import claim_horizon
 from .crashes import CrashWatch
 from .dispatch import Dispatcher
 from .forward import Forwarder
@@ -41,7 +42,9 @@
         )
         self.crashes = CrashWatch(clock)
         self.pool.on_crash = self.crashes.lost
-        self.reader = InboundReader(limits, settings.platform.retention, random)
+        self.reader = InboundReader(
+            limits, claim_horizon(settings.platform.retention), random
+        )
         self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
         self.dispatcher = Dispatcher(
             self.pool, clock, limits, self.crashes, metrics, ledger
--- a/src/crocusproxy/proxy/inbound.py
+++ b/src/crocusproxy/proxy/inbound.py
@@ -104,11 +104,11 @@
     def __init__(
         self,
         limits: Limits,
-        retention: timedelta,
+        claim_horizon: timedelta,
         random: Random,
     ) -> None:
         self.limits = limits
-        self.retention = retention
+        self.claim_horizon = claim_horizon
         self.random = random
         self.services: Mapping[str, Service] = {}
 
@@ -178,10 +178,10 @@
         expires = _time(inbound.headers.get('Idempotency-Expires', ''))
         if expires <= now:
             raise RefusalError('idempotency_key_expired')
-        if expires > now + self.retention:
+        if expires > now + self.claim_horizon:
             raise RefusalError(
                 'idempotency_expiry_too_far',
-                f'claims are kept for {self.retention}',
+                f'it may lie at most {self.claim_horizon} ahead',
             )
         return expires
 
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -17,6 +17,8 @@
 from ..protocol.feed import FeedClient
 from ..protocol.follow import FeedFollower
 from ..settings import load_or_exit
+from .burn_summary import BurnSummaries
+from .claims import claim_horizon
 from .core import ProxyCore
 from .crashes import send_report
 from .front import caller_server
@@ -35,6 +37,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.application = Application(_PROGRAM, settings.drain_limit)
+        self.summaries: BurnSummaries | None = None
         self.metrics = ProxyMetrics(self.clock, settings.instance.name)
         self.application.on_start.append(self.start)
         self.application.on_drain.append(self.drain)
@@ -44,6 +47,7 @@
         """Build the parts, follow the feeds and open both ports."""
         settings = self.settings
         self.session = ClientSession()
+        self.platform = self._platform()
         self.ledger = self._ledger()
         self.core = ProxyCore(
             settings, self.clock, SystemRandom(), self.metrics, self.ledger
@@ -60,7 +64,12 @@
         if self.ledger is not None:
             await self.ledger.start()
         await self.follower.start()
-        self.sweeper = asyncio.create_task(self._sweep())
+        self.tasks = [asyncio.create_task(self._sweep())]
+        if self.platform is not None:
+            self.summaries = BurnSummaries(
+                self.metrics, self.platform, self.clock, self.core.random
+            )
+            self.tasks.append(asyncio.create_task(self.summaries.run()))
         await self._listen()
 
     async def drain(self) -> None:
@@ -74,20 +83,30 @@
     async def stop(self) -> None:
         """Close the ports and everything that was opened."""
         await self.runner.cleanup()
-        self.sweeper.cancel()
+        for task in self.tasks:
+            task.cancel()
         await self.follower.stop()
-        if self.ledger is not None:
-            await self.ledger.stop()
+        await self._leave_platform()
         self.core.pool.close()
         await self.session.close()
         await self.admin.cleanup()
 
+    async def _leave_platform(self) -> None:
+        if self.summaries is not None:
+            await self.summaries.finish()
+        if self.ledger is not None:
+            await self.ledger.stop()
+
+    def _platform(self) -> PlatformClient | None:
+        address = self.settings.platform.address
+        return PlatformClient(self.session, address) if address else None
+
     def _ledger(self) -> Ledger | None:
-        platform = self.settings.platform
-        if not platform.address:
+        if self.platform is None:
             return None
-        client = PlatformClient(self.session, platform.address)
-        return Ledger(client, self.clock, LedgerSettings(platform.retention))
+        retention = self.settings.platform.retention
+        settings = LedgerSettings(retention, claim_horizon(retention))
+        return Ledger(self.platform, self.clock, settings)
 
     async def _listen(self) -> None:
         admin = web.Application()
--- /dev/null
+++ b/tests/proxy/test_burn_summary.py
@@ -0,0 +1,56 @@
+"""Guards summaries against windows that are lost or counted twice."""
+
+from datetime import timedelta
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from crocusproxy.burn.windows import WINDOW
+from crocusproxy.clock import ManualClock
+from crocusproxy.config.model import Service
+from crocusproxy.errors import AppendUnknownError, PlatformUnavailableError
+from crocusproxy.proxy.burn_summary import BurnSummaries
+from crocusproxy.proxy.metrics import ProxyMetrics
+
+
+class Platform:
+    def __init__(self):
+        self.records = []
+        self.error = None
+
+    async def append(self, stream, record):
+        if not isinstance(self.error, PlatformUnavailableError):
+            self.records.append(record)
+        if self.error:
+            raise self.error
+
+    def good(self):
+        return [
+            entry['good']
+            for record in self.records
+            for entry in record['services']['s']
+        ]
+
+
+async def test_each_window_is_written_once_whatever_the_platform_does():
+    clock, platform = ManualClock(), Platform()
+    metrics = ProxyMetrics(clock, 'i1', CollectorRegistry())
+    summaries = BurnSummaries(metrics, platform, clock, Random(1))
+
+    async def minute(good, error=None):
+        for _ in range(good):
+            metrics.finished(Service('s'), 'answered', '', timedelta(), 200)
+        clock.advance(WINDOW)
+        platform.error = error
+        await summaries.write(clock.now())
+
+    await minute(1)
+    await minute(2, PlatformUnavailableError('down'))
+    await minute(3, AppendUnknownError('lost'))
+    await minute(0)
+    await minute(4)
+    assert platform.good() == [1, 2, 3, 4]
+    metrics.finished(Service('s'), 'answered', '', timedelta(), 200)
+    await summaries.finish()
+    await summaries.finish()
+    assert platform.good() == [1, 2, 3, 4, 1]
