Send Retry-After on each refusal that may succeed later

Failed and late requests carried none. Their hint is computed from the queue if the queue gave them up.

--- a/src/crocusproxy/proxy/claims.py
+++ b/src/crocusproxy/proxy/claims.py
@@ -8,6 +8,7 @@
     Claimed,
     ClaimState,
     ClaimUnavailable,
+    LedgerSettings,
 )
 from .inbound import Inbound
 from .problems import NOT_RUN, UNKNOWN, RefusalError
@@ -19,13 +20,18 @@
 }
 
 
+_MINUTE = timedelta(minutes=1)
 _LONGEST_HORIZON = timedelta(hours=1)
 
 
 def claim_horizon(retention: timedelta) -> timedelta:
     """Return how far ahead the expiry of a key may lie.
 
-    A claim must expire well before the platform drops its record.
+    A claim must expire well before the platform drops its record. The ledger
+    accepts no settings without that distance.
+
+    >>> LedgerSettings(_MINUTE, claim_horizon(_MINUTE)).horizon
+    datetime.timedelta(seconds=30)
     """
     return min(_LONGEST_HORIZON, retention / 2)
 
--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -173,4 +173,4 @@
         return relay.whole(last.message, last.body, outcome=outcome)
     if refuse is None:
         raise RefusalError('no_upstream', 'no upstream could be reached')
-    raise RefusalError(refuse.code, retry_after=refuse.retry_after or None)
+    raise RefusalError(refuse.code, retry_after=refuse.retry_after)
--- a/src/crocusproxy/proxy/front.py
+++ b/src/crocusproxy/proxy/front.py
@@ -181,11 +181,9 @@
         refusal = _refusal_of(exc, status)
         log('request_not_handled', code=refusal.code, error=repr(exc))
         # Whether this was a re-send of a keyed request cannot be seen.
-        headers = refusal.headers()
-        headers['Crocus-Outcome'] = UNKNOWN
         response = web.Response(
             status=refusal.status,
-            headers=headers,
+            headers=refusal.headers(UNKNOWN),
             body=refusal.body(UNKNOWN),
         )
         response.force_close()
@@ -221,5 +219,6 @@
         'max_field_size': limits.header_field,
         'max_headers': limits.header_count,
         'lingering_time': _LINGER_SECONDS,
+        'keepalive_timeout': limits.idle_caller.total_seconds(),
     }
     return _CallerServer(handler, handler_cancellation=True, **options)
--- a/src/crocusproxy/proxy/relay.py
+++ b/src/crocusproxy/proxy/relay.py
@@ -90,8 +90,7 @@
     def refusal(self, refusal: RefusalError, outcome: str) -> web.Response:
         """Return the problem document of a refusal."""
         self.outcome = outcome
-        headers = refusal.headers()
-        headers['Crocus-Outcome'] = outcome
+        headers = refusal.headers(outcome)
         headers['X-Request-ID'] = self.inbound.request_id
         return web.Response(
             status=refusal.status,
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -136,7 +136,7 @@
         """Return an upstream to send to now, or why there is none."""
         now = self.clock.monotonic()
         if deadline <= now:
-            return Refuse('deadline_exceeded', timedelta())
+            return self._too_late()
         if not len(self.queue):
             choice = self.balancer.choose(info)
             if isinstance(choice, Dispatch):
@@ -182,10 +182,13 @@
             waiting.answer(refusal)
         return False
 
+    def _too_late(self) -> Refuse:
+        return Refuse('deadline_exceeded', self.queue.retry_after())
+
     def _tick(self) -> None:
         self.ticker = None
         for late in self.queue.expired(self.clock.monotonic()):
-            late.answer(Refuse('deadline_exceeded', timedelta()))
+            late.answer(self._too_late())
         self.pump()
 
     async def _wait(
@@ -195,8 +198,7 @@
     ) -> Ticket | Refuse:
         timer = asyncio.get_running_loop().call_later(
             remaining.total_seconds(),
-            waiting.answer,
-            Refuse('deadline_exceeded', timedelta()),
+            lambda: waiting.answer(self._too_late()),
         )
         try:
             return await waiting.future
--- a/src/crocusproxy/proxy/settings.py
+++ b/src/crocusproxy/proxy/settings.py
@@ -34,6 +34,7 @@
     connect_timeout: Duration = timedelta(seconds=1)
     # Shorter than the 5 s after which common servers close idle connections.
     idle_connection: Duration = timedelta(seconds=4)
+    idle_caller: Duration = timedelta(seconds=75)
     max_timeout: Duration = timedelta(hours=1)
 
 
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -210,6 +210,7 @@
         response = await proxy.call(headers=headers)
         assert response.code == 'deadline_exceeded'
         assert response.outcome == 'not-run'
+        assert 'retry-after' in response.headers
         assert len(upstream.requests) == 1
         upstream.kill()
         assert (await first).outcome == 'failed'
