--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -20,11 +20,8 @@
 from statistics import median
 
 import uvloop
-from aiohttp import web
 
-from crocusproxy.config.model import Document, Service, Upstream
-from crocusproxy.membership.view import InstanceView
-from crocusproxy.protocol.codec import encode
+from standins.feed import feed, one_service
 
 MAX_RATIO = 1.25
 _CONCURRENCY = (1, 8)
@@ -144,35 +141,13 @@
         await child.wait()
 
 
-@asynccontextmanager
-async def feed(port: int, upstream: str):
-    """Serve one configuration with one service ``s``."""
-    # Slots are set so that no request of the benchmark has to queue.
-    entry = Upstream('u', 's', upstream, 'fd1', slots=16)
-    document = Document(1, {'s': Service('s')}, {entry.key: entry})
-    replies = {'config': encode(document), 'view': encode(InstanceView(1))}
-
-    async def answer(request: web.Request) -> web.Response:
-        if int(request.query['after']) > 0:
-            await asyncio.sleep(int(request.query['wait_ms']) / 1000)
-        return web.Response(body=replies[request.match_info['feed']])
-
-    app = web.Application()
-    app.router.add_get('/v1/{feed}', answer)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', port).start()
-    yield
-    await runner.cleanup()
-
-
-def write_settings(directory: str, port: int, feed_port: int) -> str:
+def write_settings(directory: str, port: int, feed_address: str) -> str:
     listen = {'host': '127.0.0.1', 'port': port}
     settings = {
         'instance': {'name': 'i1', 'failure_domain': 'fd1'},
         'listen': listen,
         'admin': listen | {'port': free_port()},
-        'feeds': [f'127.0.0.1:{feed_port}'],
+        'feeds': [feed_address],
         'locate_validity': '1ms',
     }
     path = Path(directory) / 'proxy.yaml'
@@ -203,9 +178,9 @@
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
         directory = stack.enter_context(tempfile.TemporaryDirectory())
-        feed_port = free_port()
-        settings = write_settings(directory, targets['crocus'][0], feed_port)
-        await enter(feed(feed_port, upstream))
+        # No request of the benchmark has to queue.
+        followed = await enter(feed(one_service(upstream, slots=16)))
+        settings = write_settings(directory, targets['crocus'][0], followed)
         for command in (
             (*servers, 'upstream', str(targets['direct'][0])),
             (*servers, 'bare_proxy', str(targets['bare'][0]), upstream),
--- /dev/null
+++ b/standins/feed.py
@@ -0,0 +1,36 @@
+"""Stand-in for a configuration daemon with one document that never changes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from crocusproxy.config.model import Document, Service, Upstream
+from crocusproxy.membership.view import InstanceView
+from crocusproxy.protocol.codec import encode
+
+
+def one_service(upstream: str, slots: int) -> Document:
+    """Return a document with service ``s`` and one upstream at an address."""
+    entry = Upstream('u', 's', upstream, 'fd1', slots)
+    return Document(1, {'s': Service('s')}, {entry.key: entry})
+
+
+@asynccontextmanager
+async def feed(document: Document) -> AsyncIterator[str]:
+    """Serve the feeds of a configuration daemon and yield their address."""
+    replies = {'config': encode(document), 'view': encode(InstanceView(1))}
+
+    async def answer(request: web.Request) -> web.Response:
+        if int(request.query['after']) > 0:
+            await asyncio.Event().wait()
+        return web.Response(body=replies[request.match_info['feed']])
+
+    app = web.Application()
+    app.router.add_get('/v1/{feed}', answer)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.01)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    yield f'127.0.0.1:{runner.addresses[0][1]}'
+    await runner.cleanup()
--- a/tests/proxy/processes.py
+++ b/tests/proxy/processes.py
@@ -5,12 +5,13 @@
 import sys
 from contextlib import asynccontextmanager
 
-from aiohttp import web
-
-from crocusproxy.config.model import Document, Service, Upstream
-from crocusproxy.membership.view import InstanceView
-from crocusproxy.protocol.codec import encode
-from tests.proxy.harness import read_message, request
+from standins.feed import feed, one_service
+from standins.scripted import (
+    read_message,
+)
+from tests.proxy.harness import (
+    request,
+)
 
 COMMAND = 'from crocusproxy.proxy.main import main; main()'
 
@@ -67,33 +68,12 @@
         return await self.call(b'GET ' + path, port=self.admin_port)
 
 
-@asynccontextmanager
-async def feed(document):
-    """Serve one document and an empty instance view."""
-    replies = {'config': encode(document), 'view': encode(InstanceView(1))}
-
-    async def answer(sent):
-        if int(sent.query['after']) > 0:
-            await asyncio.Event().wait()
-        return web.Response(body=replies[sent.match_info['feed']])
-
-    app = web.Application()
-    app.router.add_get('/v1/{feed}', answer)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.01)
-    await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', 0).start()
-    yield f'127.0.0.1:{runner.addresses[0][1]}'
-    await runner.cleanup()
-
-
 @asynccontextmanager
 async def proxy_process(folder, upstream, **settings):
     """Yield a proxy process in front of a scripted upstream."""
     await upstream.start()
-    entry = Upstream('u', 's', upstream.address, 'fd1', 2)
-    document = Document(1, {'s': Service('s')}, {entry.key: entry})
     proxy = ProxyProcess()
-    async with feed(document) as address:
+    async with feed(one_service(upstream.address, slots=2)) as address:
         try:
             await proxy.start(folder, address, **settings)
             yield proxy
--- a/tests/proxy/test_broken_responses.py
+++ b/tests/proxy/test_broken_responses.py
@@ -5,12 +5,14 @@
 import pytest
 
 from crocusproxy.proxy.settings import Limits
-from tests.proxy.harness import (
-    KEY,
+from standins.scripted import (
     OK,
-    FakeLedger,
     answering,
     read_message,
+)
+from tests.proxy.harness import (
+    KEY,
+    FakeLedger,
     request,
     serving,
 )
--- a/tests/proxy/test_claims.py
+++ b/tests/proxy/test_claims.py
@@ -12,13 +12,16 @@
 from crocusproxy.ledger.results import LedgerSettings
 from crocusproxy.platform_client import PlatformClient
 from standins.platform import Platform
-from tests.proxy.harness import (
-    KEY,
+from standins.scripted import (
     NOT_RUN,
-    Proxy,
     ScriptedUpstream,
     answering,
+)
+from tests.proxy.harness import (
+    KEY,
+    Proxy,
     request,
+    until,
 )
 from tests.proxy.processes import proxy_process
 
@@ -84,8 +87,9 @@
         async with proxies(1, upstream, address) as [proxy]:
             assert (await proxy.call(POST, KEY)).outcome == 'not-run'
             # The key is free once the record of the void has been read.
-            while proxy.core.dispatcher.ledger.known_claim('s/k1'):
-                await asyncio.sleep(0)
+            await until(
+                lambda: not (proxy.core.dispatcher.ledger.known_claim('s/k1'))
+            )
             again = await proxy.call(POST, KEY)
             assert (again.status, again.outcome) == (200, 'answered')
     upstream.kill()
@@ -108,8 +112,9 @@
             killed.process.kill()
             assert await reader.read() == b''
             async with proxies(1, upstream, address) as [proxy]:
-                while not proxy.core.dispatcher.ledger.known_claim('s/k1'):
-                    await asyncio.sleep(0)
+                await until(
+                    lambda: proxy.core.dispatcher.ledger.known_claim('s/k1')
+                )
                 response = await proxy.call(POST, KEY)
         assert (response.status, response.outcome) == (409, 'unknown')
         assert response.code == 'request_in_progress'
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 from crocusproxy.proxy.suspects import CrashSuspects
-from tests.proxy.harness import answering, serving
+from standins.scripted import (
+    answering,
+)
+from tests.proxy.harness import (
+    serving,
+)
 
 SECOND = timedelta(seconds=1)
 BAD = frozenset(('bad',))
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -12,14 +12,17 @@
 )
 from crocusproxy.membership.view import InstanceView
 from crocusproxy.proxy.settings import Limits
-from tests.proxy.harness import (
-    KEY,
+from standins.scripted import (
     NOT_RUN,
     OK,
-    FakeLedger,
     answering,
+)
+from tests.proxy.harness import (
+    KEY,
+    FakeLedger,
     request,
     serving,
+    until,
 )
 
 FIRST = b'Crocus-Attempt: 1\r\n'
@@ -156,8 +159,7 @@
         for held in (1, 2):
             caller = b'Crocus-Caller: c%d\r\n' % held
             calls.append(asyncio.create_task(proxy.call(headers=caller)))
-            while len(route.queue) < held:
-                await asyncio.sleep(0)
+            await until(lambda: len(route.queue) == held)
         refused = await proxy.call(headers=b'Crocus-Caller: c3\r\n')
         assert refused.code == 'queue_full'
         assert refused.outcome == 'not-run'
@@ -185,11 +187,9 @@
         await arrived.wait()
         _, writer = await proxy.connect()
         writer.write(request(b'GET /s/left'))
-        while not len(route.queue):
-            await asyncio.sleep(0)
+        await until(lambda: len(route.queue))
         writer.transport.abort()
-        while proxy.core.metrics.in_flight > 1:
-            await asyncio.sleep(0)
+        await until(lambda: proxy.core.metrics.in_flight == 1)
         gate.set()
         assert (await call).status == 200
         assert (await proxy.call()).status == 200
@@ -204,8 +204,7 @@
 
     async with serving(script, slots=1, depth=0) as (proxy, upstream):
         first = asyncio.create_task(proxy.call())
-        while not upstream.requests:
-            await asyncio.sleep(0)
+        await until(lambda: upstream.requests)
         headers = b'Crocus-Timeout-Ms: 30\r\n'
         response = await proxy.call(headers=headers)
         assert response.code == 'deadline_exceeded'
@@ -280,18 +279,15 @@
         route = proxy.core.dispatcher.routes['s']
         flood = b'Crocus-Caller: flood\r\n'
         calls = [asyncio.create_task(proxy.call(headers=flood))]
-        while not upstream.requests:
-            await asyncio.sleep(0)
+        await until(lambda: upstream.requests)
         calls.append(asyncio.create_task(proxy.call(headers=flood)))
-        while not len(route.queue):
-            await asyncio.sleep(0)
+        await until(lambda: len(route.queue))
         refused = await proxy.call(headers=flood)
         assert (refused.status, refused.code) == (429, 'caller_over_limit')
         assert int(refused.headers['retry-after']) >= 1
         other = b'Crocus-Caller: other\r\n'
         calls.append(asyncio.create_task(proxy.call(headers=other)))
-        while len(route.queue) < 2:
-            await asyncio.sleep(0)
+        await until(lambda: len(route.queue) == 2)
         upstream.kill()
         await asyncio.gather(*calls)
 
--- a/tests/proxy/test_forward.py
+++ b/tests/proxy/test_forward.py
@@ -4,12 +4,14 @@
 
 from crocusproxy.config.model import Document
 from crocusproxy.membership.view import Instance, InstanceView
+from standins.scripted import (
+    ScriptedUpstream,
+    answering,
+)
 from tests.proxy.harness import (
     KEY,
     FakeLedger,
     Proxy,
-    ScriptedUpstream,
-    answering,
 )
 
 POST = b'POST /s/x'
--- a/tests/proxy/test_killed_upstream.py
+++ b/tests/proxy/test_killed_upstream.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from tests.proxy.harness import KEY, OK, FakeLedger, serving
+from standins.scripted import (
+    OK,
+)
+from tests.proxy.harness import (
+    KEY,
+    FakeLedger,
+    serving,
+)
 
 HALF_HEAD = OK[:20]
 HALF_BODY = OK[:-1]
--- a/tests/proxy/test_mixed_faults.py
+++ b/tests/proxy/test_mixed_faults.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from standins.scripted import (
+    NOT_RUN,
+    read_message,
+)
 from tests.proxy.harness import (
     KEY,
-    NOT_RUN,
     FakeLedger,
-    read_message,
     request,
     serving,
 )
--- a/tests/proxy/test_process.py
+++ b/tests/proxy/test_process.py
@@ -6,11 +6,13 @@
 
 import pytest
 
-from tests.proxy.harness import (
+from standins.scripted import (
     OK,
     ScriptedUpstream,
     answering,
     read_message,
+)
+from tests.proxy.harness import (
     request,
 )
 from tests.proxy.processes import proxy_process
