--- a/tests/proxy/harness.py
+++ b/tests/proxy/harness.py
@@ -16,6 +16,7 @@
 from crocusproxy.proxy.front import caller_server
 from crocusproxy.proxy.metrics import ProxyMetrics
 from crocusproxy.proxy.settings import Limits, ProxySettings
+from crocusproxy.routing.results import Wait
 from crocusproxy.settings import InstanceIdentity, Listen
 from standins.scripted import ScriptedUpstream, read_message
 
@@ -134,3 +135,17 @@
     """Let other tasks run until the condition holds."""
     while not condition():
         await asyncio.sleep(0)
+
+
+def one_at_a_time(proxy):
+    """Make the balancer offer room only while nothing is in flight."""
+    route = proxy.core.dispatcher.routes['s']
+    balancer = route.balancer
+    choose = balancer.choose
+
+    def has_room():
+        return not any(one.in_flight for one in balancer.states.values())
+
+    balancer.has_room = has_room
+    balancer.choose = lambda info: choose(info) if has_room() else Wait()
+    return route
