--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -31,6 +31,9 @@
 _WARM_UP_CALLS = 500
 _START_ATTEMPTS = 200
 _BODY_BYTES = 1024
+# The size of the users' services: the choice of an upstream takes its time.
+_UPSTREAMS = 15
+_SLOTS = 2
 
 
 class Caller(asyncio.Protocol):
@@ -178,8 +181,8 @@
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
         directory = stack.enter_context(tempfile.TemporaryDirectory())
-        # No request of the benchmark has to queue.
-        followed = await enter(feed(one_service(upstream, slots=16)))
+        document = one_service(upstream, _SLOTS, _UPSTREAMS)
+        followed = await enter(feed(document))
         settings = write_settings(directory, targets['crocus'][0], followed)
         for command in (
             (*servers, 'upstream', str(targets['direct'][0])),
--- a/standins/feed.py
+++ b/standins/feed.py
@@ -11,10 +11,18 @@
 from crocusproxy.protocol.codec import encode
 
 
-def one_service(upstream: str, slots: int) -> Document:
-    """Return a document with service ``s`` and one upstream at an address."""
-    entry = Upstream('u', 's', upstream, 'fd1', slots)
-    return Document(1, {'s': Service('s')}, {entry.key: entry})
+def one_service(address: str, slots: int, count: int = 1) -> Document:
+    """Return a document with service ``s`` and ``count`` upstreams.
+
+    All upstreams have the same address.
+    """
+    upstreams = [
+        Upstream(f'u{number}', 's', address, 'fd1', slots)
+        for number in range(count)
+    ]
+    return Document(
+        1, {'s': Service('s')}, {entry.key: entry for entry in upstreams}
+    )
 
 
 @asynccontextmanager
