--- a/src/crocusproxy/proxy/claims.py
+++ b/src/crocusproxy/proxy/claims.py
@@ -1,11 +1,14 @@
 """Claims of non-idempotent requests, as the dispatcher uses them."""
 
+from datetime import timedelta
+
 from ..ledger.ledger import Ledger
 from ..ledger.results import (
     AlreadyClaimed,
     Claimed,
     ClaimState,
     ClaimUnavailable,
+    LedgerSettings,
 )
 from .inbound import Inbound
 from .problems import NOT_RUN, UNKNOWN, RefusalError
@@ -17,6 +20,22 @@
 }
 
 
+_MINUTE = timedelta(minutes=1)
+_LONGEST_HORIZON = timedelta(hours=1)
+
+
+def claim_horizon(retention: timedelta) -> timedelta:
+    """Return how far ahead the expiry of a key may lie.
+
+    A claim must expire well before the platform drops its record. The ledger
+    accepts no settings without that distance.
+
+    >>> LedgerSettings(_MINUTE, claim_horizon(_MINUTE)).horizon
+    datetime.timedelta(seconds=30)
+    """
+    return min(_LONGEST_HORIZON, retention / 2)
+
+
 async def claim(ledger: Ledger, inbound: Inbound) -> str:
     """Claim the key of a request and return the nonce of the claim.
 
--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -9,6 +9,8 @@
 from ..membership.view import InstanceView
 from ..protocol.drains import DrainNotice
 from ..routing.balancer import Balancer
+from .claims import claim_horizon
+from .crashes import CrashWatch
 from .dispatch import Dispatcher
 from .drains import DrainNotices
 from .forward import Forwarder
@@ -41,9 +43,15 @@
         self.pool = ConnectionPool(
             limits.connect_timeout, limits.idle_connection
         )
-        self.reader = InboundReader(limits, settings.platform.retention, random)
+        self.crashes = CrashWatch(clock)
+        self.pool.on_crash = self.crashes.lost
+        self.reader = InboundReader(
+            limits, claim_horizon(settings.platform.retention), random
+        )
         self.forwarder = Forwarder(self.pool, clock, limits, settings.instance)
-        self.dispatcher = Dispatcher(self.pool, clock, limits, ledger)
+        self.dispatcher = Dispatcher(
+            self.pool, clock, limits, self.crashes, metrics, ledger
+        )
         self.drains = DrainNotices(self.dispatcher.routes, clock)
         self.front = Front(
             self.reader,
@@ -66,17 +74,22 @@
             routes[name].update(service, upstreams)
         for gone in routes.keys() - document.services.keys():
             routes.pop(gone)
+        self.crashes.document = document
         self.reader.services = document.services
         self.document = document
         log('configuration_applied', generation=document.generation)
 
     def apply_view(self, view: InstanceView) -> None:
         """Apply a newer instance view."""
+        changed = view.leaving_upstreams ^ self.view.leaving_upstreams
         self.view = view
         self.forwarder.update(view)
         self.drains.update(view.instances, self.settings.instance.name)
-        for route in self.dispatcher.routes.values():
-            route.drain(view.leaving_upstreams)
+        services = {key.partition('/')[0] for key in changed}
+        for service in sorted(services):
+            route = self.dispatcher.routes.get(service)
+            if route is not None:
+                route.drain(view.leaving_upstreams)
 
     def _unchanged(self, name: str, document: Document) -> bool:
         """Tell whether a service and its upstreams are those applied last.
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -13,10 +13,14 @@
 from ..logs import log, start_logging
 from ..platform_client import PlatformClient
 from ..protocol.codec import encode
+from ..protocol.crashes import CrashReport
 from ..protocol.feed import FeedClient
 from ..protocol.follow import FeedFollower
 from ..settings import load_or_exit
+from .burn_summary import BurnSummaries
+from .claims import claim_horizon
 from .core import ProxyCore
+from .crashes import send_report
 from .front import caller_server
 from .metrics import ProxyMetrics
 from .settings import ProxySettings
@@ -33,6 +37,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.application = Application(_PROGRAM, settings.drain_limit)
+        self.summaries: BurnSummaries | None = None
         self.metrics = ProxyMetrics(self.clock, settings.instance.name)
         self.application.on_start.append(self.start)
         self.application.on_drain.append(self.drain)
@@ -42,6 +47,7 @@
         """Build the parts, follow the feeds and open both ports."""
         settings = self.settings
         self.session = ClientSession()
+        self.platform = self._platform()
         self.ledger = self._ledger()
         self.core = ProxyCore(
             settings, self.clock, SystemRandom(), self.metrics, self.ledger
@@ -51,6 +57,7 @@
             self.clock,
         )
         self.core.drains.connect(self.session)
+        self.core.crashes.share = self._share
         self.core.front.not_ready = self.follower.not_ready_reason
         self.application.readiness.append(self.follower.not_ready_reason)
         self.follower.on_document.append(self.core.apply_document)
@@ -58,7 +65,12 @@
         if self.ledger is not None:
             await self.ledger.start()
         await self.follower.start()
-        self.sweeper = asyncio.create_task(self._sweep())
+        self.tasks = [asyncio.create_task(self._sweep())]
+        if self.platform is not None:
+            self.summaries = BurnSummaries(
+                self.metrics, self.platform, self.clock, self.core.random
+            )
+            self.tasks.append(asyncio.create_task(self.summaries.run()))
         await self._listen()
 
     async def drain(self) -> None:
@@ -72,20 +84,30 @@
     async def stop(self) -> None:
         """Close the ports and everything that was opened."""
         await self.runner.cleanup()
-        self.sweeper.cancel()
+        for task in self.tasks:
+            task.cancel()
         await self.follower.stop()
-        if self.ledger is not None:
-            await self.ledger.stop()
+        await self._leave_platform()
         self.core.pool.close()
         await self.session.close()
         await self.admin.cleanup()
 
+    async def _leave_platform(self) -> None:
+        if self.summaries is not None:
+            await self.summaries.finish()
+        if self.ledger is not None:
+            await self.ledger.stop()
+
+    def _platform(self) -> PlatformClient | None:
+        address = self.settings.platform.address
+        return PlatformClient(self.session, address) if address else None
+
     def _ledger(self) -> Ledger | None:
-        platform = self.settings.platform
-        if not platform.address:
+        if self.platform is None:
             return None
-        client = PlatformClient(self.session, platform.address)
-        return Ledger(client, self.clock, LedgerSettings(platform.retention))
+        retention = self.settings.platform.retention
+        settings = LedgerSettings(retention, claim_horizon(retention))
+        return Ledger(self.platform, self.clock, settings)
 
     async def _listen(self) -> None:
         admin = web.Application()
@@ -94,6 +116,7 @@
             [
                 web.get('/v1/burn', self._burn),
                 web.post('/v1/drains', self.core.drains.receive),
+                web.post('/v1/crashes', self.core.crashes.receive),
             ]
         )
         listen = self.settings.admin
@@ -118,6 +141,12 @@
             await asyncio.sleep(_SWEEP_SECONDS)
             self.core.pool.close_idle()
 
+    async def _share(self, service: str, report: CrashReport) -> None:
+        entry = self.core.reader.services.get(service)
+        if entry is not None:
+            homes = self.core.forwarder.other_homes(entry)
+            await send_report(self.session, homes, report)
+
     async def _burn(self, _: web.Request) -> web.Response:
         report = encode(self.metrics.burn_report())
         return web.Response(body=report, content_type='application/json')
