--- a/bench/run.py
+++ b/bench/run.py
@@ -10,8 +10,8 @@
 
 import fire
 
-_SHORT = ('policy',)
-_ALL = ('policy', 'call_cost')
+_SHORT = ('policy', 'ledger')
+_ALL = ('policy', 'call_cost', 'ledger')
 
 
 def main(short: bool = False) -> None:
--- a/src/crocusproxy/ledger/appender.py
+++ b/src/crocusproxy/ledger/appender.py
@@ -39,6 +39,8 @@
         self.on_down = on_down
         self.down = False
         self.failures = 0
+        # Appends at the mean rate would have taken until then.
+        self.paid_until = clock.monotonic()
         self.work = asyncio.Event()
         self.idle = asyncio.Event()
 
@@ -56,10 +58,9 @@
                 await self.work.wait()
                 self.work.clear()
                 continue
-            started = self.clock.monotonic()
+            self._count_append()
             await self._append(batch)
-            spent = self.clock.monotonic() - started
-            pause = self._interval() - spent
+            pause = self._pause()
             if pause > timedelta():
                 await self.clock.sleep(pause)
 
@@ -69,9 +70,16 @@
             return Batch()  # shows when the platform answers again
         return batch
 
-    def _interval(self) -> timedelta:
+    def _count_append(self) -> None:
+        now = self.clock.monotonic()
+        interval = self.book.settings.append_interval
+        self.paid_until = max(self.paid_until, now) + interval
+
+    def _pause(self) -> timedelta:
+        settings = self.book.settings
         if not self.failures:
-            return self.book.settings.append_interval
+            credit = settings.append_burst * settings.append_interval
+            return self.paid_until - credit - self.clock.monotonic()
         delay = _FIRST_RETRY_DELAY * (1 << min(self.failures - 1, 8))
         return min(delay, _LONGEST_RETRY_DELAY)
 
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -53,6 +53,8 @@
 
         Voids and completions get ``flush_limit`` to reach the stream.
         """
+        if not self.tasks:
+            return
         for nonce in tuple(self.waiting):
             self._give_up(nonce, 'stopped')
         limit = self.settings.flush_limit.total_seconds()
--- a/src/crocusproxy/ledger/results.py
+++ b/src/crocusproxy/ledger/results.py
@@ -62,8 +62,9 @@
     retention: Duration = timedelta(hours=24)
     horizon: Duration = timedelta(hours=1)
     clock_bound: Duration = timedelta(seconds=5)
-    # 14 instances that append without pause make 467 appends a second.
-    append_interval: Duration = timedelta(milliseconds=30)
+    # Six homes that append without pause make 300 appends a second.
+    append_interval: Duration = timedelta(milliseconds=20)
+    append_burst: int = 5
     claim_limit: Duration = timedelta(seconds=2)
     flush_limit: Duration = timedelta(seconds=2)
     batch_limit: int = 500
--- /dev/null
+++ b/src/crocusproxy/measurement/budget.py
@@ -0,0 +1,62 @@
+"""Division of a service's probe budget into rights."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..config.model import Document, ProbeBudget
+
+#: Bytes that are reserved for one probe, request and response together.
+PROBE_BYTES = 2048
+
+_SECOND = timedelta(seconds=1)
+# In each window a right pays for one probe that is due and for one that was
+# delayed between its check and its send.
+_PROBES_PER_RIGHT = 2
+# Two probes of a right stay in different windows at the upstreams although
+# one of them takes up to a quarter of a window longer to arrive.
+_SPACING_IN_WINDOWS = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class RightsPlan:
+    """How the budget of one service is divided in one generation.
+
+    Each of the ``count`` rights permits one probe per ``spacing``. Together
+    they cause at most ``2 * count`` probes in any ``window``, which is one
+    second unless the budget is below two probes a second.
+    """
+
+    generation: int = 0
+    count: int = 0
+    window: timedelta = _SECOND
+    spacing: timedelta = _SECOND * _SPACING_IN_WINDOWS
+
+
+def divide(budget: ProbeBudget, generation: int) -> RightsPlan:
+    """Divide a budget into equal rights.
+
+    The cost of a right is the same in all generations, so any mixture of two
+    generations stays within the larger of their budgets.
+
+    >>> divide(ProbeBudget(per_second=5, bytes_per_second=100_000), 1).count
+    2
+    >>> divide(ProbeBudget(per_second=0.5), 1).window
+    datetime.timedelta(seconds=4)
+    """
+    per_second = min(budget.per_second, budget.bytes_per_second / PROBE_BYTES)
+    if per_second <= 0:
+        return RightsPlan(generation)
+    if per_second < _PROBES_PER_RIGHT:
+        window = _SECOND * (_PROBES_PER_RIGHT / per_second)
+        spacing = window * _SPACING_IN_WINDOWS
+        return RightsPlan(generation, 1, window, spacing)
+    return RightsPlan(generation, int(per_second // _PROBES_PER_RIGHT))
+
+
+def plans_of(document: Document) -> Mapping[str, RightsPlan]:
+    """Divide the budgets of all services of a document."""
+    return {
+        name: divide(service.probe_budget, document.generation)
+        for name, service in document.services.items()
+    }
--- /dev/null
+++ b/src/crocusproxy/measurement/fold.py
@@ -0,0 +1,102 @@
+"""The rights fold: who last wrote about each right, and when it was read."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NamedTuple
+
+from .records import Renewal
+
+
+class Right(NamedTuple):
+    """The permission number ``number`` to probe a service."""
+
+    service: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class LastRecord:
+    """The last record about a right, whether or not it took effect.
+
+    ``free_at`` is on the reader's monotonic clock: by then the writer's term
+    is over, if nothing about the right has been read in between.
+    """
+
+    offset: int
+    holder: str
+    free_at: timedelta
+
+
+def rights_of(renewal: Renewal) -> Iterator[Right]:
+    """Yield the rights that a record is about."""
+    for service, part in renewal.services.items():
+        for number in part.numbers:
+            yield Right(service, number)
+
+
+class RightsFold:
+    """Folds stream ``rights`` in offset order, for one reader.
+
+    A reader that starts, or that missed records, does not know what they
+    said, so it treats every right as held for ``longest_term`` from then.
+    """
+
+    def __init__(self, longest_term: timedelta, guard: timedelta) -> None:
+        self.longest_term = longest_term
+        self.guard = guard
+        self.next = 0
+        self.started = False
+        self.unknown_until = timedelta.max
+        self.last: dict[Right, LastRecord] = {}
+        # The highest generation written about per service, and its count.
+        self.announced: dict[str, tuple[int, int]] = {}
+
+    def begin_page(self, first: int, now: timedelta) -> bool:
+        """Note the oldest offset kept; tell whether records were missed."""
+        missed = not self.started or first > self.next
+        self.next = max(self.next, first)
+        if missed:
+            self.started = True
+            self.forget(now)
+        return missed
+
+    def forget(self, now: timedelta) -> None:
+        """Treat every right as held from now on by an unknown holder."""
+        self.unknown_until = now + self.longest_term + self.guard
+
+    def apply(self, offset: int, renewal: Renewal, now: timedelta) -> None:
+        """Apply the record at ``offset``, read at ``now``."""
+        self.next = offset + 1
+        for service, part in renewal.services.items():
+            generation, _ = self.announced.get(service, (-1, 0))
+            if part.generation > generation:
+                self.announced[service] = (part.generation, part.count)
+        term = max(renewal.term, self.longest_term)
+        entry = LastRecord(offset, renewal.holder, now + term + self.guard)
+        for right in rights_of(renewal):
+            self.last[right] = entry
+
+    def last_offset(self, right: Right) -> int:
+        """Return the offset of the last record about a right, or -1."""
+        entry = self.last.get(right)
+        return entry.offset if entry else -1
+
+    def is_free(self, right: Right, now: timedelta) -> bool:
+        """Tell whether no holder's term can still run."""
+        entry = self.last.get(right)
+        if now < self.unknown_until:
+            return False
+        return entry is None or now >= entry.free_at
+
+    def is_withdrawn(self, right: Right, generation: int) -> bool:
+        """Tell whether a generation above ``generation`` lacks this right."""
+        announced, count = self.announced.get(right.service, (-1, 0))
+        return announced > generation and right.number >= count
+
+    def drop_free(self, now: timedelta) -> None:
+        """Forget rights about which nothing was read for a long time."""
+        limit = now - self.longest_term * 2
+        for right, entry in tuple(self.last.items()):
+            if entry.free_at < limit:
+                self.last.pop(right)
--- /dev/null
+++ b/src/crocusproxy/measurement/load_report.py
@@ -0,0 +1,73 @@
+"""Load reports of upstreams in the text form of ORCA."""
+
+from dataclasses import dataclass
+
+HEADER = 'Endpoint-Load-Metrics'
+
+_FORMAT = 'TEXT'
+_PREFIX = 'named_metrics.'
+_REQUIRED = ('in_flight', 'slots', 'queued')
+_LARGEST = 1_000_000
+_LONGEST = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """What an upstream reports of itself: counts of requests and slots."""
+
+    in_flight: int
+    slots: int
+    queued: int
+
+
+def format_load(load: ReportedLoad) -> str:
+    """Write a report as the value of the header.
+
+    >>> format_load(ReportedLoad(in_flight=1, slots=2, queued=0))
+    'TEXT named_metrics.in_flight=1, named_metrics.slots=2, named_metrics.queued=0'
+    """  # noqa: E501
+    pairs = ', '.join(
+        f'{_PREFIX}{name}={getattr(load, name)}' for name in _REQUIRED
+    )
+    return f'{_FORMAT} {pairs}'
+
+
+def parse_load(text: str) -> ReportedLoad | None:
+    """Read the value of the header; None if it is no usable report.
+
+    Metrics that are not used here are passed over. A report with a repeated,
+    missing, negative or unreasonable count is not used at all.
+
+    >>> parse_load(
+    ...     'TEXT named_metrics.in_flight=1, named_metrics.slots=2.0, '
+    ...     'cpu_utilization=0.3, named_metrics.queued=0'
+    ... )
+    ReportedLoad(in_flight=1, slots=2, queued=0)
+    """
+    kind, _, pairs = text.strip().partition(' ')
+    if kind != _FORMAT or len(text) > _LONGEST:
+        return None
+    counts: dict[str, int] = {}
+    for pair in pairs.split(','):
+        name, _, figure = pair.strip().partition('=')
+        name = name.removeprefix(_PREFIX)
+        if name not in _REQUIRED:
+            continue
+        count = _count(figure)
+        if count is None or name in counts:
+            return None
+        counts[name] = count
+    if len(counts) < len(_REQUIRED):
+        return None
+    return ReportedLoad(**counts)
+
+
+def _count(figure: str) -> int | None:
+    try:
+        number = float(figure)
+    except ValueError:
+        return None
+    # The comparison is also false for NaN.
+    if 0 <= number <= _LARGEST and number.is_integer():
+        return int(number)
+    return None
