Check the probe ceiling over frozen, lagging and restarted holders

Records now carry the spacing, and a holder with a newer configuration answers such a record with an announcement.

--- a/src/crocusproxy/measurement/fold.py
+++ b/src/crocusproxy/measurement/fold.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from .records import Renewal
+from .records import Renewal, ServiceRights
 
 
 class Right(NamedTuple):
@@ -49,8 +49,10 @@
         self.started = False
         self.unknown_until = timedelta.max
         self.last: dict[Right, LastRecord] = {}
-        # The highest generation written about per service, and its count.
-        self.announced: dict[str, tuple[int, int]] = {}
+        # The newest generation that was written about, per service.
+        self.announced: dict[str, ServiceRights] = {}
+        # What the last record about each service said.
+        self.latest: dict[str, ServiceRights] = {}
 
     def begin_page(self, first: int, now: timedelta) -> bool:
         """Note the oldest offset kept; tell whether records were missed."""
@@ -69,9 +71,10 @@
         """Apply the record at ``offset``, read at ``now``."""
         self.next = offset + 1
         for service, part in renewal.services.items():
-            generation, _ = self.announced.get(service, (-1, 0))
-            if part.generation > generation:
-                self.announced[service] = (part.generation, part.count)
+            self.latest[service] = part
+            announced = self.announced.get(service)
+            if announced is None or part.generation > announced.generation:
+                self.announced[service] = part
         term = max(renewal.term, self.longest_term)
         entry = LastRecord(offset, renewal.holder, now + term + self.guard)
         for right in rights_of(renewal):
@@ -91,8 +94,15 @@
 
     def is_withdrawn(self, right: Right, generation: int) -> bool:
         """Tell whether a generation above ``generation`` lacks this right."""
-        announced, count = self.announced.get(right.service, (-1, 0))
-        return announced > generation and right.number >= count
+        newer = self.newer(right.service, generation)
+        return newer is not None and right.number >= newer.count
+
+    def newer(self, service: str, generation: int) -> ServiceRights | None:
+        """Return what was written about a generation above this one."""
+        announced = self.announced.get(service)
+        if announced and announced.generation > generation:
+            return announced
+        return None
 
     def drop_free(self, now: timedelta) -> None:
         """Forget rights about which nothing was read for a long time."""
--- a/src/crocusproxy/measurement/prober.py
+++ b/src/crocusproxy/measurement/prober.py
@@ -14,7 +14,7 @@
     ClientTimeout,
     TCPConnector,
 )
-from aiohttp.client_reqrep import Connection
+from aiohttp.connector import Connection
 
 from ..clock import Clock
 from ..config.model import Upstream
@@ -44,11 +44,11 @@
 class _CheckedRequest(ClientRequest):
     """Asks for permission after connecting, right before the send."""
 
-    may_probe: ClassVar[Callable[[str], bool]]
+    prober: 'ClassVar[Prober]'
 
     async def send(self, conn: Connection) -> ClientResponse:
         service = self.headers.pop(_SERVICE)
-        if not self.may_probe(service):
+        if not self.prober.may_probe(service):
             raise ProbeNotAllowedError(f'no right for {service}')
         return await super().send(conn)
 
@@ -121,14 +121,13 @@
         except ClientError:
             return None
 
-    def _request_class(self) -> type[ClientRequest]:
-        # A bound method stays as it is when it is read from the instance.
-        members = {'may_probe': self._may_probe}
-        return type('_Request', (_CheckedRequest,), members)
-
-    def _may_probe(self, service: str) -> bool:
+    def may_probe(self, service: str) -> bool:
+        """Spend one probe of a right, if one is due at this moment."""
         return self.holder.may_probe(service, self.clock.monotonic())
 
+    def _request_class(self) -> type[ClientRequest]:
+        return type('_Request', (_CheckedRequest,), {'prober': self})
+
     async def _run(self) -> None:
         while True:
             for upstream in self.plan():
--- a/src/crocusproxy/measurement/records.py
+++ b/src/crocusproxy/measurement/records.py
@@ -12,12 +12,14 @@
 class ServiceRights:
     """Rights of one service that the holder renews or takes.
 
-    ``count`` is the number of rights of the service in ``generation``. With
-    no ``numbers``, the record only announces that generation.
+    ``count`` is the number of rights of the service in ``generation`` and
+    ``spacing`` the time between two probes of each. With no ``numbers``, the
+    record only announces that generation.
     """
 
     generation: int
     count: int
+    spacing: timedelta
     numbers: tuple[int, ...] = ()
 
 
--- a/src/crocusproxy/measurement/rights.py
+++ b/src/crocusproxy/measurement/rights.py
@@ -93,7 +93,7 @@
         due = self._due_right(service, now)
         if due is None:
             return False
-        due.next_probe_at = now + self._plan(service).spacing
+        due.next_probe_at = now + self._spacing(service)
         return True
 
     def could_probe(self, service: str, now: timedelta) -> bool:
@@ -109,7 +109,7 @@
         ]
         if held and probes:
             latest = max(held, key=lambda right: right.next_probe_at)
-            latest.next_probe_at += probes * self._plan(service).spacing
+            latest.next_probe_at += probes * self._spacing(service)
 
     def propose(self, now: timedelta) -> Renewal | None:
         """Return what to append; ``now`` is read before the append.
@@ -132,7 +132,7 @@
             if rights or self._must_announce(service, plan, now):
                 numbers = tuple(right.number for right in rights)
                 services[service] = ServiceRights(
-                    plan.generation, plan.count, numbers
+                    plan.generation, plan.count, plan.spacing, numbers
                 )
         if not services:
             return None
@@ -185,7 +185,7 @@
             elif proposal.expected.get(right) == self.fold.last_offset(right):
                 self.chain.add(right)
                 # Keeps the distance from the previous holder's last probe.
-                first_probe_at = now + self._plan(right.service).spacing
+                first_probe_at = now + self._spacing(right.service)
                 self.held[right] = HeldRight(until, first_probe_at)
 
     def _due_right(self, service: str, now: timedelta) -> HeldRight | None:
@@ -221,14 +221,23 @@
     def _must_announce(
         self, service: str, plan: RightsPlan, now: timedelta
     ) -> bool:
-        generation, count = self.fold.announced.get(service, (-1, 0))
-        if plan.generation <= generation or plan.count >= count:
+        # Also answers a writer that started after the last announcement had
+        # expired from the stream, and has an older configuration.
+        latest = self.fold.latest.get(service)
+        if latest is None or plan.generation <= latest.generation:
+            return False
+        if plan.count >= latest.count and plan.spacing <= latest.spacing:
             return False
         return any(
             not self.fold.is_free(Right(service, number), now)
-            for number in range(plan.count, count)
+            for number in range(latest.count)
         )
 
+    def _spacing(self, service: str) -> timedelta:
+        plan = self._plan(service)
+        newer = self.fold.newer(service, plan.generation)
+        return max(plan.spacing, newer.spacing) if newer else plan.spacing
+
     def _plan(self, service: str) -> RightsPlan:
         return self.plans.get(service, _NO_PLAN)
 
