Obey signals from the first start hook to the last stop hook

Change: the application sets its own handlers before the first hook and keeps them; the drain limit now bounds the drain hooks only, so that the stop hooks always run. Before: the new tests fail at each stage (start, ready, drain); after: they pass. Ruled out: the accept queue of the closed port, since the trace shows the process ended before it logged draining.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -1,7 +1,8 @@
 """The life cycle that all daemons share, and their admin endpoints."""
 
+import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -24,7 +25,9 @@
 
     ``on_start`` and ``on_ready`` hooks run in order. On SIGTERM or SIGINT the
     ``on_drain`` hooks run in order, with work still being served, and then the
-    ``on_stop`` hooks in reverse order. ``drain_limit`` bounds the shutdown.
+    ``on_stop`` hooks in reverse order. ``drain_limit`` bounds the drain hooks.
+    A signal that comes before the end of the start is obeyed after it; one that
+    comes during the shutdown has no effect.
     """
 
     name: str
@@ -46,11 +49,12 @@
         """Drain and stop; a failing hook does not prevent the others."""
         self.draining = True
         log('draining')
-        for hook in (*self.on_drain, *reversed(self.on_stop)):
-            try:
-                await hook()
-            except Exception as error:  # noqa: BLE001 - clean-up goes on
-                log('shutdown_hook_failed', error=repr(error))
+        try:
+            async with asyncio.timeout(self.drain_limit.total_seconds()):
+                await _run_all(self.on_drain)
+        except TimeoutError:
+            log('drain_limit_passed')
+        await _run_all(reversed(self.on_stop))
         log('stopped')
 
     def not_ready_reasons(self) -> tuple[str, ...]:
@@ -69,14 +73,14 @@
 
     def run(self) -> None:
         """Run on a uvloop event loop until SIGTERM or SIGINT."""
+        service = _LifeCycle(self)
         with aiomisc.entrypoint(
-            _LifeCycle(self),
+            service,
             loop_factory=uvloop.new_event_loop,
             log_config=False,
-            catch_signals=(signal.SIGTERM, signal.SIGINT),
-            shutdown_timeout=self.drain_limit.total_seconds(),
+            catch_signals=(),
         ) as loop:
-            loop.run_forever()
+            loop.run_until_complete(service.stopping.wait())
 
     async def _ready(self, _: web.Request) -> web.Response:
         reasons = self.not_ready_reasons()
@@ -88,14 +92,27 @@
     def __init__(self, application: Application) -> None:
         super().__init__()
         self.application = application
+        self.stopping = asyncio.Event()
 
     async def start(self) -> None:
+        # aiomisc's own handlers are set only after the start and removed
+        # before the shutdown; a signal outside that time kills the process.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
         await self.application.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         await self.application.stop()
 
 
+async def _run_all(hooks: Iterable[Hook]) -> None:
+    for hook in hooks:
+        try:
+            await hook()
+        except Exception as error:  # noqa: BLE001 - clean-up goes on
+            log('shutdown_hook_failed', error=repr(error))
+
+
 async def serve(
     handler: web.Application,
     host: str,
--- /dev/null
+++ b/tests/test_application.py
@@ -0,0 +1,55 @@
+"""Guards against a signal that ends a program without its clean-up."""
+
+import os
+import signal
+from datetime import timedelta
+from multiprocessing import get_context
+
+import pytest
+
+from crocusproxy.application import Application
+
+
+def run_program(pipe, stage):
+    """Run an application that signals itself while in ``stage``."""
+    application = Application('test', drain_limit=timedelta(seconds=5))
+
+    def hook(name, number=signal.SIGTERM):
+        async def run():
+            pipe.send(name)
+            if name == stage:
+                os.kill(os.getpid(), number)
+
+        return run
+
+    async def fail():
+        raise RuntimeError
+
+    application.on_start.append(hook('start'))
+    application.on_ready.append(hook('ready', signal.SIGINT))
+    application.on_drain += [fail, hook('drain')]
+    application.on_stop += [hook('stop'), hook('stop first')]
+    if stage == 'drain':
+        application.on_ready.append(hook('drain'))
+    application.run()
+    pipe.send('end')
+
+
+@pytest.mark.parametrize('stage', ['start', 'ready', 'drain'])
+def test_a_signal_at_any_stage_runs_every_hook_once_and_in_order(stage):
+    context = get_context('spawn')
+    ours, theirs = context.Pipe()
+    child = context.Process(target=run_program, args=(theirs, stage))
+    child.start()
+    theirs.close()
+    child.join(30)
+    seen = []
+    while ours.poll():
+        try:
+            seen.append(ours.recv())
+        except EOFError:
+            break
+    expected = ['start', 'ready', 'drain', 'stop first', 'stop', 'end']
+    if stage == 'drain':
+        expected.insert(2, 'drain')
+    assert (child.exitcode, seen) == (0, expected)
