--- a/src/crocusproxy/cli/main.py
+++ b/src/crocusproxy/cli/main.py
@@ -88,8 +88,8 @@
             base: publish only if this is the current generation.
             json: print JSON.
         """
-        if base is not None and not isinstance(base, int):
-            _fail(WrongInputError('--base is not a whole number'), json)
+        if base is not None:
+            _check_number('--base', base, json)
         name = operator or getpass.getuser()
         self._run(
             lambda system: commands.publish(system, file, name, base), json
@@ -137,6 +137,7 @@
             submission: show only this one; the exit code is its verdict.
             json: print JSON.
         """
+        _check_number('--limit', limit, json)
         self._run(lambda system: show_history(system, limit, submission), json)
 
     def instances(self, json: bool = False) -> None:
@@ -167,6 +168,12 @@
     fire.Fire(Crocusctl, name='crocusctl')
 
 
+def _check_number(flag: str, number: object, as_json: bool) -> None:
+    # fire passes on whatever the text looks like.
+    if not isinstance(number, int) or isinstance(number, bool) or number < 0:
+        _fail(WrongInputError(f'{flag} is not a whole number'), as_json)
+
+
 def _finish(command: Callable[[], Result], as_json: bool) -> None:
     try:
         result = command()
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -66,6 +66,8 @@
         (2, ['publish', EXAMPLE, '--platform', '127.0.0.1:1', '--base', 'x']),
         (2, ['publish', EXAMPLE, '--config', '127.0.0.1:1']),
         (2, ['show', '--settings', EXAMPLE]),
+        (2, ['history', '--platform', '127.0.0.1:1', '--limit', 'x']),
+        (2, ['history', '--platform', '127.0.0.1:1', '--limit=-1']),
         (2, ['no-such-command']),
     ],
 )
--- a/tests/config/test_state_machine.py
+++ b/tests/config/test_state_machine.py
@@ -174,6 +174,28 @@
             parts[0]['services'] = parts[0]['services'][1:]
         self.prepared.extend(parts)
 
+    @rule(reader=st.integers(1, 3), lost=st.integers(0, 2))
+    def restart_after_a_mixed_snapshot(self, reader, lost):
+        """Lose nothing, a change before the first part, or also that part."""
+        steady = self.instances[0]
+        steady.catch_up()
+        state = steady.reader.state
+        if not state.document.generation:
+            return
+        parts = make_snapshot(state.document, state.verdicts, state.offset)
+        self.change_now(homes=1)
+        self.log.append(to_plain(parts[0]))
+        self.change_now(homes=2)
+        for part in parts[1:]:
+            self.log.append(to_plain(part))
+        self.log.first = max(self.log.first, state.offset + 1 + lost)
+        self.restart(reader)
+
+    def change_now(self, homes):
+        self.instances[0].catch_up()
+        self.prepare_change(0, 'a', homes, 'service')
+        self.append(len(self.prepared) - 1, again=False)
+
     @rule(reader=READERS, limit=st.integers(1, 4))
     def poll(self, reader, limit):
         self.log.limit = limit
