Ask a peer sooner when the own configuration daemon is frozen

Cause: a program polls the daemon of its instance for 20 s at a time and waits 2 s more before it asks a peer.

Change: a poll lasts 2 s.

--- a/src/crocusproxy/protocol/follow.py
+++ b/src/crocusproxy/protocol/follow.py
@@ -11,7 +11,9 @@
 from ..membership.view import InstanceView
 from .feed import FeedClient
 
-_WAIT = timedelta(seconds=20)
+# Bounds, with the grace of the feed client, how long a frozen daemon can hold
+# back a change before a peer is asked.
+_WAIT = timedelta(seconds=2)
 _RETRY_DELAY = timedelta(milliseconds=200)
 
 DocumentListener = Callable[[Document], None]
--- a/tests/config/test_feed.py
+++ b/tests/config/test_feed.py
@@ -1,9 +1,11 @@
 """Guards against feeds that send too much, too little or an older state."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
+from crocusproxy.clock import ManualClock
 from crocusproxy.config.change import RULES, Delete, apply_edits
 from crocusproxy.config.model import Document
 from crocusproxy.config.peers import Rotation
@@ -23,6 +25,7 @@
     RulesUnknownError,
     apply_reply,
 )
+from crocusproxy.protocol.follow import FeedFollower
 from crocusproxy.protocol.view_feed import ViewReply, apply_view
 from tests.config.samples import put_service, put_upstream
 
@@ -152,6 +155,31 @@
     assert polled.count('frozen') == 2
 
 
+def test_a_frozen_daemon_cannot_hold_back_a_change_for_long():
+    # A poll ends two seconds after its wait; 10 s is the target for a change.
+    waits = []
+
+    class Feed:
+        address = 'frozen'
+
+        async def document(self, after, wait, current):
+            waits.append(wait)
+            follower.tasks[0].cancel()
+
+        async def view(self, after, wait, current):
+            waits.append(wait)
+            follower.tasks[1].cancel()
+
+    async def follow():
+        await follower.start()
+        await asyncio.gather(*follower.tasks, return_exceptions=True)
+
+    follower = FeedFollower((Feed(),), ManualClock())
+    asyncio.run(follow())
+    assert len(waits) == 2
+    assert max(waits) <= timedelta(seconds=3)
+
+
 def test_the_platform_is_read_only_after_every_peer_has_failed():
     async def poll(address, wait):
         return False
