--- a/tests/config/test_validation.py
+++ b/tests/config/test_validation.py
@@ -18,6 +18,8 @@
 
 EXAMPLE = Path('examples/redaccion.yaml')
 TEXT = EXAMPLE.read_text()
+SHARE = 'share_out_of_range'
+BUDGET = 'budget_out_of_range'
 
 
 def faults_of(text):
@@ -52,36 +54,26 @@
             'objective.window',
             'duration_out_of_range',
         ),
-        (
-            'retry_share: 0.02',
-            'retry_share: 1.01',
-            'retry_share',
-            'share_out_of_range',
-        ),
+        ('retry_share: 0.02', 'retry_share: 1.01', 'retry_share', SHARE),
         (
             'max_eject_share: 0.5',
             'max_eject_share: .nan',
             'max_eject_share',
-            'share_out_of_range',
-        ),
-        ('share: 0.99', 'share: 1', 'objective.share', 'share_out_of_range'),
-        (
-            'per_second: 2',
-            'per_second: 0',
-            'probe_budget.per_second',
-            'budget_out_of_range',
+            SHARE,
         ),
+        ('share: 0.99', 'share: 1', 'objective.share', SHARE),
+        ('per_second: 2', 'per_second: 0', 'probe_budget.per_second', BUDGET),
         (
             'per_second: 2',
             'per_second: .inf',
             'probe_budget.per_second',
-            'budget_out_of_range',
+            BUDGET,
         ),
         (
             'bytes_per_second: 4096',
             'bytes_per_second: -1',
             'probe_budget.bytes_per_second',
-            'budget_out_of_range',
+            BUDGET,
         ),
     ],
 )
@@ -102,21 +94,13 @@
             'redaccion.example:9101',
             [(f'{UPSTREAM}.address', 'address_invalid')],
         ),
-        (
-            'redaccion-4:',
-            'redaccion-1:',
-            [('line 35', 'duplicate_key')],
-        ),
+        ('redaccion-4:', 'redaccion-1:', [('line 35', 'duplicate_key')]),
         (
             'redaccion-1:',
             'a/b:',
             [('services.redaccion.upstreams.a/b', 'name_invalid')],
         ),
-        (
-            'slots: 2',
-            'slots: 0',
-            [(f'{UPSTREAM}.slots', 'out_of_range')],
-        ),
+        ('slots: 2', 'slots: 0', [(f'{UPSTREAM}.slots', 'out_of_range')]),
         (
             '127.0.0.1:9104',
             '127.0.0.1:9101',
@@ -147,7 +131,7 @@
             [
                 (
                     'services.redaccion.older_balancer.share',
-                    'share_out_of_range',
+                    SHARE,
                 )
             ],
         ),
