Let a lost race for a right leave its holder undisturbed

Two processes that want the same right tried for it in step: the record of the one that came second ended the renewals of the first, so neither held it for long. Records now say what their writer knew, so the holder can tell a take that its own writer rejects. The first read of the stream does not wait: on an empty stream a long poll delayed the start by 20 s.

Tests: two processes, one stopped with SIGSTOP past its term; two instances that want every right; an outage. Probes are counted at the upstream.

--- a/src/crocusproxy/measurement/fold.py
+++ b/src/crocusproxy/measurement/fold.py
@@ -46,6 +46,8 @@
         self.longest_term = longest_term
         self.guard = guard
         self.next = 0
+        # The offset from which records were read without a gap.
+        self.since = 0
         self.started = False
         self.unknown_until = timedelta.max
         self.last: dict[Right, LastRecord] = {}
@@ -60,6 +62,7 @@
         self.next = max(self.next, first)
         if missed:
             self.started = True
+            self.since = self.next
             self.forget(now)
         return missed
 
@@ -85,6 +88,18 @@
         entry = self.last.get(right)
         return entry.offset if entry else -1
 
+    def may_take(self, renewal: Renewal, right: Right) -> bool:
+        """Tell whether a record read now may take a held right.
+
+        It does not if its writer, too, reads that another record came first.
+        A renewal does not: its writer reads that the right was taken.
+        """
+        expected = renewal.services[right.service].expected.get(right.number)
+        if expected is None:
+            return False
+        last = self.last_offset(right)
+        return expected == last or last < renewal.since
+
     def is_free(self, right: Right, now: timedelta) -> bool:
         """Tell whether no holder's term can still run."""
         entry = self.last.get(right)
@@ -103,10 +118,3 @@
         if announced and announced.generation > generation:
             return announced
         return None
-
-    def drop_free(self, now: timedelta) -> None:
-        """Forget rights about which nothing was read for a long time."""
-        limit = now - self.longest_term * 2
-        for right, entry in tuple(self.last.items()):
-            if entry.free_at < limit:
-                self.last.pop(right)
--- a/src/crocusproxy/measurement/keeper.py
+++ b/src/crocusproxy/measurement/keeper.py
@@ -72,10 +72,12 @@
 
     async def _follow(self) -> None:
         while True:
+            fold = self.holder.fold
+            # On an empty stream, a first long poll would delay the term that
+            # a process waits after its start.
+            wait = _POLL_WAIT if fold.started else timedelta()
             try:
-                page = await self.platform.read(
-                    _STREAM, self.holder.fold.next, _POLL_WAIT
-                )
+                page = await self.platform.read(_STREAM, fold.next, wait)
             except CrocusError as error:
                 log('rights_unreadable', error=str(error))
                 await self.clock.sleep(_RETRY_DELAY)
--- a/src/crocusproxy/measurement/records.py
+++ b/src/crocusproxy/measurement/records.py
@@ -1,5 +1,6 @@
 """Records of the stream ``rights``."""
 
+from dataclasses import field
 from datetime import timedelta
 
 from pydantic.dataclasses import dataclass
@@ -14,21 +15,28 @@
 
     ``count`` is the number of rights of the service in ``generation`` and
     ``spacing`` the time between two probes of each. With no ``numbers``, the
-    record only announces that generation.
+    record only announces that generation. ``expected`` holds, for each number
+    that is taken and not renewed, the offset of the last record that the
+    writer knew about it, or -1.
     """
 
     generation: int
     count: int
     spacing: timedelta
     numbers: tuple[int, ...] = ()
+    expected: dict[int, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class Renewal:
-    """One append of one holder; ``nonce`` tells its appends apart."""
+    """One append of one holder; ``nonce`` tells its appends apart.
+
+    ``since`` is the offset from which the writer has read without a gap.
+    """
 
     holder: str
     nonce: str
     term: timedelta
+    since: int
     services: dict[str, ServiceRights]
     version: int = RECORD_VERSION
--- a/src/crocusproxy/measurement/rights.py
+++ b/src/crocusproxy/measurement/rights.py
@@ -2,7 +2,7 @@
 
 Of all processes, at most one holds a right at any time. A record takes or
 renews a right only if its writer, on reading it back, finds that nobody else
-wrote about the right since the record it relies on. A writer takes a right
+can have taken the right since the record it relies on. A writer takes a right
 only after it read nothing about it for a full term and a guard interval.
 """
 
@@ -37,14 +37,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
-    """An append that was not read yet, begun at ``started``.
-
-    ``expected`` holds, per right to take, the offset of the last record that
-    was known about it.
-    """
+    """An append that was not read yet, begun at ``started``."""
 
     started: timedelta
-    expected: Mapping[Right, int]
 
 
 @dataclass(slots=True)
@@ -68,7 +63,7 @@
     plans: Mapping[str, RightsPlan] = field(default_factory=dict)
     wanted: Mapping[str, int] = field(default_factory=dict)
     held: dict[Right, HeldRight] = field(default_factory=dict)
-    # Rights that were taken and about which nobody else wrote since.
+    # Rights that were taken and that nobody else can have taken since.
     chain: set[Right] = field(default_factory=set)
     pending: dict[str, Proposal] = field(default_factory=dict)
     proposals: int = 0
@@ -119,27 +114,19 @@
         if not self.fold.started:
             return None
         self._drop_old(now)
-        expected: dict[Right, int] = {}
         services: dict[str, ServiceRights] = {}
         for service, plan in self.plans.items():
             rights = self._choose(service, plan, now)
-            taken = {
-                right: self.fold.last_offset(right)
-                for right in rights
-                if right not in self.chain
-            }
-            expected.update(taken)
             if rights or self._must_announce(service, plan, now):
-                numbers = tuple(right.number for right in rights)
-                services[service] = ServiceRights(
-                    plan.generation, plan.count, plan.spacing, numbers
-                )
+                services[service] = self._part(plan, rights)
         if not services:
             return None
         self.proposals += 1
         nonce = f'{self.name}/{self.proposals}'
-        self.pending[nonce] = Proposal(now, expected)
-        return Renewal(self.name, nonce, self.settings.term, services)
+        self.pending[nonce] = Proposal(now)
+        return Renewal(
+            self.name, nonce, self.settings.term, self.fold.since, services
+        )
 
     def begin_page(self, first: int, now: timedelta) -> None:
         """Note the oldest offset kept; after a gap nothing is held."""
@@ -160,6 +147,7 @@
         if renewal is None:
             return
         if renewal.version > RECORD_VERSION:
+            self.fold.since = self.fold.next
             self.fold.forget(now)
             self._lose_all()
             return
@@ -167,7 +155,11 @@
         if proposal:
             self._settle(renewal, proposal, now)
         else:
-            self.chain.difference_update(rights_of(renewal))
+            self.chain.difference_update(
+                right
+                for right in rights_of(renewal)
+                if self.fold.may_take(renewal, right)
+            )
         self.fold.apply(offset, renewal, now)
 
     def _settle(
@@ -176,13 +168,14 @@
         settings = self.settings
         until = proposal.started + settings.term - settings.guard
         for right in rights_of(renewal):
-            generation = renewal.services[right.service].generation
-            if self.fold.is_withdrawn(right, generation):
+            part = renewal.services[right.service]
+            expected = part.expected.get(right.number)
+            if self.fold.is_withdrawn(right, part.generation):
                 self.chain.discard(right)
             elif right in self.chain:
                 held = self.held[right]
                 held.until = max(held.until, until)
-            elif proposal.expected.get(right) == self.fold.last_offset(right):
+            elif expected == self.fold.last_offset(right):
                 self.chain.add(right)
                 # Keeps the distance from the previous holder's last probe.
                 first_probe_at = now + self._spacing(right.service)
@@ -218,6 +211,21 @@
         self.random.shuffle(free)
         return tuple((kept + free)[: self.wanted.get(service, 0)])
 
+    def _part(
+        self, plan: RightsPlan, rights: tuple[Right, ...]
+    ) -> ServiceRights:
+        return ServiceRights(
+            plan.generation,
+            plan.count,
+            plan.spacing,
+            tuple(right.number for right in rights),
+            {
+                right.number: self.fold.last_offset(right)
+                for right in rights
+                if right not in self.chain
+            },
+        )
+
     def _must_announce(
         self, service: str, plan: RightsPlan, now: timedelta
     ) -> bool:
@@ -242,7 +250,6 @@
         return self.plans.get(service, _NO_PLAN)
 
     def _drop_old(self, now: timedelta) -> None:
-        self.fold.drop_free(now)
         for right, held in tuple(self.held.items()):
             if held.until <= now and right not in self.chain:
                 self.held.pop(right)
--- /dev/null
+++ b/tests/measurement/test_probing.py
@@ -0,0 +1,202 @@
+"""Guards the budget as upstreams count it, with real sockets and processes."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from crocusproxy.clock import ManualClock
+from crocusproxy.config.model import Upstream
+from crocusproxy.measurement.keeper import RightsKeeper
+from crocusproxy.measurement.load_report import (
+    HEADER,
+    ReportedLoad,
+    format_load,
+)
+from crocusproxy.measurement.prober import Prober
+from crocusproxy.measurement.rights import RightsHolder
+from crocusproxy.platform_client import Page
+from standins.platform import Platform
+from tests.measurement.probing_process import BUDGET, SETTINGS, start_probing
+
+LOAD = ReportedLoad(1, 2, 0)
+
+
+class CountingUpstream:
+    """Counts probes by the name of the upstream that was asked."""
+
+    def __init__(self):
+        self.arrivals = []
+        self.arrived = asyncio.Event()
+        self.headers = {HEADER: format_load(LOAD)}
+
+    async def load(self, request):
+        assert 'Crocus-Probed-Service' not in request.headers
+        self.arrivals.append((time.monotonic(), request.host))
+        self.arrived.set()
+        return web.Response(headers=self.headers)
+
+    def of(self, address):
+        return [at for at, host in self.arrivals if host == address]
+
+    async def until(self, address, count):
+        async with asyncio.timeout(30):
+            while len(self.of(address)) < count:
+                self.arrived.clear()
+                await self.arrived.wait()
+
+    def check_windows(self):
+        for start, _ in self.arrivals:
+            inside = [at for at, _ in self.arrivals if 0 <= at - start < 1]
+            assert len(inside) <= BUDGET.per_second
+
+
+@asynccontextmanager
+async def world():
+    platform, upstream = Platform(), CountingUpstream()
+    app = web.Application()
+    app.router.add_get('/load', upstream.load)
+    # Two addresses of one upstream tell the two probing instances apart.
+    servers = [TestServer(platform.application()), TestServer(app)]
+    servers.append(TestServer(app, port=0))
+    for server in servers:
+        await server.start_server()
+    async with ClientSession() as session:
+        yield (
+            platform,
+            upstream,
+            session,
+            [f'{server.host}:{server.port}' for server in servers],
+        )
+    for server in servers:
+        await server.close()
+
+
+def start_process(name, platform, address):
+    script = Path(__file__).with_name('probing_process.py')
+    return subprocess.Popen([sys.executable, script, name, platform, address])
+
+
+def test_a_process_stopped_past_its_term_does_not_probe_when_it_continues():
+    async def scenario():
+        async with world() as (_, upstream, _, (platform, first, second)):
+            processes = [start_process('a', platform, first)]
+            try:
+                await upstream.until(first, 2)
+                processes[0].send_signal(signal.SIGSTOP)
+                processes.append(start_process('b', platform, second))
+                await upstream.until(second, 2)
+                before = len(upstream.of(first))
+                processes[0].send_signal(signal.SIGCONT)
+                await upstream.until(second, 5)
+                assert len(upstream.of(first)) <= before + 1
+                upstream.check_windows()
+            finally:
+                for process in processes:
+                    process.kill()
+                    process.wait()
+
+    asyncio.run(scenario())
+
+
+def test_instances_that_all_want_every_right_stay_within_the_budget():
+    async def scenario():
+        async with world() as (platform, upstream, session, addresses):
+            reports = []
+            parts = [
+                part
+                for name, address in zip('ab', addresses[1:], strict=True)
+                for part in await start_probing(
+                    session, name, addresses[0], address, reports
+                )
+            ]
+            async with asyncio.timeout(30):
+                while len(upstream.arrivals) < 4:
+                    upstream.arrived.clear()
+                    await upstream.arrived.wait()
+            platform.faults.outage = True
+            holders = [part.holder for part in parts]
+            await until_no_rights(holders)
+            count = len(upstream.arrivals)
+            await asyncio.sleep(SETTINGS.term.total_seconds())
+            assert len(upstream.arrivals) == count
+            upstream.check_windows()
+            for part in parts:
+                await part.stop()
+            assert {load for _, load in reports} == {LOAD}
+
+    asyncio.run(scenario())
+
+
+def test_a_start_on_an_empty_stream_does_not_wait_for_a_first_record():
+    class Waits:
+        def __init__(self):
+            self.queue = asyncio.Queue(1)
+
+        async def read(self, stream, start, wait):
+            await self.queue.put(wait)
+            return Page(0, 0, ())
+
+    async def scenario():
+        platform = Waits()
+        holder = RightsHolder('a', SETTINGS, Random(0))
+        keeper = RightsKeeper(platform, ManualClock(), holder)
+        await keeper.start()
+        assert not await platform.queue.get()
+        assert await platform.queue.get()
+        await keeper.stop()
+
+    asyncio.run(scenario())
+
+
+async def until_no_rights(holders):
+    async with asyncio.timeout(30):
+        while any(
+            held.until.total_seconds() > time.monotonic()
+            for holder in holders
+            for held in holder.held.values()
+        ):
+            await asyncio.sleep(0.01)
+
+
+class Permission:
+    """Allows a number of checks; stands in for the holder."""
+
+    def __init__(self, allowed):
+        self.allowed = allowed
+        self.charged = 0
+
+    def may_probe(self, service, now):
+        self.allowed -= 1
+        return self.allowed >= 0
+
+    def could_probe(self, service, now):
+        return False
+
+    def charge(self, service, probes):
+        self.charged += probes
+
+
+def test_each_probe_is_checked_after_its_connection_is_open():
+    async def scenario():
+        async with world() as (_, upstream, _, (_, address, _)):
+            permission = Permission(allowed=2)
+            prober = Prober(permission, ManualClock(), tuple, print)
+            await prober.start()
+            target = Upstream('u', 's', address, 'fd', 2)
+            assert await prober.probe(target) == LOAD
+            upstream.headers['X-Padding'] = 'x' * 4000
+            assert await prober.probe(target) is None
+            assert await prober.probe(target) is None
+            await prober.stop()
+            assert len(upstream.arrivals) == 2
+            assert permission.charged > 0
+
+    asyncio.run(scenario())
--- a/tests/measurement/test_rights.py
+++ b/tests/measurement/test_rights.py
@@ -54,7 +54,7 @@
     one = holder('a')
     deliver(0, one.propose(FREE), FREE + TERM / 2, one)
     end = FREE + TERM - GUARD
-    assert one.may_probe('s', end - timedelta(milliseconds=1))
+    assert one.could_probe('s', end - timedelta(milliseconds=1))
     assert not one.could_probe('s', end)
 
 
@@ -63,12 +63,13 @@
     frozen = holding('a', other)
     assert other.propose(FREE + FREE - GUARD) is None
     taken = FREE + FREE
-    deliver(1, other.propose(taken), taken, other)
+    take = other.propose(taken)
+    deliver(1, take, taken, other)
     awake = taken + SPACING
     assert other.may_probe('s', awake)
     assert not frozen.may_probe('s', awake)
     late = frozen.propose(awake)
-    deliver(1, other.propose(taken), awake, frozen)
+    deliver(1, take, awake, frozen)
     deliver(2, late, awake, frozen)
     assert not frozen.could_probe('s', awake + SPACING)
 
@@ -80,6 +81,20 @@
         deliver(offset, record, FREE, first, second)
     assert first.may_probe('s', FREE + SPACING)
     assert not second.may_probe('s', FREE + SPACING)
+    deliver(2, first.propose(FREE + TERM / 2), FREE + TERM / 2, first, second)
+    assert first.may_probe('s', FREE + TERM)
+
+
+def test_a_take_by_a_process_that_missed_the_holders_records_ends_its_chain():
+    old = holding('a')
+    new = RightsHolder('b', SETTINGS, Random(0))
+    configure(new, 1, 1)
+    new.begin_page(1, FREE)
+    taken = FREE + FREE
+    deliver(1, new.propose(taken), taken, new, old)
+    deliver(2, old.propose(taken), taken, new, old)
+    assert not old.could_probe('s', taken + SPACING)
+    assert new.could_probe('s', taken + SPACING)
 
 
 def test_probes_keep_their_distance_also_from_the_previous_holders():
@@ -106,7 +121,7 @@
     if gap == 'missed records':
         one.begin_page(5, FREE)
     else:
-        newer = Renewal('b', 'b/1', TERM, {}, RECORD_VERSION + 1)
+        newer = Renewal('b', 'b/1', TERM, 0, {}, RECORD_VERSION + 1)
         deliver(1, newer, FREE, one)
     deliver(one.fold.next, outstanding, FREE, one)
     assert not one.could_probe('s', FREE + SPACING)
