--- a/tests/proxy/test_broken_responses.py
+++ b/tests/proxy/test_broken_responses.py
@@ -36,6 +36,8 @@
     'two responses': OK + OK,
     'two lengths': OK.replace(b'\r\n\r\n', b'\r\nContent-Length: 3\r\n\r\n'),
     'response to another request': FOREIGN,
+    'bare CR in a header': OK.replace(b'\r\n\r\n', b'\r\nX: a\rb\r\n\r\n'),
+    'NUL in a header': OK.replace(b'\r\n\r\n', b'\r\nX: a\0b\r\n\r\n'),
     'protocol switch': b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n'
     b'Connection: upgrade\r\n\r\n',
 }
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -3,6 +3,13 @@
 import asyncio
 from datetime import timedelta
 
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from crocusproxy.clock import SystemClock
+from crocusproxy.membership.view import Instance
+from crocusproxy.protocol.crashes import CrashReport
+from crocusproxy.proxy.crashes import CrashWatch, send_report
 from crocusproxy.proxy.suspects import CrashSuspects
 from standins.scripted import (
     answering,
@@ -75,3 +82,23 @@
         refused = await proxy.call(b'GET /s/bad')
         assert refused.code == 'request_suspected'
         assert sum(len(one.requests) for one in upstreams) == 1
+
+
+async def test_a_report_reaches_the_homes_that_answer_and_a_bad_one_is_refused():
+    watch = CrashWatch(SystemClock())
+    app = web.Application()
+    app.router.add_post('/v1/crashes', watch.receive)
+    server = TestServer(app)
+    await server.start_server()
+    admin = f'127.0.0.1:{server.port}'
+    homes = [
+        Instance(name, 'fd1', 'live', '', address, '', '')
+        for name, address in (('gone', '127.0.0.1:1'), ('i2', admin))
+    ]
+    async with ClientSession() as session:
+        await send_report(session, homes, CrashReport('s/u1', ('print',)))
+        bad = await session.post(f'http://{admin}/v1/crashes', data=b'{}')
+        assert bad.status == 400
+    await server.close()
+    [crash] = watch.suspects.crashes
+    assert (crash.upstream, crash.fingerprints) == ('s/u1', {'print'})
