--- a/tests/proxy/processes.py
+++ b/tests/proxy/processes.py
@@ -46,7 +46,9 @@
     async def seen(self, event):
         while event not in self.events:
             line = await self.process.stderr.readline()
-            assert line, f'the proxy ended before {event}'
+            if not line:
+                status = await self.process.wait()
+                raise AssertionError(f'{status} {list(self.events)}')
             entry = json.loads(line)
             self.events.setdefault(entry.get('message_type'), entry)
         return self.events[event]
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -84,7 +84,7 @@
         assert sum(len(one.requests) for one in upstreams) == 1
 
 
-async def test_a_report_reaches_the_homes_that_answer_and_a_bad_one_is_refused():
+async def test_a_report_reaches_homes_that_answer_and_a_bad_one_is_refused():
     watch = CrashWatch(SystemClock())
     app = web.Application()
     app.router.add_post('/v1/crashes', watch.receive)
--- a/tests/proxy/test_process.py
+++ b/tests/proxy/test_process.py
@@ -53,6 +53,7 @@
         await arrived.wait()
         proxy.process.terminate()
         await proxy.seen('draining')
+        proxy.process.terminate()
         admin[1].write(request(b'GET /readyz'))
         assert (await read_message(admin[0])).status == 503
         other[1].write(request())
