--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -1,11 +1,9 @@
 """The life cycle that all daemons share, and their admin endpoints."""
 
 import signal
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from types import FrameType
 
 import aiomisc
 import uvloop
@@ -18,7 +16,6 @@
 ReadinessCheck = Callable[[], str]
 
 _UNAVAILABLE = 503
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @dataclass(slots=True)
@@ -72,18 +69,13 @@
 
     def run(self) -> None:
         """Run on a uvloop event loop until SIGTERM or SIGINT."""
-        with (
-            _held_signals() as received,
-            aiomisc.entrypoint(
-                _LifeCycle(self),
-                loop_factory=uvloop.new_event_loop,
-                log_config=False,
-                catch_signals=_STOP_SIGNALS,
-                shutdown_timeout=self.drain_limit.total_seconds(),
-            ) as loop,
-        ):
-            if received:
-                signal.raise_signal(received[0])
+        with aiomisc.entrypoint(
+            _LifeCycle(self),
+            loop_factory=uvloop.new_event_loop,
+            log_config=False,
+            catch_signals=(signal.SIGTERM, signal.SIGINT),
+            shutdown_timeout=self.drain_limit.total_seconds(),
+        ) as loop:
             loop.run_forever()
 
     async def _ready(self, _: web.Request) -> web.Response:
@@ -92,26 +84,6 @@
         return web.json_response({'not_ready': reasons}, status=status)
 
 
-@contextmanager
-def _held_signals() -> Iterator[list[int]]:
-    """Collect stop signals instead of letting them end the process.
-
-    aiomisc handles signals only between the end of the start, when requests
-    are served already, and the begin of the shutdown.
-    """
-    received: list[int] = []
-
-    def hold(number: int, _: FrameType | None) -> None:  # noqa: WPS430
-        received.append(number)
-
-    former = {number: signal.signal(number, hold) for number in _STOP_SIGNALS}
-    try:
-        yield received
-    finally:
-        for number, handler in former.items():
-            signal.signal(number, handler)
-
-
 class _LifeCycle(aiomisc.Service):
     def __init__(self, application: Application) -> None:
         super().__init__()
