Keep the address of a connection that is being opened

Cause: close_idle drops an address without open connections, also while a connection to it is being opened. The exchange then ended with a KeyError: the caller got internal_error, unknown, for a request that had run. Change: the address is entered again once the connection is open. The unit test failed before with the same KeyError.

--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -95,6 +95,8 @@
             raise NotOpenedError(f'{address}: {error}') from error
         if not connection.usable:
             raise NotOpenedError(f'{address}: closed at once')
+        # A peer without open connections may have been dropped meanwhile.
+        peer = self.peers.setdefault(address, peer)
         peer.open.add(connection)
         return connection
 
--- /dev/null
+++ b/tests/proxy/test_pool.py
@@ -0,0 +1,39 @@
+"""Guards against connections that the pool loses sight of."""
+
+import asyncio
+from datetime import timedelta
+
+from crocusproxy.proxy.pool import ConnectionPool
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: u\r\n\r\n'
+RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+async def answer(reader, writer):
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(RESPONSE)
+
+
+def test_idle_connections_are_closed_while_another_one_is_being_opened():
+    """The answer on the new one was lost: the pool had forgotten its address.
+
+    The caller then got internal_error for a request that had run.
+    """
+
+    async def scenario():
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        pool = ConnectionPool(timedelta(seconds=5), timedelta(seconds=5))
+        opening = asyncio.create_task(pool.open(address, 5))
+        await asyncio.sleep(0)
+        assert not opening.done()
+        pool.close_idle()
+        connection = await opening
+        await connection.send(REQUEST, expects_body=True, timeout=5)
+        assert await connection.payload.read() == b'ok'
+        pool.release(address, connection)
+        assert pool.take_idle(address, 'r1') is connection
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
