Take reads as proof that appends work, and retry when a claim needs it

Change: a claim that is read back counts as an answer, and a claim that finds the platform down has the failed append repeated first, bounded by 100 ms. Both cases have unit tests. Ruled out: a shorter retry delay, which costs appends in every long outage.

--- a/src/crocusproxy/ledger/appender.py
+++ b/src/crocusproxy/ledger/appender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 
 from ..clock import Clock
@@ -14,6 +15,7 @@
 
 _FIRST_RETRY_DELAY = timedelta(milliseconds=100)
 _LONGEST_RETRY_DELAY = timedelta(seconds=1)
+_CHECK_LIMIT = timedelta(milliseconds=100)
 # A single lost response does not show that the platform is down.
 _FAILURES_WHEN_DOWN = 2
 
@@ -43,12 +45,37 @@
         self.paid_until = clock.monotonic()
         self.work = asyncio.Event()
         self.idle = asyncio.Event()
+        self.resumed = asyncio.Event()
+        self.attempted = asyncio.Event()
 
     def notify(self) -> None:
         """Note that the book may hold something to append."""
         self.idle.clear()
         self.work.set()
 
+    def confirmed(self) -> None:
+        """Note that an append took effect, as its response or a read shows.
+
+        Responses alone do not tell: all of them can be lost while every
+        append takes effect.
+        """
+        if self.failures:
+            self.resumed.set()
+        self.failures = 0
+        self.down = False
+
+    async def check(self) -> None:
+        """Repeat a failed append now; return once it has been tried.
+
+        A claim that comes after an outage then need not wait for the next
+        retry. The platform may hang, so the wait is bounded.
+        """
+        attempted = self.attempted
+        self.resumed.set()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_CHECK_LIMIT.total_seconds()):
+                await attempted.wait()
+
     async def run(self) -> None:
         """Append until cancelled."""
         while True:
@@ -60,9 +87,23 @@
                 continue
             self._count_append()
             await self._append(batch)
+            self.attempted.set()
+            self.attempted = asyncio.Event()
             pause = self._pause()
             if pause > timedelta():
-                await self.clock.sleep(pause)
+                await self._rest(pause)
+
+    async def _rest(self, duration: timedelta) -> None:
+        interval = self.book.settings.append_interval
+        if not self.failures or duration <= interval:
+            await self.clock.sleep(duration)
+            return
+        await self.clock.sleep(interval)
+        # The rest of a pause after a failure ends early when asked for.
+        with suppress(TimeoutError):
+            async with asyncio.timeout((duration - interval).total_seconds()):
+                await self.resumed.wait()
+        self.resumed.clear()
 
     def _next_batch(self) -> Batch | None:
         batch = self.book.next_batch(retry=self.failures > 0)
@@ -91,11 +132,12 @@
             self.book.not_sent(newly_sent)
             self._failed(error, certain=True)
         except CrocusError as error:
-            self._failed(error, certain=False)
+            # An empty batch only asks whether the platform answers.
+            if batch == Batch() or not self.book.holds_none_of(batch):
+                self._failed(error, certain=False)
         else:
             self.book.appended(batch)
-            self.failures = 0
-            self.down = False
+            self.confirmed()
 
     def _failed(self, error: CrocusError, *, certain: bool) -> None:
         log('claims_append_failed', error=str(error), failures=self.failures)
--- a/src/crocusproxy/ledger/book.py
+++ b/src/crocusproxy/ledger/book.py
@@ -128,6 +128,17 @@
             self.completions.pop(completion.nonce, None)
         self.mark_due = False
 
+    def holds_none_of(self, batch: Batch) -> bool:
+        """Tell whether everything in the batch has been read or given up."""
+        return (
+            all(claim.nonce not in self.claims for claim in batch.claims)
+            and all(void.nonce not in self.voids for void in batch.voids)
+            and all(
+                completion.nonce not in self.completions
+                for completion in batch.completions
+            )
+        )
+
     def read(
         self, offset: int, time: datetime, batch: Batch | None
     ) -> tuple[OwnClaim, ...]:
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -33,7 +33,7 @@
         self.clock = clock
         self.settings = settings
         self.book = ClaimBook(settings, clock)
-        self.reader = ClaimsReader(platform, self.book, clock, self._settle)
+        self.reader = ClaimsReader(platform, self.book, clock, self._decided)
         self.appender = Appender(
             platform, self.book, clock, self._refuse_unsent
         )
@@ -80,6 +80,8 @@
         """
         if deadline is None:
             deadline = self.clock.monotonic() + self.settings.claim_limit
+        if self.appender.down:
+            await self.appender.check()
         claim = Claim(uuid.uuid4().hex, key, digest, expiry)
         result = self.book.request(claim, deadline, down=self.appender.down)
         if result is not None:
@@ -156,6 +158,10 @@
         for nonce in self.book.unsent():
             self._give_up(nonce, 'platform_unavailable')
 
+    def _decided(self, own: OwnClaim) -> None:
+        self.appender.confirmed()
+        self._settle(own)
+
     def _settle(self, own: OwnClaim) -> None:
         future = self.waiting.get(own.claim.nonce)
         if future and not future.done() and own.result:
--- a/tests/config/test_feed.py
+++ b/tests/config/test_feed.py
@@ -148,7 +148,7 @@
     async def rotate():
         rotation = Rotation()
         peers = ('frozen', 'behind', 'good')
-        return [await rotation.poll(peers, poll) for _ in range(35)]
+        return [await rotation.poll(peers, poll) for _ in range(65)]
 
     assert all(asyncio.run(rotate()))
     assert polled[:4] == ['frozen', 'behind', 'good', 'good']
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -101,6 +101,26 @@
     assert sum(isinstance(each, Claimed) for each in results) == 1
 
 
+@scenario(1)
+async def test_the_first_claim_after_an_outage_is_confirmed(platform, one):
+    """Claims were refused until the next retry, up to a second later."""
+    platform.faults.outage = True
+    for _ in range(8):
+        refused = await one.claim('s/a', 'd', soon())
+        assert isinstance(refused, ClaimUnavailable)
+    platform.faults.outage = False
+    assert isinstance(await one.claim('s/b', 'd', soon()), Claimed)
+
+
+@scenario(1, lose_answers=1000)
+async def test_claims_are_confirmed_while_every_append_response_is_lost(_, one):
+    """The platform was taken for down after two lost responses."""
+    for number in range(6):
+        key = f's/{number}'
+        claimed = await one.claim(key, 'd', soon(), within(one, 5))
+        assert isinstance(claimed, Claimed)
+
+
 @scenario(1, lose_answers=1)
 async def test_a_claim_whose_append_response_was_lost_is_found(platform, one):
     claimed = await one.claim('s/k', 'd', soon(), within(one, 5))
