--- a/tests/measurement/test_rights.py
+++ b/tests/measurement/test_rights.py
@@ -169,6 +169,20 @@
     assert old.may_probe('s', FREE + 4 * SPACING)
 
 
+def test_a_renewal_passes_the_newest_generation_on():
+    """The first announcement expires; a process may start after that."""
+    old, new = holder('b', count=2), holder('a', count=2)
+    deliver(0, old.propose(FREE), FREE, old, new)
+    configure(new, 1, generation=2)
+    deliver(1, new.propose(FREE), FREE, old)
+    started = RightsHolder('c', SETTINGS, Random(0))
+    configure(started, 2, 1)
+    started.begin_page(2, FREE)
+    deliver(2, old.propose(FREE), FREE, started)
+    late = started.propose(FREE + 2 * FREE).services['s']
+    assert (late.generation, late.numbers) == (2, (0,))
+
+
 def test_a_writer_with_an_older_configuration_is_answered():
     """It started after the announcement had expired from the stream."""
     new = holding('a', count=1, generation=2)
