Probe upstreams that report no load

The prober and its rights were not used by the proxy yet. A proxy wants rights only for active services of which it is a home and which have an upstream without a fresh report, so a site whose upstreams all report costs no appends and no probes. The forwarder uses HomeTable too.

--- a/src/crocusproxy/proxy/forward.py
+++ b/src/crocusproxy/proxy/forward.py
@@ -7,7 +7,7 @@
 from ..config.model import Service
 from ..limits.retry_budget import RetryBudget
 from ..logs import log
-from ..membership.homes import choose_homes
+from ..membership.homes import HomeTable
 from ..membership.view import Instance, InstanceView
 from ..settings import InstanceIdentity
 from .connection import BrokenResponseError, DeadlineError
@@ -36,12 +36,12 @@
         self.clock = clock
         self.limits = limits
         self.identity = identity
-        self.view = InstanceView()
+        self.table = HomeTable()
         self.chosen: dict[tuple[str, int], tuple[Instance, ...]] = {}
 
     def update(self, view: InstanceView) -> None:
         """Take in a newer instance view."""
-        self.view = view
+        self.table.use_view(view)
         self.chosen.clear()
 
     def homes(self, service: Service) -> tuple[Instance, ...]:
@@ -58,7 +58,7 @@
 
     def other_homes(self, service: Service) -> tuple[Instance, ...]:
         """Return the homes of a service except this instance."""
-        homes = choose_homes(service.name, self.view, service.homes)
+        homes = self.table.homes(service.name, service.homes)
         own = self.identity.name
         return tuple(home for home in homes if home.name != own)
 
@@ -131,7 +131,7 @@
             raise RefusalError('upstream_failed', str(error)) from error
 
     def _choose(self, service: Service) -> tuple[Instance, ...]:
-        homes = choose_homes(service.name, self.view, service.homes)
+        homes = self.table.homes(service.name, service.homes)
         if any(home.name == self.identity.name for home in homes):
             return ()
         local = self.identity.failure_domain
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -1,6 +1,7 @@
 """The daemon ``crocus-proxy``."""
 
 import asyncio
+import uuid
 from random import SystemRandom
 
 import fire
@@ -11,6 +12,8 @@
 from ..ledger.ledger import Ledger
 from ..ledger.results import LedgerSettings
 from ..logs import log, start_logging
+from ..measurement.keeper import RightsKeeper
+from ..measurement.rights import RightsHolder, RightsSettings
 from ..platform_client import PlatformClient
 from ..protocol.codec import encode
 from ..protocol.crashes import CrashReport
@@ -23,6 +26,7 @@
 from .crashes import send_report
 from .front import caller_server
 from .metrics import ProxyMetrics
+from .probing import Probing
 from .settings import ProxySettings
 
 _PROGRAM = 'crocus-proxy'
@@ -38,6 +42,8 @@
         self.clock = SystemClock()
         self.application = Application(_PROGRAM, settings.drain_limit)
         self.summaries: BurnSummaries | None = None
+        self.probing: Probing | None = None
+        self.tasks: list[asyncio.Task[None]] = []
         self.metrics = ProxyMetrics(self.clock, settings.instance.name)
         self.application.on_start.append(self.start)
         self.application.on_drain.append(self.drain)
@@ -56,21 +62,11 @@
             tuple(FeedClient(self.session, one) for one in settings.feeds),
             self.clock,
         )
-        self.core.drains.connect(self.session)
-        self.core.crashes.share = self._share
-        self.core.front.not_ready = self.follower.not_ready_reason
-        self.application.readiness.append(self.follower.not_ready_reason)
-        self.follower.on_document.append(self.core.apply_document)
-        self.follower.on_view.append(self.core.apply_view)
-        if self.ledger is not None:
-            await self.ledger.start()
-        await self.follower.start()
-        self.tasks = [asyncio.create_task(self._sweep())]
+        self._connect_feeds()
         if self.platform is not None:
-            self.summaries = BurnSummaries(
-                self.metrics, self.platform, self.clock, self.core.random
-            )
-            self.tasks.append(asyncio.create_task(self.summaries.run()))
+            await self._use_platform(self.platform)
+        await self.follower.start()
+        self.tasks.append(asyncio.create_task(self._sweep()))
         await self._listen()
 
     async def drain(self) -> None:
@@ -92,7 +88,27 @@
         await self.session.close()
         await self.admin.cleanup()
 
+    def _connect_feeds(self) -> None:
+        self.core.drains.connect(self.session)
+        self.core.crashes.share = self._share
+        self.core.front.not_ready = self.follower.not_ready_reason
+        self.application.readiness.append(self.follower.not_ready_reason)
+        self.follower.on_document.append(self.core.apply_document)
+        self.follower.on_view.append(self.core.apply_view)
+
+    async def _use_platform(self, platform: PlatformClient) -> None:
+        if self.ledger is not None:
+            await self.ledger.start()
+        self.probing = self._probing(platform)
+        await self.probing.start()
+        self.summaries = BurnSummaries(
+            self.metrics, platform, self.clock, self.core.random
+        )
+        self.tasks.append(asyncio.create_task(self.summaries.run()))
+
     async def _leave_platform(self) -> None:
+        if self.probing is not None:
+            await self.probing.stop()
         if self.summaries is not None:
             await self.summaries.finish()
         if self.ledger is not None:
@@ -109,6 +125,16 @@
         settings = LedgerSettings(retention, claim_horizon(retention))
         return Ledger(self.platform, self.clock, settings)
 
+    def _probing(self, platform: PlatformClient) -> Probing:
+        # A restarted process must not take its predecessor's rights for its
+        # own: it does not know when the last probe was sent.
+        name = f'{self.settings.instance.name}-{uuid.uuid4().hex}'
+        holder = RightsHolder(name, RightsSettings(), self.core.random)
+        keeper = RightsKeeper(platform, self.clock, holder)
+        probing = Probing(self.core, holder, keeper, self.clock)
+        self.follower.on_document.append(probing.apply_document)
+        return probing
+
     async def _listen(self) -> None:
         admin = web.Application()
         admin.add_routes(self.application.admin_routes())
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -1,7 +1,8 @@
 """Admission of one service's requests: balancer, queue and retry budget."""
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from ..clock import Clock
@@ -9,6 +10,7 @@
 from ..limits.queue import DeadlineQueue
 from ..limits.refusal import Refuse
 from ..limits.retry_budget import RetryBudget
+from ..measurement.planning import KnownLoad
 from ..routing.balancer import Balancer
 from ..routing.results import (
     Cancelled,
@@ -39,11 +41,14 @@
         self.upstream = upstream
         self.started = started
         self.number = route.balancer.started(upstream, started)
+        route.last_request_at = started
+        route.in_flight[upstream.key] += 1
 
     def finish(self, outcome: Result) -> None:
         """Report the end of the request and let the next one in."""
         route = self.route
         now = route.clock.monotonic()
+        route.in_flight[self.upstream.key] -= 1
         route.balancer.finished(self.upstream, outcome, now, self.number)
         if len(route.queue):
             route.pump()
@@ -99,6 +104,9 @@
         # Called with an upstream whose response holds a drain notice.
         self.on_drain: Callable[[Upstream], None] = balancer.drain
         self.ticker: asyncio.TimerHandle | None = None
+        self.in_flight: Counter[str] = Counter()
+        self.reported_at: dict[str, timedelta] = {}
+        self.last_request_at: timedelta | None = None
 
     def update(self, service: Service, upstreams: tuple[Upstream, ...]) -> None:
         """Apply a newer configuration."""
@@ -127,9 +135,26 @@
         self.pump()
 
     def report(self, upstream: Upstream, load: LoadReport) -> None:
-        """Pass on a piggybacked load report."""
+        """Pass on a load report of a response or of a probe."""
+        self.reported_at[upstream.key] = load.at
         self.balancer.report(upstream, load)
 
+    def known_loads(
+        self, probed_at: Mapping[str, timedelta]
+    ) -> tuple[KnownLoad, ...]:
+        """Return what is known of each upstream, to plan probes."""
+        return tuple(
+            KnownLoad(
+                upstream.key,
+                upstream.slots,
+                self.in_flight[upstream.key],
+                self.reported_at.get(upstream.key),
+                probed_at.get(upstream.key),
+                can_be_chosen=upstream.key not in self.leaving,
+            )
+            for upstream in self.upstreams
+        )
+
     async def admit(
         self,
         info: RequestInfo,
