End the demo by cancelling its task on a signal

Cause: test_an_interrupted_run_leaves_no_process_behind failed once in a full run: the signal handler raised KeyboardInterrupt inside a callback of the event loop, where it was lost, and the demo ran on to its time limit. Change: while the loop runs, signals cancel the demo's task.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -44,6 +44,7 @@
 CALLERS = 6
 CALLS_PER_SECOND = 100
 KEYED_SHARE = 0.4
+_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
 class Demo:
@@ -243,7 +244,7 @@
 
 def main(seconds: float = 12) -> None:
     """Run the demo, sending calls for ``seconds``."""
-    for one in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+    for one in _SIGNALS:
         signal.signal(one, _interrupt)
     folder = Path(tempfile.mkdtemp(prefix='crocus-demo-'))
     print(f'settings files and logs are in {folder}')
@@ -265,9 +266,7 @@
     begin = time.monotonic()
     with Processes(folder) as processes:
         demo = Demo(processes, seconds)
-        records, counters = asyncio.run(
-            asyncio.wait_for(demo.run(), LIMIT_SECONDS)
-        )
+        records, counters = asyncio.run(_run_until_signal(demo))
         elapsed = time.monotonic() - begin
         late = processes.stop_all()
         demo.say(
@@ -282,6 +281,20 @@
     return passed
 
 
+async def _run_until_signal(demo: Demo) -> tuple[list[CallRecord], list[dict]]:
+    # An exception that a signal handler raises inside a callback is lost, so
+    # the signal cancels the task while the loop runs.
+    run = asyncio.ensure_future(demo.run())
+    loop = asyncio.get_running_loop()
+    for one in _SIGNALS:
+        loop.add_signal_handler(one, run.cancel)
+    try:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            return await run
+    except asyncio.CancelledError:
+        raise KeyboardInterrupt from None
+
+
 def _first(error: BaseException) -> BaseException:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
