Let half of the random claim runs miss no records

The check that no key stays blocked holds only where no record is missing, and nearly every long run had a gap: a mutant that never voids a claim passed. Half of the runs now drop no records, and the mutant fails.

--- a/tests/ledger/test_fold.py
+++ b/tests/ledger/test_fold.py
@@ -4,14 +4,9 @@
 
 import pytest
 
+from crocusproxy.ledger import records
 from crocusproxy.ledger.fold import ClaimsFold, Verdict
-from crocusproxy.ledger.records import (
-    RECORD_VERSION,
-    Batch,
-    Claim,
-    Completion,
-    Void,
-)
+from crocusproxy.ledger.records import Batch, Claim, Completion, Void
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 EXPIRY = START + timedelta(seconds=30)
@@ -85,7 +80,7 @@
 
 
 def test_a_record_of_a_newer_version_counts_as_a_gap():
-    newer = Batch(version=RECORD_VERSION + 1)
+    newer = Batch(version=records.RECORD_VERSION + 1)
     assert not folded(newer).is_complete_for(EXPIRY)
 
 
--- a/tests/ledger/test_machine.py
+++ b/tests/ledger/test_machine.py
@@ -30,9 +30,7 @@
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 KEYS = st.integers(0, 1)
 INSTANCES = st.integers(0, 2)
-FATES = st.sampled_from(
-    ['ok', 'ok', 'ok', 'lost', 'delayed', 'vanished', 'down', 'wait']
-)
+FATES = ['ok', 'ok', 'ok', 'lost', 'delayed', 'vanished', 'down', 'wait']
 
 
 class Log:
@@ -77,7 +75,7 @@
         number=INSTANCES,
         key=KEYS,
         wait=st.integers(1, 20),
-        fate=FATES,
+        fate=st.sampled_from(FATES),
         then=st.sampled_from(['nothing', 'read', 'run', 'run', 'run']),
     )
     def attempt(self, number, key, wait, fate, then):
@@ -97,7 +95,7 @@
 
     @rule(
         number=INSTANCES,
-        fate=FATES,
+        fate=st.sampled_from(FATES),
         retry=st.booleans(),
         limit=st.integers(1, 50),
         run=st.booleans(),
@@ -217,12 +215,9 @@
             fold = one.book.fold
             assert len(fold.verdicts) == len(fold.expiring)
             assert len(fold.holders) <= len(fold.verdicts)
-            past = [
-                entry
-                for entry in fold.expiring
-                if entry[0] + SETTINGS.clock_bound <= fold.stream_time
-            ]
-            assert not past
+            bound = SETTINGS.clock_bound
+            kept = [expiry + bound for expiry, _, _ in fold.expiring]
+            assert all(time > fold.stream_time for time in kept)
 
 
 @pytest.mark.parametrize('seed', range(40))
@@ -231,14 +226,13 @@
     random = Random(seed)
     machine = Claims()
     machine.begin()
-    fates = ['ok', 'ok', 'ok', 'lost', 'delayed', 'vanished', 'down', 'wait']
     for _ in range(400):
-        number = random.randrange(3)
+        number, key = random.randrange(3), random.randrange(2)
+        fate = random.choice(FATES)
+        disturbance = random.choice(['restart', 'pause', 'give up'])
         match random.randrange(16):
             case 0:
-                machine.disturb(
-                    number, random.choice(['restart', 'pause', 'give up'])
-                )
+                machine.disturb(number, disturbance)
             case 1 | 2:
                 machine.disturb(number, 'wake')
             case 3:
@@ -246,19 +240,16 @@
             case 4 | 5:
                 machine.arrive_late(random.randrange(3))
             case 6 | 7:
-                machine.ask(number, random.randrange(2))
-            case 8 if not random.randrange(4):
+                machine.ask(number, key)
+            # The check at the end needs runs in which no record is missed.
+            case 8 if seed % 2 and not random.randrange(4):
                 machine.expire_records(random.randrange(1, 5))
             case 9 | 10 | 11:
-                machine.proceed(number, random.choice(fates), False, 50, True)
+                machine.proceed(number, fate, False, 50, True)
             case _:
-                machine.attempt(
-                    number,
-                    random.randrange(2),
-                    random.randrange(1, 20),
-                    random.choice(fates),
-                    random.choice(['nothing', 'read', 'run']),
-                )
+                wait = random.randrange(1, 20)
+                then = random.choice(['nothing', 'read', 'run'])
+                machine.attempt(number, key, wait, fate, then)
         machine.memory_is_bounded()
     machine.teardown()
 
--- a/tests/measurement/test_ceiling.py
+++ b/tests/measurement/test_ceiling.py
@@ -173,6 +173,9 @@
 
 
 FATES = ['ok', 'ok', 'ok', 'vanished', 'delayed']
+DISTURBANCES = (
+    'freeze,freeze before send,restart,outage,late,expire,configure'.split(',')
+)
 
 
 def disturb(world, number, what):
@@ -219,17 +222,6 @@
     assert total > 50
 
 
-DISTURBANCES = [
-    'freeze',
-    'freeze before send',
-    'restart',
-    'outage',
-    'late',
-    'expire',
-    'configure',
-]
-
-
 class Ceiling(RuleBasedStateMachine):
     @initialize(per_second=st.sampled_from([0.5, 2, 5]))
     def begin(self, per_second):
