Take test ports from below the range of outgoing connections

A daemon that was killed and started again found its port taken once (1 of 33 tests under load): free_ports chose from the range of outgoing connections.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -6,7 +6,9 @@
 import asyncio
 import ctypes
 import importlib.util
+import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +23,8 @@
 _PR_SET_PDEATHSIG = 1
 _TAIL_LINES = 15
 _POLL_SECONDS = 0.05
+#: Below the range that Linux uses for outgoing connections.
+_PORTS = range(10_000, 32_768)
 _LIBC = ctypes.CDLL(None)
 
 MODULES = {
@@ -161,15 +165,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different loopback ports that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return different loopback ports that are free at present.
+
+    The kernel gives none of them to an outgoing connection, so that a program
+    can be started again on its port.
+    """
+    candidates = random.SystemRandom().sample(_PORTS, len(_PORTS))
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as one:
+        try:
+            one.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 async def _answers(session: ClientSession, url: str) -> bool:
