Say not-run of a keyed request only on its first attempt

Cause: a re-send whose own claim was the first in the stream was reported as not-run when nothing was written. An earlier attempt can still wait for its claim in another instance; its record is then appended after the void of the re-send's claim, becomes the first again, and the request runs after its caller was told that it was not run. Found by reading the ledger; the stream cannot show a claim that is still on its way. Change: the outcome is unknown unless the caller sent Crocus-Attempt: 1. Ruled out: closing the key with a fence record, since a caller told not-run must be able to send the same key again.

--- a/src/crocusproxy/proxy/claims.py
+++ b/src/crocusproxy/proxy/claims.py
@@ -11,7 +11,7 @@
     LedgerSettings,
 )
 from .inbound import Inbound
-from .problems import NOT_RUN, UNKNOWN, RefusalError
+from .problems import UNKNOWN, RefusalError
 
 _REFUSAL_CODES = {  # noqa: WPS407 - read-only by convention
     'deadline_passed': 'deadline_exceeded',
@@ -51,7 +51,6 @@
         inbound.deadline,
     )
     if isinstance(answer, Claimed):
-        inbound.claimed = True
         return answer.nonce
     if isinstance(answer, AlreadyClaimed):
         raise _already_claimed(answer.state, digest)
@@ -62,7 +61,7 @@
 
 def _already_claimed(state: ClaimState, digest: str) -> RefusalError:
     if state.digest != digest:
-        return RefusalError('idempotency_key_reused', outcome=NOT_RUN)
+        return RefusalError('idempotency_key_reused')
     if state.status is None:
         return RefusalError('request_in_progress', outcome=UNKNOWN)
     return RefusalError(
--- a/src/crocusproxy/proxy/inbound.py
+++ b/src/crocusproxy/proxy/inbound.py
@@ -30,7 +30,6 @@
     __slots__ = (
         'body',
         'caller',
-        'claimed',
         'deadline',
         'expires',
         'first_attempt',
@@ -61,7 +60,6 @@
         self.expires: datetime | None = None
         self.first_attempt = False
         self.hops = False
-        self.claimed = False
         self.written = False
 
     @property
@@ -81,7 +79,6 @@
         return outcome_before_dispatch(
             keyed=bool(self.key),
             first_attempt=self.first_attempt,
-            no_earlier_claim=self.claimed,
         )
 
     def digest(self) -> str:
--- a/tests/proxy/harness.py
+++ b/tests/proxy/harness.py
@@ -25,6 +25,9 @@
     b'Idempotency-Key: k1\r\n'
     b'Idempotency-Expires: %b\r\n' % _SOON.isoformat().encode()
 )
+FIRST = b'Crocus-Attempt: 1\r\n'
+# An earlier attempt may still be on its way to a claim that nobody can see.
+OUTCOMES_NOT_WRITTEN = ((b'', 'unknown'), (FIRST, 'not-run'))
 FAR = b'Idempotency-Key: k1\r\nIdempotency-Expires: 2999-01-01T00:00:00Z\r\n'
 
 
