--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,10 +5,7 @@
 ``python -m bench.capacity``; it takes about a minute on one core.
 """
 
-import json
-from dataclasses import asdict
 from datetime import timedelta
-from pathlib import Path
 from random import Random
 
 import fire
@@ -46,7 +43,14 @@
     document,
     view,
 )
-from .fitting import Slope, cpu_us, measure, memory_bytes, print_table
+from .fitting import (
+    Slope,
+    cpu_us,
+    measure,
+    memory_bytes,
+    print_table,
+    write_json,
+)
 
 _UPSTREAMS = (1260, 2520, 5025, 10050)
 _INSTANCES = (500, 1000, 2000, 4000)
@@ -298,9 +302,7 @@
     print_table(slopes)
     for name, size in message_sizes().items():
         print(f'{name}: {size} B')
-    if json_file:
-        text = json.dumps([asdict(slope) for slope in slopes], indent=1)
-        Path(json_file).write_text(text)
+    write_json(slopes, json_file)
 
 
 if __name__ == '__main__':
--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -12,6 +12,7 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 
+import fire
 import uvloop
 from aiohttp import ClientSession
 
@@ -23,7 +24,7 @@
     wait_until_serving,
     write_settings,
 )
-from .fitting import measure, print_table
+from .fitting import measure, print_table, write_json
 
 _CALLS = (4000, 8000, 16000, 32000)
 _CONNECTIONS = (50, 100, 200, 400)
@@ -70,7 +71,7 @@
         return resident
 
 
-async def _run() -> None:
+async def _run(json_file: str) -> None:
     async with AsyncExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         session = await stack.enter_async_context(ClientSession())
@@ -96,20 +97,25 @@
         await proxy.cpu_us(_WARM_UP)
         cpu = {calls: await proxy.cpu_us(calls) for calls in _CALLS}
         memory = {n: await proxy.memory(n) for n in _CONNECTIONS}
-        print_table(
-            (
-                measure('calls of 1 KiB', 'call', 'us', _CALLS, cpu.get),
-                measure(
-                    'resident memory',
-                    'connection of a caller',
-                    'B',
-                    _CONNECTIONS,
-                    memory.get,
-                ),
-            )
+        slopes = (
+            measure('calls of 1 KiB', 'call', 'us', _CALLS, cpu.get),
+            measure(
+                'resident memory',
+                'connection of a caller',
+                'B',
+                _CONNECTIONS,
+                memory.get,
+            ),
         )
+        print_table(slopes)
+        write_json(slopes, json_file)
         print(f'resident memory at rest: {at_rest / 1e6:.1f} MB')
 
 
+def main(json_file: str = '') -> None:
+    """Print the slopes; write them to ``json_file`` if it is given."""
+    uvloop.run(_run(json_file))
+
+
 if __name__ == '__main__':
-    uvloop.run(_run())
+    fire.Fire(main)
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -26,7 +26,7 @@
 from standins.demo_settings import SERVICE, new_layout
 from standins.processes import Processes
 
-from .fitting import Slope, measure, print_table
+from .fitting import Slope, measure, print_table, write_json
 
 PROGRAMS = ('crocus-config', 'crocus-proxy', 'crocus-locator')
 _CHANGES_PER_SECOND = (0, 1, 2, 4)
@@ -142,15 +142,17 @@
     ]
 
 
-def main() -> None:
-    """Print both tables."""
+def main(json_file: str = '') -> None:
+    """Print both tables; write the slopes to ``json_file`` if it is given."""
     spent = asyncio.run(_run(_INSTANCES[0], _CHANGES_PER_SECOND))
     by_rate = dict(zip(_CHANGES_PER_SECOND, spent, strict=True))
     by_count = {
         count: asyncio.run(_run(count, (0,)))[0] for count in _INSTANCES
     }
-    print_table(_slopes('change a second', by_rate))
-    print_table(_slopes('instance', by_count))
+    slopes = _slopes('change a second', by_rate)
+    slopes += _slopes('instance', by_count)
+    print_table(slopes)
+    write_json(slopes, json_file)
 
 
 if __name__ == '__main__':
--- a/bench/fitting.py
+++ b/bench/fitting.py
@@ -1,10 +1,12 @@
 """Measurement of costs at several sizes and straight lines through them."""
 
 import gc
+import json
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+from pathlib import Path
 
 import numpy as np
 
@@ -69,6 +71,13 @@
     return size
 
 
+def write_json(slopes: Iterable[Slope], path: str) -> None:
+    """Write the slopes for ``bench.capacity_model``; no path, no file."""
+    if path:
+        plain = [asdict(slope) for slope in slopes]
+        Path(path).write_text(json.dumps(plain, indent=1))
+
+
 def print_table(slopes: Iterable[Slope]) -> None:
     """Print the slopes as a Markdown table."""
     print('| cost | per | size: cost | fixed | slope | largest residual |')
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -105,6 +105,7 @@
     async def load(self, request: web.Request) -> web.Response:
         """Answer a probe, which occupies a slot like any request."""
         self.counters.probes += 1
+        self.counters.probe_times.append(time.monotonic())
         try:
             async with self.slot(request):
                 await self.sleep(self.probe_ms * self.faults.slow / 1000)
@@ -130,11 +131,12 @@
     async def add_report(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        metrics = ', '.join(
-            f'named_metrics.{name}={figure}'
-            for name, figure in self.report().items()
-        )
-        response.headers['Endpoint-Load-Metrics'] = f'TEXT {metrics}'
+        if not self.faults.silent or request.path == '/load':
+            metrics = ', '.join(
+                f'named_metrics.{name}={figure}'
+                for name, figure in self.report().items()
+            )
+            response.headers['Endpoint-Load-Metrics'] = f'TEXT {metrics}'
         if self.faults.drain:
             response.headers['Upstream-State'] = 'draining'
 
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -11,7 +11,8 @@
     ``slow`` multiplies service times. ``drain`` is empty, ``announce`` (work is
     still accepted) or ``refuse``. ``cut_body`` is the number of responses to
     break in the middle. ``reported_in_flight`` replaces the true figure in load
-    reports. A request whose path contains ``crash_on`` ends the process.
+    reports; with ``silent`` only probes get one. A request whose path contains
+    ``crash_on`` ends the process.
     """
 
     slow: float = 1.0
@@ -21,6 +22,7 @@
     cut_body: int = 0
     reported_in_flight: int | None = None
     crash_on: str = ''
+    silent: bool = False
 
 
 @dataclass
@@ -30,8 +32,9 @@
     ``runs`` counts requests that took a slot or failed fast, so that a request
     with an effect is never left out. ``sent`` holds the marks of the responses
     written for each request id. ``last_arrival_after_drain_ms`` is counted from
-    the start of draining; ``last_arrival`` is the time of the newest request on
-    the monotonic clock, which all processes of a host share.
+    the start of draining; ``last_arrival`` is the time of the newest request and
+    ``probe_times`` are those of all probes on the monotonic clock, which all
+    processes of a host share.
     """
 
     runs: int = 0
@@ -46,6 +49,7 @@
     arrivals_after_drain: int = 0
     last_arrival_after_drain_ms: float = 0
     last_arrival: float = 0
+    probe_times: list[float] = field(default_factory=list)
     runs_by_key: Counter = field(default_factory=Counter)
     runs_by_request: Counter = field(default_factory=Counter)
     sent: dict = field(default_factory=lambda: defaultdict(list))
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -14,9 +14,9 @@
 def run_system(tmp_path):
     """Return a function that runs a scenario against a fresh system."""
 
-    def run(scenario, instances=3, upstreams=3):
+    def run(scenario, instances=3, upstreams=3, limit=LIMIT_SECONDS):
         async def bounded(system):
-            async with asyncio.timeout(LIMIT_SECONDS):
+            async with asyncio.timeout(limit):
                 await system.bring_up()
                 await scenario(system)
 
