--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -16,9 +16,10 @@
 import uvloop
 from aiohttp import ClientSession
 
+from standins.feed import feed, one_service
+
 from .call_cost import (
     call,
-    feed,
     free_port,
     process,
     wait_until_serving,
@@ -30,6 +31,8 @@
 _CONNECTIONS = (50, 100, 200, 400)
 _CONCURRENCY = 8
 _WARM_UP = 4000
+_UPSTREAMS = 15
+_SLOTS = 2
 _ANSWER_SECONDS = 5
 
 
@@ -75,13 +78,11 @@
     async with AsyncExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         session = await stack.enter_async_context(ClientSession())
-        ports = [free_port() for _ in range(3)]
-        upstream, feed_port, port = ports
-        settings = write_settings(directory, port, feed_port)
+        upstream, port = free_port(), free_port()
+        document = one_service(f'127.0.0.1:{upstream}', _SLOTS, _UPSTREAMS)
+        feed_address = await stack.enter_async_context(feed(document))
+        settings = write_settings(directory, port, feed_address)
         admin = json.loads(Path(settings).read_text())['admin']
-        await stack.enter_async_context(
-            feed(feed_port, f'127.0.0.1:{upstream}')
-        )
         for command in (
             ('-m', 'bench.call_cost_servers', 'upstream', str(upstream)),
             (
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -32,9 +32,9 @@
     ``runs`` counts requests that took a slot or failed fast, so that a request
     with an effect is never left out. ``sent`` holds the marks of the responses
     written for each request id. ``last_arrival_after_drain_ms`` is counted from
-    the start of draining; ``last_arrival`` is the time of the newest request and
-    ``probe_times`` are those of all probes on the monotonic clock, which all
-    processes of a host share.
+    the start of draining; ``last_arrival`` is the time of the newest request
+    and ``probe_times`` are those of all probes, on the monotonic clock, which
+    all processes of a host share.
     """
 
     runs: int = 0
