Report errors without a verdict as not reachable

crocusctl ended with exit code 1, rejected, when a daemon served a configuration under newer rules or a document that cannot be read, and for an append whose answer was lost. A script would take that for a verdict. The first two now end with 3, the last with 4. The test failed in its three cases before the change.

--- a/src/crocusproxy/cli/exits.py
+++ b/src/crocusproxy/cli/exits.py
@@ -4,11 +4,14 @@
 
 from ..config.publisher import NoConfigurationError, NotKnownYetError
 from ..errors import (
+    AppendUnknownError,
     CrocusError,
     InvalidDocumentError,
     NotReachableError,
     PlatformUnavailableError,
 )
+from ..protocol.codec import MalformedMessageError
+from ..protocol.document_feed import RulesUnknownError
 
 
 class Exit(enum.IntEnum):
@@ -32,10 +35,15 @@
     match error:
         case InvalidDocumentError() | WrongInputError():
             return Exit.wrong_input
-        case NotKnownYetError():
+        case NotKnownYetError() | AppendUnknownError():
             return Exit.not_known_yet
         case PlatformUnavailableError() | NotReachableError():
             return Exit.not_reachable
-        case NoConfigurationError():
+        # Without a configuration nothing was submitted or rejected.
+        case (
+            NoConfigurationError()
+            | RulesUnknownError()
+            | MalformedMessageError()
+        ):
             return Exit.not_reachable
     return Exit.rejected
--- /dev/null
+++ b/tests/cli/test_exits.py
@@ -0,0 +1,20 @@
+"""Guards against errors that are reported as a rejected change."""
+
+import pytest
+
+from crocusproxy.cli.exits import Exit, exit_code_of
+from crocusproxy.errors import AppendUnknownError
+from crocusproxy.protocol.codec import MalformedMessageError
+from crocusproxy.protocol.document_feed import RulesUnknownError
+
+
+@pytest.mark.parametrize(
+    ('error', 'code'),
+    [
+        (RulesUnknownError('newer rules'), Exit.not_reachable),
+        (MalformedMessageError('no document'), Exit.not_reachable),
+        (AppendUnknownError('lost'), Exit.not_known_yet),
+    ],
+)
+def test_an_error_without_a_verdict_is_not_reported_as_rejected(error, code):
+    assert exit_code_of(error) == code
