--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from crocusproxy.cli.system import tool_settings
 from crocusproxy.config.settings import ConfigSettings
 from crocusproxy.console.settings import ConsoleSettings
 from crocusproxy.documents import read_document
@@ -25,3 +26,8 @@
 def test_an_example_of_settings_is_accepted(model, name):
     settings = read_document(model, FOLDER / f'{name}.yaml')
     assert settings.instance.failure_domain == 'mza-centro'
+
+
+def test_the_example_of_crocusctl_is_accepted():
+    settings = tool_settings(str(FOLDER / 'crocusctl.yaml'), '', '')
+    assert settings.config and settings.platform
