Add a failing test for probes of upstreams that announced a drain

With the stand-ins, an upstream that sent Upstream-State: draining received 8 probes in 10 s, and one that the instance list named as leaving none. ServiceRoute.known_loads does not know of the notices in responses.

--- a/tests/proxy/test_probing.py
+++ b/tests/proxy/test_probing.py
@@ -92,6 +92,13 @@
     assert planned(probing) == {'s/u0'}
 
 
+def test_an_upstream_that_announced_its_drain_is_not_probed(probing):
+    use(probing)
+    route = probing.core.dispatcher.routes['s']
+    route.balancer.drain(route.upstreams[1])
+    assert planned(probing) == {'s/u0', 's/u2'}
+
+
 def test_an_instance_that_is_no_home_leaves_the_probes_to_the_homes(probing):
     address = '127.0.0.1:9'
     home = Instance('i2', 'fd1', 'live', address, address, address, address)
