Order the queue by deadline with a set-back for floods

Turns per caller starved a caller's second request while new callers kept arriving. Expiry skips the scan while no deadline has passed.

--- a/src/crocusproxy/limits/queue.py
+++ b/src/crocusproxy/limits/queue.py
@@ -1,10 +1,11 @@
 """Bounded queue of waiting requests, ordered by deadline, fair to callers."""
 
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
 from itertools import count
-from typing import Generic, TypeVar
+from typing import Generic, TypeAlias, TypeVar
 
 from .refusal import Refuse
 
@@ -12,40 +13,47 @@
 
 _MIN_RETRY = timedelta(milliseconds=50)
 _MAX_RETRY = timedelta(seconds=10)
+_FIRST_INTERVAL = timedelta(milliseconds=1)
 _RATE_GAIN = 0.1
+# Chance alone rarely gives one of several equal callers twice the mean.
+_FAIR_MULTIPLE = 2
 
 
-@dataclass(slots=True)
-class _Lane(Generic[Waiting]):
-    """Waiting requests of one caller; ``turn`` counts those already served."""
+@dataclass(slots=True, eq=False)
+class _Entry(Generic[Waiting]):
+    item: Waiting
+    caller: str
+    deadline: timedelta
 
-    turn: int
-    heap: list[tuple[timedelta, int, Waiting]] = field(default_factory=list)
+
+_Place: TypeAlias = tuple[timedelta, int, _Entry[Waiting]]
 
 
 class DeadlineQueue(Generic[Waiting]):
     """Requests that wait at a home for room at an upstream.
 
-    Callers take turns; within a turn the earliest deadline goes first. A caller
-    may hold ``per_caller`` entries and never more than the space that is still
-    free, so one caller's flood cannot push out the others.
+    The earliest deadline goes first, but a request beyond its caller's fair
+    part is set back by the time that one request of every waiting caller
+    takes, and the next one by twice that time. A caller may hold
+    ``per_caller`` entries and never more than the space that is still free, so
+    one caller's flood neither pushes out nor overtakes the others. Times are
+    monotonic.
     """
 
     def __init__(self, limit: int, per_caller: int) -> None:
         self.limit = limit
         self.per_caller = per_caller
-        self.size = 0
-        self.turn = 0
-        self.interval = timedelta()
+        self.interval = _FIRST_INTERVAL
         self.last_pop: timedelta | None = None
+        self.held: Counter[str] = Counter()
+        self.heap: list[_Place[Waiting]] = []
         self.late: list[Waiting] = []
-        self.lanes: dict[str, _Lane[Waiting]] = {}
-        self.order: list[tuple[int, timedelta, int, str]] = []
+        self.soonest = timedelta.max  # no deadline in the queue is earlier
         self.numbers = count()
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return self.size
+        return len(self.heap)
 
     def push(
         self,
@@ -57,51 +65,51 @@
         """Add a request, or return why it must be refused at once.
 
         Given ``now``, a request is also refused if the expected wait exceeds
-        its deadline. Times are monotonic.
+        its deadline.
         """
         code = self._fault(caller, deadline, now)
         if code:
             return Refuse(code, self.retry_after())
-        lane = self.lanes.get(caller)
-        if lane is None:
-            lane = _Lane(self.turn)
-            self.lanes[caller] = lane
-        heappush(lane.heap, (deadline, next(self.numbers), item))
-        self.size += 1
-        self._announce(caller, lane)
+        self.held[caller] += 1
+        self.soonest = min(self.soonest, deadline)
+        rank = deadline + self._set_back(caller)
+        entry = _Entry(item, caller, deadline)
+        heappush(self.heap, (rank, next(self.numbers), entry))
         return None
 
     def pop(self, now: timedelta) -> Waiting | None:
         """Remove and return the next request whose deadline lies ahead."""
-        while self.order:
-            turn, deadline, number, caller = heappop(self.order)
-            lane = self.lanes.get(caller)
-            if lane is None or (lane.turn, lane.heap[0][1]) != (turn, number):
-                continue  # outdated by a push, a pop or an expiry
-            if deadline > now:
+        while self.heap:
+            entry = heappop(self.heap)[2]
+            self._release(entry)
+            if entry.deadline > now:
                 self._measure(now)
-                return self._serve(caller, lane)
-            self.late.append(self._take(caller, lane))
+                return entry.item
+            self.late.append(entry.item)
         return None
 
     def expired(self, now: timedelta) -> list[Waiting]:
         """Remove and return every request whose deadline has passed."""
         found = self.late
         self.late = []
-        for caller, lane in tuple(self.lanes.items()):
-            late = [entry for entry in lane.heap if entry[0] <= now]
-            if not late:
-                continue
-            found.extend(entry[2] for entry in late)
-            lane.heap = [entry for entry in lane.heap if entry[0] > now]
-            heapify(lane.heap)
-            self.size -= len(late)
-            self._settle(caller, lane)
+        if now < self.soonest:
+            return found
+        places = self.heap
+        self.heap = [place for place in places if place[2].deadline > now]
+        heapify(self.heap)
+        self.soonest = min(
+            (place[2].deadline for place in self.heap),
+            default=timedelta.max,
+        )
+        for _, _, entry in places:
+            if entry.deadline <= now:
+                self._release(entry)
+                found.append(entry.item)
         return found
 
     def expected_wait(self) -> timedelta:
         """Estimate the wait of a request that is pushed now."""
-        return self.interval * self.size
+        return self.interval * len(self.heap)
 
     def retry_after(self) -> timedelta:
         """Return when the present queue will probably have been served."""
@@ -115,40 +123,32 @@
     ) -> str:
         if now is not None and deadline <= now:
             return 'deadline_passed'
-        free = self.limit - self.size
+        free = self.limit - len(self.heap)
         if free <= 0:
             return 'queue_full'
-        lane = self.lanes.get(caller)
-        held = len(lane.heap) if lane else 0
-        if held >= min(self.per_caller, free):
+        if self.held.get(caller, 0) >= min(self.per_caller, free):
             return 'caller_over_limit'
         if now is not None and now + self.expected_wait() > deadline:
             return 'queue_full'
         return ''
 
-    def _serve(self, caller: str, lane: _Lane[Waiting]) -> Waiting:
-        self.turn = max(self.turn, lane.turn)
-        lane.turn += 1
-        return self._take(caller, lane)
-
-    def _take(self, caller: str, lane: _Lane[Waiting]) -> Waiting:
-        item = heappop(lane.heap)[2]
-        self.size -= 1
-        self._settle(caller, lane)
-        return item
-
-    def _settle(self, caller: str, lane: _Lane[Waiting]) -> None:
-        if lane.heap:
-            self._announce(caller, lane)
+    def _set_back(self, caller: str) -> timedelta:
+        """Return one round of all callers per request beyond the fair part."""
+        held = self.held[caller]
+        others = len(self.held) - 1
+        mean = (len(self.heap) + 1 - held) / others if others else 0
+        beyond = max(held - 1 - round(_FAIR_MULTIPLE * mean), 0)
+        return self.interval * (beyond * len(self.held))
+
+    def _release(self, entry: _Entry[Waiting]) -> None:
+        if self.held[entry.caller] > 1:
+            self.held[entry.caller] -= 1
         else:
-            self.lanes.pop(caller)
-
-    def _announce(self, caller: str, lane: _Lane[Waiting]) -> None:
-        deadline, number, _ = lane.heap[0]
-        heappush(self.order, (lane.turn, deadline, number, caller))
+            self.held.pop(entry.caller)
 
     def _measure(self, now: timedelta) -> None:
+        """Average the time between pops, without times of an empty queue."""
         if self.last_pop is not None:
             step = now - self.last_pop
             self.interval += (step - self.interval) * _RATE_GAIN
-        self.last_pop = now
+        self.last_pop = now if self.heap else None
