Choose upstreams by expected wait, slowness and hidden load

Found on the way, each with a test: a full upstream passed the cost comparison (inf <= inf); an idle suspect upstream got no trials; the ages of six healthy requests looked like a straggler; a trial's own answer hid that the upstream had failed; an upstream without history could never pass a trial; draining upstreams used up the ejection limit.

--- a/src/crocusproxy/config/model.py
+++ b/src/crocusproxy/config/model.py
@@ -62,7 +62,7 @@
     name: str
     deadline: Duration = timedelta(seconds=2)
     homes: int = 1
-    depth: int = 2
+    depth: int = 3
     queue: int = 256
     retry_share: float = 0.02
     max_eject_share: float = 0.5
--- a/src/crocusproxy/routing/balancer.py
+++ b/src/crocusproxy/routing/balancer.py
@@ -2,23 +2,32 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from math import inf
 from random import Random
 
 from ..clock import Clock
 from ..config.model import Service, Upstream
 from ..limits.refusal import Refuse
+from .crash import CrashSuspects
+from .outcomes import record_result
 from .results import (
     Choice,
     Dispatch,
     LoadReport,
     RequestInfo,
+    Rescue,
     Result,
     Wait,
 )
 from .state import UpstreamState
 
 _NO_UPSTREAM_RETRY = timedelta(seconds=1)
-_NEAR = 0.25
+FULL = inf
+NEAR_EQUAL = 0.1  # service times
+FAR_COST = 0.1  # service times
+BUSY_COST = 0.1  # service times, for a full upstream against an empty one
+SLOW_COST = 4.0  # service times, for an upstream that is surely slow
+NEAR_DEPTH = 1  # requests beyond the slots within the failure domain
 
 
 class Balancer:
@@ -41,37 +50,52 @@
         self.local_failure_domain = local_failure_domain
         self.clock = clock
         self.random = random
+        self.suspects = CrashSuspects()
         self.states: dict[str, UpstreamState] = {}
         self.update(upstreams)
 
     def choose(self, request: RequestInfo) -> Choice:
         """Decide what happens to a request now."""
-        usable = [
-            state
-            for state in self.states.values()
-            if not state.draining and state.key not in request.excluded
-        ]
+        clock = self.clock.monotonic()
+        refused = self.suspects.refused_for(request.fingerprint, clock)
+        if refused:
+            return Refuse('request_suspected', refused)
+        now = clock.total_seconds()
+        usable = self._usable(request, now)
         if not usable:
             return Refuse('no_upstream', _NO_UPSTREAM_RETRY)
-        scores = [
-            (state.in_flight / state.upstream.slots, state)
-            for state in usable
-            if state.in_flight < self.room(state)
-        ]
-        if not scores:
-            return Wait()
-        best = min(score for score, _ in scores)
-        near = [state for score, state in scores if score <= best + _NEAR]
-        return Dispatch(self.random.choice(near).upstream)
+        ejected = self._ejected(now)
+        if not ejected:
+            return self._cheapest(usable, now)
+        if request.idempotent:
+            for state in usable:
+                if state.key in ejected and state.trials.is_due(now):
+                    return Dispatch(state.upstream)
+        rest = [state for state in usable if state.key not in ejected]
+        return self._cheapest(rest, now)
 
-    def room(self, state: UpstreamState) -> int:
-        """Return how many requests may be in flight to an upstream."""
-        return state.upstream.slots + self.service.depth
+    def has_room(self) -> bool:
+        """Return whether some upstream would take an ordinary request."""
+        now = self.clock.monotonic().total_seconds()
+        ejected = self._ejected(now)
+        return any(
+            self._cost(state, now) < FULL
+            for state in self.states.values()
+            if now >= state.draining_until and state.key not in ejected
+        )
 
-    def started(self, upstream: Upstream, now: timedelta) -> int:
+    def started(
+        self,
+        upstream: Upstream,
+        now: timedelta,
+        fingerprint: str = '',
+    ) -> int:
         """Count a dispatched request; the ticket identifies it at its end."""
         state = self.states.get(upstream.key)
-        return 0 if state is None else state.open_request(now)
+        if state is None:
+            return 0
+        is_suspect = self.suspects.is_suspect(fingerprint)
+        return state.open_request(now.total_seconds(), is_suspect)
 
     def finished(
         self,
@@ -83,23 +107,126 @@
         """Record the end of a request; without a ticket, of the oldest one."""
         state = self.states.get(upstream.key)
         if state is not None:
-            state.close_request(ticket)
+            if ticket is None:
+                ticket = next(iter(state.open), 0)
+            record_result(state, result, now.total_seconds(), ticket)
+
+    def rescues(self, now: timedelta) -> list[Rescue]:
+        """Return the requests that are stuck at slow upstreams."""
+        seconds = now.total_seconds()
+        self._ejected(seconds)
+        return [
+            Rescue(state.upstream, ticket, request.began is not None)
+            for state in self.states.values()
+            if state.is_suspect and seconds >= state.draining_until
+            for ticket, request in state.open.items()
+            if state.is_stuck(ticket, seconds)
+        ]
 
     def report(self, upstream: Upstream, load: LoadReport) -> None:
         """Take in a load report, piggybacked or from a probe."""
+        state = self.states.get(upstream.key)
+        if state is not None:
+            total = load.in_flight + load.queued
+            state.hidden.report(total, state.in_flight, load.at.total_seconds())
 
     def drain(self, upstream: Upstream) -> None:
-        """Send no new work to an upstream that announced that it leaves."""
+        """Send no new work to an upstream that announced that it leaves.
+
+        A notice is valid for a minute; the instance list's is given again.
+        """
         state = self.states.get(upstream.key)
         if state is not None:
-            state.draining = True
+            state.drain(self.clock.monotonic().total_seconds())
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
-        """Replace the set of upstreams, keeping what is known of each."""
+        """Replace the set of upstreams, keeping what is known of each.
+
+        Upstreams that join a running service start cold.
+        """
+        now = self.clock.monotonic().total_seconds()
         states: dict[str, UpstreamState] = {}
         for upstream in upstreams:
+            is_far = upstream.failure_domain != self.local_failure_domain
             known = self.states.get(upstream.key)
-            if known is None or known.upstream != upstream:
-                known = UpstreamState(upstream)
+            if known is None or known.upstream.address != upstream.address:
+                known = UpstreamState(upstream, is_far)
+                known.cold_since = now if self.states else known.cold_since
+            # The same server with other settings is still draining and busy.
+            known.upstream = upstream
+            known.is_far = is_far
             states[upstream.key] = known
         self.states = states
+
+    def _usable(
+        self,
+        request: RequestInfo,
+        now: float,
+    ) -> list[UpstreamState]:
+        """Return the upstreams that may get the request at all.
+
+        Suspects of a crash are kept apart, so that the next crash shows which
+        of them is the cause.
+        """
+        usable = [
+            state
+            for state in self.states.values()
+            if now >= state.draining_until and state.key not in request.excluded
+        ]
+        if self.suspects.is_suspect(request.fingerprint):
+            apart = [state for state in usable if not state.holds_suspect]
+            return apart or usable
+        return usable
+
+    def _cheapest(self, usable: list[UpstreamState], now: float) -> Choice:
+        """Choose at random among the upstreams that cost nearly the least."""
+        best = FULL
+        offers: list[tuple[float, UpstreamState]] = []
+        for state in usable:
+            cost = self._cost(state, now)
+            if cost < FULL and cost <= best + NEAR_EQUAL:
+                offers.append((cost, state))
+                best = min(best, cost)
+        if not offers:
+            return Wait()
+        near = [state for cost, state in offers if cost <= best + NEAR_EQUAL]
+        return Dispatch(near[int(self.random.random() * len(near))].upstream)
+
+    def _ejected(self, now: float) -> frozenset[str]:
+        """Update the marks and return the upstreams that get trials only.
+
+        When more than the allowed share is out, slowness is ignored, and of
+        the upstreams that fail only the worst stay out. Draining ones get
+        nothing and do not count.
+        """
+        out: list[UpstreamState] = []
+        for state in self.states.values():
+            if now >= state.alarm_at and not state.out:
+                state.look(now)
+            if state.out and now >= state.draining_until:
+                out.append(state)
+        allowed = int(self.service.max_eject_share * len(self.states))
+        if len(out) > allowed:
+            failing = [state for state in out if state.was_failing]
+            failing.sort(key=lambda state: state.gate.failures, reverse=True)
+            out = failing[:allowed]
+        return frozenset(state.key for state in out)
+
+    def _cost(self, state: UpstreamState, now: float) -> float:
+        """Return the expected wait in service times, infinite if full."""
+        if now < state.rest_until:
+            return FULL
+        load = state.load(now)
+        slots = state.upstream.slots
+        depth = self.service.depth if state.is_far else NEAR_DEPTH
+        room: float = slots + min(depth, self.service.depth)
+        warmth = state.warmth(now)
+        if warmth < 1:
+            room = max(room * warmth, 1)
+            load = load / max(warmth, 0.1)
+        if load >= room:
+            return FULL
+        wait = max(load + 1 - slots, 0) / slots
+        if state.slow:
+            wait += SLOW_COST * state.slow
+        return wait + BUSY_COST * load / slots + FAR_COST * state.is_far
--- a/src/crocusproxy/routing/results.py
+++ b/src/crocusproxy/routing/results.py
@@ -33,6 +33,20 @@
     """Hold the request until another one has finished."""
 
 
+@dataclass(frozen=True, slots=True)
+class Rescue:
+    """A request that is stuck at an upstream which is probably slow.
+
+    A waiting one can be withdrawn and sent elsewhere once the upstream has
+    reported that it did not run. A running one can be hedged if it is
+    idempotent.
+    """
+
+    upstream: Upstream
+    ticket: int
+    is_running: bool
+
+
 Choice = Dispatch | Wait | Refuse
 
 
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -6,7 +6,17 @@
 from crocusproxy.clock import ManualClock
 from crocusproxy.config.model import Service, Upstream
 from crocusproxy.routing.balancer import Balancer
-from crocusproxy.routing.results import Cancelled, Dispatch, RequestInfo, Wait
+from crocusproxy.routing.crash import Crash
+from crocusproxy.routing.results import (
+    Answered,
+    Cancelled,
+    Dispatch,
+    Failed,
+    LoadReport,
+    Rejected,
+    RequestInfo,
+    Wait,
+)
 
 
 def upstreams(number, slots=2):
@@ -61,3 +71,229 @@
     assert subject.states[members[0].key].in_flight == 1
     subject.finished(members[0], Cancelled(), timedelta(), ticket)
     assert subject.states[members[0].key].in_flight == 0
+
+
+def finish(subject, upstream, result, ticket=None):
+    subject.finished(upstream, result, subject.clock.monotonic(), ticket)
+
+
+def advance(subject, **duration):
+    subject.clock.advance(timedelta(**duration))
+
+
+def serve(subject, rounds, is_slow=lambda upstream: False, **request):
+    """Serve requests one by one in 10 ms each, or in 100 ms if slow."""
+    served = []
+    for _ in range(rounds):
+        (choice,) = send(subject, 1, **request)
+        took = timedelta(milliseconds=100 if is_slow(choice.upstream) else 10)
+        subject.clock.advance(took)
+        finish(subject, choice.upstream, Answered(took))
+        served.append(choice.upstream)
+    return served
+
+
+def test_a_fail_fast_upstream_gets_no_more_than_the_first_few_requests():
+    members = upstreams(3)
+    subject = balancer(members)
+    failed = 0
+    for _ in range(300):
+        (choice,) = send(subject, 1, idempotent=False)
+        is_bad = choice.upstream == members[0]
+        failed += is_bad
+        advance(subject, milliseconds=1)
+        result = Failed() if is_bad else Answered(timedelta(milliseconds=1))
+        finish(subject, choice.upstream, result)
+    assert failed <= 3
+
+
+def test_a_failed_upstream_returns_by_idempotent_trials_and_starts_cold():
+    members = upstreams(2)
+    subject = balancer(members)
+    serve(subject, 100)
+    state = subject.states[members[0].key]
+    for _ in range(3):
+        ticket = subject.started(members[0], subject.clock.monotonic())
+        finish(subject, members[0], Failed(), ticket)
+    advance(subject, seconds=1)
+    assert members[0] not in serve(subject, 5, idempotent=False)
+    assert state.out
+    assert serve(subject, 2) == [members[0]] * 2
+    assert not state.out
+    assert state.warmth(subject.clock.monotonic().total_seconds()) < 0.1
+
+
+def test_a_straggler_loses_its_share_and_only_trials_reach_it():
+    members = upstreams(3)
+    subject = balancer(members)
+    serve(subject, 300)
+    slow = members[0]
+    for _ in range(4):
+        ticket = subject.started(slow, subject.clock.monotonic())
+        advance(subject, milliseconds=100)
+        finish(subject, slow, Answered(timedelta(milliseconds=100)), ticket)
+    served = serve(subject, 300, is_slow=lambda one: one == slow)
+    assert served.count(slow) < 20
+    assert slow in serve(subject, 100)[-50:]
+
+
+def test_one_long_request_is_no_reason_for_ejection():
+    members = upstreams(1)
+    subject = balancer(members)
+    serve(subject, 200)
+    ticket = subject.started(members[0], subject.clock.monotonic())
+    state = subject.states[members[0].key]
+    advance(subject, seconds=1)
+    subject.choose(RequestInfo())
+    assert not state.out
+    for _ in range(50):
+        serve_beside(subject, members[0])
+        assert not state.out
+    finish(subject, members[0], Answered(timedelta(seconds=2)), ticket)
+    subject.choose(RequestInfo())
+    assert not state.out
+
+
+def serve_beside(subject, member):
+    ticket = subject.started(member, subject.clock.monotonic())
+    advance(subject, milliseconds=10)
+    subject.choose(RequestInfo())
+    finish(subject, member, Answered(timedelta(milliseconds=10)), ticket)
+
+
+def test_stuck_requests_of_a_frozen_upstream_are_reported():
+    members = upstreams(2)
+    subject = balancer(members)
+    serve(subject, 200)
+    start = subject.clock.monotonic()
+    tickets = [subject.started(members[0], start) for _ in range(3)]
+    assert not subject.rescues(start)
+    advance(subject, milliseconds=80)
+    found = subject.rescues(subject.clock.monotonic())
+    assert [one.ticket for one in found] == tickets
+    assert [one.is_running for one in found] == [True, True, False]
+
+
+def test_a_shedding_upstream_rests_as_long_as_its_hint_says():
+    members = upstreams(1)
+    subject = balancer(members)
+    subject.started(members[0], timedelta())
+    finish(subject, members[0], Rejected(timedelta(milliseconds=300)))
+    advance(subject, milliseconds=299)
+    assert subject.choose(RequestInfo()) == Wait()
+    advance(subject, milliseconds=2)
+    assert subject.choose(RequestInfo()) == Dispatch(members[0])
+
+
+def test_an_upstream_that_was_down_from_the_start_returns():
+    members = upstreams(1)
+    subject = balancer(members)
+    for _ in range(3):
+        finish(
+            subject,
+            members[0],
+            Failed(),
+            subject.started(*members, timedelta()),
+        )
+    advance(subject, seconds=1)
+    assert not subject.rescues(subject.clock.monotonic())
+    serve(subject, 2)
+    assert not subject.states[members[0].key].out
+
+
+def test_an_upstream_that_shed_load_is_not_treated_as_restarted():
+    members = upstreams(2)
+    subject = balancer(members)
+    state = subject.states[members[0].key]
+    for result in (Rejected(), Rejected(), Rejected()):
+        ticket = subject.started(members[0], timedelta())
+        finish(subject, members[0], result, ticket)
+    assert state.out
+    state.bring_back(1)
+    assert state.warmth(1) == 1
+
+
+def test_when_most_upstreams_look_slow_the_signal_is_ignored():
+    members = upstreams(4)
+    subject = balancer(members, max_eject_share=0.5)
+    for state in subject.states.values():
+        state.take_out(0)
+    assert isinstance(subject.choose(RequestInfo(idempotent=False)), Dispatch)
+
+
+def test_of_too_many_failing_upstreams_only_the_worst_stay_out():
+    members = upstreams(4)
+    subject = balancer(members, max_eject_share=0.5)
+    for failures, member in enumerate(members[:3], start=3):
+        for _ in range(failures):
+            finish(
+                subject, member, Failed(), subject.started(member, timedelta())
+            )
+    advance(subject, seconds=60)
+    offered = {
+        subject.choose(RequestInfo(idempotent=False)).upstream
+        for _ in range(100)
+    }
+    assert offered == {members[0], members[3]}
+
+
+def test_a_restarted_upstream_is_tried_a_minute_after_its_drain_notice():
+    members = upstreams(1)
+    subject = balancer(members)
+    subject.drain(members[0])
+    advance(subject, seconds=59)
+    assert subject.choose(RequestInfo()).code == 'no_upstream'
+    advance(subject, seconds=2)
+    assert subject.choose(RequestInfo()) == Dispatch(members[0])
+
+
+def test_draining_neither_moves_requests_nor_uses_up_the_ejection_limit():
+    members = upstreams(4)
+    subject = balancer(members, max_eject_share=0.5)
+    serve(subject, 400)
+    subject.started(members[0], subject.clock.monotonic())
+    for member in members[:2]:
+        subject.drain(member)
+    subject.states[members[2].key].take_out(0)
+    advance(subject, milliseconds=50)
+    assert not subject.rescues(subject.clock.monotonic())
+    for choice in send(subject, 2, idempotent=False):
+        assert choice == Dispatch(members[3])
+
+
+def test_an_upstream_that_joins_gets_its_share_slowly():
+    members = upstreams(2, slots=6)
+    subject = balancer(members[:1], depth=0)
+    subject.update(members)
+    list(send(subject, 12))
+    assert subject.states[members[1].key].in_flight == 1
+    assert subject.states[members[0].key].in_flight == 6
+
+
+def test_load_of_the_older_balancer_is_avoided():
+    members = upstreams(2)
+    subject = balancer(members)
+    for _ in range(20):
+        report = LoadReport(2, 2, 1, subject.clock.monotonic())
+        subject.report(members[0], report)
+    assert {one.upstream for one in send(subject, 2)} == {members[1]}
+
+
+def test_a_confirmed_crasher_is_refused_at_once():
+    subject = balancer(upstreams(2))
+    subject.suspects.confirm(['bad'], timedelta())
+    refusal = subject.choose(RequestInfo(fingerprint='bad'))
+    assert refusal.code == 'request_suspected'
+    assert isinstance(subject.choose(RequestInfo(fingerprint='x')), Dispatch)
+
+
+def test_suspects_of_a_crash_are_kept_apart():
+    members = upstreams(2)
+    subject = balancer(members)
+    both = frozenset({'x', 'y'})
+    subject.suspects.crashed(Crash('s/gone', both, timedelta()))
+    first = subject.choose(RequestInfo(fingerprint='x')).upstream
+    subject.started(first, timedelta(), 'x')
+    for _ in range(10):
+        choice = subject.choose(RequestInfo(fingerprint='y'))
+        assert choice.upstream != first
--- /dev/null
+++ b/tests/routing/test_crash.py
@@ -0,0 +1,45 @@
+"""Guards against requests that take down one upstream after the other."""
+
+from datetime import timedelta
+
+from crocusproxy.routing.crash import (
+    CONFIRMATION,
+    SUSPICION,
+    Crash,
+    CrashSuspects,
+)
+
+
+def crash(upstream, *fingerprints, at=0):
+    seconds = timedelta(seconds=at)
+    return Crash(upstream, frozenset(fingerprints), seconds)
+
+
+def test_the_request_of_two_crashes_is_refused_until_it_expires():
+    suspects = CrashSuspects()
+    assert not suspects.crashed(crash('s/a', 'bad', 'x'))
+    assert suspects.crashed(crash('s/b', 'bad', 'y', at=1)) == {'bad'}
+    now = timedelta(seconds=1)
+    assert suspects.refused_for('bad', now) == CONFIRMATION
+    assert not suspects.refused_for('x', now)
+    assert not suspects.refused_for('bad', now + CONFIRMATION)
+
+
+def test_a_popular_request_that_was_answered_is_not_confirmed():
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'bad', 'popular'))
+    suspects.answered('popular')
+    assert suspects.crashed(crash('s/b', 'bad', 'popular')) == {'bad'}
+
+
+def test_two_crashes_of_one_upstream_confirm_nothing():
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'x'))
+    assert not suspects.crashed(crash('s/a', 'x', at=1))
+
+
+def test_suspicion_expires():
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'x'))
+    later = SUSPICION.total_seconds() + 1
+    assert not suspects.crashed(crash('s/b', 'x', at=later))
