--- a/src/crocusproxy/proxy/attempt.py
+++ b/src/crocusproxy/proxy/attempt.py
@@ -43,6 +43,11 @@
     refusal: RefusalError
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The request was withdrawn from an upstream at which it waited."""
+
+
 class Attempt:
     """Sends a request to the upstream of ``ticket`` and reports the end.
 
@@ -56,6 +61,7 @@
         'exchange',
         'inbound',
         'may_send',
+        'moved',
         'relay',
         'ticket',
     )
@@ -77,8 +83,13 @@
         self.buffer_limit = buffer_limit
         self.exchange = Exchange(pool, ticket.upstream.address, relay.inbound)
         self.end: Result = Cancelled()
+        self.moved = False
 
-    async def run(self) -> web.StreamResponse | NotRun | Broke:
+    def allow_move(self) -> None:
+        """Let the request be withdrawn while it waits at the upstream."""
+        self.ticket.move = self._move
+
+    async def run(self) -> web.StreamResponse | NotRun | Broke | Moved:
         """Return the response to pass on, or how the attempt failed.
 
         Raises:
@@ -91,6 +102,8 @@
             self._log('upstream_not_reached', error)
             return NotRun()
         except BrokenResponseError as error:
+            if self.moved:
+                return Moved()
             self.end = Failed()
             return self._broke(error)
         finally:
@@ -128,6 +141,15 @@
         inbound.written = True
         return await self.exchange.send(now)
 
+    def _move(self) -> None:
+        exchange = self.exchange
+        connection = exchange.connection
+        if self.moved or not exchange.sent or exchange.message is not None:
+            return
+        if connection is not None and self.ticket.route.budget.try_spend():
+            self.moved = True
+            connection.abort()
+
     def _note(self, message: RawResponseMessage) -> None:
         ticket = self.ticket
         if LOAD_HEADER in message.headers:
--- a/src/crocusproxy/proxy/core.py
+++ b/src/crocusproxy/proxy/core.py
@@ -111,6 +111,8 @@
             self.clock,
             self.random,
         )
+        # Suspects are kept apart, so that the next crash tells which it was.
+        balancer.suspects = self.crashes.suspects
         per_caller = self.settings.limits.queued_per_caller
         route = ServiceRoute(service, balancer, self.clock, per_caller)
         route.leaving = self.view.leaving_upstreams
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -11,9 +11,9 @@
 from ..membership.view import Instance
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.crashes import CrashReport
+from ..routing.crash import Crash, CrashSuspects
 from .inbound import Inbound
 from .problems import RefusalError
-from .suspects import CrashSuspects
 
 _SHARE_TIMEOUT = ClientTimeout(total=1)
 
@@ -33,19 +33,24 @@
 
     def check(self, inbound: Inbound) -> None:
         """Raise RefusalError for a request that crashes upstreams."""
-        if not self.suspects.confirmed:
+        if not self.suspects.confirmed_until:
             return
         now = self.clock.monotonic()
-        left = self.suspects.expiry(inbound.fingerprint(), now)
-        if left is not None:
+        left = self.suspects.refused_for(inbound.fingerprint(), now)
+        if left:
             raise RefusalError('request_suspected', retry_after=left)
 
+    def fingerprint(self, inbound: Inbound) -> str:
+        """Return the fingerprint of a request if any is suspected.
+
+        It covers the body, so it is not computed without need.
+        """
+        return inbound.fingerprint() if self.suspects.suspects else ''
+
     def answered(self, inbound: Inbound) -> None:
         """Note that an upstream has answered a request in full."""
-        if self.suspects.crashes:
-            now = self.clock.monotonic()
-            self.suspects.forget_old(now)
-            self.suspects.clear(inbound.fingerprint())
+        if self.suspects.suspects:
+            self.suspects.answered(inbound.fingerprint())
 
     def lost(self, address: str, inbounds: tuple[Inbound, ...]) -> None:
         """Take in the loss of every connection to an upstream."""
@@ -61,11 +66,12 @@
 
     def take(self, report: CrashReport) -> None:
         """Take in a crash that this instance or another one has seen."""
-        found = self.suspects.crashed(
+        crash = Crash(
             report.upstream,
             frozenset(report.fingerprints),
             self.clock.monotonic(),
         )
+        found = self.suspects.crashed(crash)
         log(
             'upstream_crashed',
             upstream=report.upstream,
--- a/src/crocusproxy/proxy/dispatch.py
+++ b/src/crocusproxy/proxy/dispatch.py
@@ -8,7 +8,7 @@
 from ..ledger.ledger import Ledger
 from ..limits.refusal import Refuse
 from ..routing.results import RequestInfo
-from .attempt import Attempt, Broke, NotRun
+from .attempt import Attempt, Broke, Moved, NotRun
 from .claims import claim
 from .crashes import CrashWatch
 from .inbound import Inbound
@@ -90,26 +90,34 @@
         inbound = relay.inbound
         excluded: frozenset[str] = frozenset()
         last: NotRun | Broke | None = None
-        for _ in range(self.limits.attempts):
+        for number in range(self.limits.attempts):
             self.crashes.check(inbound)
             ticket = await self._admit(route, inbound, excluded)
             if isinstance(ticket, Refuse):
                 return _give_up(last, ticket, relay)
-            answer = await self._attempt(ticket, relay, may_send)
+            excluded |= {ticket.upstream.key}
+            others = len(excluded) < len(route.upstreams)
+            may_move = others and not number and not inbound.key
+            answer = await self._attempt(
+                ticket, relay, may_send, may_move=may_move
+            )
             if isinstance(answer, web.StreamResponse):
                 return answer
-            excluded |= {ticket.upstream.key}
-            is_last = len(excluded) >= len(route.upstreams)
-            is_last = is_last or not _may_repeat(route, inbound, last, answer)
+            repeat = others and _may_repeat(route, inbound, last, answer)
             last = _to_report(last, answer)
-            if is_last:
+            if not repeat:
                 break
         return _give_up(last, None, relay)
 
     async def _admit(
         self, route: ServiceRoute, inbound: Inbound, excluded: frozenset[str]
     ) -> Ticket | Refuse:
-        info = RequestInfo(inbound.caller, not inbound.key, excluded=excluded)
+        info = RequestInfo(
+            inbound.caller,
+            not inbound.key,
+            self.crashes.fingerprint(inbound),
+            excluded,
+        )
         return await route.admit(info, inbound.caller, inbound.deadline)
 
     async def _attempt(
@@ -117,7 +125,9 @@
         ticket: Ticket,
         relay: Relay,
         may_send: Callable[[], bool] | None,
-    ) -> web.StreamResponse | NotRun | Broke:
+        *,
+        may_move: bool,
+    ) -> web.StreamResponse | NotRun | Broke | Moved:
         attempt = Attempt(
             ticket,
             relay,
@@ -126,6 +136,8 @@
             may_send,
             self.limits.buffered_response,
         )
+        if may_move:
+            attempt.allow_move()
         try:  # noqa: WPS501 - also when the caller goes away
             answer = await attempt.run()
         finally:
@@ -140,8 +152,10 @@
     route: ServiceRoute,
     inbound: Inbound,
     earlier: NotRun | Broke | None,
-    failure: NotRun | Broke,
+    failure: NotRun | Broke | Moved,
 ) -> bool:
+    if isinstance(failure, Moved):
+        return True
     if isinstance(failure, Broke):
         if inbound.key or failure.refusal.code == 'deadline_exceeded':
             return False
@@ -155,9 +169,11 @@
 
 
 def _to_report(
-    earlier: NotRun | Broke | None, later: NotRun | Broke
-) -> NotRun | Broke:
+    earlier: NotRun | Broke | None, later: NotRun | Broke | Moved
+) -> NotRun | Broke | None:
     """Prefer a failure that says more than that a connection was missed."""
+    if isinstance(later, Moved):
+        return earlier
     if isinstance(later, NotRun) and later.message is None:
         return earlier or later
     return later
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -18,38 +18,44 @@
     LoadReport,
     RequestInfo,
     Result,
-    Wait,
 )
 
 # Room can open with time alone, for example when an ejection ends.
 _TICK_SECONDS = 0.02
-_ANY_REQUEST = RequestInfo()
+_RENEW_INTERVAL = timedelta(seconds=30)
+_LOOK_INTERVAL = timedelta(milliseconds=5)
 
 
 class Ticket:
     """A request that counts as in flight at ``upstream``."""
 
-    __slots__ = ('number', 'route', 'started', 'upstream')
+    __slots__ = ('move', 'number', 'route', 'started', 'upstream')
 
     def __init__(
         self,
         route: 'ServiceRoute',
         upstream: Upstream,
         started: timedelta,
+        fingerprint: str = '',
     ) -> None:
         self.route = route
         self.upstream = upstream
         self.started = started
-        self.number = route.balancer.started(upstream, started)
+        # Called if the request waits at an upstream that is probably slow.
+        self.move: Callable[[], None] | None = None
+        self.number = route.balancer.started(upstream, started, fingerprint)
         route.last_request_at = started
         route.in_flight[upstream.key] += 1
+        route.tickets[upstream.key, self.number] = self
 
     def finish(self, outcome: Result) -> None:
         """Report the end of the request and let the next one in."""
         route = self.route
         now = route.clock.monotonic()
         route.in_flight[self.upstream.key] -= 1
+        route.tickets.pop((self.upstream.key, self.number), None)
         route.balancer.finished(self.upstream, outcome, now, self.number)
+        route.move_stuck(now)
         if len(route.queue):
             route.pump()
 
@@ -105,6 +111,9 @@
         self.on_drain: Callable[[Upstream], None] = balancer.drain
         self.ticker: asyncio.TimerHandle | None = None
         self.in_flight: Counter[str] = Counter()
+        self.tickets: dict[tuple[str, int], Ticket] = {}
+        self.looked_at = timedelta()
+        self.renew_at = timedelta()
         self.reported_at: dict[str, timedelta] = {}
         self.last_request_at: timedelta | None = None
 
@@ -129,9 +138,7 @@
             stayed = [one for one in self.upstreams if one.key not in returned]
             self.balancer.update(stayed)
             self.balancer.update(self.upstreams)
-        for upstream in self.upstreams:
-            if upstream.key in leaving:
-                self.balancer.drain(upstream)
+        self._renew_drains(self.clock.monotonic())
         self.pump()
 
     def report(self, upstream: Upstream, load: LoadReport) -> None:
@@ -150,7 +157,7 @@
                 self.in_flight[upstream.key],
                 self.reported_at.get(upstream.key),
                 probed_at.get(upstream.key),
-                can_be_chosen=upstream.key not in self.leaving,
+                can_be_chosen=not self.balancer.is_draining(upstream),
             )
             for upstream in self.upstreams
         )
@@ -165,10 +172,12 @@
         now = self.clock.monotonic()
         if deadline <= now:
             return self._too_late()
+        if self.leaving and now >= self.renew_at:
+            self._renew_drains(now)
         if not len(self.queue):
             choice = self.balancer.choose(info)
             if isinstance(choice, Dispatch):
-                return Ticket(self, choice.upstream, now)
+                return Ticket(self, choice.upstream, now, info.fingerprint)
             if isinstance(choice, Refuse):
                 return choice
         waiting = _Waiting(info, caller, deadline)
@@ -181,7 +190,7 @@
     def pump(self) -> None:
         """Give upstreams that have room to the requests that wait."""
         while len(self.queue):
-            if isinstance(self.balancer.choose(_ANY_REQUEST), Wait):
+            if not self.balancer.has_room():
                 break
             if not self._serve_next(self.clock.monotonic()):
                 break
@@ -189,6 +198,27 @@
             loop = asyncio.get_running_loop()
             self.ticker = loop.call_later(_TICK_SECONDS, self._tick)
 
+    def move_stuck(self, now: timedelta) -> None:
+        """Move requests that wait at upstreams which are probably slow."""
+        if now - self.looked_at < _LOOK_INTERVAL:
+            return
+        self.looked_at = now
+        if len(self.queue) or not self.balancer.has_room():
+            # A request that is withdrawn now might find no place.
+            return
+        for rescue in self.balancer.rescues(now):
+            ticket = self.tickets.get((rescue.upstream.key, rescue.ticket))
+            if ticket and ticket.move and not rescue.is_running:
+                ticket.move()
+
+    def _renew_drains(self, now: timedelta) -> None:
+        # The balancer forgets a notice after a minute, since an upstream that
+        # gave it in a response may have been restarted.
+        self.renew_at = now + _RENEW_INTERVAL
+        for upstream in self.upstreams:
+            if upstream.key in self.leaving:
+                self.balancer.drain(upstream)
+
     def _serve_next(self, now: timedelta) -> bool:
         waiting = self.queue.pop(now)
         if waiting is None:
@@ -199,7 +229,8 @@
     def _place(self, waiting: _Waiting, now: timedelta) -> bool:
         choice = self.balancer.choose(waiting.info)
         if isinstance(choice, Dispatch):
-            waiting.answer(Ticket(self, choice.upstream, now))
+            fingerprint = waiting.info.fingerprint
+            waiting.answer(Ticket(self, choice.upstream, now, fingerprint))
             return True
         if isinstance(choice, Refuse):
             waiting.answer(choice)
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -10,7 +10,7 @@
 from crocusproxy.membership.view import Instance
 from crocusproxy.protocol.crashes import CrashReport
 from crocusproxy.proxy.crashes import CrashWatch, send_report
-from crocusproxy.proxy.suspects import CrashSuspects
+from crocusproxy.routing.crash import Crash, CrashSuspects
 from standins.scripted import (
     answering,
 )
@@ -24,23 +24,24 @@
 
 def test_only_crashes_of_two_upstreams_within_a_minute_confirm():
     suspects = CrashSuspects()
-    assert not suspects.crashed('s/a', BAD | {'x'}, 0 * SECOND)
-    assert not suspects.crashed('s/a', BAD, 1 * SECOND)
-    assert not suspects.crashed('s/b', frozenset(('y',)), 2 * SECOND)
-    assert not suspects.crashed('s/b', BAD, 62 * SECOND)
-    assert suspects.crashed('s/c', BAD | {'z'}, 63 * SECOND) == BAD
-    assert suspects.expiry('bad', 64 * SECOND) == 599 * SECOND
-    assert suspects.expiry('x', 64 * SECOND) is None
-    assert suspects.expiry('bad', 663 * SECOND) is None
-    assert not suspects.confirmed
+    assert not suspects.crashed(Crash('s/a', BAD | {'x'}, 0 * SECOND))
+    assert not suspects.crashed(Crash('s/a', BAD, 1 * SECOND))
+    assert not suspects.crashed(Crash('s/b', frozenset(('y',)), 2 * SECOND))
+    assert not suspects.crashed(Crash('s/b', BAD, 62 * SECOND))
+    assert suspects.crashed(Crash('s/c', BAD | {'z'}, 63 * SECOND)) == BAD
+    assert suspects.refused_for('bad', 64 * SECOND) == 599 * SECOND
+    assert not suspects.refused_for('x', 64 * SECOND)
+    assert not suspects.refused_for('bad', 663 * SECOND)
+    suspects.crashed(Crash('s/c', frozenset(), 663 * SECOND))
+    assert not suspects.confirmed_until
 
 
 def test_a_request_that_was_answered_is_no_suspect():
     """A popular request is in flight at unrelated crashes."""
     suspects = CrashSuspects()
-    suspects.crashed('s/a', BAD, 0 * SECOND)
-    suspects.clear('bad')
-    assert not suspects.crashed('s/b', BAD, 1 * SECOND)
+    suspects.crashed(Crash('s/a', BAD, 0 * SECOND))
+    suspects.answered('bad')
+    assert not suspects.crashed(Crash('s/b', BAD, 1 * SECOND))
 
 
 async def crashing(upstream, reader, writer):
@@ -100,5 +101,5 @@
         bad = await session.post(f'http://{admin}/v1/crashes', data=b'{}')
         assert bad.status == 400
     await server.close()
-    [crash] = watch.suspects.crashes
-    assert (crash.upstream, crash.fingerprints) == ('s/u1', {'print'})
+    [(fingerprint, (upstream, _))] = watch.suspects.suspects.items()
+    assert (upstream, fingerprint) == ('s/u1', 'print')
