--- a/src/crocusproxy/documents.py
+++ b/src/crocusproxy/documents.py
@@ -161,6 +161,17 @@
             return Fault(path, 'no such key', 'an unknown key', 'unknown_key')
         case 'missing' | 'missing_argument':
             return Fault(path, 'a value', 'nothing', 'missing_key')
-    expected = entry['msg'].removeprefix('Value error, ')
+    expected = _expectation(entry['msg'])
     found = repr(entry['input'])[:_MAX_FOUND_CHARACTERS]
     return Fault(path, expected, found, entry['type'])
+
+
+def _expectation(message: str) -> str:
+    """Turn a message of pydantic into what was expected.
+
+    >>> _expectation('Input should be a valid integer, unable to parse')
+    'a valid integer'
+    """
+    for prefix in ('Value error, ', 'Input should be '):
+        message = message.removeprefix(prefix)
+    return message.partition(', unable to parse')[0]
