Clear a confirmed crash suspect once a copy of it is answered

Change: an answer clears a confirmed fingerprint, since the cause is never answered. Ruled out: to confirm only one fingerprint at a time, which costs a third upstream.

--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -49,7 +49,7 @@
 
     def answered(self, inbound: Inbound) -> None:
         """Note that an upstream has answered a request in full."""
-        if self.suspects.suspects:
+        if self.suspects.suspects or self.suspects.confirmed_until:
             self.suspects.answered(inbound.fingerprint())
 
     def lost(self, address: str, inbounds: tuple[Inbound, ...]) -> None:
--- a/src/crocusproxy/routing/crash.py
+++ b/src/crocusproxy/routing/crash.py
@@ -53,9 +53,14 @@
             self.confirmed_until[fingerprint] = now + CONFIRMATION
 
     def answered(self, fingerprint: str) -> None:
-        """Clear a suspect that an upstream has answered without harm."""
-        if self.suspects:
+        """Clear a request that an upstream has answered without harm.
+
+        A popular request can be in flight at both crashes. Its copies at other
+        upstreams are answered soon after; those of the cause never are.
+        """
+        if self.suspects or self.confirmed_until:
             self.suspects.pop(fingerprint, None)
+            self.confirmed_until.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request was in flight at one recent crash."""
--- a/tests/routing/test_crash.py
+++ b/tests/routing/test_crash.py
@@ -43,3 +43,15 @@
     suspects.crashed(crash('s/a', 'x'))
     later = SUSPICION.total_seconds() + 1
     assert not suspects.crashed(crash('s/b', 'x', at=later))
+
+
+def test_a_confirmed_request_is_cleared_once_a_copy_of_it_is_answered():
+    """A popular request was in flight at both crashes and refused for long."""
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'bad', 'popular'))
+    confirmed = suspects.crashed(crash('s/b', 'bad', 'popular', at=1))
+    assert confirmed == {'bad', 'popular'}
+    suspects.answered('popular')
+    now = timedelta(seconds=2)
+    assert not suspects.refused_for('popular', now)
+    assert suspects.refused_for('bad', now)
