Judge appends by status, and read past records that are no objects

Cause: any status but 200 counted as an append without effect, although a 500, 502 or 504 can come after the write; a claim or a change could then have been reported as not made. A record whose data is no object made its whole page undecodable, so that one such record would have stopped all readers of its stream. Found by reading. Change: those three statuses are unknown, and such a record reads as empty. The tests fail before the change.

--- a/src/crocusproxy/platform_client.py
+++ b/src/crocusproxy/platform_client.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from typing import Any
+from typing import Annotated, Any
 
 from aiohttp import (
     ClientConnectorError,
@@ -11,23 +11,37 @@
     ClientSession,
     ClientTimeout,
 )
+from pydantic import BeforeValidator
 
 from .errors import AppendUnknownError, PlatformUnavailableError
 from .membership.view import InstanceView
 from .protocol.codec import decode
 
 _OK = 200
+# The service, or a gateway before it, may have failed after the write.
+_UNCERTAIN = frozenset((500, 502, 504))
 READ_LIMIT = 1000
 _POLL_GRACE = timedelta(seconds=5)
 
 
+def _object_or_empty(raw: Any) -> Any:
+    return raw if isinstance(raw, dict) else {}
+
+
+_Data = Annotated[dict[str, Any], BeforeValidator(_object_or_empty)]
+
+
 @dataclass(frozen=True, slots=True)
 class StoredRecord:
-    """One record of a stream; ``time`` is the log service's clock."""
+    """One record of a stream; ``time`` is the log service's clock.
+
+    ``data`` is empty for a record that is not an object, so that one such record
+    does not hide the others of its page.
+    """
 
     offset: int
     time: datetime
-    data: dict[str, Any]
+    data: _Data
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +92,7 @@
             raise PlatformUnavailableError(str(error)) from error
         except (ClientError, TimeoutError) as error:
             raise AppendUnknownError(f'append to {stream}: {error}') from error
-        if response.status != _OK:
-            raise PlatformUnavailableError(
-                f'append to {stream} was refused with {response.status}'
-            )
+        _check_append(stream, response.status)
         return decode(_Appended, body).offset
 
     async def read(
@@ -128,6 +139,15 @@
             raise PlatformUnavailableError(f'{path}: {error}') from error
 
 
+def _check_append(stream: str, status: int) -> None:
+    if status in _UNCERTAIN:
+        raise AppendUnknownError(f'append to {stream} ended with {status}')
+    if status != _OK:
+        raise PlatformUnavailableError(
+            f'append to {stream} was refused with {status}'
+        )
+
+
 async def _body(response: ClientResponse) -> bytes:
     if response.status != _OK:
         raise PlatformUnavailableError(
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,50 @@
+"""Guards against appends that are judged wrongly and records that block."""
+
+import asyncio
+
+import pytest
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from crocusproxy.errors import AppendUnknownError, PlatformUnavailableError
+from crocusproxy.platform_client import PlatformClient
+
+
+def run(answer, use):
+    """Use a client whose every request gets ``answer``."""
+
+    async def with_server():
+        async def respond(_):
+            return answer
+
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', respond)
+        async with TestServer(app) as server, ClientSession() as session:
+            return await use(
+                PlatformClient(session, f'127.0.0.1:{server.port}')
+            )
+
+    return asyncio.run(with_server())
+
+
+@pytest.mark.parametrize('status', [500, 502, 504])
+def test_an_append_that_may_have_taken_effect_is_unknown(status):
+    with pytest.raises(AppendUnknownError):
+        run(web.Response(status=status), lambda one: one.append('s', {}))
+
+
+@pytest.mark.parametrize('status', [400, 404, 503])
+def test_an_append_that_was_refused_had_no_effect(status):
+    with pytest.raises(PlatformUnavailableError):
+        run(web.Response(status=status), lambda one: one.append('s', {}))
+
+
+def test_a_record_that_is_no_object_does_not_hide_the_others():
+    time = '2026-01-01T00:00:00Z'
+    records = [
+        {'offset': number, 'time': time, 'data': data}
+        for number, data in enumerate(['text', {'a': 1}, None])
+    ]
+    page = {'first': 0, 'next': 3, 'records': records}
+    found = run(web.json_response(page), lambda one: one.read('s', 0))
+    assert [one.data for one in found.records] == [{}, {'a': 1}, {}]
