--- a/src/crocusproxy/platform_client.py
+++ b/src/crocusproxy/platform_client.py
@@ -35,8 +35,8 @@
 class StoredRecord:
     """One record of a stream; ``time`` is the log service's clock.
 
-    ``data`` is empty for a record that is not an object, so that one such record
-    does not hide the others of its page.
+    ``data`` is empty for a record that is not an object, so that one such
+    record does not hide the others of its page.
     """
 
     offset: int
