Count requests in flight once, and forget removed upstreams

Read as a newcomer: the route counted the requests in flight of each upstream beside the balancer, twice for each request, only to plan probes; it now asks the balancer. The depths of near and far upstreams were worked out in two places. Times of reports and probes of removed upstreams were kept for ever. No behaviour and no check changes.

--- a/src/crocusproxy/proxy/probing.py
+++ b/src/crocusproxy/proxy/probing.py
@@ -55,6 +55,11 @@
         """Apply the budgets of a newer configuration."""
         self.holder.configure(plans_of(document), self.holder.wanted)
         self.keeper.budgets_changed()
+        self.probed_at = {
+            key: at
+            for key, at in self.probed_at.items()
+            if key in document.upstreams
+        }
 
     def plan(self) -> Iterable[Upstream]:
         """Return the upstreams to probe, the most useful of each service."""
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -1,7 +1,6 @@
 """Admission of one service's requests: balancer, queue and retry budget."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -45,14 +44,12 @@
         self.move: Callable[[], None] | None = None
         self.number = route.balancer.started(upstream, started, fingerprint)
         route.last_request_at = started
-        route.in_flight[upstream.key] += 1
         route.tickets[upstream.key, self.number] = self
 
     def finish(self, outcome: Result) -> None:
         """Report the end of the request and let the next one in."""
         route = self.route
         now = route.clock.monotonic()
-        route.in_flight[self.upstream.key] -= 1
         route.tickets.pop((self.upstream.key, self.number), None)
         route.balancer.finished(self.upstream, outcome, now, self.number)
         route.move_stuck(now)
@@ -110,7 +107,6 @@
         # Called with an upstream whose response holds a drain notice.
         self.on_drain: Callable[[Upstream], None] = balancer.drain
         self.ticker: asyncio.TimerHandle | None = None
-        self.in_flight: Counter[str] = Counter()
         self.tickets: dict[tuple[str, int], Ticket] = {}
         self.looked_at = timedelta()
         self.renew_at = timedelta()
@@ -125,6 +121,10 @@
         self.balancer.update(upstreams)
         self.queue.limit = service.queue
         self.budget.share = service.retry_share
+        kept = {upstream.key for upstream in upstreams}
+        self.reported_at = {
+            key: at for key, at in self.reported_at.items() if key in kept
+        }
         self.drain(self.leaving)
 
     def drain(self, leaving: frozenset[str]) -> None:
@@ -154,7 +154,7 @@
             KnownLoad(
                 upstream.key,
                 upstream.slots,
-                self.in_flight[upstream.key],
+                self.balancer.in_flight(upstream),
                 self.reported_at.get(upstream.key),
                 probed_at.get(upstream.key),
                 can_be_chosen=not self.balancer.is_draining(upstream),
--- a/src/crocusproxy/routing/balancer.py
+++ b/src/crocusproxy/routing/balancer.py
@@ -78,8 +78,9 @@
         """Return whether some upstream would take an ordinary request."""
         now = self.clock.monotonic().total_seconds()
         ejected = self._ejected(now)
+        depths = self._depths()
         return any(
-            _cost(state, now, self._depth(state)) < FULL
+            _cost(state, now, depths[state.is_far]) < FULL
             for state in self.states.values()
             if now >= state.draining_until and state.key not in ejected
         )
@@ -139,6 +140,11 @@
         if state is not None:
             state.drain(self.clock.monotonic().total_seconds())
 
+    def in_flight(self, upstream: Upstream) -> int:
+        """Return the number of this process's requests at an upstream."""
+        state = self.states.get(upstream.key)
+        return 0 if state is None else state.in_flight
+
     def is_draining(self, upstream: Upstream) -> bool:
         """Return whether a notice of the upstream is in force."""
         state = self.states.get(upstream.key)
@@ -191,11 +197,9 @@
         """Choose at random among the upstreams that cost nearly the least."""
         best = FULL
         offers: list[tuple[float, UpstreamState]] = []
-        far_depth = self.service.depth
-        near_depth = min(NEAR_DEPTH, far_depth)
+        depths = self._depths()
         for state in usable:
-            depth = far_depth if state.is_far else near_depth
-            cost = _cost(state, now, depth)
+            cost = _cost(state, now, depths[state.is_far])
             if cost < FULL and cost <= best + NEAR_EQUAL:
                 offers.append((cost, state))
                 best = min(best, cost)
@@ -204,9 +208,10 @@
         near = [state for cost, state in offers if cost <= best + NEAR_EQUAL]
         return Dispatch(near[int(self.random.random() * len(near))].upstream)
 
-    def _depth(self, state: UpstreamState) -> int:
+    def _depths(self) -> tuple[int, int]:
+        """Return the requests beyond the slots, for near and far upstreams."""
         far_depth = self.service.depth
-        return far_depth if state.is_far else min(NEAR_DEPTH, far_depth)
+        return min(NEAR_DEPTH, far_depth), far_depth
 
     def _ejected(self, now: float) -> frozenset[str]:
         """Update the marks and return the upstreams that get trials only.
