--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,11 @@
+# Installs the locked dependencies into target/deps, unless they are there, and
+# puts the package beside them.
+set -eu
+stamp=target/deps/.installed
+if ! [ "$stamp" -nt deploy/requirements.lock ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --require-hashes --target target/deps \
+        -r deploy/requirements.lock
+    touch "$stamp"
+fi
+ln -sfn ../../src/crocusproxy target/deps/crocusproxy
--- /dev/null
+++ b/src/crocusproxy/entry/__init__.py
@@ -0,0 +1,1 @@
+"""One process per instance that takes requests and names addresses."""
--- /dev/null
+++ b/src/crocusproxy/entry/gateway.py
@@ -0,0 +1,367 @@
+"""Serves callers' requests: route, place, send, and answer."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from ..clock import Clock
+from ..limits.shared_budget import RepeatBudget
+from ..logs import log
+from ..membership.catalog import Catalog, UpstreamChange
+from ..placement.placer import (
+    Decision,
+    Demand,
+    Placed,
+    Refused,
+    ServicePlacer,
+)
+from ..placement.upstream_state import UpstreamState
+from ..routes.model import CallerLimits, Route, RouteConfig
+from ..routes.table import RouteTable
+from .caller_connection import CallerConnection, CallerRequest
+from .dialect import Dialect
+from .responses import CallerResponse, Refusal
+from .settings import Bounds
+from .upstream_call import (
+    Broken,
+    CallEnd,
+    NotRun,
+    OutgoingRequest,
+    Responded,
+    UpstreamCaller,
+)
+
+_NOT_READY = Refusal(
+    503,
+    'not_ready',
+    'no configuration has been received yet',
+    timedelta(milliseconds=100),
+)
+_NO_ROUTE = Refusal(404, 'no_route', 'no route covers this host and path')
+_BODY_TOO_LARGE = Refusal(413, 'body_too_large', 'the body is too large')
+_BAD_DEADLINE = Refusal(400, 'deadline_invalid', 'the deadline is no number')
+_TIMED_OUT = Refusal(504, 'timed_out', 'no response arrived in time')
+_FAILED = Refusal(502, 'upstream_failed', 'no usable response arrived')
+_EXPIRED = Refusal(503, 'expired', 'the time ran out before the request ran')
+_TICK_SECONDS = 0.01
+
+
+@dataclass(slots=True)
+class _Progress:
+    """One request on its way; times are monotonic seconds."""
+
+    request: CallerRequest
+    outgoing: OutgoingRequest
+    route: Route
+    service: str
+    started: float
+    until: float
+    tried: frozenset[str] = frozenset()
+    may_have_run: bool = False
+    sends: int = 0
+
+
+class Gateway:
+    """Serves the requests of all callers of this process.
+
+    ``closing`` is set during shutdown; each response then ends its connection.
+    """
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        caller: UpstreamCaller,
+        dialect: Dialect,
+        failure_domain: str,
+        bounds: Bounds,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.catalog = catalog
+        self.caller = caller
+        self.dialect = dialect
+        self.failure_domain = failure_domain
+        self.bounds = bounds
+        self.clock = clock
+        self.random = random
+        self.limits = CallerLimits()
+        self.closing = False
+        self.connections: set[CallerConnection] = set()
+        self.table: RouteTable | None = None
+        self.placers: dict[str, ServicePlacer] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.in_flight = 0
+        self.last_request = float()
+        catalog.on_config.append(self.use_config)
+        catalog.on_upstream.append(self.use_upstream)
+
+    def use_config(self, config: RouteConfig) -> None:
+        """Route by a newer configuration from now on."""
+        self.table = RouteTable(config)
+        self.limits = config.limits
+
+    def use_upstream(self, change: UpstreamChange) -> None:
+        """Take in a change of the list of upstreams."""
+        entry = change.entry
+        for placer in self.placers.values():
+            if entry is None or placer.service != entry.service:
+                placer.remove(change.key)
+        if entry is not None:
+            self.placer(entry.service).put(entry)
+
+    def placer(self, service: str) -> ServicePlacer:
+        """Return the placer of a service, created on first use."""
+        placer = self.placers.get(service)
+        if placer is None:
+            placer = ServicePlacer(
+                service, self.failure_domain, self.clock, self.random
+            )
+            self.placers[service] = placer
+        return placer
+
+    async def run(self) -> None:
+        """Refuse what has waited for too long, until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            for placer in self.placers.values():
+                if placer.queue:
+                    placer.pump()
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Return the response to a request."""
+        self.in_flight += 1
+        try:  # noqa: WPS501 - also when the caller goes away
+            return await self._handle(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _handle(self, request: CallerRequest) -> CallerResponse:
+        headers = request.message.headers
+        request_id = headers.get(self.dialect.request_id, '')
+        table = self.table
+        if table is None:
+            return self._refuse(request_id, _NOT_READY)
+        route = table.find(headers.get('Host', ''), request.message.path)
+        if route is None:
+            return self._refuse(request_id, _NO_ROUTE)
+        started = request.received.total_seconds()
+        wait = _deadline(headers.get(self.dialect.deadline), route)
+        if wait is None:
+            return self._refuse(request_id, _BAD_DEADLINE)
+        body = await self._body(request)
+        if body is None:
+            return self._refuse(request_id, _BODY_TOO_LARGE)
+        progress = _Progress(
+            request,
+            OutgoingRequest(
+                request_id, request.message, body, route.idempotent
+            ),
+            route,
+            table.service_for(route),
+            started,
+            started + wait,
+        )
+        return await self._serve(progress)
+
+    async def _body(self, request: CallerRequest) -> bytes | None:
+        limit = self.limits.body_bytes
+        length = request.message.headers.get('Content-Length', '0')
+        if int(length) > limit:
+            return None
+        payload = request.payload
+        chunks: list[bytes] = []
+        size = 0
+        while not payload.at_eof():
+            chunk = await payload.readany()
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                return None
+        return b''.join(chunks)
+
+    async def _serve(self, progress: _Progress) -> CallerResponse:
+        now = self._now()
+        self.last_request = now
+        self._budget(progress.service).count_request(now)
+        last: Broken | NotRun | Responded | None = None
+        while True:
+            decision = await self._place(progress)
+            if isinstance(decision, Refused):
+                return self._end(progress, last, decision)
+            end = await self._send(progress, decision)
+            if isinstance(end, Responded) and not end.failed:
+                return end.response
+            last = _worse(last, end)
+            if not self._may_repeat(progress, end):
+                return self._end(progress, last, None)
+
+    async def _place(self, progress: _Progress) -> Decision:
+        route = progress.route
+        target = route.target_latency.total_seconds()
+        demand = Demand(
+            route.priority,
+            progress.started + target,
+            progress.until,
+            route.idempotent,
+            progress.tried,
+        )
+        decided: asyncio.Future[Decision] = (
+            asyncio.get_running_loop().create_future()
+        )
+        placer = self.placer(progress.service)
+        waiting = placer.place(demand, decided.set_result)
+        try:
+            return await decided
+        except asyncio.CancelledError:
+            placer.withdraw(waiting)
+            if decided.done() and not decided.cancelled():
+                _release_if_placed(placer, decided.result())
+            raise
+
+    async def _send(self, progress: _Progress, placed: Placed) -> CallEnd:
+        upstream = placed.upstream
+        progress.tried |= {upstream.key}
+
+        def on_sent() -> None:  # noqa: WPS430
+            progress.sends += 1
+            if not progress.route.idempotent:
+                progress.request.detached = True
+
+        try:  # noqa: WPS501 - also when the caller goes away
+            end = await self.caller.call(
+                upstream, progress.outgoing, progress.until, on_sent
+            )
+        finally:
+            self.placer(progress.service).release(placed)
+        progress.request.detached = False
+        self._note(progress, upstream, end)
+        return end
+
+    def _note(
+        self, progress: _Progress, upstream: UpstreamState, end: CallEnd
+    ) -> None:
+        now = self._now()
+        match end:
+            case Responded(failed=False):
+                upstream.succeeded()
+                return
+            case Responded():
+                upstream.failure_rate += 0.1 * (1 - upstream.failure_rate)
+                reason = 'status'
+                progress.may_have_run = True
+            case NotRun(reached=True, retry_after=pause):
+                upstream.shed(now, pause)
+                reason = end.reason
+            case NotRun():
+                upstream.failed(now)
+                reason = end.reason
+            case Broken(timed_out=timed_out):
+                progress.may_have_run = True
+                reason = end.reason
+                if not timed_out:
+                    upstream.failed(now)
+        log(
+            'send_failed',
+            request_id=progress.outgoing.request_id,
+            upstream=upstream.key,
+            reason=reason,
+            milliseconds=round((now - progress.started) * 1000),
+        )
+
+    def _may_repeat(self, progress: _Progress, end: CallEnd) -> bool:
+        now = self._now()
+        if now >= progress.until or progress.request.gone:
+            return False
+        if isinstance(end, NotRun) and not end.reached:
+            return len(progress.tried) < 2 * progress.route.attempts + 2
+        if not isinstance(end, NotRun) and not progress.route.idempotent:
+            return False
+        if progress.sends >= progress.route.attempts:
+            return False
+        return self._budget(progress.service).try_spend(now)
+
+    def _end(
+        self,
+        progress: _Progress,
+        last: CallEnd | None,
+        refused: Refused | None,
+    ) -> CallerResponse:
+        if isinstance(last, Responded):
+            return last.response
+        request_id = progress.outgoing.request_id
+        if progress.may_have_run:
+            late = isinstance(last, Broken) and last.timed_out
+            return self._refuse(request_id, _TIMED_OUT if late else _FAILED)
+        if refused is not None:
+            refusal = Refusal(
+                503,
+                refused.code,
+                'the request was not run',
+                refused.retry_after,
+            )
+            return self._refuse(request_id, refusal)
+        if self._now() >= progress.until:
+            return self._refuse(request_id, _EXPIRED)
+        return self._refuse(
+            request_id,
+            Refusal(
+                503,
+                'not_accepted',
+                'no upstream accepted the request; it was not run',
+                timedelta(milliseconds=100),
+            ),
+        )
+
+    def _refuse(self, request_id: str, refusal: Refusal) -> CallerResponse:
+        log(
+            'request_refused',
+            request_id=request_id,
+            status=refusal.status,
+            code=refusal.code,
+        )
+        headers = ((self.dialect.request_id.encode(), request_id.encode()),)
+        return refusal.response(headers if request_id else ())
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.bounds
+            budget = RepeatBudget(
+                bounds.budget_ratio,
+                bounds.budget_slack,
+                bounds.budget_window.total_seconds(),
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
+
+
+def _deadline(text: str | None, route: Route) -> float | None:
+    """Return the seconds within which a response is due."""
+    timeout = route.timeout.total_seconds()
+    if text is None:
+        return timeout
+    try:
+        milliseconds = float(text)
+    except ValueError:
+        return None
+    if not milliseconds >= 0:
+        return None
+    return min(milliseconds / 1000, timeout)
+
+
+def _worse(
+    earlier: Broken | NotRun | Responded | None, later: CallEnd
+) -> Broken | NotRun | Responded:
+    """Prefer what says most about the request."""
+    if isinstance(later, NotRun) and earlier is not None:
+        return earlier
+    return later
+
+
+def _release_if_placed(placer: ServicePlacer, decision: Decision) -> None:
+    if isinstance(decision, Placed):
+        placer.release(decision)
--- /dev/null
+++ b/src/crocusproxy/entry/main.py
@@ -0,0 +1,176 @@
+"""The daemon ``crocus-entry``."""
+
+import asyncio
+import os
+import sys
+from datetime import timedelta
+from random import SystemRandom
+
+import fire
+from aiohttp import ClientSession
+
+from ..application import Application
+from ..clock import SystemClock
+from ..logs import log, start_logging
+from ..membership.catalog import Catalog
+from ..placement.upstream_state import UpstreamState
+from ..platform.directory import PATHS
+from ..platform.headers import DIALECT
+from ..platform.store import StoreClient
+from ..platform.watch import ConfigWatch, UpstreamWatch
+from ..proxy.pool import ConnectionPool
+from ..settings import load_or_exit
+from .caller_connection import CallerConnection
+from .gateway import Gateway
+from .ports import AddressList, Ports
+from .settings import EntrySettings
+from .upstream_call import UpstreamCaller
+from .upstream_connection import MatchingConnection
+from .upstream_messages import UpstreamMessages
+
+_PROGRAM = 'crocus-entry'
+#: Names the settings file where no path is given.
+SETTINGS_VARIABLE = 'CROCUSPROXY_BOOT'
+_STORE_TIMEOUT = timedelta(seconds=1)
+_CONNECT_TIMEOUT = timedelta(seconds=1)
+#: Upstreams close idle connections after a time of their own.
+_IDLE_LIMIT = timedelta(seconds=8)
+_SWEEP_SECONDS = 1.0
+_BACKLOG = 512
+#: The process ends this long before it would be killed.
+_KILL_MARGIN = timedelta(milliseconds=300)
+#: Share of the time to shut down during which new connections are taken.
+_STOP_LISTENING = 0.7
+
+
+class EntryDaemon:
+    """Opens the ports of one instance and owns its life cycle."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.bounds = settings.bounds
+        self.clock = SystemClock()
+        self.catalog = Catalog()
+        self.application = Application(
+            _PROGRAM, self.bounds.shutdown - _KILL_MARGIN
+        )
+        self.application.on_start.append(self.start)
+        self.application.on_drain.append(self.drain)
+        self.application.on_stop.append(self.stop)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.pool = ConnectionPool(
+            _CONNECT_TIMEOUT,
+            _IDLE_LIMIT,
+            connection_type=MatchingConnection,
+        )
+        self.gateway = Gateway(
+            self.catalog,
+            UpstreamCaller(
+                self.pool, UpstreamMessages(DIALECT), self.clock, self.on_load
+            ),
+            DIALECT,
+            settings.instance.failure_domain,
+            self.bounds,
+            self.clock,
+            SystemRandom(),
+        )
+        self.ports = Ports(PATHS, self.addresses, self.not_ready)
+
+    async def start(self) -> None:
+        """Read the store and open the ports."""
+        settings = self.settings
+        self.session = ClientSession()
+        store = StoreClient(self.session, settings.store, _STORE_TIMEOUT)
+        self._spawn(ConfigWatch(store, self.catalog, self.clock).run())
+        self._spawn(UpstreamWatch(store, self.catalog, self.clock).run())
+        self._spawn(self.gateway.run())
+        self._spawn(self._sweep())
+        await self.ports.open(settings.directory, settings.readiness)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: CallerConnection(self.gateway, loop),
+            settings.callers.host,
+            settings.callers.port,
+            backlog=_BACKLOG,
+        )
+
+    async def drain(self) -> None:
+        """Serve until callers have had time to use other instances."""
+        self.gateway.closing = True
+        limit = self.bounds.shutdown.total_seconds()
+        await asyncio.sleep(limit * _STOP_LISTENING)
+        self.server.close()
+        for connection in tuple(self.gateway.connections):
+            connection.close_gracefully()
+        while self.gateway.in_flight:
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Close everything that was opened."""
+        for task in self.tasks:
+            task.cancel()
+        await self.ports.close()
+        await self.session.close()
+        self.pool.close()
+
+    def addresses(self) -> AddressList:
+        """Return where callers should connect."""
+        callers = self.settings.callers
+        own = f'{callers.host}:{callers.port}'
+        return AddressList((own,), self.settings.validity)
+
+    def not_ready(self) -> str:
+        """Return why this instance should get no requests, or nothing."""
+        if self.application.draining:
+            return 'shutting_down'
+        if self.catalog.config is None or not self.catalog.listed:
+            return 'no_configuration'
+        return ''
+
+    def on_load(self, upstream: UpstreamState, text: str) -> None:
+        """Take in the load that an upstream has reported."""
+        load = DIALECT.parse_load(text)
+        if load is not None and load.slowdown is not None:
+            upstream.report(
+                load.slowdown, self.clock.monotonic().total_seconds()
+            )
+
+    def _spawn(self, coroutine: 'asyncio._CoroutineLike[None]') -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(_log_failure)
+        self.tasks.append(task)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            self.pool.close_idle()
+            now = self.clock.monotonic()
+            for connection in tuple(self.gateway.connections):
+                connection.close_if_idle(now)
+
+
+def _log_failure(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log('task_failed', error=repr(task.exception()))
+
+
+def run(settings: str = '') -> None:
+    """Run an entry instance until SIGTERM.
+
+    Args:
+        settings: path of the YAML settings file; by default the one that the
+            environment variable CROCUSPROXY_BOOT names.
+    """
+    path = settings or os.environ.get(SETTINGS_VARIABLE, '')
+    loaded = load_or_exit(EntrySettings, path)
+    start_logging(_PROGRAM, loaded.instance.name, sys.stdout)
+    EntryDaemon(loaded).application.run()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/crocusproxy/entry/settings.py
@@ -0,0 +1,77 @@
+"""Settings of ``crocus-entry``."""
+
+from dataclasses import field
+from datetime import timedelta
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator
+from pydantic.dataclasses import dataclass
+
+from ..durations import Duration
+from ..settings import STRICT, InstanceIdentity, Listen
+
+
+def _split_address(raw: Any) -> Any:
+    if not isinstance(raw, str):
+        return raw
+    host, _, port = raw.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError('an address such as 10.0.0.1:8080')
+    return {'host': host, 'port': int(port)}
+
+
+#: Written as ``host:port``.
+Address = Annotated[Listen, BeforeValidator(_split_address)]
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Bounds:
+    """Limits that the deployment has agreed on with its platform.
+
+    In any ``budget_window`` all instances together may repeat ``budget_ratio``
+    of the requests for a service and ``budget_slack`` more. ``shutdown`` is the
+    time from SIGTERM until the process is killed. Each upstream may be asked
+    for its health ``probes_per_second`` times a second.
+    """
+
+    budget_ratio: float = 0.2
+    budget_slack: float = 50
+    budget_window: Duration = timedelta(seconds=10)
+    shutdown: Duration = timedelta(seconds=6)
+    probes_per_second: float = 20
+    max_validity: Duration = timedelta(seconds=5)
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Capacity:
+    """What the instance can carry; the largest ones are chosen as home."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    memory_mb: int = 256
+    link_mbps: float = 1000.0
+
+
+@dataclass(frozen=True, slots=True, config=STRICT)
+class EntrySettings:
+    """Settings file of ``crocus-entry``.
+
+    ``callers`` is the port for requests, ``directory`` the one on which callers
+    ask for addresses, ``readiness`` the one for the platform's checks, and
+    ``internal`` the one for other instances. ``seeds`` lists control addresses
+    of other instances for a start without the store. ``validity`` is how long a
+    caller may use the addresses.
+    """
+
+    instance: InstanceIdentity
+    callers: Address
+    directory: Address
+    readiness: Address
+    control: Address
+    internal: Address
+    metrics: Address
+    store: str
+    seeds: tuple[str, ...] = ()
+    bounds: Bounds = field(default_factory=Bounds)
+    capacity: Capacity = field(default_factory=Capacity)
+    validity: Duration = timedelta(seconds=1)
--- /dev/null
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -0,0 +1,179 @@
+"""One send of a request to one upstream."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from aiohttp import StreamReader
+from aiohttp.http import RawRequestMessage, RawResponseMessage
+
+from ..clock import Clock
+from ..placement.upstream_state import UpstreamState
+from ..proxy.connection import (
+    BrokenResponseError,
+    DeadlineError,
+    UpstreamConnection,
+)
+from ..proxy.pool import ConnectionPool, NotOpenedError
+from .responses import CallerResponse
+from .upstream_connection import MatchingConnection
+from .upstream_messages import UpstreamMessages, retry_after
+
+#: A connection that was idle for longer may be closing at the upstream, and a
+#: request that must not be repeated would be lost on it.
+FRESH_IDLE_SECONDS = 1.0
+CONNECT_SECONDS = 0.25
+_FAILURES = range(500, 600)
+_PRECONDITIONS = frozenset((400, 408, 421, 429, 503))
+
+
+@dataclass(frozen=True, slots=True)
+class Responded:
+    """The upstream's own response; ``failed`` if it reports a failure."""
+
+    response: CallerResponse
+    failed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request did not run; ``reached`` tells if the upstream said so."""
+
+    reason: str
+    reached: bool
+    retry_after: timedelta | None = None
+    misdirected: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request was sent and may have run; no usable response came."""
+
+    reason: str
+    timed_out: bool = False
+
+
+CallEnd = Responded | NotRun | Broken
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A caller's request with its body, ready to be sent."""
+
+    request_id: str
+    message: RawRequestMessage
+    body: bytes
+    idempotent: bool
+
+
+class UpstreamCaller:
+    """Sends requests over pooled connections and checks the responses.
+
+    ``on_load`` gets the load header of each response.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        messages: UpstreamMessages,
+        clock: Clock,
+        on_load: Callable[[UpstreamState, str], None],
+    ) -> None:
+        self.pool = pool
+        self.messages = messages
+        self.clock = clock
+        self.on_load = on_load
+
+    async def call(
+        self,
+        upstream: UpstreamState,
+        outgoing: OutgoingRequest,
+        until: float,
+        on_sent: Callable[[], None],
+    ) -> CallEnd:
+        """Send the request; the response must be there at second ``until``.
+
+        ``on_sent`` is called immediately before the first byte is written.
+        """
+        address = upstream.entry.address
+        try:
+            connection = await self._connect(address, outgoing, until)
+        except NotOpenedError as error:
+            return NotRun(str(error), reached=False)
+        if upstream.gone or self._remaining(until) <= 0:
+            self.pool.release(address, connection)
+            return NotRun('too late to send', reached=False)
+        on_sent()
+        try:
+            return await self._exchange(connection, upstream, outgoing, until)
+        except DeadlineError:
+            return Broken('no response in time', timed_out=True)
+        except (BrokenResponseError, OSError) as error:
+            return Broken(str(error))
+        finally:
+            self.pool.release(address, connection)
+
+    async def _connect(
+        self, address: str, outgoing: OutgoingRequest, until: float
+    ) -> UpstreamConnection:
+        idle_limit = None if outgoing.idempotent else FRESH_IDLE_SECONDS
+        connection = self.pool.take_idle(
+            address, outgoing.request_id, idle_limit
+        )
+        if connection is None:
+            timeout = min(CONNECT_SECONDS, max(self._remaining(until), 0.001))
+            connection = await self.pool.open(address, timeout)
+        return connection
+
+    async def _exchange(
+        self,
+        connection: UpstreamConnection,
+        upstream: UpstreamState,
+        outgoing: OutgoingRequest,
+        until: float,
+    ) -> CallEnd:
+        assert isinstance(connection, MatchingConnection)
+        connection.id_header = self.messages.dialect.request_id
+        connection.last_request = outgoing.request_id
+        connection.tag = outgoing
+        remaining = self._remaining(until)
+        sending = self.messages.request(
+            outgoing.message, outgoing.body, upstream.key, remaining
+        )
+        message = await connection.send(
+            sending,
+            expects_body=outgoing.message.method != 'HEAD',
+            timeout=max(remaining, 0.001),
+        )
+        payload = connection.payload
+        assert payload is not None
+        body = await _read_all(payload)
+        load = message.headers.get(self.messages.dialect.load)
+        if load is not None:
+            self.on_load(upstream, load)
+        return self._judge(message, body)
+
+    def _judge(self, message: RawResponseMessage, body: bytes) -> CallEnd:
+        if self.messages.was_not_run(message):
+            return NotRun(
+                f'status {message.code}',
+                reached=True,
+                retry_after=retry_after(message),
+                misdirected=message.code == 421,
+            )
+        if not self.messages.is_genuine(message):
+            return Broken('a response that the upstream did not sign')
+        if message.code in _PRECONDITIONS:
+            # Only a response that says so promises that nothing has run.
+            return Broken(f'status {message.code} without a promise')
+        response = self.messages.response(message, body)
+        return Responded(response, message.code in _FAILURES)
+
+    def _remaining(self, until: float) -> float:
+        return until - self.clock.monotonic().total_seconds()
+
+
+async def _read_all(payload: StreamReader) -> bytes:
+    if payload.is_eof():
+        return payload.read_nowait()
+    return await payload.read()
--- /dev/null
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -0,0 +1,108 @@
+"""Requests as upstreams get them, and what their responses say."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from aiohttp.http import RawRequestMessage, RawResponseMessage
+
+from .dialect import Dialect
+from .responses import CallerResponse
+
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+_MAX_RETRY_AFTER = timedelta(seconds=5)
+_MIN_DEADLINE_MS = 1
+
+
+class UpstreamMessages:
+    """Writes requests and reads responses in the words of a deployment."""
+
+    def __init__(self, dialect: Dialect) -> None:
+        self.dialect = dialect
+        own = (dialect.deadline, dialect.expected_upstream)
+        self.not_forwarded = _HOP_BY_HOP | {
+            name.lower().encode() for name in own
+        }
+        self.not_returned = _HOP_BY_HOP | {dialect.load.lower().encode()}
+
+    def request(
+        self,
+        message: RawRequestMessage,
+        body: bytes,
+        upstream: str,
+        remaining: float,
+    ) -> bytes:
+        """Return a whole request; ``remaining`` is its time in seconds."""
+        target = message.path.encode('utf-8', 'surrogateescape')
+        lines = [b'%b %b HTTP/1.1\r\n' % (message.method.encode(), target)]
+        lines.extend(
+            b'%b: %b\r\n' % header
+            for header in _without(message.raw_headers, self.not_forwarded)
+        )
+        milliseconds = max(int(remaining * 1000), _MIN_DEADLINE_MS)
+        lines.append(
+            f'{self.dialect.deadline}: {milliseconds}\r\n'
+            f'{self.dialect.expected_upstream}: {upstream}\r\n'.encode()
+        )
+        if body or 'Content-Length' in message.headers or message.chunked:
+            lines.append(b'Content-Length: %d\r\n' % len(body))
+        lines.append(b'\r\n')
+        lines.append(body)
+        return b''.join(lines)
+
+    def response(
+        self, message: RawResponseMessage, body: bytes
+    ) -> CallerResponse:
+        """Return an upstream's response as its caller gets it."""
+        headers = tuple(_without(message.raw_headers, self.not_returned))
+        return CallerResponse(message.code, headers, body)
+
+    def was_not_run(self, message: RawResponseMessage) -> bool:
+        """Return whether the upstream says that it did not run a request."""
+        return message.code == 421 or self.dialect.not_run in message.headers
+
+    def is_genuine(self, message: RawResponseMessage) -> bool:
+        """Return whether a response can be an upstream's own."""
+        headers = message.headers
+        return (
+            self.dialect.signature in headers
+            and 'Content-Encoding' not in headers
+        )
+
+
+def retry_after(message: RawResponseMessage) -> timedelta | None:
+    """Return the back-off that a response asks for, if it can be read."""
+    text = message.headers.get('Retry-After', '')
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    if not 0 <= seconds < float('inf'):
+        return None
+    return min(timedelta(seconds=min(seconds, 60)), _MAX_RETRY_AFTER)
+
+
+def _without(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> Iterable[tuple[bytes, bytes]]:
+    listed: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b'connection':
+            listed.update(part.strip().lower() for part in value.split(b','))
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered not in dropped and lowered not in listed:
+            yield name, value
--- /dev/null
+++ b/src/crocusproxy/membership/catalog.py
@@ -0,0 +1,108 @@
+"""What an instance knows of the configuration and of the upstreams."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ..logs import log
+from ..routes.model import RegisteredUpstream, RouteConfig
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChange:
+    """An entry that was added or replaced; without entry it was removed."""
+
+    key: str
+    entry: RegisteredUpstream | None = None
+
+
+class Catalog:
+    """The newest configuration and list of upstreams that were seen.
+
+    A configuration never goes back to an older version. A report of an upstream
+    that is older than one already seen is ignored, also after the upstream was
+    removed. Listeners are called after each change.
+    """
+
+    def __init__(self) -> None:
+        self.config: RouteConfig | None = None
+        self.upstreams: dict[str, RegisteredUpstream] = {}
+        self.removed: dict[str, RegisteredUpstream] = {}
+        self.listed = False
+        self.on_config: list[Callable[[RouteConfig], None]] = []
+        self.on_upstream: list[Callable[[UpstreamChange], None]] = []
+
+    def use_config(self, config: RouteConfig) -> None:
+        """Take a configuration unless it is older than the one in force."""
+        current = self.config
+        if current is not None and config.version <= current.version:
+            return
+        self.config = config
+        log(
+            'route_config_in_force',
+            version=config.version,
+            previous=current.version if current else None,
+            routes=len(config.routes),
+        )
+        for listener in self.on_config:
+            listener(config)
+
+    def use_list(self, entries: tuple[RegisteredUpstream, ...]) -> None:
+        """Take the full list of upstreams; those not in it are gone."""
+        self.listed = True
+        present = {entry.key for entry in entries}
+        for key in tuple(self.upstreams):
+            if key not in present:
+                self.change(UpstreamChange(key))
+        for entry in entries:
+            self.change(UpstreamChange(entry.key, entry))
+
+    def change(self, change: UpstreamChange) -> None:
+        """Take one change of the list."""
+        current = self.upstreams.get(change.key)
+        if change.entry is None:
+            if current is None:
+                return
+            self.removed[change.key] = self.upstreams.pop(change.key)
+        else:
+            if not self._is_news(change.entry):
+                return
+            self.upstreams[change.key] = change.entry
+            self.removed.pop(change.key, None)
+        if _differs(current, change.entry):
+            _log_change(current, change)
+            for listener in self.on_upstream:
+                listener(change)
+
+    def _is_news(self, entry: RegisteredUpstream) -> bool:
+        known = self.upstreams.get(entry.key) or self.removed.get(entry.key)
+        if known is None:
+            return True
+        seen = (known.started_at, known.sequence)
+        return (entry.started_at, entry.sequence) >= seen
+
+
+def _differs(
+    before: RegisteredUpstream | None, after: RegisteredUpstream | None
+) -> bool:
+    """Return whether more than the count of reports and the warm-up differs."""
+    if before is None or after is None:
+        return before is not after
+    moving = replace(before, sequence=after.sequence, warm_up=after.warm_up)
+    return moving != after
+
+
+def _log_change(
+    before: RegisteredUpstream | None, change: UpstreamChange
+) -> None:
+    entry = change.entry or before
+    assert entry is not None
+    state = 'leaving' if entry.leaving else 'ready'
+    log(
+        'upstream_changed',
+        upstream=change.key,
+        service=entry.service,
+        address=entry.address,
+        state=state if change.entry else 'gone',
+        sequence=entry.sequence,
+        started_at=entry.started_at,
+    )
--- /dev/null
+++ b/src/crocusproxy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream of a service gets a request, and when."""
--- /dev/null
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -0,0 +1,101 @@
+"""What is known of one upstream, and what that says about the next request."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from math import exp, inf
+
+from ..routes.model import RegisteredUpstream
+
+#: Seconds after which a reported slowdown has lost 63 % of its weight.
+SLOWDOWN_MEMORY = 0.15
+#: Work takes this many times the usual where nothing is known.
+TYPICAL_SLOWDOWN = 1.8
+#: Extra time, relative to the usual, once an upstream is nearly full.
+FULL_SLOWDOWN = 0.7
+NEARLY_FULL = 0.8
+#: Extra time, relative to the usual, for a request to another failure domain.
+FAR_COST = 0.05
+#: Share of an upstream's failure rate that one more response replaces.
+FAILURE_WEIGHT = 0.2
+FIRST_REST = 0.1  # seconds
+LONGEST_REST = 2.0  # seconds
+SHED_REST = 0.03  # seconds
+COLD_SLOWDOWN = 2.0
+_SURE_FAILURE = 0.95
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamState:
+    """Requests in flight and the latest signs of one upstream.
+
+    ``slowdown`` is how long work takes, relative to the usual, as reported at
+    ``reported_at``. Until ``rest_until`` the upstream gets no request. Times
+    are monotonic seconds.
+    """
+
+    entry: RegisteredUpstream
+    is_far: bool
+    cold_until: float = -inf
+    in_flight: int = 0
+    reported_at: float = -inf
+    slowdown: float = TYPICAL_SLOWDOWN
+    failure_rate: float = 0
+    failures_in_row: int = 0
+    rest_until: float = -inf
+    asked_at: float = -inf
+    gone: bool = False
+
+    @property
+    def key(self) -> str:
+        """Return the key of the upstream."""
+        return self.entry.key
+
+    @property
+    def usable(self) -> bool:
+        """Return whether new requests may be sent here."""
+        return not self.gone and not self.entry.leaving
+
+    def report(self, slowdown: float, now: float) -> None:
+        """Take in a reported slowdown."""
+        self.slowdown = max(slowdown, 0.1)
+        self.reported_at = now
+
+    def expected_slowdown(self, now: float) -> float:
+        """Return how long work is expected to take, relative to the usual."""
+        weight = exp((self.reported_at - now) / SLOWDOWN_MEMORY)
+        expected = weight * self.slowdown + (1 - weight) * TYPICAL_SLOWDOWN
+        if now < self.cold_until:
+            expected *= COLD_SLOWDOWN
+        return expected
+
+    def cost(self, now: float) -> float:
+        """Return the expected time of one more request, in service times."""
+        slots = self.entry.slots
+        slowdown = self.expected_slowdown(now)
+        if self.in_flight + 1 >= NEARLY_FULL * slots:
+            slowdown *= 1 + FULL_SLOWDOWN
+        beyond = max(self.in_flight + 1 - slots, 0)
+        time = slowdown * (1 + beyond / slots)
+        time += 0.1 * self.in_flight / slots
+        time /= 1 - min(self.failure_rate, _SURE_FAILURE)
+        return time + FAR_COST * self.is_far
+
+    def succeeded(self) -> None:
+        """Record a complete response."""
+        self.failures_in_row = 0
+        self.failure_rate *= 1 - FAILURE_WEIGHT
+
+    def failed(self, now: float) -> None:
+        """Record a failure; more of them in a row make longer rests."""
+        self.failures_in_row += 1
+        self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
+        rest = FIRST_REST * 2 ** min(self.failures_in_row - 1, 5)
+        self.rest_until = now + min(rest, LONGEST_REST)
+
+    def shed(self, now: float, retry_after: timedelta | None) -> None:
+        """Record that the upstream did not run a request."""
+        self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate) / 2
+        rest = SHED_REST
+        if retry_after is not None:
+            rest = min(retry_after.total_seconds(), LONGEST_REST)
+        self.rest_until = max(self.rest_until, now + rest)
--- /dev/null
+++ b/src/crocusproxy/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform: its store, headers and field names."""
--- /dev/null
+++ b/src/crocusproxy/platform/directory.py
@@ -0,0 +1,39 @@
+"""How callers and the platform ask this system where to connect."""
+
+from datetime import timedelta
+
+from pydantic import ConfigDict, alias_generators
+from pydantic.dataclasses import dataclass
+
+from ..adapters import adapter_for
+from ..entry.ports import AddressList, DirectoryPaths
+
+_SECOND = timedelta(seconds=1)
+
+
+@dataclass(
+    frozen=True,
+    slots=True,
+    config=ConfigDict(
+        alias_generator=alias_generators.to_pascal, validate_by_name=True
+    ),
+)
+class _Resolved:
+    addresses: tuple[str, ...]
+    # Whole or fractional seconds; callers may keep the answer for longer.
+    ttl_s: float
+
+
+def encode_addresses(listed: AddressList) -> bytes:
+    """Return an address list as callers read it.
+
+    >>> encode_addresses(AddressList(('10.0.0.1:80',), timedelta(seconds=1)))
+    b'{"Addresses":["10.0.0.1:80"],"TtlS":1.0}'
+    """
+    resolved = _Resolved(
+        addresses=listed.addresses, ttl_s=listed.validity / _SECOND
+    )
+    return adapter_for(_Resolved).dump_json(resolved, by_alias=True)
+
+
+PATHS = DirectoryPaths('/-/resolve', '/-/readiness', encode_addresses)
--- /dev/null
+++ b/src/crocusproxy/platform/store.py
@@ -0,0 +1,176 @@
+"""Client of the platform's store."""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Annotated
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from pydantic import Base64Bytes, ConfigDict, Field, alias_generators
+from pydantic.dataclasses import dataclass as checked
+
+from ..errors import CrocusError, PlatformUnavailableError
+from ..protocol.codec import decode
+
+_OK = 200
+_GONE = 410
+_LENGTH = struct.Struct('>I')
+_BOUNDS = struct.Struct('>QQ')
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class ExpiredOffsetError(CrocusError):
+    """The records that were asked for have been deleted."""
+
+    code = 'offset_expired'
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """One record of a keyed topic; without content it removes the key."""
+
+    key: str
+    content: bytes
+    offset: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Records in order of their offsets; reading goes on at ``end``."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+_PASCAL = ConfigDict(alias_generator=alias_generators.to_pascal)
+
+
+@checked(frozen=True, slots=True, config=_PASCAL)
+class _NewestItem:
+    key: str
+    # Base64 on the wire, unlike the raw records of a read.
+    value: Base64Bytes
+    offset: int
+
+
+@checked(frozen=True, slots=True, config=_PASCAL)
+class _NewestPage:
+    # Spelled in lower case on the wire, unlike the other fields.
+    items: Annotated[tuple[_NewestItem, ...], Field(alias='items')]
+    has_more: bool
+    end: int
+
+
+class StoreClient:
+    """Reads and writes keyed topics at ``address``.
+
+    ``timeout`` bounds each call, in addition to the time a read may wait.
+    """
+
+    def __init__(
+        self, session: ClientSession, address: str, timeout: timedelta
+    ) -> None:
+        self.session = session
+        self.address = address
+        self.timeout = timeout
+
+    async def newest(self, topic: str) -> RecordPage:
+        """Return the newest record of each key.
+
+        ``end`` is that of the first page, since pages are read at different
+        times: a reader that goes on from there misses nothing.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer.
+        """
+        records: list[KeyedRecord] = []
+        query = {'Topic': topic, 'part': '0'}
+        end = -1
+        while True:
+            body = await self._get('/-/log-newest', query, timedelta())
+            page = decode(_NewestPage, body)
+            end = page.end if end < 0 else end
+            records.extend(
+                KeyedRecord(item.key, item.value, item.offset)
+                for item in page.items
+            )
+            if not page.has_more or not page.items:
+                return RecordPage(tuple(records), end)
+            query['after'] = page.items[-1].key
+
+    async def read(
+        self, topic: str, start: int, wait: timedelta = timedelta()
+    ) -> RecordPage:
+        """Read records from ``start`` on; wait up to ``wait`` for the first.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer.
+            ExpiredOffsetError: the record at ``start`` was deleted.
+        """
+        query = {
+            'Topic': topic,
+            'part': '0',
+            'From': str(start),
+            'WaitMs': str(wait // _MILLISECOND),
+        }
+        body = await self._get('/-/log-read', query, wait)
+        records = tuple(_split_records(body[_BOUNDS.size :]))
+        return RecordPage(records, start + len(records))
+
+    async def put(self, topic: str, key: str, content: bytes) -> None:
+        """Write the newest record of a key.
+
+        Raises:
+            PlatformUnavailableError: it is not known to be written.
+        """
+        name = key.encode()
+        record = bytes((len(name),)) + name + content
+        try:
+            async with self.session.post(
+                f'http://{self.address}/-/log-append',
+                params={'Topic': topic, 'part': '0'},
+                data=_LENGTH.pack(len(record)) + record,
+                timeout=ClientTimeout(total=self.timeout.total_seconds()),
+            ) as response:
+                await response.read()
+        except (ClientError, TimeoutError) as error:
+            raise PlatformUnavailableError(f'append: {error!r}') from error
+        if response.status != _OK:
+            raise PlatformUnavailableError(f'append: status {response.status}')
+
+    async def _get(
+        self, path: str, query: dict[str, str], wait: timedelta
+    ) -> bytes:
+        total = (self.timeout + wait).total_seconds()
+        try:
+            async with self.session.get(
+                f'http://{self.address}{path}',
+                params=query,
+                timeout=ClientTimeout(total=total),
+            ) as response:
+                body = await response.read()
+        except (ClientError, TimeoutError) as error:
+            raise PlatformUnavailableError(f'{path}: {error!r}') from error
+        if response.status == _GONE:
+            raise ExpiredOffsetError(path)
+        if response.status != _OK:
+            raise PlatformUnavailableError(f'{path}: status {response.status}')
+        return body
+
+
+def _split_records(content: bytes) -> Iterator[KeyedRecord]:
+    """Yield the records of a read; each has its key in front.
+
+    >>> list(_split_records(bytes((0, 0, 0, 4, 2)) + b'ab!'))
+    [KeyedRecord(key='ab', content=b'!', offset=-1)]
+    """
+    position = 0
+    while position + _LENGTH.size <= len(content):
+        length = int.from_bytes(content[position : position + _LENGTH.size])
+        position += _LENGTH.size
+        record = content[position : position + length]
+        position += length
+        name_end = 1 + record[0] if record else 0
+        name = record[1:name_end].decode(errors='replace')
+        yield KeyedRecord(name, record[name_end:])
--- /dev/null
+++ b/src/crocusproxy/platform/wire.py
@@ -0,0 +1,169 @@
+"""The platform's documents, decoded once into the project's own types.
+
+The classes that begin with ``_`` repeat the platform's field names; nothing
+outside this package sees them.
+"""
+
+from datetime import timedelta
+from typing import Annotated, Any, Literal
+
+from pydantic import (
+    ConfigDict,
+    Field,
+    StrictInt,
+    StrictStr,
+    alias_generators,
+)
+from pydantic.dataclasses import dataclass
+
+from ..protocol.codec import decode
+from ..routes.model import (
+    CallerLimits,
+    RegisteredUpstream,
+    Route,
+    RouteConfig,
+    ServiceTerms,
+    WeightedService,
+)
+
+_WIRE = ConfigDict(alias_generator=alias_generators.to_pascal, extra='ignore')
+_IDEMPOTENT = 'safe'
+_VERSION_BASE = 16
+_ADDRESS = r'^[0-9.]+:[0-9]+$'
+_Positive = Annotated[StrictInt, Field(gt=0)]
+_NotNegative = Annotated[StrictInt, Field(ge=0)]
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Status:
+    state: Literal['ready', 'draining']
+    sequence: _NotNegative
+    # How much longer the server is slow, not how long its start takes in all.
+    warmup_remaining_ms: int | float = 0
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _ServerInfo:
+    service: StrictStr
+    # Of the server's software; a restart is told by `born`.
+    version: Any
+    zone: StrictStr
+    slots: _Positive
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Entry:
+    address: Annotated[StrictStr, Field(pattern=_ADDRESS)]
+    server_info: _ServerInfo
+    status: _Status
+    # Spelled in lower case on the wire, unlike the other fields.
+    born: Annotated[_NotNegative, Field(alias='born')] = 0
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Split:
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Route:
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    attempts: int = 1
+    priority: int = 0
+    service: str = ''
+    traffic_split: tuple[_Split, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Service:
+    name: str
+    health_check_path: str
+    # Of all callers together, at each server.
+    max_connections: int = 1
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Limits:
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Config:
+    # Eight hexadecimal digits.
+    version: str
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits
+
+
+def decode_config(document: bytes) -> RouteConfig:
+    """Return the configuration that an operator has published.
+
+    Raises:
+        MalformedMessageError: the document has another form.
+    """
+    config = decode(_Config, document)
+    return RouteConfig(
+        int(config.version, _VERSION_BASE),
+        tuple(_to_route(route) for route in config.routes),
+        tuple(
+            ServiceTerms(
+                service.name, service.health_check_path, service.max_connections
+            )
+            for service in config.services
+        ),
+        CallerLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            timedelta(milliseconds=config.limits.header_timeout_ms),
+            timedelta(milliseconds=config.limits.idle_timeout_ms),
+        ),
+    )
+
+
+def decode_upstream(key: str, document: bytes) -> RegisteredUpstream:
+    """Return what a server has reported of itself.
+
+    Raises:
+        MalformedMessageError: the entry can't be used.
+    """
+    entry = decode(_Entry, document)
+    return RegisteredUpstream(
+        key=key,
+        service=entry.server_info.service,
+        address=entry.address,
+        failure_domain=entry.server_info.zone,
+        slots=entry.server_info.slots,
+        leaving=entry.status.state == 'draining',
+        started_at=entry.born,
+        sequence=entry.status.sequence,
+        warm_up=timedelta(milliseconds=entry.status.warmup_remaining_ms),
+    )
+
+
+def _to_route(route: _Route) -> Route:
+    parts = tuple(
+        WeightedService(part.service, part.weight)
+        for part in route.traffic_split
+    )
+    return Route(
+        route.name,
+        route.host,
+        route.path_prefix,
+        # An unknown kind is never repeated.
+        idempotent=route.kind == _IDEMPOTENT,
+        timeout=timedelta(milliseconds=route.timeout_ms),
+        target_latency=timedelta(milliseconds=route.target_latency_ms),
+        attempts=route.attempts,
+        priority=route.priority,
+        parts=parts or (WeightedService(route.service, 1),),
+    )
--- a/src/crocusproxy/proxy/connection.py
+++ b/src/crocusproxy/proxy/connection.py
@@ -50,6 +50,9 @@
         'waiter',
     )
 
+    #: Whether a response may have no length and end with its connection.
+    reads_until_close = False
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -95,6 +98,7 @@
             _READ_BUFFER,
             payload_exception=BrokenResponseError,
             response_with_body=expects_body,
+            read_until_eof=self.reads_until_close,
             auto_decompress=False,
             max_line_size=_MAX_HEADER_FIELD,
             max_field_size=_MAX_HEADER_FIELD,
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -38,7 +38,9 @@
         connect_timeout: timedelta,
         idle_limit: timedelta,
         on_crash: CrashListener | None = None,
+        connection_type: type[UpstreamConnection] = UpstreamConnection,
     ) -> None:
+        self.connection_type = connection_type
         self.connect_timeout = connect_timeout.total_seconds()
         self.idle_limit = idle_limit.total_seconds()
         self.on_crash = on_crash
@@ -87,7 +89,7 @@
         try:
             async with asyncio.timeout(min(timeout, self.connect_timeout)):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, lost),
+                    lambda: self.connection_type(loop, lost),
                     host.strip('[]'),
                     int(port),
                 )
--- /dev/null
+++ b/src/crocusproxy/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Which service a request goes to, and under which terms."""
--- /dev/null
+++ b/src/crocusproxy/routes/table.py
@@ -0,0 +1,68 @@
+"""Lookup of the route of a request."""
+
+from .model import Route, RouteConfig, WeightedService
+
+
+class TrafficSplit:
+    """Deals requests to the parts of a route in proportion to their weights.
+
+    Smooth weighted round robin: the shares are exact over each full turn, so
+    that they hold in each second and not only on average.
+
+    >>> from .model import WeightedService
+    >>> split = TrafficSplit((WeightedService('a', 3), WeightedService('b', 1)))
+    >>> [split.next_service() for _ in range(4)]
+    ['a', 'a', 'b', 'a']
+    """
+
+    def __init__(self, parts: tuple[WeightedService, ...]) -> None:
+        self.parts = parts
+        self.total = sum(part.weight for part in parts)
+        self.credits = [0 for _ in parts]
+
+    def next_service(self) -> str:
+        """Return the service of the next request."""
+        if len(self.parts) == 1:
+            return self.parts[0].service
+        for index, part in enumerate(self.parts):
+            self.credits[index] += part.weight
+        best = max(range(len(self.parts)), key=self.credits.__getitem__)
+        self.credits[best] -= self.total
+        return self.parts[best].service
+
+
+class RouteTable:
+    """The routes of one configuration, by host and longest prefix."""
+
+    def __init__(self, config: RouteConfig) -> None:
+        self.config = config
+        self.splits = {
+            route.name: TrafficSplit(route.parts) for route in config.routes
+        }
+        self.by_host: dict[str, dict[str, Route]] = {}
+        for route in config.routes:
+            prefixes = self.by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None if no route covers it."""
+        prefixes = self.by_host.get(_host_name(host))
+        if prefixes is None:
+            return None
+        location = path.partition('?')[0]
+        end = location.rfind('/')
+        while end >= 0:
+            route = prefixes.get(location[: end + 1])
+            if route is not None:
+                return route
+            end = location.rfind('/', 0, end)
+        return None
+
+    def service_for(self, route: Route) -> str:
+        """Return the service that gets the next request of ``route``."""
+        return self.splits[route.name].next_service()
+
+
+def _host_name(host: str) -> str:
+    name, separator, port = host.rpartition(':')
+    return (name if separator and port.isdigit() else host).lower()
