Concentrate a site's requests at one home that measures its upstreams

Change: members elect a home by the order of their announcements and follow its feed; the directory names the home; the home alone reads the store and asks upstreams for their load where nothing newer than 70 ms is known.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 # Installs the locked dependencies into target/deps, unless they are there, and
-# puts the package beside them.
+# copies the package beside them.
 set -eu
 stamp=target/deps/.installed
 if ! [ "$stamp" -nt deploy/requirements.lock ]; then
@@ -8,4 +8,5 @@
         -r deploy/requirements.lock
     touch "$stamp"
 fi
-ln -sfn ../../src/crocusproxy target/deps/crocusproxy
+rm -rf target/deps/crocusproxy
+cp -r src/crocusproxy target/deps/crocusproxy
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..limits.shared_budget import RepeatBudget
 from ..logs import log
-from ..membership.catalog import Catalog, UpstreamChange
+from ..membership.catalog import Catalog
 from ..placement.placer import (
     Decision,
     Demand,
@@ -17,6 +17,7 @@
     ServicePlacer,
 )
 from ..placement.upstream_state import UpstreamState
+from ..protocol.home_feed import UpstreamChange
 from ..routes.model import CallerLimits, Route, RouteConfig
 from ..routes.table import RouteTable
 from .caller_connection import CallerConnection, CallerRequest
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -3,26 +3,35 @@
 import asyncio
 import os
 import sys
+from collections.abc import Coroutine
 from datetime import timedelta
 from random import SystemRandom
+from typing import Any
 
 import fire
-from aiohttp import ClientSession
+from aiohttp import ClientSession, TCPConnector
 
 from ..application import Application
-from ..clock import SystemClock
+from ..clock import Clock, SystemClock
+from ..errors import NotReachableError
 from ..logs import log, start_logging
 from ..membership.catalog import Catalog
+from ..membership.home import HomeKeeper
+from ..membership.roster import Roster
 from ..placement.upstream_state import UpstreamState
 from ..platform.directory import PATHS
 from ..platform.headers import DIALECT
+from ..platform.members import Announcement
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
+from ..protocol.codec import MalformedMessageError
+from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
 from ..settings import load_or_exit
 from .caller_connection import CallerConnection
 from .gateway import Gateway
 from .ports import AddressList, Ports
+from .prober import Prober
 from .settings import EntrySettings
 from .upstream_call import UpstreamCaller
 from .upstream_connection import MatchingConnection
@@ -75,17 +84,38 @@
             SystemRandom(),
         )
         self.ports = Ports(PATHS, self.addresses, self.not_ready)
+        self.roster = Roster(_member(settings, self.clock))
+        self.home_tasks: list[asyncio.Task[None]] = []
+        self.prober = Prober(
+            self.pool,
+            DIALECT,
+            self.clock,
+            self.on_load,
+            lambda: self.gateway.last_request,
+            self.bounds.probes_per_second,
+        )
+        self.catalog.on_config.append(self.prober.use_config)
 
     async def start(self) -> None:
-        """Read the store and open the ports."""
+        """Join the other instances and open the ports."""
         settings = self.settings
-        self.session = ClientSession()
-        store = StoreClient(self.session, settings.store, _STORE_TIMEOUT)
-        self._spawn(ConfigWatch(store, self.catalog, self.clock).run())
-        self._spawn(UpstreamWatch(store, self.catalog, self.clock).run())
+        self.session = ClientSession(connector=TCPConnector(limit=0))
+        self.store = StoreClient(self.session, settings.store, _STORE_TIMEOUT)
+        self.keeper = HomeKeeper(
+            self.session,
+            self.catalog,
+            self.roster,
+            self.clock,
+            self.lead,
+            self.follow,
+        )
+        await self.ports.open(settings.directory, settings.readiness)
+        await self.ports.add(settings.internal, self.keeper.server.routes())
+        await self.ports.add(settings.control, self.keeper.server.routes())
+        await self.ports.add(settings.metrics, self.application.admin_routes())
+        self._spawn(self._join())
         self._spawn(self.gateway.run())
         self._spawn(self._sweep())
-        await self.ports.open(settings.directory, settings.readiness)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: CallerConnection(self.gateway, loop),
@@ -94,9 +124,46 @@
             backlog=_BACKLOG,
         )
 
+    def lead(self) -> None:
+        """Read the store and measure the upstreams, as the home does."""
+        self.home_tasks = [
+            self._spawn(
+                ConfigWatch(self.store, self.catalog, self.clock).run()
+            ),
+            self._spawn(
+                UpstreamWatch(self.store, self.catalog, self.clock).run()
+            ),
+            self._spawn(self.prober.run(self.gateway.placers.values)),
+        ]
+
+    def follow(self) -> None:
+        """Leave reading and measuring to the home."""
+        for task in self.home_tasks:
+            task.cancel()
+        self.home_tasks = []
+
+    async def _join(self) -> None:
+        announcement = Announcement(self.store, self.roster)
+        if not await announcement.try_once():
+            self._spawn(announcement.repeat())
+            for seed in self.settings.seeds:
+                await self._ask_seed(seed)
+        await self.keeper.run()
+
+    async def _ask_seed(self, seed: str) -> None:
+        try:
+            await self.keeper.learn_from(seed)
+        except (
+            NotReachableError,
+            MalformedMessageError,
+            TimeoutError,
+        ) as error:
+            log('seed_not_reached', address=seed, error=repr(error))
+
     async def drain(self) -> None:
         """Serve until callers have had time to use other instances."""
         self.gateway.closing = True
+        self.keeper.leave()
         limit = self.bounds.shutdown.total_seconds()
         await asyncio.sleep(limit * _STOP_LISTENING)
         self.server.close()
@@ -107,7 +174,7 @@
 
     async def stop(self) -> None:
         """Close everything that was opened."""
-        for task in self.tasks:
+        for task in tuple(self.tasks):
             task.cancel()
         await self.ports.close()
         await self.session.close()
@@ -115,9 +182,10 @@
 
     def addresses(self) -> AddressList:
         """Return where callers should connect."""
-        callers = self.settings.callers
-        own = f'{callers.host}:{callers.port}'
-        return AddressList((own,), self.settings.validity)
+        home = self.keeper.home
+        if home is None or (self.keeper.leaving and self.keeper.leading):
+            home = self.roster.own
+        return AddressList((home.callers,), self.settings.validity)
 
     def not_ready(self) -> str:
         """Return why this instance should get no requests, or nothing."""
@@ -135,10 +203,14 @@
                 load.slowdown, self.clock.monotonic().total_seconds()
             )
 
-    def _spawn(self, coroutine: 'asyncio._CoroutineLike[None]') -> None:
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, None]
+    ) -> 'asyncio.Task[None]':
         task = asyncio.get_running_loop().create_task(coroutine)
         task.add_done_callback(_log_failure)
         self.tasks.append(task)
+        task.add_done_callback(self.tasks.remove)
+        return task
 
     async def _sweep(self) -> None:
         while True:
@@ -149,6 +221,21 @@
                 connection.close_if_idle(now)
 
 
+def _member(settings: EntrySettings, clock: Clock) -> Member:
+    capacity = settings.capacity
+    started_at = round(clock.now().timestamp() * 1000)
+    return Member(
+        settings.instance.name,
+        settings.instance.failure_domain,
+        f'{settings.internal.host}:{settings.internal.port}',
+        f'{settings.callers.host}:{settings.callers.port}',
+        round(capacity.cpu_share * capacity.cores, 2),
+        # Behind all that the store has given a place.
+        order=started_at,
+        started_at=started_at,
+    )
+
+
 def _log_failure(task: 'asyncio.Task[None]') -> None:
     if not task.cancelled() and task.exception() is not None:
         log('task_failed', error=repr(task.exception()))
--- /dev/null
+++ b/src/crocusproxy/entry/prober.py
@@ -0,0 +1,115 @@
+"""Asks upstreams for their load where no response has told it lately."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from math import inf
+
+from ..clock import Clock
+from ..logs import log
+from ..placement.placer import ServicePlacer
+from ..placement.upstream_state import UpstreamState
+from ..proxy.connection import BrokenResponseError
+from ..proxy.pool import ConnectionPool, NotOpenedError
+from ..routes.model import RouteConfig
+from .dialect import Dialect
+from .upstream_connection import MatchingConnection
+
+_TICK_SECONDS = 0.02
+#: A load that was reported within this time is not asked for again.
+FRESH_SECONDS = 0.07
+#: Nobody is asked once no request has come for so long.
+QUIET_SECONDS = 0.5
+TIMEOUT_SECONDS = 0.25
+#: Share of the allowed rate of probes that is used.
+_RATE_SHARE = 0.5
+
+
+class Prober:
+    """Probes the upstreams that could be chosen next.
+
+    ``on_load`` gets the load header of a response. ``last_request`` returns the
+    monotonic second of the latest request.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        clock: Clock,
+        on_load: Callable[[UpstreamState, str], None],
+        last_request: Callable[[], float],
+        probes_per_second: float,
+    ) -> None:
+        self.pool = pool
+        self.dialect = dialect
+        self.clock = clock
+        self.on_load = on_load
+        self.last_request = last_request
+        rate = max(probes_per_second * _RATE_SHARE, 0.1)
+        self.interval = max(FRESH_SECONDS, 1 / rate)
+        self.health_paths: dict[str, str] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def use_config(self, config: RouteConfig) -> None:
+        """Take in where each service answers for its health."""
+        self.health_paths = {
+            service.name: service.health_path for service in config.services
+        }
+
+    async def run(self, placers: Callable[[], Iterable[ServicePlacer]]) -> None:
+        """Probe until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            now = self._now()
+            if now - self.last_request() > QUIET_SECONDS:
+                continue
+            for placer in placers():
+                path = self.health_paths.get(placer.service)
+                if path is not None:
+                    self._probe_all(placer, path, now)
+
+    def _probe_all(self, placer: ServicePlacer, path: str, now: float) -> None:
+        for state in placer.upstreams.values():
+            latest = max(state.reported_at, state.asked_at)
+            if state.usable and now - latest >= self.interval:
+                state.asked_at = now
+                task = asyncio.create_task(self._probe(state, path))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+    async def _probe(self, state: UpstreamState, path: str) -> None:
+        address = state.entry.address
+        connection = self.pool.take_idle(address, '')
+        try:
+            if connection is None:
+                connection = await self.pool.open(address, TIMEOUT_SECONDS)
+        except NotOpenedError as error:
+            self._failed(state, str(error))
+            return
+        assert isinstance(connection, MatchingConnection)
+        # The upstream's own id marks the response, which has no request's.
+        connection.id_header = self.dialect.upstream
+        connection.last_request = state.key
+        request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
+        try:
+            message = await connection.send(
+                request.encode(), expects_body=True, timeout=TIMEOUT_SECONDS
+            )
+            if connection.payload is not None:
+                await connection.payload.read()
+        except (BrokenResponseError, OSError) as error:
+            self._failed(state, str(error))
+        else:
+            load = message.headers.get(self.dialect.load)
+            if load is not None:
+                self.on_load(state, load)
+        finally:
+            self.pool.release(address, connection)
+
+    def _failed(self, state: UpstreamState, reason: str) -> None:
+        state.reported_at = -inf
+        state.failed(self._now())
+        log('probe_failed', upstream=state.key, reason=reason)
+
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -1,20 +1,13 @@
 """What an instance knows of the configuration and of the upstreams."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from ..logs import log
+from ..protocol.home_feed import UpstreamChange
 from ..routes.model import RegisteredUpstream, RouteConfig
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamChange:
-    """An entry that was added or replaced; without entry it was removed."""
-
-    key: str
-    entry: RegisteredUpstream | None = None
-
-
 class Catalog:
     """The newest configuration and list of upstreams that were seen.
 
--- /dev/null
+++ b/src/crocusproxy/membership/feed_server.py
@@ -0,0 +1,149 @@
+"""The feed by which a home and those that pass it on tell what they know."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from aiohttp import web
+
+from ..adapters import adapter_for
+from ..logs import log
+from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.home_feed import FeedMessage, Member, MemberView
+from .catalog import Catalog, UpstreamChange
+from .roster import Roster
+
+FEED_PATH = '/members/feed'
+VIEW_PATH = '/members/view'
+LIST_PATH = '/members'
+#: A follower that hears nothing for several of these looks for a new home.
+BEAT_SECONDS = 0.2
+_CONFLICT = 409
+#: A follower that takes nothing for so long is cut off.
+_MAX_BACKLOG = 256
+
+
+class FeedServer:
+    """Serves the members' views and the feed on the internal port.
+
+    ``view`` returns this member's own view. ``path`` names the members between
+    the home and this one.
+    """
+
+    def __init__(
+        self, catalog: Catalog, roster: Roster, view: Callable[[], MemberView]
+    ) -> None:
+        self.catalog = catalog
+        self.roster = roster
+        self.view = view
+        self.path: tuple[str, ...] = ()
+        self.followers: dict[str, asyncio.Queue[FeedMessage | None]] = {}
+        self.closing = False
+        catalog.on_config.append(
+            lambda config: self.publish(FeedMessage(config=config))
+        )
+        catalog.on_upstream.append(
+            lambda change: self.publish(FeedMessage(changes=(change,)))
+        )
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the internal port."""
+        return [
+            web.post(FEED_PATH, self._feed),
+            web.get(VIEW_PATH, self._view),
+            web.get(LIST_PATH, self._list),
+        ]
+
+    def publish(self, message: FeedMessage) -> None:
+        """Queue a message for each follower."""
+        for name, queue in tuple(self.followers.items()):
+            if queue.qsize() < _MAX_BACKLOG:
+                queue.put_nowait(message)
+            else:
+                log('feed_follower_too_slow', member=name)
+                self._end(name)
+
+    def end_all(self) -> None:
+        """End each follower's feed, so that it looks for a home."""
+        for name in tuple(self.followers):
+            self._end(name)
+
+    def _end(self, name: str) -> None:
+        queue = self.followers.pop(name, None)
+        if queue is not None:
+            queue.put_nowait(None)
+
+    def _full(self, view: MemberView) -> FeedMessage:
+        catalog = self.catalog
+        changes = tuple(
+            UpstreamChange(key, entry)
+            for key, entry in catalog.upstreams.items()
+        )
+        return FeedMessage(
+            view.epoch,
+            view.home,
+            (*self.path, view.member.name),
+            full=catalog.listed,
+            config=catalog.config,
+            changes=changes,
+            members=self.roster.all(),
+        )
+
+    async def _feed(self, request: web.Request) -> web.StreamResponse:
+        try:
+            follower = decode(Member, await request.read())
+        except MalformedMessageError as error:
+            return web.Response(status=400, text=str(error))
+        view = self.view()
+        blocked = view.state not in {'home', 'attached'}
+        if blocked or follower.name in self.path:
+            return web.Response(status=_CONFLICT, body=encode(view))
+        response = web.StreamResponse()
+        await response.prepare(request)
+        self._end(follower.name)
+        queue: asyncio.Queue[FeedMessage | None] = asyncio.Queue()
+        self.followers[follower.name] = queue
+        self._welcome(follower)
+        try:  # noqa: WPS501 - also when the follower goes away
+            await self._stream(response, queue, self._full(view))
+        finally:
+            if self.followers.get(follower.name) is queue:
+                self.followers.pop(follower.name)
+        return response
+
+    async def _stream(
+        self,
+        response: web.StreamResponse,
+        queue: 'asyncio.Queue[FeedMessage | None]',
+        first: FeedMessage,
+    ) -> None:
+        message: FeedMessage | None = first
+        while message is not None:
+            await response.write(encode_line(message))
+            try:
+                async with asyncio.timeout(BEAT_SECONDS):
+                    message = await queue.get()
+            except TimeoutError:
+                message = FeedMessage()
+
+    def _welcome(self, follower: Member) -> None:
+        log('feed_follower_joined', member=follower.name)
+        if self.roster.learn((follower,)):
+            self.publish(FeedMessage(members=(follower,)))
+
+    async def _view(self, _: web.Request) -> web.Response:
+        return web.Response(body=encode(self.view()))
+
+    async def _list(self, _: web.Request) -> web.Response:
+        message = replace(FeedMessage(), members=self.roster.all())
+        return web.Response(body=encode(message))
+
+
+def encode_line(message: FeedMessage) -> bytes:
+    """Return a message as one line; what is not set is left out.
+
+    >>> encode_line(FeedMessage(epoch=2))
+    b'{"epoch":2}\\n'
+    """
+    adapter = adapter_for(FeedMessage)
+    return adapter.dump_json(message, exclude_defaults=True) + b'\n'
--- /dev/null
+++ b/src/crocusproxy/membership/home.py
@@ -0,0 +1,240 @@
+"""Keeps this instance attached to a home, or makes it one."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ..clock import Clock
+from ..errors import NotReachableError
+from ..logs import log
+from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.home_feed import FeedMessage, Member, MemberView
+from .catalog import Catalog
+from .election import Attach, Election, Lead, elect, yields_to
+from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH, FeedServer
+from .roster import Roster
+
+_OK = 200
+#: A feed that is silent for longer is lost.
+FEED_SILENCE_SECONDS = 0.7
+VIEW_SECONDS = 0.35
+LOOK_AGAIN_SECONDS = 0.1
+#: How long a member waits for others to notice the loss of a home.
+PATIENCE = timedelta(seconds=1)
+#: A home asks one of the members that don't follow it this often.
+CHECK_SECONDS = 1.0
+_MAX_ASKED = 24
+_LINE_LIMIT = 64 * 1024 * 1024
+
+
+class HomeKeeper:
+    """Finds the home, follows its feed, and takes over where there is none.
+
+    ``on_lead`` is called when this instance becomes home and ``on_follow`` when
+    it is no longer one.
+    """
+
+    def __init__(
+        self,
+        session: ClientSession,
+        catalog: Catalog,
+        roster: Roster,
+        clock: Clock,
+        on_lead: Callable[[], None],
+        on_follow: Callable[[], None],
+    ) -> None:
+        self.session = session
+        self.catalog = catalog
+        self.roster = roster
+        self.clock = clock
+        self.on_lead = on_lead
+        self.on_follow = on_follow
+        self.server = FeedServer(catalog, roster, self.view)
+        self.home: Member | None = None
+        self.epoch = 0
+        self.leading = False
+        self.leaving = False
+        self.lost = ''
+
+    def view(self) -> MemberView:
+        """Return how this member sees itself."""
+        own = self.roster.own
+        if self.leaving:
+            return MemberView(own, 'leaving', self.epoch, self.home)
+        if self.leading:
+            return MemberView(own, 'home', self.epoch, own)
+        if self.home is not None:
+            return MemberView(own, 'attached', self.epoch, self.home)
+        return MemberView(own, 'searching', self.epoch)
+
+    async def run(self) -> None:
+        """Keep a home until cancelled."""
+        while True:
+            match await self._find():
+                case Attach(member=member):
+                    await self._follow(member)
+                case Lead(epoch=epoch) if not self.leaving:
+                    await self._lead(epoch)
+                case _:
+                    await asyncio.sleep(LOOK_AGAIN_SECONDS)
+
+    def leave(self) -> None:
+        """Give up being home, so that another member takes over at once."""
+        self.leaving = True
+        self.server.publish(FeedMessage(leaving=True))
+        self.server.end_all()
+
+    async def _find(self) -> Election:
+        started = self.clock.monotonic()
+        while True:
+            views = await self._ask(self.roster.others()[:_MAX_ASKED])
+            patient = self.clock.monotonic() - started < PATIENCE
+            election = elect(
+                self.roster.own, views, self.lost, self.epoch, patient=patient
+            )
+            if isinstance(election, (Attach, Lead)):
+                return election
+            await asyncio.sleep(LOOK_AGAIN_SECONDS)
+
+    async def _ask(self, members: Iterable[Member]) -> list[MemberView]:
+        """Return the views of the members that answer; a home ends the wait."""
+        tasks = [
+            asyncio.create_task(self._view_of(member)) for member in members
+        ]
+        views: list[MemberView] = []
+        for next_view in asyncio.as_completed(tasks):
+            view = await next_view
+            if view is not None:
+                views.append(view)
+            if view is not None and view.state == 'home':
+                break
+        for task in tasks:
+            task.cancel()
+        return views
+
+    async def _view_of(self, member: Member) -> MemberView | None:
+        try:
+            async with asyncio.timeout(VIEW_SECONDS):
+                body = await self._get(member.internal, VIEW_PATH)
+            view = decode(MemberView, body)
+        except (NotReachableError, TimeoutError, MalformedMessageError):
+            # A member that does not answer takes no part in the election.
+            return None
+        self.roster.learn((view.member,))
+        return view
+
+    async def learn_from(self, address: str) -> None:
+        """Take the members that the instance at ``address`` knows.
+
+        Raises:
+            NotReachableError: it did not answer.
+        """
+        async with asyncio.timeout(VIEW_SECONDS):
+            body = await self._get(address, LIST_PATH)
+        self.roster.learn(decode(FeedMessage, body).members)
+
+    async def _get(self, address: str, path: str) -> bytes:
+        try:
+            async with self.session.get(f'http://{address}{path}') as response:
+                return await response.read()
+        except (ClientError, OSError) as error:
+            raise NotReachableError(f'{address}: {error!r}') from error
+
+    async def _follow(self, member: Member) -> None:
+        reason = 'ended'
+        try:
+            await self._read_feed(member)
+        except (ClientError, OSError, TimeoutError) as error:
+            reason = repr(error)
+        except MalformedMessageError as error:
+            reason = str(error)
+        if self.home is not None:
+            log('home_lost', home=self.home.name, reason=reason)
+            self.lost = self.home.name
+            self.home = None
+        else:
+            await asyncio.sleep(LOOK_AGAIN_SECONDS)
+
+    async def _read_feed(self, member: Member) -> None:
+        timeout = ClientTimeout(
+            total=None,
+            sock_connect=VIEW_SECONDS,
+            sock_read=FEED_SILENCE_SECONDS,
+        )
+        async with self.session.post(
+            f'http://{member.internal}{FEED_PATH}',
+            data=encode(self.roster.own),
+            timeout=timeout,
+            read_bufsize=_LINE_LIMIT,
+        ) as response:
+            if response.status != _OK:
+                return
+            async for line in response.content:
+                message = decode(FeedMessage, line)
+                if message.leaving:
+                    return
+                self._take(message)
+
+    def _take(self, message: FeedMessage) -> None:
+        if message.home is not None:
+            self.home = message.home
+            self.epoch = message.epoch
+            self.server.path = message.path
+            log(
+                'home_followed',
+                home=message.home.name,
+                epoch=message.epoch,
+                path=','.join(message.path),
+            )
+        if message.members and self.roster.learn(message.members):
+            self.server.publish(FeedMessage(members=message.members))
+        if message.config is not None:
+            self.catalog.use_config(message.config)
+        if message.full:
+            entries = tuple(
+                change.entry
+                for change in message.changes
+                if change.entry is not None
+            )
+            self.catalog.use_list(entries)
+            return
+        for change in message.changes:
+            self.catalog.change(change)
+
+    async def _lead(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.leading = True
+        self.home = self.roster.own
+        self.server.path = ()
+        log('home_taken_over', epoch=epoch, after=self.lost)
+        self.on_lead()
+        try:  # noqa: WPS501 - also when cancelled
+            await self._until_another_home()
+        finally:
+            self.leading = False
+            self.home = None
+            self.server.end_all()
+            self.on_follow()
+
+    async def _until_another_home(self) -> None:
+        """Return when this instance leaves or another home goes first."""
+        turn = 0
+        while not self.leaving:
+            await asyncio.sleep(CHECK_SECONDS)
+            strangers = [
+                member
+                for member in self.roster.others()
+                if member.name not in self.server.followers
+            ]
+            if not strangers:
+                continue
+            turn += 1
+            view = await self._view_of(strangers[turn % len(strangers)])
+            if view is None or view.home is None:
+                continue
+            if view.home.name != self.roster.own.name:
+                if yields_to(self.view(), view):
+                    log('home_given_up', home=view.home.name, epoch=view.epoch)
+                    return
--- /dev/null
+++ b/src/crocusproxy/membership/roster.py
@@ -0,0 +1,44 @@
+"""The members that an instance knows of."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ..protocol.home_feed import Member
+
+
+class Roster:
+    """Members by name; of two starts of one instance the later one counts."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.members: dict[str, Member] = {own.name: own}
+
+    def learn(self, members: Iterable[Member]) -> bool:
+        """Take in members and return whether any of them is news."""
+        changed = False
+        for member in members:
+            known = self.members.get(member.name)
+            if member.name == self.own.name or known == member:
+                continue
+            if known is None or known.started_at <= member.started_at:
+                self.members[member.name] = member
+                changed = True
+        return changed
+
+    def renumber(self, order: int) -> None:
+        """Take the place that the store has given to this instance."""
+        self.own = replace(self.own, order=order)
+        self.members[self.own.name] = self.own
+
+    def others(self) -> tuple[Member, ...]:
+        """Return the other members in the order in which they become home."""
+        others = [
+            member
+            for member in self.members.values()
+            if member.name != self.own.name
+        ]
+        return tuple(sorted(others, key=lambda member: member.rank))
+
+    def all(self) -> tuple[Member, ...]:
+        """Return every member, this one included."""
+        return tuple(self.members.values())
--- /dev/null
+++ b/src/crocusproxy/platform/members.py
@@ -0,0 +1,55 @@
+"""Announces this instance in the store, and finds the others there."""
+
+import asyncio
+from dataclasses import replace
+
+from ..errors import PlatformUnavailableError
+from ..logs import log
+from ..membership.roster import Roster
+from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.home_feed import Member
+from .store import KeyedRecord, StoreClient
+
+MEMBER_TOPIC = 'keyed.crocus.members'
+RETRY_SECONDS = 2.0
+
+
+class Announcement:
+    """Writes one record for each start of an instance.
+
+    The record's offset gives the member its place: those that have run for
+    longest become home first.
+    """
+
+    def __init__(self, store: StoreClient, roster: Roster) -> None:
+        self.store = store
+        self.roster = roster
+
+    async def try_once(self) -> bool:
+        """Announce this instance and learn the others; False if it failed."""
+        own = self.roster.own
+        try:
+            await self.store.put(MEMBER_TOPIC, own.name, encode(own))
+            page = await self.store.newest(MEMBER_TOPIC)
+        except PlatformUnavailableError as error:
+            log('announcement_failed', error=str(error))
+            return False
+        for record in page.records:
+            if record.key == own.name:
+                self.roster.renumber(record.offset)
+            else:
+                self._learn(record)
+        return True
+
+    async def repeat(self) -> None:
+        """Try again until the announcement is written."""
+        while not await self.try_once():
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _learn(self, record: KeyedRecord) -> None:
+        try:
+            member = decode(Member, record.content)
+        except MalformedMessageError as error:
+            log('member_unusable', member=record.key, error=str(error))
+            return
+        self.roster.learn((replace(member, order=record.offset),))
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -7,8 +7,9 @@
 from ..clock import Clock
 from ..errors import PlatformUnavailableError
 from ..logs import log
-from ..membership.catalog import Catalog, UpstreamChange
+from ..membership.catalog import Catalog
 from ..protocol.codec import MalformedMessageError
+from ..protocol.home_feed import UpstreamChange
 from .store import ExpiredOffsetError, KeyedRecord, RecordPage, StoreClient
 from .wire import decode_config, decode_upstream
 
