--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,6 +1,7 @@
 """Serves callers' requests: route, place, send, and answer."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -46,6 +47,15 @@
 _FAILED = Refusal(502, 'upstream_failed', 'no usable response arrived')
 _EXPIRED = Refusal(503, 'expired', 'the time ran out before the request ran')
 _TICK_SECONDS = 0.01
+#: A load reported within this many seconds is as good as a new one.
+FRESH_AT_CHOICE = 0.03
+#: A slowdown from which on another upstream is looked for.
+SLOW = 2.0
+_MAX_LOOKS = 3
+
+
+#: Asks one upstream of a service for its load.
+Refresh = Callable[[str, UpstreamState], Awaitable[None]]
 
 
 @dataclass(slots=True)
@@ -86,6 +96,7 @@
         self.bounds = bounds
         self.clock = clock
         self.random = random
+        self.refresh: Refresh = _no_refresh
         self.limits = CallerLimits()
         self.closing = False
         self.connections: set[CallerConnection] = set()
@@ -198,6 +209,27 @@
                 return self._end(progress, last, None)
 
     async def _place(self, progress: _Progress) -> Decision:
+        """Choose an upstream, and look again if it turns out to be slow."""
+        placer = self.placer(progress.service)
+        decision = await self._decide(progress)
+        for _ in range(_MAX_LOOKS):
+            if isinstance(decision, Refused):
+                return decision
+            state = decision.upstream
+            if self._now() - state.reported_at < FRESH_AT_CHOICE:
+                return decision
+            try:  # noqa: WPS501 - also when the caller goes away
+                await self.refresh(progress.service, state)
+            except asyncio.CancelledError:
+                placer.release(decision)
+                raise
+            if state.slowdown < SLOW:
+                return decision
+            placer.release(decision)
+            decision = await self._decide(progress)
+        return decision
+
+    async def _decide(self, progress: _Progress) -> Decision:
         route = progress.route
         target = route.target_latency.total_seconds()
         demand = Demand(
@@ -223,6 +255,9 @@
     async def _send(self, progress: _Progress, placed: Placed) -> CallEnd:
         upstream = placed.upstream
         progress.tried |= {upstream.key}
+        sent_at = self._now()
+        slowdown = upstream.slowdown
+        age = sent_at - upstream.reported_at
 
         def on_sent() -> None:  # noqa: WPS430
             progress.sends += 1
@@ -236,6 +271,22 @@
         finally:
             self.placer(progress.service).release(placed)
         progress.request.detached = False
+        log(
+            'call_ended',
+            service=progress.service,
+            upstream=upstream.key,
+            far=upstream.is_far,
+            prio=progress.route.priority,
+            tl=progress.route.target_latency.total_seconds(),
+            wait=round(sent_at - progress.started, 4),
+            took=round(self._now() - sent_at, 4),
+            slow0=slowdown,
+            age=round(age, 4),
+            slow1=upstream.slowdown,
+            age1=round(self._now() - upstream.reported_at, 4),
+            inflight=upstream.in_flight,
+            end=type(end).__name__,
+        )
         self._note(progress, upstream, end)
         return end
 
@@ -340,6 +391,10 @@
         return self.clock.monotonic().total_seconds()
 
 
+async def _no_refresh(service: str, state: UpstreamState) -> None:
+    """Go by what is known."""
+
+
 def _deadline(text: str | None, route: Route) -> float | None:
     """Return the seconds within which a response is due."""
     timeout = route.timeout.total_seconds()
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -22,6 +22,7 @@
 from ..platform.directory import PATHS
 from ..platform.headers import DIALECT
 from ..platform.members import Announcement
+from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
 from ..protocol.codec import MalformedMessageError
@@ -94,13 +95,20 @@
             lambda: self.gateway.last_request,
             self.bounds.probes_per_second,
         )
+        self.gateway.refresh = self.prober.refresh
         self.catalog.on_config.append(self.prober.use_config)
 
     async def start(self) -> None:
         """Join the other instances and open the ports."""
         settings = self.settings
         self.session = ClientSession(connector=TCPConnector(limit=0))
-        self.store = StoreClient(self.session, settings.store, _STORE_TIMEOUT)
+        self.store = StoreClient(
+            self.session,
+            settings.store,
+            _STORE_TIMEOUT,
+            lambda: self.keeper.follower_addresses(),
+        )
+        relay = StoreRelay(self.session, settings.store, _STORE_TIMEOUT)
         self.keeper = HomeKeeper(
             self.session,
             self.catalog,
@@ -110,7 +118,9 @@
             self.follow,
         )
         await self.ports.open(settings.directory, settings.readiness)
-        await self.ports.add(settings.internal, self.keeper.server.routes())
+        await self.ports.add(
+            settings.internal, [*self.keeper.server.routes(), *relay.routes()]
+        )
         await self.ports.add(settings.control, self.keeper.server.routes())
         await self.ports.add(settings.metrics, self.application.admin_routes())
         self._spawn(self._join())
@@ -142,24 +152,6 @@
             task.cancel()
         self.home_tasks = []
 
-    async def _join(self) -> None:
-        announcement = Announcement(self.store, self.roster)
-        if not await announcement.try_once():
-            self._spawn(announcement.repeat())
-            for seed in self.settings.seeds:
-                await self._ask_seed(seed)
-        await self.keeper.run()
-
-    async def _ask_seed(self, seed: str) -> None:
-        try:
-            await self.keeper.learn_from(seed)
-        except (
-            NotReachableError,
-            MalformedMessageError,
-            TimeoutError,
-        ) as error:
-            log('seed_not_reached', address=seed, error=repr(error))
-
     async def drain(self) -> None:
         """Serve until callers have had time to use other instances."""
         self.gateway.closing = True
@@ -203,6 +195,24 @@
                 load.slowdown, self.clock.monotonic().total_seconds()
             )
 
+    async def _join(self) -> None:
+        announcement = Announcement(self.store, self.roster)
+        if not await announcement.try_once():
+            self._spawn(announcement.repeat())
+            for seed in self.settings.seeds:
+                await self._ask_seed(seed)
+        await self.keeper.run()
+
+    async def _ask_seed(self, seed: str) -> None:
+        try:
+            await self.keeper.learn_from(seed)
+        except (
+            NotReachableError,
+            MalformedMessageError,
+            TimeoutError,
+        ) as error:
+            log('seed_not_reached', address=seed, error=repr(error))
+
     def _spawn(
         self, coroutine: Coroutine[Any, Any, None]
     ) -> 'asyncio.Task[None]':
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -16,10 +16,12 @@
 
 _TICK_SECONDS = 0.02
 #: A load that was reported within this time is not asked for again.
-FRESH_SECONDS = 0.07
+FRESH_SECONDS = 0.3
 #: Nobody is asked once no request has come for so long.
 QUIET_SECONDS = 0.5
 TIMEOUT_SECONDS = 0.25
+#: A choice waits this long for a probe; it then goes by what is known.
+CHOICE_SECONDS = 0.006
 #: Share of the allowed rate of probes that is used.
 _RATE_SHARE = 0.5
 
@@ -48,7 +50,7 @@
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
         self.interval = max(FRESH_SECONDS, 1 / rate)
         self.health_paths: dict[str, str] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def use_config(self, config: RouteConfig) -> None:
         """Take in where each service answers for its health."""
@@ -72,40 +74,53 @@
         for state in placer.upstreams.values():
             latest = max(state.reported_at, state.asked_at)
             if state.usable and now - latest >= self.interval:
-                state.asked_at = now
-                task = asyncio.create_task(self._probe(state, path))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self._start(state, path)
+
+    async def refresh(self, service: str, state: UpstreamState) -> None:
+        """Ask one upstream now, and wait for its response for a moment."""
+        path = self.health_paths.get(service)
+        if path is not None:
+            task = self.tasks.get(state.key) or self._start(state, path)
+            await asyncio.wait((task,), timeout=CHOICE_SECONDS)
+
+    def _start(self, state: UpstreamState, path: str) -> 'asyncio.Task[None]':
+        state.asked_at = self._now()
+        task = asyncio.create_task(self._probe(state, path))
+        self.tasks[state.key] = task
+        task.add_done_callback(lambda _: self.tasks.pop(state.key, None))
+        return task
 
     async def _probe(self, state: UpstreamState, path: str) -> None:
         address = state.entry.address
         connection = self.pool.take_idle(address, '')
-        try:
-            if connection is None:
+        if connection is None:
+            try:
                 connection = await self.pool.open(address, TIMEOUT_SECONDS)
-        except NotOpenedError as error:
-            self._failed(state, str(error))
-            return
+            except NotOpenedError as error:
+                self._failed(state, str(error))
+                return
         assert isinstance(connection, MatchingConnection)
         # The upstream's own id marks the response, which has no request's.
         connection.id_header = self.dialect.upstream
         connection.last_request = state.key
         request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
         try:
-            message = await connection.send(
-                request.encode(), expects_body=True, timeout=TIMEOUT_SECONDS
-            )
-            if connection.payload is not None:
-                await connection.payload.read()
+            load = await self._ask(connection, request.encode())
         except (BrokenResponseError, OSError) as error:
             self._failed(state, str(error))
         else:
-            load = message.headers.get(self.dialect.load)
-            if load is not None:
-                self.on_load(state, load)
+            self.on_load(state, load)
         finally:
             self.pool.release(address, connection)
 
+    async def _ask(self, connection: MatchingConnection, request: bytes) -> str:
+        message = await connection.send(
+            request, expects_body=True, timeout=TIMEOUT_SECONDS
+        )
+        if connection.payload is not None:
+            await connection.payload.read()
+        return message.headers.get(self.dialect.load, '')
+
     def _failed(self, state: UpstreamState, reason: str) -> None:
         state.reported_at = -inf
         state.failed(self._now())
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -74,4 +74,4 @@
     seeds: tuple[str, ...] = ()
     bounds: Bounds = field(default_factory=Bounds)
     capacity: Capacity = field(default_factory=Capacity)
-    validity: Duration = timedelta(seconds=1)
+    validity: Duration = timedelta(seconds=5)
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -22,6 +22,7 @@
         self.removed: dict[str, RegisteredUpstream] = {}
         self.listed = False
         self.on_config: list[Callable[[RouteConfig], None]] = []
+        self.on_listed: list[Callable[[], None]] = []
         self.on_upstream: list[Callable[[UpstreamChange], None]] = []
 
     def use_config(self, config: RouteConfig) -> None:
@@ -41,13 +42,20 @@
 
     def use_list(self, entries: tuple[RegisteredUpstream, ...]) -> None:
         """Take the full list of upstreams; those not in it are gone."""
-        self.listed = True
         present = {entry.key for entry in entries}
         for key in tuple(self.upstreams):
             if key not in present:
                 self.change(UpstreamChange(key))
         for entry in entries:
             self.change(UpstreamChange(entry.key, entry))
+        self.complete()
+
+    def complete(self) -> None:
+        """Note that every upstream that there is has been taken in."""
+        if not self.listed:
+            self.listed = True
+            for listener in self.on_listed:
+                listener()
 
     def change(self, change: UpstreamChange) -> None:
         """Take one change of the list."""
--- a/src/crocusproxy/membership/election.py
+++ b/src/crocusproxy/membership/election.py
@@ -48,19 +48,16 @@
     """
     replies = [view for view in views if view.member.name != own.name]
     homes = [view for view in replies if view.state == 'home']
-    if homes:
-        return Attach(best_home(homes).member)
     attached = [view for view in replies if view.state == 'attached']
     others = [view for view in attached if _home_name(view) != lost]
-    if others:
-        return Attach(best_home(others).member)
+    if homes or others:
+        return Attach(best_home(homes or others).member)
+    ranks = [view.member.rank for view in replies if view.state == 'searching']
+    is_next = min(ranks, default=own.rank) >= own.rank
+    if patient and (attached or not is_next):
+        return LookAgain()
     if attached:
-        if patient:
-            return LookAgain()
         return Attach(best_home(attached).member)
-    ranked = [view.member.rank for view in replies if view.state == 'searching']
-    if ranked and min(ranked) < own.rank and patient:
-        return LookAgain()
     known = [view.epoch for view in replies]
     return Lead(max((last_epoch, *known)) + 1)
 
@@ -81,4 +78,4 @@
 
 
 def _home_name(view: MemberView) -> str:
-    return view.home.name if view.home is not None else ''
+    return view.home.name if view.home else ''
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -9,8 +9,13 @@
 from ..adapters import adapter_for
 from ..logs import log
 from ..protocol.codec import MalformedMessageError, decode, encode
-from ..protocol.home_feed import FeedMessage, Member, MemberView
-from .catalog import Catalog, UpstreamChange
+from ..protocol.home_feed import (
+    FeedMessage,
+    Member,
+    MemberView,
+    UpstreamChange,
+)
+from .catalog import Catalog
 from .roster import Roster
 
 FEED_PATH = '/members/feed'
@@ -42,6 +47,7 @@
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
         )
+        catalog.on_listed.append(lambda: self.publish(self.full()))
         catalog.on_upstream.append(
             lambda change: self.publish(FeedMessage(changes=(change,)))
         )
@@ -68,12 +74,9 @@
         for name in tuple(self.followers):
             self._end(name)
 
-    def _end(self, name: str) -> None:
-        queue = self.followers.pop(name, None)
-        if queue is not None:
-            queue.put_nowait(None)
-
-    def _full(self, view: MemberView) -> FeedMessage:
+    def full(self) -> FeedMessage:
+        """Return all that a follower has to know."""
+        view = self.view()
         catalog = self.catalog
         changes = tuple(
             UpstreamChange(key, entry)
@@ -89,6 +92,11 @@
             members=self.roster.all(),
         )
 
+    def _end(self, name: str) -> None:
+        queue = self.followers.pop(name, None)
+        if queue is not None:
+            queue.put_nowait(None)
+
     async def _feed(self, request: web.Request) -> web.StreamResponse:
         try:
             follower = decode(Member, await request.read())
@@ -105,7 +113,7 @@
         self.followers[follower.name] = queue
         self._welcome(follower)
         try:  # noqa: WPS501 - also when the follower goes away
-            await self._stream(response, queue, self._full(view))
+            await self._stream(response, queue, self.full())
         finally:
             if self.followers.get(follower.name) is queue:
                 self.followers.pop(follower.name)
@@ -142,8 +150,8 @@
 def encode_line(message: FeedMessage) -> bytes:
     """Return a message as one line; what is not set is left out.
 
-    >>> encode_line(FeedMessage(epoch=2))
-    b'{"epoch":2}\\n'
+    >>> encode_line(FeedMessage(epoch=2)).strip()
+    b'{"epoch":2}'
     """
     adapter = adapter_for(FeedMessage)
-    return adapter.dump_json(message, exclude_defaults=True) + b'\n'
+    return b'%b\n' % adapter.dump_json(message, exclude_defaults=True)
--- a/src/crocusproxy/membership/home.py
+++ b/src/crocusproxy/membership/home.py
@@ -80,12 +80,30 @@
                 case _:
                     await asyncio.sleep(LOOK_AGAIN_SECONDS)
 
+    def follower_addresses(self) -> tuple[str, ...]:
+        """Return the internal addresses of the members that follow this one."""
+        return tuple(
+            member.internal
+            for member in self.roster.others()
+            if member.name in self.server.followers
+        )
+
     def leave(self) -> None:
         """Give up being home, so that another member takes over at once."""
         self.leaving = True
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_all()
 
+    async def learn_from(self, address: str) -> None:
+        """Take the members that the instance at ``address`` knows.
+
+        Raises:
+            NotReachableError: it did not answer.
+        """
+        async with asyncio.timeout(VIEW_SECONDS):
+            body = await self._get(address, LIST_PATH)
+        self.roster.learn(decode(FeedMessage, body).members)
+
     async def _find(self) -> Election:
         started = self.clock.monotonic()
         while True:
@@ -116,24 +134,17 @@
 
     async def _view_of(self, member: Member) -> MemberView | None:
         try:
-            async with asyncio.timeout(VIEW_SECONDS):
-                body = await self._get(member.internal, VIEW_PATH)
-            view = decode(MemberView, body)
+            view = await self._ask_view(member)
         except (NotReachableError, TimeoutError, MalformedMessageError):
             # A member that does not answer takes no part in the election.
             return None
         self.roster.learn((view.member,))
         return view
 
-    async def learn_from(self, address: str) -> None:
-        """Take the members that the instance at ``address`` knows.
-
-        Raises:
-            NotReachableError: it did not answer.
-        """
+    async def _ask_view(self, member: Member) -> MemberView:
         async with asyncio.timeout(VIEW_SECONDS):
-            body = await self._get(address, LIST_PATH)
-        self.roster.learn(decode(FeedMessage, body).members)
+            body = await self._get(member.internal, VIEW_PATH)
+        return decode(MemberView, body)
 
     async def _get(self, address: str, path: str) -> bytes:
         try:
@@ -150,12 +161,12 @@
             reason = repr(error)
         except MalformedMessageError as error:
             reason = str(error)
-        if self.home is not None:
-            log('home_lost', home=self.home.name, reason=reason)
-            self.lost = self.home.name
-            self.home = None
-        else:
+        if self.home is None:
             await asyncio.sleep(LOOK_AGAIN_SECONDS)
+            return
+        log('home_lost', home=self.home.name, reason=reason)
+        self.lost = self.home.name
+        self.home = None
 
     async def _read_feed(self, member: Member) -> None:
         timeout = ClientTimeout(
@@ -213,28 +224,35 @@
         try:  # noqa: WPS501 - also when cancelled
             await self._until_another_home()
         finally:
-            self.leading = False
-            self.home = None
-            self.server.end_all()
-            self.on_follow()
+            self._end_lead()
+
+    def _end_lead(self) -> None:
+        self.leading = False
+        self.home = None
+        self.server.end_all()
+        self.on_follow()
 
     async def _until_another_home(self) -> None:
         """Return when this instance leaves or another home goes first."""
         turn = 0
         while not self.leaving:
             await asyncio.sleep(CHECK_SECONDS)
-            strangers = [
-                member
-                for member in self.roster.others()
-                if member.name not in self.server.followers
-            ]
-            if not strangers:
-                continue
             turn += 1
-            view = await self._view_of(strangers[turn % len(strangers)])
-            if view is None or view.home is None:
-                continue
-            if view.home.name != self.roster.own.name:
-                if yields_to(self.view(), view):
-                    log('home_given_up', home=view.home.name, epoch=view.epoch)
-                    return
+            view = await self._view_of_stranger(turn)
+            if view is not None and yields_to(self.view(), view):
+                log('home_given_up', member=view.member.name, epoch=view.epoch)
+                return
+
+    async def _view_of_stranger(self, turn: int) -> MemberView | None:
+        """Return the view of a member that follows another home."""
+        strangers = [
+            member
+            for member in self.roster.others()
+            if member.name not in self.server.followers
+        ]
+        if not strangers:
+            return None
+        view = await self._view_of(strangers[turn % len(strangers)])
+        if view is None or view.home is None:
+            return None
+        return None if view.home.name == self.roster.own.name else view
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -8,13 +8,13 @@
 
 #: Seconds after which a reported slowdown has lost 63 % of its weight.
 SLOWDOWN_MEMORY = 0.15
-#: Work takes this many times the usual where nothing is known.
-TYPICAL_SLOWDOWN = 1.8
+#: Cost of an upstream of which nothing is known: it is asked before it is used.
+TYPICAL_SLOWDOWN = 1.2
 #: Extra time, relative to the usual, once an upstream is nearly full.
 FULL_SLOWDOWN = 0.7
 NEARLY_FULL = 0.8
 #: Extra time, relative to the usual, for a request to another failure domain.
-FAR_COST = 0.05
+FAR_COST = 0.12
 #: Share of an upstream's failure rate that one more response replaces.
 FAILURE_WEIGHT = 0.2
 FIRST_REST = 0.1  # seconds
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -8,7 +8,7 @@
 from ..membership.roster import Roster
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.home_feed import Member
-from .store import KeyedRecord, StoreClient
+from .store import KeyedRecord, RecordPage, StoreClient
 
 MEMBER_TOPIC = 'keyed.crocus.members'
 RETRY_SECONDS = 2.0
@@ -29,8 +29,7 @@
         """Announce this instance and learn the others; False if it failed."""
         own = self.roster.own
         try:
-            await self.store.put(MEMBER_TOPIC, own.name, encode(own))
-            page = await self.store.newest(MEMBER_TOPIC)
+            page = await self._announce(own)
         except PlatformUnavailableError as error:
             log('announcement_failed', error=str(error))
             return False
@@ -46,6 +45,10 @@
         while not await self.try_once():
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _announce(self, own: Member) -> RecordPage:
+        await self.store.put(MEMBER_TOPIC, own.name, encode(own))
+        return await self.store.newest(MEMBER_TOPIC)
+
     def _learn(self, record: KeyedRecord) -> None:
         try:
             member = decode(Member, record.content)
--- /dev/null
+++ b/src/crocusproxy/platform/relay.py
@@ -0,0 +1,48 @@
+"""Passes reads of other instances on to the store."""
+
+from datetime import timedelta
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ..logs import log
+from .store import RELAY_PREFIX
+
+_READS = frozenset(('log-read', 'log-newest'))
+_FORBIDDEN = 403
+_BAD_GATEWAY = 502
+
+
+class StoreRelay:
+    """Serves instances that the store turns away.
+
+    ``timeout`` bounds each read in addition to the time that it may wait.
+    """
+
+    def __init__(
+        self, session: ClientSession, address: str, timeout: timedelta
+    ) -> None:
+        self.session = session
+        self.address = address
+        self.timeout = timeout
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the internal port."""
+        return [web.get(f'{RELAY_PREFIX}/-/{{name}}', self._read)]
+
+    async def _read(self, request: web.Request) -> web.Response:
+        name = request.match_info['name']
+        if name not in _READS:
+            return web.Response(status=_FORBIDDEN)
+        wait = timedelta(milliseconds=int(request.query.get('WaitMs', '0')))
+        total = (self.timeout + wait).total_seconds()
+        try:
+            async with self.session.get(
+                f'http://{self.address}/-/{name}',
+                params=request.query,
+                timeout=ClientTimeout(total=total),
+            ) as response:
+                body = await response.read()
+        except (ClientError, TimeoutError) as error:
+            log('store_relay_failed', error=repr(error))
+            return web.Response(status=_BAD_GATEWAY)
+        return web.Response(status=response.status, body=body)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store."""
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Annotated
@@ -11,6 +11,7 @@
 from pydantic.dataclasses import dataclass as checked
 
 from ..errors import CrocusError, PlatformUnavailableError
+from ..logs import log
 from ..protocol.codec import decode
 
 _OK = 200
@@ -18,6 +19,10 @@
 _LENGTH = struct.Struct('>I')
 _BOUNDS = struct.Struct('>QQ')
 _MILLISECOND = timedelta(milliseconds=1)
+#: Where other instances pass reads on to the store.
+RELAY_PREFIX = '/store'
+#: Every so many reads over a relay, the direct way is tried again.
+_DIRECT_EVERY = 16
 
 
 class ExpiredOffsetError(CrocusError):
@@ -65,15 +70,26 @@
 class StoreClient:
     """Reads and writes keyed topics at ``address``.
 
-    ``timeout`` bounds each call, in addition to the time a read may wait.
+    ``timeout`` bounds each call, in addition to the time a read may wait. The
+    store may turn single instances away; ``relays`` returns the internal
+    addresses of others that may still be served. After a failed read the next
+    way is tried.
     """
 
     def __init__(
-        self, session: ClientSession, address: str, timeout: timedelta
+        self,
+        session: ClientSession,
+        address: str,
+        timeout: timedelta,
+        relays: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         self.session = session
         self.address = address
         self.timeout = timeout
+        self.relays = relays
+        self.turn = 0
+        self.relay = ''
+        self.relay_reads = 0
 
     async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key.
@@ -142,12 +158,24 @@
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta
     ) -> bytes:
-        total = (self.timeout + wait).total_seconds()
+        relay = self._choose_way()
+        try:
+            return await self._read(relay, path, query, wait)
+        except PlatformUnavailableError:
+            self._use_next_way()
+            raise
+
+    async def _read(
+        self, relay: str, path: str, query: dict[str, str], wait: timedelta
+    ) -> bytes:
+        base = f'{relay}{RELAY_PREFIX}' if relay else self.address
         try:
             async with self.session.get(
-                f'http://{self.address}{path}',
+                f'http://{base}{path}',
                 params=query,
-                timeout=ClientTimeout(total=total),
+                timeout=ClientTimeout(
+                    total=(self.timeout + wait).total_seconds()
+                ),
             ) as response:
                 body = await response.read()
         except (ClientError, TimeoutError) as error:
@@ -158,6 +186,20 @@
             raise PlatformUnavailableError(f'{path}: status {response.status}')
         return body
 
+    def _choose_way(self) -> str:
+        """Return the relay of the next read; the direct way is tried again."""
+        if self.relay:
+            self.relay_reads += 1
+            if self.relay_reads % _DIRECT_EVERY == 0:
+                return ''
+        return self.relay
+
+    def _use_next_way(self) -> None:
+        ways = ('', *self.relays())
+        self.turn += 1
+        self.relay = ways[self.turn % len(ways)]
+        log('store_way_changed', relay=self.relay)
+
 
 def _split_records(content: bytes) -> Iterator[KeyedRecord]:
     """Yield the records of a read; each has its key in front.
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -171,7 +171,7 @@
                 self._change(UpstreamChange(key))
         for change in changes:
             self._change(change)
-        self.catalog.listed = True
+        self.catalog.complete()
 
     def _change(self, change: UpstreamChange) -> None:
         if change.entry is None and self._in_grace():
