--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -23,6 +23,7 @@
 from ..routes.table import RouteTable
 from .caller_connection import CallerConnection, CallerRequest
 from .dialect import Dialect
+from .home_forwarder import BEHIND_STATUS, HomeForwarder
 from .responses import CallerResponse, Refusal
 from .settings import Bounds
 from .upstream_call import (
@@ -33,6 +34,7 @@
     Responded,
     UpstreamCaller,
 )
+from .upstream_messages import HOP_HEADER
 
 _NOT_READY = Refusal(
     503,
@@ -45,6 +47,9 @@
 _BAD_DEADLINE = Refusal(400, 'deadline_invalid', 'the deadline is no number')
 _TIMED_OUT = Refusal(504, 'timed_out', 'no response arrived in time')
 _FAILED = Refusal(502, 'upstream_failed', 'no usable response arrived')
+_BEHIND = Refusal(
+    BEHIND_STATUS, 'config_behind', 'the sender has a newer configuration'
+)
 _EXPIRED = Refusal(503, 'expired', 'the time ran out before the request ran')
 _TICK_SECONDS = 0.01
 #: A load reported within this many seconds is as good as a new one.
@@ -97,6 +102,7 @@
         self.clock = clock
         self.random = random
         self.refresh: Refresh = _no_refresh
+        self.forwarder: HomeForwarder | None = None
         self.limits = CallerLimits()
         self.closing = False
         self.connections: set[CallerConnection] = set()
@@ -149,32 +155,39 @@
             self.in_flight -= 1
 
     async def _handle(self, request: CallerRequest) -> CallerResponse:
-        headers = request.message.headers
-        request_id = headers.get(self.dialect.request_id, '')
+        request_id = request.message.headers.get(self.dialect.request_id, '')
         table = self.table
         if table is None:
             return self._refuse(request_id, _NOT_READY)
-        route = table.find(headers.get('Host', ''), request.message.path)
-        if route is None:
-            return self._refuse(request_id, _NO_ROUTE)
-        started = request.received.total_seconds()
-        wait = _deadline(headers.get(self.dialect.deadline), route)
+        route = self._route(request, table)
+        if isinstance(route, Refusal):
+            return self._refuse(request_id, route)
+        text = request.message.headers.get(self.dialect.deadline)
+        wait = _deadline(text, route)
         if wait is None:
             return self._refuse(request_id, _BAD_DEADLINE)
         body = await self._body(request)
         if body is None:
             return self._refuse(request_id, _BODY_TOO_LARGE)
-        progress = _Progress(
-            request,
-            OutgoingRequest(
-                request_id, request.message, body, route.idempotent
-            ),
-            route,
-            table.service_for(route),
-            started,
-            started + wait,
+        started = request.received.total_seconds()
+        outgoing = OutgoingRequest(
+            request_id, request.message, body, route.idempotent
         )
-        return await self._serve(progress)
+        service = table.service_for(route)
+        return await self._serve(
+            _Progress(
+                request, outgoing, route, service, started, started + wait
+            )
+        )
+
+    def _route(
+        self, request: CallerRequest, table: RouteTable
+    ) -> Route | Refusal:
+        headers = request.message.headers
+        if _is_newer(headers.get(HOP_HEADER), table.config.version):
+            return _BEHIND
+        route = table.find(headers.get('Host', ''), request.message.path)
+        return _NO_ROUTE if route is None else route
 
     async def _body(self, request: CallerRequest) -> bytes | None:
         limit = self.limits.body_bytes
@@ -193,6 +206,36 @@
         return b''.join(chunks)
 
     async def _serve(self, progress: _Progress) -> CallerResponse:
+        if HOP_HEADER not in progress.outgoing.message.headers:
+            response = await self._forward(progress)
+            if response is not None:
+                return response
+        return await self._dispatch(progress)
+
+    async def _forward(self, progress: _Progress) -> CallerResponse | None:
+        """Return the home's response, or None if this instance dispatches."""
+        if self.forwarder is None or self.table is None:
+            return None
+        progress.request.detached = not progress.route.idempotent
+        end = await self.forwarder.forward(
+            progress.outgoing, progress.until, self.table.config.version
+        )
+        progress.request.detached = False
+        if isinstance(end, CallerResponse):
+            return end
+        if isinstance(end, NotRun):
+            return None
+        log(
+            'forward_failed',
+            request_id=progress.outgoing.request_id,
+            reason=end.reason,
+        )
+        progress.may_have_run = True
+        if progress.route.idempotent and not end.timed_out:
+            return None
+        return self._end(progress, end, None)
+
+    async def _dispatch(self, progress: _Progress) -> CallerResponse:
         now = self._now()
         self.last_request = now
         self._budget(progress.service).count_request(now)
@@ -245,10 +288,10 @@
         placer = self.placer(progress.service)
         waiting = placer.place(demand, decided.set_result)
         try:
-            return await decided
+            return await asyncio.shield(decided)
         except asyncio.CancelledError:
             placer.withdraw(waiting)
-            if decided.done() and not decided.cancelled():
+            if decided.done():
                 _release_if_placed(placer, decided.result())
             raise
 
@@ -391,6 +434,10 @@
         return self.clock.monotonic().total_seconds()
 
 
+def _is_newer(hop: str | None, version: int) -> bool:
+    return hop is not None and hop.isdigit() and int(hop) > version
+
+
 async def _no_refresh(service: str, state: UpstreamState) -> None:
     """Go by what is known."""
 
--- /dev/null
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -0,0 +1,97 @@
+"""Passes requests on to the home when callers still use another instance.
+
+The choice of upstreams is best where all requests are seen. Callers keep an
+address for some time after the home has changed.
+"""
+
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..proxy.connection import (
+    BrokenResponseError,
+    DeadlineError,
+    UpstreamConnection,
+)
+from ..proxy.pool import ConnectionPool, NotOpenedError
+from .responses import CallerResponse
+from .upstream_call import Broken, NotRun, OutgoingRequest, read_all
+from .upstream_connection import MatchingConnection
+from .upstream_messages import HOP_HEADER, UpstreamMessages
+
+#: The home's answer to a request that needs a newer configuration.
+BEHIND_STATUS = 425
+_CONNECT_SECONDS = 0.1
+_IDLE_SECONDS = 5.0
+
+
+class HomeForwarder:
+    """Sends requests to the address that ``home`` returns, unless empty."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        messages: UpstreamMessages,
+        clock: Clock,
+        home: Callable[[], str],
+    ) -> None:
+        self.pool = pool
+        self.messages = messages
+        self.clock = clock
+        self.home = home
+
+    async def forward(
+        self, outgoing: OutgoingRequest, until: float, version: int
+    ) -> CallerResponse | NotRun | Broken:
+        """Return the home's response, or why there is none."""
+        address = self.home()
+        if not address:
+            return NotRun('no home', reached=False)
+        try:
+            connection = await self._connect(address, outgoing.request_id)
+        except NotOpenedError as error:
+            return NotRun(str(error), reached=False)
+        try:
+            return await self._exchange(connection, outgoing, until, version)
+        except DeadlineError:
+            return Broken('no response in time', timed_out=True)
+        except (BrokenResponseError, OSError) as error:
+            return Broken(str(error))
+        finally:
+            self.pool.release(address, connection)
+
+    async def _connect(
+        self, address: str, request_id: str
+    ) -> UpstreamConnection:
+        idle = self.pool.take_idle(address, request_id, _IDLE_SECONDS)
+        if idle is not None:
+            return idle
+        return await self.pool.open(address, _CONNECT_SECONDS)
+
+    async def _exchange(
+        self,
+        connection: UpstreamConnection,
+        outgoing: OutgoingRequest,
+        until: float,
+        version: int,
+    ) -> CallerResponse | NotRun:
+        assert isinstance(connection, MatchingConnection)
+        connection.id_header = self.messages.dialect.request_id
+        connection.last_request = outgoing.request_id
+        remaining = until - self.clock.monotonic().total_seconds()
+        sending = self.messages.forwarded(
+            outgoing.message,
+            outgoing.body,
+            remaining,
+            f'{HOP_HEADER}: {version}',
+        )
+        message = await connection.send(
+            sending,
+            expects_body=outgoing.message.method != 'HEAD',
+            timeout=max(remaining, 0.001),
+        )
+        payload = connection.payload
+        assert payload is not None
+        body = await read_all(payload)
+        if message.code == BEHIND_STATUS:
+            return NotRun('the home has an older configuration', reached=False)
+        return self.messages.response(message, body)
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -31,6 +31,7 @@
 from ..settings import load_or_exit
 from .caller_connection import CallerConnection
 from .gateway import Gateway
+from .home_forwarder import HomeForwarder
 from .ports import AddressList, Ports
 from .prober import Prober
 from .settings import EntrySettings
@@ -96,6 +97,12 @@
             self.bounds.probes_per_second,
         )
         self.gateway.refresh = self.prober.refresh
+        self.gateway.forwarder = HomeForwarder(
+            self.pool,
+            UpstreamMessages(DIALECT),
+            self.clock,
+            self.home_address,
+        )
         self.catalog.on_config.append(self.prober.use_config)
 
     async def start(self) -> None:
@@ -179,6 +186,13 @@
             home = self.roster.own
         return AddressList((home.callers,), self.settings.validity)
 
+    def home_address(self) -> str:
+        """Return the address of another instance that is home, or nothing."""
+        home = self.keeper.home
+        if home is None or home.name == self.roster.own.name:
+            return ''
+        return home.callers
+
     def not_ready(self) -> str:
         """Return why this instance should get no requests, or nothing."""
         if self.application.draining:
@@ -233,16 +247,13 @@
 
 def _member(settings: EntrySettings, clock: Clock) -> Member:
     capacity = settings.capacity
-    started_at = round(clock.now().timestamp() * 1000)
     return Member(
         settings.instance.name,
         settings.instance.failure_domain,
         f'{settings.internal.host}:{settings.internal.port}',
         f'{settings.callers.host}:{settings.callers.port}',
         round(capacity.cpu_share * capacity.cores, 2),
-        # Behind all that the store has given a place.
-        order=started_at,
-        started_at=started_at,
+        round(clock.now().timestamp() * 1000),
     )
 
 
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -8,7 +8,7 @@
 from ..logs import log
 from ..placement.placer import ServicePlacer
 from ..placement.upstream_state import UpstreamState
-from ..proxy.connection import BrokenResponseError
+from ..proxy.connection import BrokenResponseError, DeadlineError
 from ..proxy.pool import ConnectionPool, NotOpenedError
 from ..routes.model import RouteConfig
 from .dialect import Dialect
@@ -70,12 +70,6 @@
                 if path is not None:
                     self._probe_all(placer, path, now)
 
-    def _probe_all(self, placer: ServicePlacer, path: str, now: float) -> None:
-        for state in placer.upstreams.values():
-            latest = max(state.reported_at, state.asked_at)
-            if state.usable and now - latest >= self.interval:
-                self._start(state, path)
-
     async def refresh(self, service: str, state: UpstreamState) -> None:
         """Ask one upstream now, and wait for its response for a moment."""
         path = self.health_paths.get(service)
@@ -83,6 +77,12 @@
             task = self.tasks.get(state.key) or self._start(state, path)
             await asyncio.wait((task,), timeout=CHOICE_SECONDS)
 
+    def _probe_all(self, placer: ServicePlacer, path: str, now: float) -> None:
+        for state in placer.upstreams.values():
+            latest = max(state.reported_at, state.asked_at)
+            if state.usable and now - latest >= self.interval:
+                self._start(state, path)
+
     def _start(self, state: UpstreamState, path: str) -> 'asyncio.Task[None]':
         state.asked_at = self._now()
         task = asyncio.create_task(self._probe(state, path))
@@ -106,6 +106,10 @@
         request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
         try:
             load = await self._ask(connection, request.encode())
+        except DeadlineError:
+            # A busy upstream answers late; one that has nothing to do is ill.
+            if not state.in_flight:
+                self._failed(state, 'no response in time')
         except (BrokenResponseError, OSError) as error:
             self._failed(state, str(error))
         else:
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -147,7 +147,7 @@
         )
         payload = connection.payload
         assert payload is not None
-        body = await _read_all(payload)
+        body = await read_all(payload)
         load = message.headers.get(self.messages.dialect.load)
         if load is not None:
             self.on_load(upstream, load)
@@ -173,7 +173,8 @@
         return until - self.clock.monotonic().total_seconds()
 
 
-async def _read_all(payload: StreamReader) -> bytes:
+async def read_all(payload: StreamReader) -> bytes:
+    """Return a whole body; most are there when their head is."""
     if payload.is_eof():
         return payload.read_nowait()
     return await payload.read()
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -23,6 +23,9 @@
         b'expect',
     )
 )
+#: Marks a request that an instance has passed on to the home, with the version
+#: of the configuration that it goes by.
+HOP_HEADER = 'Crocus-Hop'
 _MAX_RETRY_AFTER = timedelta(seconds=5)
 _MIN_DEADLINE_MS = 1
 
@@ -32,7 +35,7 @@
 
     def __init__(self, dialect: Dialect) -> None:
         self.dialect = dialect
-        own = (dialect.deadline, dialect.expected_upstream)
+        own = (dialect.deadline, dialect.expected_upstream, HOP_HEADER)
         self.not_forwarded = _HOP_BY_HOP | {
             name.lower().encode() for name in own
         }
@@ -46,16 +49,26 @@
         remaining: float,
     ) -> bytes:
         """Return a whole request; ``remaining`` is its time in seconds."""
+        addressed = f'{self.dialect.expected_upstream}: {upstream}'
+        return self.forwarded(message, body, remaining, addressed)
+
+    def forwarded(
+        self,
+        message: RawRequestMessage,
+        body: bytes,
+        remaining: float,
+        header: str,
+    ) -> bytes:
+        """Return a whole request with one more header line."""
         target = message.path.encode('utf-8', 'surrogateescape')
         lines = [b'%b %b HTTP/1.1\r\n' % (message.method.encode(), target)]
         lines.extend(
-            b'%b: %b\r\n' % header
-            for header in _without(message.raw_headers, self.not_forwarded)
+            b'%b: %b\r\n' % one
+            for one in _without(message.raw_headers, self.not_forwarded)
         )
         milliseconds = max(int(remaining * 1000), _MIN_DEADLINE_MS)
         lines.append(
-            f'{self.dialect.deadline}: {milliseconds}\r\n'
-            f'{self.dialect.expected_upstream}: {upstream}\r\n'.encode()
+            f'{self.dialect.deadline}: {milliseconds}\r\n{header}\r\n'.encode()
         )
         if body or 'Content-Length' in message.headers or message.chunked:
             lines.append(b'Content-Length: %d\r\n' % len(body))
--- a/src/crocusproxy/membership/election.py
+++ b/src/crocusproxy/membership/election.py
@@ -64,17 +64,17 @@
 
 def best_home(views: Iterable[MemberView]) -> MemberView:
     """Return the view with the home that took over last."""
-    return max(views, key=_precedence)
+    return min(views, key=_precedence)
 
 
 def yields_to(own: MemberView, other: MemberView) -> bool:
     """Return whether one home gives way to another one."""
-    return _precedence(other) > _precedence(own)
+    return _precedence(other) < _precedence(own)
 
 
-def _precedence(view: MemberView) -> tuple[int, float, int]:
+def _precedence(view: MemberView) -> tuple[int, float, str]:
     home = view.home or view.member
-    return view.epoch, home.capacity, -home.order
+    return -view.epoch, *home.rank
 
 
 def _home_name(view: MemberView) -> str:
--- a/src/crocusproxy/membership/roster.py
+++ b/src/crocusproxy/membership/roster.py
@@ -1,7 +1,6 @@
 """The members that an instance knows of."""
 
 from collections.abc import Iterable
-from dataclasses import replace
 
 from ..protocol.home_feed import Member
 
@@ -25,11 +24,6 @@
                 changed = True
         return changed
 
-    def renumber(self, order: int) -> None:
-        """Take the place that the store has given to this instance."""
-        self.own = replace(self.own, order=order)
-        self.members[self.own.name] = self.own
-
     def others(self) -> tuple[Member, ...]:
         """Return the other members in the order in which they become home."""
         others = [
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -1,7 +1,6 @@
 """Announces this instance in the store, and finds the others there."""
 
 import asyncio
-from dataclasses import replace
 
 from ..errors import PlatformUnavailableError
 from ..logs import log
@@ -15,11 +14,7 @@
 
 
 class Announcement:
-    """Writes one record for each start of an instance.
-
-    The record's offset gives the member its place: those that have run for
-    longest become home first.
-    """
+    """Writes one record for each start of an instance."""
 
     def __init__(self, store: StoreClient, roster: Roster) -> None:
         self.store = store
@@ -34,10 +29,7 @@
             log('announcement_failed', error=str(error))
             return False
         for record in page.records:
-            if record.key == own.name:
-                self.roster.renumber(record.offset)
-            else:
-                self._learn(record)
+            self._learn(record)
         return True
 
     async def repeat(self) -> None:
@@ -55,4 +47,4 @@
         except MalformedMessageError as error:
             log('member_unusable', member=record.key, error=str(error))
             return
-        self.roster.learn((replace(member, order=record.offset),))
+        self.roster.learn((member,))
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -11,8 +11,9 @@
     """One entry instance.
 
     ``internal`` and ``callers`` are addresses. Members with more ``capacity``
-    become home first, then those with the lower ``order``. ``started_at`` in
-    Unix milliseconds tells one start of an instance from another.
+    become home first, then by name: after all instances were restarted the
+    same one is home, and callers still have its address. ``started_at`` in Unix
+    milliseconds tells one start of an instance from another.
     """
 
     name: str
@@ -20,13 +21,12 @@
     internal: str
     callers: str
     capacity: float
-    order: int
     started_at: int
 
     @property
-    def rank(self) -> tuple[float, int, str]:
+    def rank(self) -> tuple[float, str]:
         """Return the order in which members become home."""
-        return -self.capacity, self.order, self.name
+        return -self.capacity, self.name
 
 
 @dataclass(frozen=True, slots=True)
