Queue by what can still meet its target, and wait for a fast slot

Change: requests that can't meet their target go behind all others; a slow host's free slot is not used by one that would miss its target there; nothing is sent beyond the slots.

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -17,10 +17,11 @@
     Refused,
     ServicePlacer,
 )
-from ..placement.upstream_state import UpstreamState
+from ..placement.upstream_state import SLOW, UpstreamState
 from ..protocol.home_feed import UpstreamChange
 from ..routes.model import CallerLimits, Route, RouteConfig
 from ..routes.table import RouteTable
+from ..routes.timing import RouteTiming
 from .caller_connection import CallerConnection, CallerRequest
 from .dialect import Dialect
 from .home_forwarder import BEHIND_STATUS, HomeForwarder
@@ -54,8 +55,6 @@
 _TICK_SECONDS = 0.01
 #: A load reported within this many seconds is as good as a new one.
 FRESH_AT_CHOICE = 0.03
-#: A slowdown from which on another upstream is looked for.
-SLOW = 2.0
 _MAX_LOOKS = 3
 
 
@@ -73,6 +72,7 @@
     service: str
     started: float
     until: float
+    target_at: float
     tried: frozenset[str] = frozenset()
     may_have_run: bool = False
     sends: int = 0
@@ -103,6 +103,7 @@
         self.random = random
         self.refresh: Refresh = _no_refresh
         self.forwarder: HomeForwarder | None = None
+        self.timing = RouteTiming()
         self.limits = CallerLimits()
         self.closing = False
         self.connections: set[CallerConnection] = set()
@@ -163,20 +164,24 @@
         if isinstance(route, Refusal):
             return self._refuse(request_id, route)
         text = request.message.headers.get(self.dialect.deadline)
-        wait = _deadline(text, route)
-        if wait is None:
+        try:
+            wait = _seconds(text)
+        except ValueError:
             return self._refuse(request_id, _BAD_DEADLINE)
         body = await self._body(request)
         if body is None:
             return self._refuse(request_id, _BODY_TOO_LARGE)
         started = request.received.total_seconds()
+        timeout = route.timeout.total_seconds()
+        until = started + min(wait or timeout, timeout)
+        target_at = started + self.timing.target_left(route, wait)
         outgoing = OutgoingRequest(
             request_id, request.message, body, route.idempotent
         )
         service = table.service_for(route)
         return await self._serve(
             _Progress(
-                request, outgoing, route, service, started, started + wait
+                request, outgoing, route, service, started, until, target_at
             )
         )
 
@@ -274,10 +279,10 @@
 
     async def _decide(self, progress: _Progress) -> Decision:
         route = progress.route
-        target = route.target_latency.total_seconds()
         demand = Demand(
             route.priority,
-            progress.started + target,
+            self.timing.expected_work(route),
+            progress.target_at,
             progress.until,
             route.idempotent,
             progress.tried,
@@ -299,6 +304,7 @@
         upstream = placed.upstream
         progress.tried |= {upstream.key}
         sent_at = self._now()
+        alone = upstream.in_flight == 1 and upstream.slowdown < SLOW
         slowdown = upstream.slowdown
         age = sent_at - upstream.reported_at
 
@@ -316,6 +322,8 @@
         progress.request.detached = False
         log(
             'call_ended',
+            dl=progress.outgoing.message.headers.get(self.dialect.deadline),
+            to=progress.route.timeout.total_seconds(),
             service=progress.service,
             upstream=upstream.key,
             far=upstream.is_far,
@@ -330,6 +338,8 @@
             inflight=upstream.in_flight,
             end=type(end).__name__,
         )
+        if alone and isinstance(end, Responded) and not end.failed:
+            self.timing.took(progress.route, self._now() - sent_at)
         self._note(progress, upstream, end)
         return end
 
@@ -442,18 +452,18 @@
     """Go by what is known."""
 
 
-def _deadline(text: str | None, route: Route) -> float | None:
-    """Return the seconds within which a response is due."""
-    timeout = route.timeout.total_seconds()
+def _seconds(text: str | None) -> float | None:
+    """Return a number of milliseconds in seconds, None if there is none.
+
+    Raises:
+        ValueError: it is no number, or negative.
+    """
     if text is None:
-        return timeout
-    try:
-        milliseconds = float(text)
-    except ValueError:
         return None
+    milliseconds = float(text)
     if not milliseconds >= 0:
-        return None
-    return min(milliseconds / 1000, timeout)
+        raise ValueError(text)
+    return milliseconds / 1000
 
 
 def _worse(
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -16,23 +16,23 @@
 from ..routes.model import RegisteredUpstream
 from .upstream_state import UpstreamState
 
-#: Requests beyond the slots of an upstream, relative to the slots.
-DEPTH_SHARE = 0.5
-NEAR_EQUAL = 0.05  # service times
-#: A slower upstream is not worth sending to while a request can still wait.
-MAX_WAIT_SHARE = 0.5  # of the time until the request must be answered
+#: Work differs from request to request; some need only this share of it.
+LEAST_WORK = 0.7
+#: Upstreams that differ by less than this share of the work count as equal.
+NEAR_EQUAL = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class Demand:
     """What the choice for one request depends on.
 
-    ``give_up_at`` is the monotonic time in seconds by which the response must
-    be back, ``target_at`` the one by which it should be. ``excluded`` holds
-    keys of upstreams that have been tried.
+    ``work`` is how long it takes at the usual speed, in seconds. The response
+    must be there at monotonic second ``give_up_at``, and should be there at
+    ``target_at``. ``excluded`` holds keys of upstreams that have been tried.
     """
 
     priority: int
+    work: float
     target_at: float
     give_up_at: float
     idempotent: bool = True
@@ -66,10 +66,18 @@
     since: float
     decide: Callable[[Decision], None]
 
-    @property
-    def rank(self) -> tuple[int, float]:
-        """Return the order in which requests leave the queue."""
-        return self.demand.priority, self.demand.target_at
+    def in_time(self, now: float) -> bool:
+        """Return whether the request can still meet its target."""
+        return now + LEAST_WORK * self.demand.work <= self.demand.target_at
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Return the order in which requests leave the queue.
+
+        What can't meet its target goes behind all that still can: a late
+        response is worth little to its caller and would make others late.
+        """
+        demand = self.demand
+        return not self.in_time(now), demand.priority, demand.target_at
 
 
 class ServicePlacer:
@@ -121,7 +129,6 @@
             decide(_NO_UPSTREAM)
             return waiting
         self.queue.append(waiting)
-        self.queue.sort(key=lambda one: one.rank)
         self.pump()
         return waiting
 
@@ -136,24 +143,19 @@
         self.pump()
 
     def pump(self) -> None:
-        """Place what has room and refuse what has waited for too long."""
+        """Place what has room and refuse what has no time left."""
         now = self.now()
+        self.queue.sort(key=lambda waiting: waiting.rank(now))
         for waiting in tuple(self.queue):
-            state = self._choose(waiting.demand, now)
+            state = self._choose(waiting, now)
             if state is not None:
                 self.queue.remove(waiting)
                 state.in_flight += 1
                 waiting.decide(Placed(state))
-            elif now >= self._latest_start(waiting):
+            elif now + waiting.demand.work >= waiting.demand.give_up_at:
                 self.queue.remove(waiting)
                 waiting.decide(self._overloaded())
 
-    def _latest_start(self, waiting: Waiting) -> float:
-        demand = waiting.demand
-        return waiting.since + MAX_WAIT_SHARE * (
-            demand.give_up_at - waiting.since
-        )
-
     def _overloaded(self) -> Refused:
         return Refused('overloaded', timedelta(milliseconds=100))
 
@@ -164,23 +166,36 @@
             if state.usable and state.key not in demand.excluded
         ]
 
-    def _choose(self, demand: Demand, now: float) -> UpstreamState | None:
+    def _choose(self, waiting: Waiting, now: float) -> UpstreamState | None:
+        """Return the best upstream with room, or None to wait."""
+        work = waiting.demand.work
+        near = NEAR_EQUAL * work
         best = inf
         offers: list[tuple[float, UpstreamState]] = []
-        for state in self._candidates(demand):
-            if now < state.rest_until or not _has_room(state):
+        for state in self._candidates(waiting.demand):
+            if not _accepts(state, waiting, now):
                 continue
-            cost = state.cost(now)
-            if cost <= best + NEAR_EQUAL:
+            cost = state.cost(work, now)
+            if cost <= best + near:
                 offers.append((cost, state))
                 best = min(best, cost)
-        near = [state for cost, state in offers if cost <= best + NEAR_EQUAL]
-        return self.random.choice(near) if near else None
+        equal = [state for cost, state in offers if cost <= best + near]
+        return self.random.choice(equal) if equal else None
 
 
-def _has_room(state: UpstreamState) -> bool:
-    slots = state.entry.slots
-    return state.in_flight < slots + int(DEPTH_SHARE * slots)
+def _accepts(state: UpstreamState, waiting: Waiting, now: float) -> bool:
+    """Return whether an upstream has room and is worth sending to.
+
+    A request that can still meet its target waits rather than go to a slow
+    upstream at which it would miss it.
+    """
+    if now < state.rest_until or state.in_flight >= state.entry.slots:
+        return False
+    if not state.is_slow(now):
+        return True
+    demand = waiting.demand
+    due = demand.target_at if waiting.in_time(now) else demand.give_up_at
+    return now + state.expected_time(demand.work, now) <= due
 
 
 def _is_same_start(one: RegisteredUpstream, other: RegisteredUpstream) -> bool:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -8,13 +8,19 @@
 
 #: Seconds after which a reported slowdown has lost 63 % of its weight.
 SLOWDOWN_MEMORY = 0.15
+#: A slowdown from which on another upstream is looked for.
+SLOW = 2.0
 #: Cost of an upstream of which nothing is known: it is asked before it is used.
 TYPICAL_SLOWDOWN = 1.2
 #: Extra time, relative to the usual, once an upstream is nearly full.
 FULL_SLOWDOWN = 0.7
 NEARLY_FULL = 0.8
-#: Extra time, relative to the usual, for a request to another failure domain.
-FAR_COST = 0.12
+#: Seconds that a request to another failure domain costs more.
+FAR_COST = 0.006
+#: Extra cost of a full upstream, relative to the work.
+BUSY_COST = 0.1
+#: Seconds for which an upstream usually stays slow.
+SLOW_PHASE = 0.15
 #: Share of an upstream's failure rate that one more response replaces.
 FAILURE_WEIGHT = 0.2
 FIRST_REST = 0.1  # seconds
@@ -68,15 +74,28 @@
             expected *= COLD_SLOWDOWN
         return expected
 
-    def cost(self, now: float) -> float:
-        """Return the expected time of one more request, in service times."""
+    def is_slow(self, now: float) -> bool:
+        """Return whether the upstream is probably in a slow phase."""
+        return self.expected_slowdown(now) > SLOW
+
+    def expected_time(self, work: float, now: float) -> float:
+        """Return the seconds until one more request is expected to be done.
+
+        ``work`` is the time that it takes at the usual speed.
+        """
         slots = self.entry.slots
-        slowdown = self.expected_slowdown(now)
+        time = work * self.expected_slowdown(now)
+        # Slow phases are short: most of a long work is done at usual speed.
+        time = min(time, work + SLOW_PHASE)
         if self.in_flight + 1 >= NEARLY_FULL * slots:
-            slowdown *= 1 + FULL_SLOWDOWN
+            time *= 1 + FULL_SLOWDOWN
         beyond = max(self.in_flight + 1 - slots, 0)
-        time = slowdown * (1 + beyond / slots)
-        time += 0.1 * self.in_flight / slots
+        return time * (1 + beyond / slots)
+
+    def cost(self, work: float, now: float) -> float:
+        """Return the expected time with the risk of a failure, in seconds."""
+        time = self.expected_time(work, now)
+        time += BUSY_COST * work * self.in_flight / self.entry.slots
         time /= 1 - min(self.failure_rate, _SURE_FAILURE)
         return time + FAR_COST * self.is_far
 
