Test routing, placing, membership, the store's client and the request path

Found and mended by them: of two homes that did not know each other, only the one that was to stay learned of the other.

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -172,8 +172,7 @@
         if body is None:
             return self._refuse(request_id, _BODY_TOO_LARGE)
         started = request.received.total_seconds()
-        timeout = route.timeout.total_seconds()
-        until = started + min(wait or timeout, timeout)
+        until = started + _time_limit(wait, route)
         target_at = started + self.timing.target_left(route, wait)
         outgoing = OutgoingRequest(
             request_id, request.message, body, route.idempotent
@@ -452,6 +451,12 @@
     """Go by what is known."""
 
 
+def _time_limit(wait: float | None, route: Route) -> float:
+    """Return the seconds within which a response is due."""
+    timeout = route.timeout.total_seconds()
+    return timeout if wait is None else min(wait, timeout)
+
+
 def _seconds(text: str | None) -> float | None:
     """Return a number of milliseconds in seconds, None if there is none.
 
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -220,11 +220,7 @@
     async def _ask_seed(self, seed: str) -> None:
         try:
             await self.keeper.learn_from(seed)
-        except (
-            NotReachableError,
-            MalformedMessageError,
-            TimeoutError,
-        ) as error:
+        except (NotReachableError, MalformedMessageError) as error:
             log('seed_not_reached', address=seed, error=repr(error))
 
     def _spawn(
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -56,7 +56,7 @@
         """Return the routes of the internal port."""
         return [
             web.post(FEED_PATH, self._feed),
-            web.get(VIEW_PATH, self._view),
+            web.post(VIEW_PATH, self._view),
             web.get(LIST_PATH, self._list),
         ]
 
@@ -139,7 +139,12 @@
         if self.roster.learn((follower,)):
             self.publish(FeedMessage(members=(follower,)))
 
-    async def _view(self, _: web.Request) -> web.Response:
+    async def _view(self, request: web.Request) -> web.Response:
+        try:
+            asker = decode(Member, await request.read())
+        except MalformedMessageError as error:
+            return web.Response(status=400, text=str(error))
+        self.roster.learn((asker,))
         return web.Response(body=encode(self.view()))
 
     async def _list(self, _: web.Request) -> web.Response:
--- a/src/crocusproxy/membership/home.py
+++ b/src/crocusproxy/membership/home.py
@@ -100,8 +100,7 @@
         Raises:
             NotReachableError: it did not answer.
         """
-        async with asyncio.timeout(VIEW_SECONDS):
-            body = await self._get(address, LIST_PATH)
+        body = await self._call('GET', address, LIST_PATH)
         self.roster.learn(decode(FeedMessage, body).members)
 
     async def _find(self) -> Election:
@@ -135,22 +134,32 @@
     async def _view_of(self, member: Member) -> MemberView | None:
         try:
             view = await self._ask_view(member)
-        except (NotReachableError, TimeoutError, MalformedMessageError):
+        except (NotReachableError, MalformedMessageError):
             # A member that does not answer takes no part in the election.
             return None
         self.roster.learn((view.member,))
         return view
 
     async def _ask_view(self, member: Member) -> MemberView:
-        async with asyncio.timeout(VIEW_SECONDS):
-            body = await self._get(member.internal, VIEW_PATH)
-        return decode(MemberView, body)
+        # The own record tells the other member whom it can ask in turn.
+        own = encode(self.roster.own)
+        return decode(
+            MemberView,
+            await self._call('POST', member.internal, VIEW_PATH, own),
+        )
 
-    async def _get(self, address: str, path: str) -> bytes:
+    async def _call(
+        self, method: str, address: str, path: str, body: bytes = b''
+    ) -> bytes:
         try:
-            async with self.session.get(f'http://{address}{path}') as response:
+            async with (
+                asyncio.timeout(VIEW_SECONDS),
+                self.session.request(
+                    method, f'http://{address}{path}', data=body
+                ) as response,
+            ):
                 return await response.read()
-        except (ClientError, OSError) as error:
+        except (ClientError, OSError, TimeoutError) as error:
             raise NotReachableError(f'{address}: {error!r}') from error
 
     async def _follow(self, member: Member) -> None:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -18,6 +18,8 @@
 
 #: Work differs from request to request; some need only this share of it.
 LEAST_WORK = 0.7
+#: Few requests need more than this share of it.
+SAFE_WORK = 1.25
 #: Upstreams that differ by less than this share of the work count as equal.
 NEAR_EQUAL = 0.05
 
@@ -70,14 +72,17 @@
         """Return whether the request can still meet its target."""
         return now + LEAST_WORK * self.demand.work <= self.demand.target_at
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
+    def rank(self, now: float) -> tuple[bool, int, bool, float]:
         """Return the order in which requests leave the queue.
 
         What can't meet its target goes behind all that still can: a late
-        response is worth little to its caller and would make others late.
+        response is worth little to its caller and would make others late. Of
+        equal priority, what will probably meet it goes before what may.
         """
         demand = self.demand
-        return not self.in_time(now), demand.priority, demand.target_at
+        is_close = now + SAFE_WORK * demand.work > demand.target_at
+        late = not self.in_time(now)
+        return late, demand.priority, is_close, demand.target_at
 
 
 class ServicePlacer:
--- /dev/null
+++ b/standins/slot_server.py
@@ -0,0 +1,101 @@
+"""A stand-in for a server of the platform: slots, health, and its faults."""
+
+import asyncio
+
+SIGNATURE = 'X-Crocusproxy-Response-Signature'
+REQUEST_ID = 'X-Crocusproxy-Request-Id'
+
+
+class SlotServer:
+    """Runs requests in ``slots`` and answers as ``behave`` says.
+
+    ``behave`` gets the request's id, and returns raw bytes to send, or None for
+    a proper response. ``work`` is in seconds. ``runs`` lists the ids that were
+    run, ``heads`` what arrived.
+    """
+
+    def __init__(self, key='i-1', slots=2, work=0.0, slowdown=100):
+        self.key = key
+        self.slots = slots
+        self.work = work
+        self.slowdown = slowdown
+        self.behave = None
+        self.running = 0
+        self.runs = []
+        self.heads = []
+        self.probes = 0
+        self.closed_while_running = 0
+        self.opened = 0
+        self.server = None
+        self.address = ''
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self
+
+    def stop(self):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await self.answer(head.decode(), reader, writer)
+                self.closed_while_running += reader.at_eof()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def answer(self, head, reader, writer):
+        headers = dict(
+            line.split(': ', 1) for line in head.split('\r\n')[1:] if line
+        )
+        body = await reader.readexactly(int(headers.get('Content-Length', 0)))
+        if head.startswith('GET /health '):
+            self.probes += 1
+            writer.write(self.response('', b'', health=True))
+            return
+        self.heads.append((head, body))
+        expected = headers.get('X-Crocusproxy-Expected-Instance', self.key)
+        request_id = headers[REQUEST_ID]
+        if expected != self.key:
+            writer.write(self.refusal(421, 'Misdirected Request'))
+        elif self.running >= self.slots:
+            writer.write(self.refusal(503, 'Service Unavailable'))
+        else:
+            await self.run(request_id, writer)
+
+    async def run(self, request_id, writer):
+        self.running += 1
+        self.runs.append(request_id)
+        scripted = self.behave(request_id) if self.behave else None
+        try:
+            await asyncio.sleep(self.work * self.slowdown / 100)
+        finally:
+            self.running -= 1
+        if scripted is None:
+            scripted = self.response(request_id, request_id.encode())
+        writer.write(scripted)
+        await writer.drain()
+
+    def response(self, request_id, body, health=False, status='200 OK'):
+        lines = [
+            f'HTTP/1.1 {status}',
+            f'Content-Length: {len(body)}',
+            f'X-Crocusproxy-Server-Load: {self.running},0,{self.slots},'
+            f'{self.slowdown}',
+        ]
+        if health:
+            lines.append(f'X-Crocusproxy-Instance-Id: {self.key}')
+        else:
+            lines.append(f'{REQUEST_ID}: {request_id}')
+            lines.append(f'{SIGNATURE}: s')
+        return '\r\n'.join((*lines, '', '')).encode() + body
+
+    def refusal(self, status, reason):
+        return (
+            f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
+            f'X-Crocusproxy-Not-Executed: 1\r\n\r\n'
+        ).encode()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,162 @@
+"""A stand-in for the platform's store: keyed and plain topics over HTTP."""
+
+import asyncio
+import base64
+import struct
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+OFFSETS = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+
+
+@dataclass
+class Partition:
+    """Records by offset; those before ``first`` have been deleted."""
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self):
+        return len(self.records)
+
+
+class StandInStore:
+    """Speaks the store's calls, and misbehaves as it is told to.
+
+    ``refuse`` answers everything with 503. ``lose_answers`` drops the
+    connection after an append was done. ``delay`` is in seconds.
+    """
+
+    def __init__(self):
+        self.partitions = defaultdict(Partition)
+        self.refuse = False
+        self.lose_answers = False
+        self.delay = 0.0
+        self.calls = 0
+        self.runner = None
+        self.address = ''
+
+    async def start(self):
+        application = web.Application()
+        application.add_routes(
+            [
+                web.post('/-/log-append', self.append),
+                web.get('/-/log-read', self.read),
+                web.get('/-/log-newest', self.newest),
+            ]
+        )
+        self.runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.1
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self
+
+    async def stop(self):
+        await self.runner.cleanup()
+
+    def put(self, topic, key, content):
+        """Write a record as the operator or a server does."""
+        name = key.encode()
+        partition = self.partitions[topic, 0]
+        partition.records.append(bytes((len(name),)) + name + content)
+        self._wake(partition)
+
+    def forget(self, topic):
+        """Delete all records; the newest of each key stay listed."""
+        partition = self.partitions[topic, 0]
+        partition.first = partition.end
+
+    async def append(self, request):
+        refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        partition = self._partition(request)
+        at = request.query.get('AsOf')
+        if at is not None and int(at) != partition.end:
+            return web.json_response({'End': partition.end}, status=412)
+        offset = partition.end
+        partition.records.extend(split(await request.read()))
+        self._wake(partition)
+        if self.lose_answers:
+            request.transport.abort()
+        return web.json_response({'Offset': offset, 'End': partition.end})
+
+    async def read(self, request):
+        refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        partition = self._partition(request)
+        start = int(request.query['From'])
+        if start < partition.first:
+            return web.json_response({'First': partition.first}, status=410)
+        wait = int(request.query.get('WaitMs', '0')) / 1000
+        await self._wait_beyond(partition, start, wait)
+        body = OFFSETS.pack(partition.end, partition.first)
+        for record in partition.records[start:]:
+            body += LENGTH.pack(len(record)) + record
+        return web.Response(body=body)
+
+    async def newest(self, request):
+        refusal = await self._enter(request)
+        if refusal is not None:
+            return refusal
+        partition = self._partition(request)
+        items = {}
+        for offset, record in enumerate(partition.records):
+            end = 1 + record[0]
+            key = record[1:end].decode()
+            items.pop(key, None)
+            if record[end:]:
+                value = base64.b64encode(record[end:]).decode()
+                items[key] = {'Key': key, 'Value': value, 'Offset': offset}
+        after = request.query.get('after', '')
+        listed = [item for key, item in sorted(items.items()) if key > after]
+        page = {
+            'items': listed[:500],
+            'HasMore': len(listed) > 500,
+            'End': partition.end,
+        }
+        return web.json_response(page)
+
+    async def _enter(self, request):
+        self.calls += 1
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        return web.Response(status=503) if self.refuse else None
+
+    async def _wait_beyond(self, partition, start, wait):
+        try:
+            async with asyncio.timeout(wait):
+                while partition.end <= start:
+                    await partition.changed.wait()
+        except TimeoutError:
+            pass
+
+    def _partition(self, request):
+        part = int(request.query['part'])
+        return self.partitions[request.query['Topic'], part]
+
+    def _wake(self, partition):
+        partition.changed.set()
+        partition.changed = asyncio.Event()
+
+
+def split(body):
+    """Return the records of an append."""
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        records.append(body[position : position + length])
+        position += length
+    return records
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,188 @@
+"""A gateway between raw caller connections and stand-in servers."""
+
+import asyncio
+from datetime import timedelta
+from random import Random
+
+from crocusproxy.clock import SystemClock
+from crocusproxy.entry.caller_connection import CallerConnection
+from crocusproxy.entry.gateway import Gateway
+from crocusproxy.entry.settings import Bounds
+from crocusproxy.entry.upstream_call import UpstreamCaller
+from crocusproxy.entry.upstream_connection import MatchingConnection
+from crocusproxy.entry.upstream_messages import UpstreamMessages
+from crocusproxy.membership.catalog import Catalog
+from crocusproxy.platform.headers import DIALECT
+from crocusproxy.protocol.home_feed import UpstreamChange
+from crocusproxy.proxy.pool import ConnectionPool
+from crocusproxy.routes.model import (
+    CallerLimits,
+    RegisteredUpstream,
+    Route,
+    RouteConfig,
+    ServiceTerms,
+    WeightedService,
+)
+from standins.slot_server import SlotServer
+
+HOST = 'a.example'
+
+
+def route(prefix, idempotent, timeout=1.0, attempts=3):
+    return Route(
+        prefix,
+        HOST,
+        prefix,
+        idempotent=idempotent,
+        timeout=timedelta(seconds=timeout),
+        target_latency=timedelta(seconds=timeout / 2),
+        attempts=attempts,
+        priority=1,
+        parts=(WeightedService('s', 1),),
+    )
+
+
+def config(version=1, timeout=1.0, **limits):
+    return RouteConfig(
+        version,
+        (route('/safe/', True, timeout), route('/once/', False, timeout)),
+        (ServiceTerms('s', '/health', 10),),
+        CallerLimits(**limits),
+    )
+
+
+class System:
+    """One gateway with its port, and the servers behind it."""
+
+    def __init__(self):
+        self.catalog = Catalog()
+        self.pool = ConnectionPool(
+            timedelta(seconds=1),
+            timedelta(seconds=8),
+            connection_type=MatchingConnection,
+        )
+        self.messages = UpstreamMessages(DIALECT)
+        self.clock = SystemClock()
+        self.gateway = Gateway(
+            self.catalog,
+            UpstreamCaller(self.pool, self.messages, self.clock, self.on_load),
+            DIALECT,
+            'a',
+            Bounds(),
+            self.clock,
+            Random(1),
+        )
+        self.servers = []
+        self.listener = None
+        self.address = ''
+
+    def on_load(self, upstream, text):
+        load = DIALECT.parse_load(text)
+        upstream.report(load.slowdown, self.clock.monotonic().total_seconds())
+
+    async def start(self, servers=(), configuration=None):
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: CallerConnection(self.gateway, loop), '127.0.0.1', 0
+        )
+        port = self.listener.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        self.catalog.use_config(configuration or config())
+        for server in servers:
+            await self.add(server)
+        return self
+
+    async def add(self, server):
+        await server.start()
+        self.servers.append(server)
+        self.register(server)
+
+    def register(self, server, key=None, sequence=1, leaving=False):
+        key = key or server.key
+        entry = RegisteredUpstream(
+            key, 's', server.address, 'a', server.slots, leaving, 1, sequence
+        )
+        self.catalog.change(UpstreamChange(key, entry))
+
+    def allow_repeats(self):
+        """Count earlier requests, so that the budget allows repeats."""
+        now = self.clock.monotonic().total_seconds()
+        for _ in range(500):
+            self.gateway._budget('s').count_request(now)
+
+    async def stop(self):
+        self.listener.close()
+        self.pool.close()
+        for server in self.servers:
+            server.stop()
+
+    async def connect(self):
+        host, _, port = self.address.rpartition(':')
+        return Caller(*await asyncio.open_connection(host, int(port)))
+
+    async def ask(self, *args, **named):
+        """Send one request on a connection of its own."""
+        caller = await self.connect()
+        caller.send(*args, **named)
+        try:
+            return await caller.read()
+        finally:
+            caller.close()
+
+
+class Caller:
+    """A raw connection of a caller."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    def send(
+        self, request_id, path='/safe/x', method='GET', body=b'', wait=1000
+    ):
+        self.writer.write(
+            f'{method} {path} HTTP/1.1\r\n'
+            f'Host: {HOST}\r\n'
+            f'X-Crocusproxy-Request-Id: {request_id}\r\n'
+            f'X-Crocusproxy-Deadline-Milliseconds: {wait}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
+        )
+
+    async def read(self):
+        """Return status, headers (names in lower case) and body."""
+        head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
+        first, *lines = head.rstrip().split('\r\n')
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(': ')
+            headers[name.lower()] = value
+        length = int(headers.get('content-length', 0))
+        return (
+            int(first.split()[1]),
+            headers,
+            await self.reader.readexactly(length),
+        )
+
+    def close(self):
+        self.writer.close()
+
+
+def play(scenario, servers=(), configuration=None):
+    """Run ``scenario`` with a started system."""
+
+    async def run():
+        system = await System().start(servers, configuration)
+        ticking = asyncio.create_task(system.gateway.run())
+        try:
+            async with asyncio.timeout(20):
+                await scenario(system)
+        finally:
+            ticking.cancel()
+            await system.stop()
+
+    asyncio.run(run())
+
+
+def server(key='i-1', **named):
+    return SlotServer(key, **named)
--- /dev/null
+++ b/tests/membership/test_home.py
@@ -0,0 +1,138 @@
+"""Guards against instances without a home, or with different ones."""
+
+import asyncio
+
+from aiohttp import ClientSession, TCPConnector, web
+
+from crocusproxy.clock import SystemClock
+from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.home import HomeKeeper
+from crocusproxy.membership.roster import Roster
+from crocusproxy.protocol.home_feed import Member, UpstreamChange
+from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
+
+ENTRY = RegisteredUpstream('i-1', 's', '10.0.0.1:80', 'a', 2, False, 1, 1)
+
+
+class Node:
+    """One member with its internal port."""
+
+    def __init__(self, name):
+        self.name = name
+        self.catalog = Catalog()
+        self.leads = 0
+
+    async def start(self):
+        self.session = ClientSession(connector=TCPConnector(limit=0))
+        application = web.Application()
+        self.runner = web.AppRunner(application, shutdown_timeout=0.05)
+        self.keeper = HomeKeeper(
+            self.session,
+            self.catalog,
+            Roster(Member(self.name, 'a', '', self.name, 1.0, 1)),
+            SystemClock(),
+            self.lead,
+            lambda: None,
+        )
+        application.add_routes(self.keeper.server.routes())
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        own = Member(self.name, 'a', f'127.0.0.1:{port}', self.name, 1.0, 1)
+        self.keeper.roster.own = own
+        self.keeper.roster.members[self.name] = own
+        return self
+
+    def lead(self):
+        self.leads += 1
+
+    def run(self):
+        self.task = asyncio.create_task(self.keeper.run())
+
+    async def kill(self):
+        self.task.cancel()
+        await self.runner.cleanup()
+        await self.session.close()
+
+    @property
+    def home(self):
+        home = self.keeper.home
+        return home.name if home else ''
+
+
+async def until(condition, seconds=6.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def play(scenario, names='abc'):
+    async def run():
+        nodes = [await Node(name).start() for name in names]
+        members = [node.keeper.roster.own for node in nodes]
+        for node in nodes:
+            node.keeper.roster.learn(members)
+            node.run()
+        try:
+            await until(lambda: all(node.home for node in nodes))
+            await scenario(nodes)
+        finally:
+            for node in nodes:
+                if not node.runner.server:
+                    continue
+                await node.kill()
+
+    asyncio.run(run())
+
+
+def test_all_follow_one_home():
+    async def scenario(nodes):
+        assert {node.home for node in nodes} == {'a'}
+        assert [node.leads for node in nodes] == [1, 0, 0]
+
+    play(scenario)
+
+
+def test_what_the_home_learns_reaches_all():
+    async def scenario(nodes):
+        nodes[0].catalog.use_config(RouteConfig(3, (), ()))
+        nodes[0].catalog.use_list((ENTRY,))
+        await until(lambda: all(node.catalog.listed for node in nodes))
+        assert all(node.catalog.config.version == 3 for node in nodes)
+        nodes[0].catalog.change(UpstreamChange('i-1'))
+        await until(lambda: not any(node.catalog.upstreams for node in nodes))
+
+    play(scenario)
+
+
+def test_next_member_takes_over_when_the_home_is_lost():
+    async def scenario(nodes):
+        await nodes[0].kill()
+        await until(lambda: {node.home for node in nodes[1:]} == {'b'})
+        assert nodes[2].keeper.epoch == 2
+
+    play(scenario)
+
+
+def test_home_that_leaves_hands_over_while_it_still_serves():
+    async def scenario(nodes):
+        nodes[0].keeper.leave()
+        await until(lambda: {node.home for node in nodes} == {'b'}, 8)
+
+    play(scenario)
+
+
+def test_two_homes_become_one():
+    """Members that start without the store don't know of each other."""
+
+    async def scenario(nodes):
+        other = await Node('0').start()
+        other.run()
+        await until(lambda: other.home == '0')
+        other.keeper.roster.learn([node.keeper.roster.own for node in nodes])
+        everyone = [*nodes, other]
+        await until(lambda: len({node.home for node in everyone}) == 1, 10)
+        await other.kill()
+
+    play(scenario)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,124 @@
+"""Guards against records that are lost or taken for others."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import pytest
+from aiohttp import ClientSession
+
+from crocusproxy.errors import PlatformUnavailableError
+from crocusproxy.platform.store import (
+    ExpiredOffsetError,
+    KeyedRecord,
+    StoreClient,
+)
+from standins.store import StandInStore
+
+TOPIC = 'keyed.op'
+
+
+@asynccontextmanager
+async def running(relays=tuple):
+    store = await StandInStore().start()
+    async with ClientSession() as session:
+        client = StoreClient(
+            session, store.address, timedelta(seconds=2), relays
+        )
+        yield store, client
+    await store.stop()
+
+
+def test_newest_then_read_misses_nothing():
+    async def scenario():
+        async with running() as (store, client):
+            store.put(TOPIC, 'a', b'1')
+            store.put(TOPIC, 'b', b'2')
+            store.put(TOPIC, 'a', b'3')
+            page = await client.newest(TOPIC)
+            listed = {one.key: one.content for one in page.records}
+            assert listed == {'a': b'3', 'b': b'2'}
+            store.put(TOPIC, 'b', b'')
+            following = await client.read(TOPIC, page.end)
+            assert following.records == (KeyedRecord('b', b''),)
+            assert following.end == page.end + 1
+
+    asyncio.run(scenario())
+
+
+def test_listing_goes_over_all_pages():
+    async def scenario():
+        async with running() as (store, client):
+            for number in range(700):
+                store.put(TOPIC, f'key-{number}', b'x')
+            page = await client.newest(TOPIC)
+            assert len(page.records) == 700
+
+    asyncio.run(scenario())
+
+
+def test_read_waits_for_a_record():
+    async def scenario():
+        async with running() as (store, client):
+            reading = asyncio.create_task(
+                client.read(TOPIC, 0, timedelta(seconds=1))
+            )
+            await asyncio.sleep(0.05)
+            store.put(TOPIC, 'a', b'1')
+            page = await reading
+            assert page.records == (KeyedRecord('a', b'1'),)
+
+    asyncio.run(scenario())
+
+
+def test_deleted_records_are_told_from_none():
+    async def scenario():
+        async with running() as (store, client):
+            store.put(TOPIC, 'a', b'1')
+            store.forget(TOPIC)
+            with pytest.raises(ExpiredOffsetError):
+                await client.read(TOPIC, 0)
+            assert (await client.newest(TOPIC)).records
+
+    asyncio.run(scenario())
+
+
+def test_put_is_listed():
+    async def scenario():
+        async with running() as (_, client):
+            await client.put('keyed.own', 'me', b'here')
+            page = await client.newest('keyed.own')
+            assert page.records == (KeyedRecord('me', b'here', 0),)
+
+    asyncio.run(scenario())
+
+
+def test_lost_answer_is_no_success():
+    async def scenario():
+        async with running() as (store, client):
+            store.lose_answers = True
+            with pytest.raises(PlatformUnavailableError):
+                await client.put('keyed.own', 'me', b'here')
+
+    asyncio.run(scenario())
+
+
+def test_refused_reader_goes_over_another_instance():
+    """The store can turn single instances away for longer than is allowed."""
+
+    async def scenario():
+        relayed = await StandInStore().start()
+        relayed.put(TOPIC, 'a', b'1')
+        async with running(lambda: ('127.0.0.1:1',)) as (store, client):
+            store.refuse = True
+            with pytest.raises(PlatformUnavailableError):
+                await client.newest(TOPIC)
+            assert client.relay == '127.0.0.1:1'
+            with pytest.raises(PlatformUnavailableError):
+                await client.newest(TOPIC)
+            assert client.relay == ''
+            store.refuse = False
+            await client.newest(TOPIC)
+        await relayed.stop()
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,130 @@
+"""Guards against documents of the platform that are read wrongly."""
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from crocusproxy.platform.wire import decode_config, decode_upstream
+from crocusproxy.protocol.codec import MalformedMessageError
+from crocusproxy.routes.model import WeightedService
+
+ENTRY = {
+    'Address': '10.128.0.9:8080',
+    'ServerInfo': {
+        'Service': 'huvo11a',
+        'Version': 'v1',
+        'Zone': 'mza-centro',
+        'Slots': 2,
+    },
+    'Status': {'State': 'ready', 'Sequence': 4, 'WarmupRemainingMs': 500},
+    'born': 1700000000000,
+}
+CONFIG = {
+    'Version': '0000001c',
+    'Routes': [
+        {
+            'Name': 'r-1',
+            'Host': 'a.example',
+            'PathPrefix': '/x/',
+            'Kind': 'unsafe',
+            'TimeoutMs': 600,
+            'TargetLatencyMs': 250,
+            'Priority': 1,
+            'Service': 's1',
+            'Attempts': 2,
+        },
+        {
+            'Name': 'r-2',
+            'Host': 'a.example',
+            'PathPrefix': '/y/',
+            'Kind': 'safe',
+            'TimeoutMs': 500,
+            'TargetLatencyMs': 200,
+            'Priority': 2,
+            'TrafficSplit': [
+                {'Service': 's1', 'Weight': 90},
+                {'Service': 's2', 'Weight': 10},
+            ],
+            'Attempts': 2,
+        },
+    ],
+    'Services': [
+        {'Name': 's1', 'HealthCheckPath': '/health', 'MaxConnections': 220}
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 1000,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+}
+
+
+def changed(path, value):
+    entry = json.loads(json.dumps(ENTRY))
+    *parents, last = path
+    place = entry
+    for parent in parents:
+        place = place[parent]
+    place[last] = value
+    return json.dumps(entry).encode()
+
+
+def test_entry_is_decoded():
+    entry = decode_upstream('i-1', json.dumps(ENTRY).encode())
+    assert (entry.key, entry.service, entry.slots) == ('i-1', 'huvo11a', 2)
+    assert entry.started_at == 1700000000000
+    assert entry.warm_up == timedelta(milliseconds=500)
+    assert not entry.leaving
+
+
+def test_draining_entry_is_leaving():
+    document = changed(('Status', 'State'), 'draining')
+    assert decode_upstream('i-1', document).leaving
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'{"Address": "10.0.0.1:80"}',
+        changed(('Address',), 7),
+        changed(('Address',), 'nowhere'),
+        changed(('Status', 'State'), 'resting'),
+        changed(('Status', 'Sequence'), '4'),
+        changed(('Status', 'Sequence'), True),
+        changed(('ServerInfo', 'Slots'), 0),
+        changed(('ServerInfo', 'Slots'), '2'),
+        changed(('ServerInfo', 'Service'), None),
+        changed(('born',), '1700000000000'),
+        changed(('born',), 1.5),
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(document):
+    with pytest.raises(MalformedMessageError):
+        decode_upstream('i-1', document)
+
+
+def test_unknown_fields_are_ignored():
+    assert decode_upstream('i-1', changed(('New',), 1)).key == 'i-1'
+
+
+def test_configuration_is_decoded():
+    config = decode_config(json.dumps(CONFIG).encode())
+    publish, read = config.routes
+    assert config.version == 0x1C
+    assert not publish.idempotent
+    assert publish.parts == (WeightedService('s1', 1),)
+    assert publish.timeout == timedelta(milliseconds=600)
+    assert read.idempotent
+    assert read.parts == (WeightedService('s1', 90), WeightedService('s2', 10))
+    assert config.limits.idle_timeout == timedelta(seconds=15)
+
+
+def test_unknown_kind_is_never_repeated():
+    document = json.dumps(CONFIG).replace('"safe"', '"other"')
+    routes = decode_config(document.encode()).routes
+    assert not any(route.idempotent for route in routes)
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,57 @@
+"""Guards against requests that reach a service their route does not name."""
+
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocusproxy.routes.model import Route, RouteConfig, WeightedService
+from crocusproxy.routes.table import RouteTable, TrafficSplit
+
+
+def route(name, host, prefix, parts=(WeightedService('s', 1),)):
+    return Route(
+        name,
+        host,
+        prefix,
+        idempotent=True,
+        timeout=timedelta(seconds=1),
+        target_latency=timedelta(milliseconds=100),
+        attempts=2,
+        priority=1,
+        parts=parts,
+    )
+
+
+def table(*routes):
+    return RouteTable(RouteConfig(1, routes, ()))
+
+
+def test_longest_prefix_of_the_host_wins():
+    short = route('short', 'a.example', '/x/')
+    long = route('long', 'a.example', '/x/y/')
+    routes = table(short, long)
+    assert routes.find('a.example', '/x/y/z?q=/x/') == long
+    assert routes.find('a.example', '/x/yz') == short
+    assert routes.find('A.example:8080', '/x/') == short
+
+
+def test_prefix_matches_whole_segments_and_not_the_query():
+    routes = table(route('one', 'a.example', '/x/'))
+    assert routes.find('a.example', '/xy') is None
+    assert routes.find('a.example', '/x') is None
+    assert routes.find('a.example', '/q?p=/x/') is None
+    assert routes.find('b.example', '/x/') is None
+
+
+@given(st.lists(st.integers(0, 20), min_size=1, max_size=5).filter(sum))
+def test_split_is_exact_in_each_turn(weights):
+    """Random choice would miss the weights in a window of 200 requests."""
+    parts = tuple(
+        WeightedService(f's{index}', weight)
+        for index, weight in enumerate(weights)
+    )
+    split = TrafficSplit(parts)
+    dealt = Counter(split.next_service() for _ in range(2 * sum(weights)))
+    assert all(dealt[part.service] == 2 * part.weight for part in parts)
--- /dev/null
+++ b/tests/routes/test_timing.py
@@ -0,0 +1,36 @@
+"""Guards against wrong estimates of the time that requests have and need."""
+
+from datetime import timedelta
+
+import pytest
+
+from crocusproxy.routes.model import Route, WeightedService
+from crocusproxy.routes.timing import CALLER_ROUND_TRIP, RouteTiming
+
+ROUTE = Route(
+    'r',
+    'a.example',
+    '/',
+    idempotent=True,
+    timeout=timedelta(milliseconds=500),
+    target_latency=timedelta(milliseconds=200),
+    attempts=2,
+    priority=1,
+    parts=(WeightedService('s', 1),),
+)
+
+
+def test_time_spent_before_the_request_arrived_counts():
+    """A caller that had to connect first has less time left than it seems."""
+    timing = RouteTiming()
+    trip = CALLER_ROUND_TRIP.total_seconds()
+    assert timing.target_left(ROUTE, 0.5) == pytest.approx(0.2 - trip)
+    assert timing.target_left(ROUTE, 0.44) == pytest.approx(0.14 - trip)
+
+
+def test_few_slow_responses_do_not_raise_the_estimate_of_the_work():
+    """With the mean, each slow phase made all requests look late."""
+    timing = RouteTiming()
+    for number in range(1000):
+        timing.took(ROUTE, 0.6 if number % 5 == 0 else 0.06)
+    assert 0.05 < timing.expected_work(ROUTE) < 0.08
