--- /dev/null
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -0,0 +1,61 @@
+"""Requests that crash the upstreams that run them."""
+
+import hashlib
+from collections.abc import Iterable
+from datetime import timedelta
+
+from ..clock import Clock
+from ..logs import log
+from ..routing.crash import Crash, CrashSuspects
+from .upstream_call import OutgoingRequest
+
+
+class CrashWatch:
+    """Refuses requests that were in flight at two crashes.
+
+    An upstream counts as crashed when its last connection drops while requests
+    are in flight there.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.suspects = CrashSuspects()
+
+    def crashed(
+        self, address: str, requests: Iterable[OutgoingRequest]
+    ) -> None:
+        """Record that an upstream was lost with these requests in flight."""
+        now = self.clock.monotonic()
+        prints = frozenset(fingerprint(request) for request in requests)
+        confirmed = self.suspects.crashed(Crash(address, prints, now))
+        log(
+            'upstream_crashed',
+            upstream=address,
+            suspects=len(prints),
+            confirmed=len(confirmed),
+        )
+
+    def refused_for(self, request: OutgoingRequest) -> timedelta:
+        """Return how long a request is refused, zero if it is not."""
+        if not self.suspects.confirmed_until:
+            return timedelta()
+        return self.suspects.refused_for(
+            fingerprint(request), self.clock.monotonic()
+        )
+
+    def answered(self, request: OutgoingRequest) -> None:
+        """Clear a request that an upstream has answered."""
+        known = self.suspects
+        if known.suspects or known.confirmed_until:
+            known.answered(fingerprint(request))
+
+
+def fingerprint(request: OutgoingRequest) -> str:
+    """Return what is equal in each repetition of a request."""
+    message = request.message
+    digest = hashlib.sha256()
+    for part in (message.method, message.headers.get('Host', ''), message.path):
+        digest.update(part.encode(errors='surrogateescape'))
+        digest.update(b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/crocusproxy/entry/metrics.py
@@ -0,0 +1,85 @@
+"""Counters and histograms of an entry instance."""
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    REGISTRY,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+)
+
+from .upstream_call import CallEnd, outcome_of
+
+_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+
+
+class EntryMetrics:
+    """Metrics of one process; tests pass a ``registry`` of their own."""
+
+    def __init__(self, registry: CollectorRegistry = REGISTRY) -> None:
+        self.calls = Counter(
+            'crocus_entry_calls',
+            'Calls of upstreams by outcome.',
+            ('service', 'outcome'),
+            registry=registry,
+        )
+        self.call_seconds = Histogram(
+            'crocus_entry_call_seconds',
+            'Time from sending a request until its call ended.',
+            ('service',),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.refusals = Counter(
+            'crocus_entry_refusals',
+            'Answers of the system in place of an upstream, by code.',
+            ('code',),
+            registry=registry,
+        )
+        self.probes = Counter(
+            'crocus_entry_probes',
+            'Upstreams that were asked for their load.',
+            registry=registry,
+        )
+        self.registry = registry
+
+    def sent(self, service: str, end: CallEnd, seconds: float) -> None:
+        """Count one call of an upstream."""
+        self.calls.labels(service, outcome_of(end)).inc()
+        self.call_seconds.labels(service).observe(seconds)
+
+    def refused(self, code: str) -> None:
+        """Count an answer of the system's own."""
+        self.refusals.labels(code).inc()
+
+    def watch(
+        self,
+        in_flight: Callable[[], float],
+        queued: Callable[[], float],
+        config_version: Callable[[], float],
+        epoch: Callable[[], float],
+    ) -> None:
+        """Read these figures whenever the metrics are fetched."""
+        registry = self.registry
+        Gauge(
+            'crocus_entry_in_flight',
+            'Requests being served.',
+            registry=registry,
+        ).set_function(in_flight)
+        Gauge(
+            'crocus_entry_queued',
+            'Requests waiting for an upstream.',
+            registry=registry,
+        ).set_function(queued)
+        Gauge(
+            'crocus_entry_config_version',
+            'Version of the configuration in force.',
+            registry=registry,
+        ).set_function(config_version)
+        Gauge(
+            'crocus_entry_home_epoch',
+            'How often the home has changed.',
+            registry=registry,
+        ).set_function(epoch)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -12,6 +12,7 @@
 from ..proxy.pool import ConnectionPool, NotOpenedError
 from ..routes.model import RouteConfig
 from .dialect import Dialect
+from .metrics import EntryMetrics
 from .upstream_connection import MatchingConnection
 
 _TICK_SECONDS = 0.02
@@ -41,12 +42,14 @@
         on_load: Callable[[UpstreamState, str], None],
         last_request: Callable[[], float],
         probes_per_second: float,
+        metrics: EntryMetrics,
     ) -> None:
         self.pool = pool
         self.dialect = dialect
         self.clock = clock
         self.on_load = on_load
         self.last_request = last_request
+        self.metrics = metrics
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
         self.interval = max(FRESH_SECONDS, 1 / rate)
         self.health_paths: dict[str, str] = {}
@@ -85,6 +88,7 @@
 
     def _start(self, state: UpstreamState, path: str) -> 'asyncio.Task[None]':
         state.asked_at = self._now()
+        self.metrics.probes.inc()
         task = asyncio.create_task(self._probe(state, path))
         self.tasks[state.key] = task
         task.add_done_callback(lambda _: self.tasks.pop(state.key, None))
--- /dev/null
+++ b/src/crocusproxy/entry/progress.py
@@ -0,0 +1,35 @@
+"""One request on its way through this instance."""
+
+from dataclasses import dataclass
+
+from ..routes.model import Route
+from .caller_connection import CallerRequest
+from .upstream_call import OutgoingRequest
+
+
+@dataclass(slots=True)
+class Progress:
+    """A request, its terms, and what has been tried; monotonic seconds.
+
+    The response is due at ``until`` and of full use until ``target_at``.
+    ``version`` is that of the configuration by which it was routed.
+    ``may_have_run`` is set once it was sent and no upstream has said that it
+    did not run.
+    """
+
+    request: CallerRequest
+    outgoing: OutgoingRequest
+    route: Route
+    service: str
+    version: int
+    started: float
+    until: float
+    target_at: float
+    tried: frozenset[str] = frozenset()
+    may_have_run: bool = False
+    sends: int = 0
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the caller has given the request."""
+        return self.outgoing.request_id
--- /dev/null
+++ b/src/crocusproxy/entry/refusals.py
@@ -0,0 +1,33 @@
+"""The answers that the system gives in place of an upstream's response."""
+
+from datetime import timedelta
+
+from .responses import Refusal
+
+NOT_READY = Refusal(
+    503,
+    'not_ready',
+    'no configuration has been received yet',
+    timedelta(milliseconds=100),
+)
+NO_ROUTE = Refusal(404, 'no_route', 'no route covers this host and path')
+BODY_TOO_LARGE = Refusal(413, 'body_too_large', 'the body is too large')
+BAD_DEADLINE = Refusal(400, 'deadline_invalid', 'the deadline is no number')
+TIMED_OUT = Refusal(504, 'timed_out', 'no response arrived in time')
+FAILED = Refusal(502, 'upstream_failed', 'no usable response arrived')
+EXPIRED = Refusal(503, 'expired', 'the time ran out before the request was run')
+NOT_ACCEPTED = Refusal(
+    503,
+    'not_accepted',
+    'no upstream accepted the request; it was not run',
+    timedelta(milliseconds=100),
+)
+#: The sender passes the request on elsewhere, or serves it itself.
+CONFIG_BEHIND = Refusal(
+    425, 'config_behind', 'the sender has a newer configuration'
+)
+
+
+def not_placed(code: str, retry_after: timedelta) -> Refusal:
+    """Return the answer to a request that found no room."""
+    return Refusal(503, code, 'the request was not run', retry_after)
--- /dev/null
+++ b/src/crocusproxy/entry/request_log.py
@@ -0,0 +1,138 @@
+"""Log lines about requests, bounded in their number.
+
+Responses are logged up to a number of lines a second; failures have a larger
+share of their own. What was left out is counted and logged once a second.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..clock import Clock
+from ..logs import log
+from ..placement.upstream_state import UpstreamState
+from .progress import Progress
+from .responses import Refusal
+from .upstream_call import CallEnd, Responded, outcome_of
+
+RESPONSES_PER_SECOND = 100
+FAILURES_PER_SECOND = 200
+_MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class SendNote:
+    """What was known when a request was sent; monotonic seconds."""
+
+    progress: Progress
+    upstream: str
+    sent_at: float
+    in_flight: int
+    slowdown: float
+    reported_at: float
+
+
+class RequestLog:
+    """Writes the lines; ``write`` gets an event and its fields."""
+
+    def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
+        self.clock = clock
+        self.write = write
+        self.second = -1
+        self.responses = 0
+        self.failures = 0
+        self.left_out = 0
+
+    def note_send(
+        self, progress: Progress, upstream: UpstreamState, now: float
+    ) -> SendNote:
+        """Return what the choice of an upstream went by."""
+        return SendNote(
+            progress,
+            upstream.key,
+            now,
+            upstream.in_flight,
+            upstream.slowdown,
+            upstream.reported_at,
+        )
+
+    def call_ended(self, note: SendNote, end: CallEnd, now: float) -> None:
+        """Log one call of an upstream, with what had decided for it."""
+        failed = not isinstance(end, Responded) or end.failed
+        if not self._admits(failed):
+            return
+        progress = note.progress
+        self._write(
+            'call_ended',
+            request_id=progress.request_id,
+            service=progress.service,
+            priority=progress.route.priority,
+            config_version=progress.version,
+            upstream=note.upstream,
+            in_flight=note.in_flight,
+            slowdown=round(note.slowdown, 2),
+            slowdown_age_ms=_age(note.sent_at - note.reported_at),
+            waited_ms=_milliseconds(note.sent_at - progress.started),
+            took_ms=_milliseconds(now - note.sent_at),
+            left_ms=_milliseconds(progress.until - now),
+            target_left_ms=_milliseconds(progress.target_at - now),
+            outcome=outcome_of(end),
+            reason=_reason(end),
+        )
+
+    def refused(self, request_id: str, refusal: Refusal) -> None:
+        """Log an answer of the system's own."""
+        if self._admits(failed=True):
+            self._write(
+                'request_refused',
+                request_id=request_id,
+                status=refusal.status,
+                code=refusal.code,
+            )
+
+    def forward_failed(self, progress: Progress, reason: str) -> None:
+        """Log that the home gave no usable response."""
+        if self._admits(failed=True):
+            self._write(
+                'forward_failed',
+                request_id=progress.request_id,
+                service=progress.service,
+                reason=reason,
+            )
+
+    def _write(self, event: str, **fields: Any) -> None:
+        self.write(event, **fields)
+
+    def _admits(self, failed: bool) -> bool:
+        second = int(self.clock.monotonic().total_seconds())
+        if second != self.second:
+            self._begin(second)
+        if failed:
+            self.failures += 1
+            admitted = self.failures <= FAILURES_PER_SECOND
+        else:
+            self.responses += 1
+            admitted = self.responses <= RESPONSES_PER_SECOND
+        self.left_out += not admitted
+        return admitted
+
+    def _begin(self, second: int) -> None:
+        if self.left_out:
+            self._write('log_lines_left_out', lines=self.left_out)
+        self.second = second
+        self.responses = 0
+        self.failures = 0
+        self.left_out = 0
+
+
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * _MILLISECONDS, 1)
+
+
+def _age(seconds: float) -> float | None:
+    """Return an age in milliseconds, None if nothing was ever reported."""
+    return None if seconds == float('inf') else _milliseconds(seconds)
+
+
+def _reason(end: CallEnd) -> str:
+    return '' if isinstance(end, Responded) else str(end.reason)
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -56,6 +56,17 @@
 CallEnd = Responded | NotRun | Broken
 
 
+def outcome_of(end: CallEnd) -> str:
+    """Return the outcome of a call as logs and metrics name it."""
+    match end:
+        case Responded(failed=failed):
+            return 'failed' if failed else 'answered'
+        case NotRun():
+            return 'not_run'
+        case Broken():
+            return 'unknown'
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
     """A caller's request with its body, ready to be sent."""
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -4,9 +4,15 @@
 from datetime import timedelta
 from random import Random
 
+from prometheus_client import CollectorRegistry
+
 from crocusproxy.clock import SystemClock
 from crocusproxy.entry.caller_connection import CallerConnection
+from crocusproxy.entry.crash_watch import CrashWatch
+from crocusproxy.entry.dispatcher import Dispatcher
 from crocusproxy.entry.gateway import Gateway
+from crocusproxy.entry.metrics import EntryMetrics
+from crocusproxy.entry.request_log import RequestLog
 from crocusproxy.entry.settings import Bounds
 from crocusproxy.entry.upstream_call import UpstreamCaller
 from crocusproxy.entry.upstream_connection import MatchingConnection
@@ -63,14 +69,26 @@
         )
         self.messages = UpstreamMessages(DIALECT)
         self.clock = SystemClock()
-        self.gateway = Gateway(
-            self.catalog,
+        self.crashes = CrashWatch(self.clock)
+        self.pool.on_crash = self.crashes.crashed
+        metrics = EntryMetrics(CollectorRegistry())
+        self.lines = []
+        log = RequestLog(
+            self.clock,
+            lambda event, **fields: self.lines.append((event, fields)),
+        )
+        self.dispatcher = Dispatcher(
             UpstreamCaller(self.pool, self.messages, self.clock, self.on_load),
-            DIALECT,
             'a',
             Bounds(),
             self.clock,
             Random(1),
+            metrics,
+            log,
+            self.crashes,
+        )
+        self.gateway = Gateway(
+            self.catalog, self.dispatcher, DIALECT, self.clock, metrics, log
         )
         self.servers = []
         self.listener = None
@@ -108,7 +126,7 @@
         """Count earlier requests, so that the budget allows repeats."""
         now = self.clock.monotonic().total_seconds()
         for _ in range(500):
-            self.gateway._budget('s').count_request(now)
+            self.dispatcher.budget('s').count_request(now)
 
     async def stop(self):
         self.listener.close()
@@ -173,7 +191,7 @@
 
     async def run():
         system = await System().start(servers, configuration)
-        ticking = asyncio.create_task(system.gateway.run())
+        ticking = asyncio.create_task(system.dispatcher.run_queues())
         try:
             async with asyncio.timeout(20):
                 await scenario(system)
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -235,7 +235,7 @@
         caller.close()
         await asyncio.sleep(0.5)
         assert system.servers[0].closed_while_running == 1
-        placer = system.gateway.placers['s']
+        placer = system.dispatcher.placers['s']
         assert placer.upstreams['i-1'].in_flight == 0
 
     play(scenario, [server(work=0.3)])
