Bound the queue, and notice slow upstreams that do not say so

Change: a free slot is offered to the first sixteen requests; the queue is bounded by the slots, the least useful request is refused at once; an upstream counts as slow when three requests in a row took long, relative to what all upstreams of the service need; work is learned while an upstream is at most half full; the shared budget is used to four fifths.

--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -179,7 +179,8 @@
         upstream = placed.upstream
         progress.tried |= {upstream.key}
         sent_at = self._now()
-        alone = upstream.in_flight == 1 and upstream.slowdown < SLOW
+        half_full = max(upstream.entry.slots / 2, 1)
+        at_ease = upstream.in_flight <= half_full and upstream.slowdown < SLOW
         note = self.lines.note_send(progress, upstream, sent_at)
 
         def on_sent() -> None:  # noqa: WPS430
@@ -191,11 +192,14 @@
             end = await self.caller.call(
                 upstream, progress.outgoing, progress.until, on_sent
             )
-        finally:
+        except BaseException:
             self.placer(progress.service).release(placed)
+            raise
         progress.request.detached = False
+        answered = isinstance(end, Responded)
+        self.placer(progress.service).release(placed, answered=answered)
         now = self._now()
-        if alone and isinstance(end, Responded) and not end.failed:
+        if at_ease and isinstance(end, Responded) and not end.failed:
             self.timing.took(progress.route, now - sent_at)
         self._learn(progress, upstream, end, now)
         self.metrics.sent(progress.service, end, now - sent_at)
--- a/src/crocusproxy/limits/shared_budget.py
+++ b/src/crocusproxy/limits/shared_budget.py
@@ -3,7 +3,10 @@
 from collections import deque
 
 #: Share of the allowance that is left to what other instances spend.
-RESERVE = 0.35
+RESERVE = 0.2
+#: An instance has the whole slack once it has served so many times as many
+#: requests, so that instances that take over from each other don't add up.
+SLACK_GROWTH = 0.1
 
 
 class RepeatBudget:
@@ -31,7 +34,7 @@
         _drop_before(self.repeats, now - self.window)
         share = 1 - RESERVE
         # The slack grows with the requests, so that idle instances have none.
-        slack = min(self.slack, self.ratio * len(self.requests))
+        slack = min(self.slack, SLACK_GROWTH * len(self.requests))
         allowed = share * (self.ratio * len(self.requests) + slack)
         if len(self.repeats) + 1 > allowed:
             return False
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -20,6 +20,15 @@
 LEAST_WORK = 0.7
 #: Few requests need more than this share of it.
 SAFE_WORK = 1.25
+#: Requests that may wait, for each slot; more could not be served in time.
+QUEUE_SHARE = 2
+MIN_QUEUE = 8
+#: Step of the median of the times, relative to the expected ones.
+RATIO_STEP = 0.01
+#: Extra time, relative to the usual, of work on a nearly full upstream.
+FIRST_FULL_SLOWDOWN = 0.7
+#: How many waiting requests a free slot is offered to.
+MAX_OFFERS = 16
 #: Upstreams that differ by less than this share of the work count as equal.
 NEAR_EQUAL = 0.05
 
@@ -46,6 +55,7 @@
     """The request goes to ``upstream`` now and counts there until released."""
 
     upstream: UpstreamState
+    ticket: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +107,8 @@
         self.random = random
         self.upstreams: dict[str, UpstreamState] = {}
         self.queue: list[Waiting] = []
+        self.full_slowdown = FIRST_FULL_SLOWDOWN
+        self.usual_ratio = 1.0
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -110,9 +122,8 @@
         else:
             if state is not None:
                 state.gone = True
-            state = UpstreamState(
-                entry, entry.failure_domain != self.failure_domain
-            )
+            is_far = entry.failure_domain != self.failure_domain
+            state = UpstreamState(entry, is_far, self.full_slowdown)
             self.upstreams[entry.key] = state
         warm_up = entry.warm_up.total_seconds()
         state.cold_until = self.now() + warm_up if warm_up else -inf
@@ -130,9 +141,11 @@
         """Decide now, or when room is there or time has run out."""
         now = self.now()
         waiting = Waiting(demand, now, decide)
-        if not self._candidates(demand):
+        if not self._has_upstream(demand):
             decide(_NO_UPSTREAM)
             return waiting
+        if not self.queue and self._place_now(waiting, now):
+            return waiting
         self.queue.append(waiting)
         self.pump()
         return waiting
@@ -142,43 +155,98 @@
         if waiting in self.queue:
             self.queue.remove(waiting)
 
-    def release(self, placed: Placed) -> None:
+    def release(self, placed: Placed, *, answered: bool = False) -> None:
         """Count a request as ended at its upstream."""
-        placed.upstream.in_flight -= 1
-        self.pump()
+        now = self.now()
+        ratio = placed.upstream.drag.end(placed.ticket, now, answered=answered)
+        if answered:
+            step = RATIO_STEP if ratio > 1 else -RATIO_STEP
+            self.usual_ratio *= 1 + step
+        if self.queue:
+            self.pump()
 
     def pump(self) -> None:
         """Place what has room and refuse what has no time left."""
         now = self.now()
         self.queue.sort(key=lambda waiting: waiting.rank(now))
+        self._place_queued(now)
         for waiting in tuple(self.queue):
-            state = self._choose(waiting, now)
+            if now + waiting.demand.work >= waiting.demand.give_up_at:
+                self._refuse(waiting)
+        while len(self.queue) > self._queue_limit():
+            self._refuse(self.queue[-1])
+
+    def _has_upstream(self, demand: Demand) -> bool:
+        return any(
+            state.usable and state.key not in demand.excluded
+            for state in self.upstreams.values()
+        )
+
+    def _place_now(self, waiting: Waiting, now: float) -> bool:
+        """Place a request that finds the queue empty, the usual case."""
+        state = self._choose(waiting, self._free(now), now)
+        if state is None:
+            return False
+        waiting.decide(self._start(state, waiting.demand.work, now))
+        return True
+
+    def _place_queued(self, now: float) -> None:
+        """Go through the queue while there are free slots.
+
+        The cost of a call must not grow with the queue: a free slot that the
+        first requests do not want is not offered to all others.
+        """
+        free = self._free(now)
+        for waiting in tuple(self.queue[:MAX_OFFERS]):
+            if not free:
+                break
+            state = self._choose(waiting, free, now)
             if state is not None:
                 self.queue.remove(waiting)
-                state.in_flight += 1
-                waiting.decide(Placed(state))
-            elif now + waiting.demand.work >= waiting.demand.give_up_at:
-                self.queue.remove(waiting)
-                waiting.decide(self._overloaded())
+                placed = self._start(state, waiting.demand.work, now)
+                free = [one for one in free if one.has_slot]
+                waiting.decide(placed)
+
+    def _refuse(self, waiting: Waiting) -> None:
+        self.queue.remove(waiting)
+        waiting.decide(self._overloaded())
+
+    def _queue_limit(self) -> int:
+        slots = sum(
+            state.entry.slots
+            for state in self.upstreams.values()
+            if state.usable
+        )
+        return max(QUEUE_SHARE * slots, MIN_QUEUE)
 
     def _overloaded(self) -> Refused:
         return Refused('overloaded', timedelta(milliseconds=100))
 
-    def _candidates(self, demand: Demand) -> list[UpstreamState]:
+    def _start(self, state: UpstreamState, work: float, now: float) -> Placed:
+        # What all upstreams need more than expected is nobody's slowness.
+        expected = self.usual_ratio * work
+        expected *= max(state.expected_slowdown(now), 1)
+        return Placed(state, state.drag.start(now, expected))
+
+    def _free(self, now: float) -> list[UpstreamState]:
         return [
             state
             for state in self.upstreams.values()
-            if state.usable and state.key not in demand.excluded
+            if state.usable and now >= state.rest_until and state.has_slot
         ]
 
-    def _choose(self, waiting: Waiting, now: float) -> UpstreamState | None:
-        """Return the best upstream with room, or None to wait."""
+    def _choose(
+        self, waiting: Waiting, free: list[UpstreamState], now: float
+    ) -> UpstreamState | None:
+        """Return the best of the upstreams with room, or None to wait."""
         work = waiting.demand.work
         near = NEAR_EQUAL * work
         best = inf
         offers: list[tuple[float, UpstreamState]] = []
-        for state in self._candidates(waiting.demand):
-            if not _accepts(state, waiting, now):
+        for state in free:
+            if state.key in waiting.demand.excluded:
+                continue
+            if not _is_worth_sending(state, waiting, now):
                 continue
             cost = state.cost(work, now)
             if cost <= best + near:
@@ -188,14 +256,14 @@
         return self.random.choice(equal) if equal else None
 
 
-def _accepts(state: UpstreamState, waiting: Waiting, now: float) -> bool:
-    """Return whether an upstream has room and is worth sending to.
+def _is_worth_sending(
+    state: UpstreamState, waiting: Waiting, now: float
+) -> bool:
+    """Return whether an upstream is fast enough for a request.
 
     A request that can still meet its target waits rather than go to a slow
     upstream at which it would miss it.
     """
-    if now < state.rest_until or state.in_flight >= state.entry.slots:
-        return False
     if not state.is_slow(now):
         return True
     demand = waiting.demand
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -1,10 +1,11 @@
 """What is known of one upstream, and what that says about the next request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from math import exp, inf
 
 from ..routes.model import RegisteredUpstream
+from .drag import Drag
 
 #: Seconds after which a reported slowdown has lost 63 % of its weight.
 SLOWDOWN_MEMORY = 0.15
@@ -12,8 +13,7 @@
 SLOW = 2.0
 #: Cost of an upstream of which nothing is known: it is asked before it is used.
 TYPICAL_SLOWDOWN = 1.2
-#: Extra time, relative to the usual, once an upstream is nearly full.
-FULL_SLOWDOWN = 0.7
+#: Share of the slots from which on an upstream counts as nearly full.
 NEARLY_FULL = 0.8
 #: Seconds that a request to another failure domain costs more.
 FAR_COST = 0.006
@@ -28,6 +28,7 @@
 SHED_REST = 0.03  # seconds
 COLD_SLOWDOWN = 2.0
 _SURE_FAILURE = 0.95
+_LEAST_SLOWDOWN = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -35,14 +36,15 @@
     """Requests in flight and the latest signs of one upstream.
 
     ``slowdown`` is how long work takes, relative to the usual, as reported at
-    ``reported_at``. Until ``rest_until`` the upstream gets no request. Times
-    are monotonic seconds.
+    ``reported_at``. ``full_slowdown`` is the extra time of work on an upstream
+    that is nearly full, relative to the usual. Until ``rest_until`` the
+    upstream gets no request. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
     is_far: bool
+    full_slowdown: float = 0
     cold_until: float = -inf
-    in_flight: int = 0
     reported_at: float = -inf
     slowdown: float = TYPICAL_SLOWDOWN
     failure_rate: float = 0
@@ -50,6 +52,7 @@
     rest_until: float = -inf
     asked_at: float = -inf
     gone: bool = False
+    drag: Drag = field(default_factory=Drag)
 
     @property
     def key(self) -> str:
@@ -61,9 +64,19 @@
         """Return whether new requests may be sent here."""
         return not self.gone and not self.entry.leaving
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that were sent and have not ended."""
+        return len(self.drag.running)
+
+    @property
+    def has_slot(self) -> bool:
+        """Return whether one more request would run at once."""
+        return len(self.drag.running) < self.entry.slots
+
     def report(self, slowdown: float, now: float) -> None:
         """Take in a reported slowdown."""
-        self.slowdown = max(slowdown, 0.1)
+        self.slowdown = max(slowdown, _LEAST_SLOWDOWN)
         self.reported_at = now
 
     def expected_slowdown(self, now: float) -> float:
@@ -75,22 +88,21 @@
         return expected
 
     def is_slow(self, now: float) -> bool:
-        """Return whether the upstream is probably in a slow phase."""
-        return self.expected_slowdown(now) > SLOW
+        """Return whether the upstream is probably slow."""
+        return self.expected_slowdown(now) * self.drag.factor(now) > SLOW
 
     def expected_time(self, work: float, now: float) -> float:
         """Return the seconds until one more request is expected to be done.
 
         ``work`` is the time that it takes at the usual speed.
         """
-        slots = self.entry.slots
-        time = work * self.expected_slowdown(now)
-        # Slow phases are short: most of a long work is done at usual speed.
-        time = min(time, work + SLOW_PHASE)
-        if self.in_flight + 1 >= NEARLY_FULL * slots:
-            time *= 1 + FULL_SLOWDOWN
-        beyond = max(self.in_flight + 1 - slots, 0)
-        return time * (1 + beyond / slots)
+        # Reported slow phases are short: most of a long work is done at the
+        # usual speed.
+        time = min(work * self.expected_slowdown(now), work + SLOW_PHASE)
+        time *= self.drag.factor(now)
+        if self.in_flight + 1 >= NEARLY_FULL * self.entry.slots:
+            time *= 1 + self.full_slowdown
+        return time
 
     def cost(self, work: float, now: float) -> float:
         """Return the expected time with the risk of a failure, in seconds."""
