--- a/src/crocusproxy/cli/main.py
+++ b/src/crocusproxy/cli/main.py
@@ -13,6 +13,7 @@
 from . import commands
 from .burn import burn as show_burn
 from .exits import WrongInputError, exit_code_of
+from .explain import explain as explain_request
 from .history import history as show_history
 from .instances import instances as show_instances
 from .output import Result, print_error, print_result
@@ -39,6 +40,7 @@
       locate SERVICE   show the homes of a service
       instances        show the instances and the generation each one serves
       burn             show burn rates and error budgets of all services
+      explain ID FILE  show what log files tell of a request
 
     Exit codes: 0 done, 1 rejected, 2 wrong input, 3 not reachable,
     4 not known yet. With --json a command prints one JSON document.
@@ -105,6 +107,17 @@
         """
         self._run(commands.show, json)
 
+    @_text('request_id', 'files')
+    def explain(self, request_id: str, *files: str, json: bool = False) -> None:
+        """Show what log files tell of a request; needs no running system.
+
+        Args:
+            request_id: the id that the caller gave the request.
+            files: log files of entry instances.
+            json: print JSON.
+        """
+        _finish(lambda: explain_request(request_id, files), json)
+
     @_text('file')
     def diff(self, file: str, json: bool = False) -> None:
         """Show what publishing FILE would change.
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,57 @@
+"""Guards against failed requests that on-call engineers can't explain."""
+
+import json
+
+from crocusproxy.cli.exits import Exit
+from crocusproxy.cli.explain import explain
+
+
+def line(at, event, instance='n1', **fields):
+    record = {'timestamp': at, 'message_type': event, 'instance': instance}
+    return json.dumps(record | fields)
+
+
+LOG = [
+    line(90.0, 'home_taken_over', epoch=1),
+    line(97.0, 'upstream_changed', upstream='i-1', state='leaving'),
+    line(98.0, 'upstream_changed', upstream='i-2', state='ready'),
+    line(99.0, 'home_taken_over', epoch=2),
+    line(99.5, 'home_taken_over', 'n2', epoch=2),
+    line(100.0, 'call_ended', request_id='r1', upstream='i-1', took_ms=5),
+    line(100.1, 'request_refused', request_id='r1', code='timed_out'),
+    line(100.2, 'call_ended', request_id='r2', upstream='i-1'),
+    'not a log line',
+    '{"broken": ',
+]
+
+
+def write(tmp_path, prefix=''):
+    path = tmp_path / 'n1.log'
+    path.write_text('\n'.join(prefix + one for one in LOG))
+    return str(path)
+
+
+def test_chain_has_the_request_and_what_it_met(tmp_path):
+    result = explain('r1', [write(tmp_path)])
+    events = [
+        (one['event'], one.get('upstream') or one.get('epoch', ''))
+        for one in result.plain['lines']
+    ]
+    assert events == [
+        ('upstream_changed', 'i-1'),
+        ('home_taken_over', 2),
+        ('call_ended', 'i-1'),
+        ('request_refused', ''),
+    ]
+    assert 'code=timed_out' in result.text
+
+
+def test_prefix_of_a_log_collector_is_skipped(tmp_path):
+    result = explain('r1', [write(tmp_path, '12.5 n1 ')])
+    assert len(result.plain['lines']) == 4
+
+
+def test_unknown_id_is_said_so(tmp_path):
+    result = explain('r9', [write(tmp_path)])
+    assert result.exit_code == Exit.rejected
+    assert 'r9' in result.text
