Compile the package at build, and load fire only where there are arguments

Cause: after all instances lose power nobody is served until they have started, and the processes can't write compiled files.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,3 +10,6 @@
 fi
 rm -rf target/deps/crocusproxy
 cp -r src/crocusproxy target/deps/crocusproxy
+# The processes can't write, so without this each start would compile anew.
+python3 -m compileall -q --invalidation-mode unchecked-hash \
+    target/deps/crocusproxy
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -3,8 +3,6 @@
 import os
 import sys
 
-import fire
-
 from ..logs import start_logging
 from ..platform.process import SETTINGS_VARIABLE
 from ..settings import load_or_exit
@@ -26,7 +24,16 @@
 
 
 def main() -> None:
-    """Run the command line."""
+    """Run the command line.
+
+    Without arguments fire is not loaded, since a restarted instance serves
+    nobody until it has started.
+    """
+    if len(sys.argv) == 1:
+        run()
+        return
+    import fire  # noqa: WPS433, PLC0415 - see above
+
     fire.Fire(run)
 
 
