Send no work to slow upstreams while others are fast

Cause: work keeps the speed with which it began. Change: a slow upstream is used only if all are slow; the expected time no longer assumes that slow phases end within a request; upstreams with a free slot are asked each 50 ms while requests wait. Ruled out: that slow phases are worked off within a request.

--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -29,7 +29,7 @@
 #: A load reported within this many seconds is as good as a new one.
 FRESH_AT_CHOICE = 0.03
 #: How often a request looks for another upstream because one is slow.
-MAX_LOOKS = 3
+MAX_LOOKS = 5
 #: Connections that can't be opened cost the upstreams nothing.
 MAX_UNREACHED = 4
 #: Share of an upstream's failure rate that an error of its own replaces.
@@ -150,7 +150,7 @@
         except asyncio.CancelledError:
             self.placer(service).release(placed)
             raise
-        return state.slowdown >= SLOW
+        return state.slowdown > SLOW
 
     async def _decide(self, progress: Progress) -> Decision:
         route = progress.route
@@ -180,7 +180,7 @@
         progress.tried |= {upstream.key}
         sent_at = self._now()
         half_full = max(upstream.entry.slots / 2, 1)
-        at_ease = upstream.in_flight <= half_full and upstream.slowdown < SLOW
+        at_ease = upstream.in_flight <= half_full and upstream.slowdown <= SLOW
         note = self.lines.note_send(progress, upstream, sent_at)
 
         def on_sent() -> None:  # noqa: WPS430
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -18,6 +18,8 @@
 _TICK_SECONDS = 0.02
 #: A load that was reported within this time is not asked for again.
 FRESH_SECONDS = 0.3
+#: The same while requests wait and the upstream has a free slot.
+QUEUE_SECONDS = 0.05
 #: Nobody is asked once no request has come for so long.
 QUIET_SECONDS = 0.5
 TIMEOUT_SECONDS = 0.25
@@ -52,6 +54,7 @@
         self.metrics = metrics
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
         self.interval = max(FRESH_SECONDS, 1 / rate)
+        self.queue_interval = max(QUEUE_SECONDS, 1 / rate)
         self.health_paths: dict[str, str] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -83,7 +86,10 @@
     def _probe_all(self, placer: ServicePlacer, path: str, now: float) -> None:
         for state in placer.upstreams.values():
             latest = max(state.reported_at, state.asked_at)
-            if state.usable and now - latest >= self.interval:
+            interval = self.interval
+            if placer.queue and state.has_slot:
+                interval = self.queue_interval
+            if state.usable and now - latest >= interval:
                 self._start(state, path)
 
     def _start(self, state: UpstreamState, path: str) -> 'asyncio.Task[None]':
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -184,7 +184,7 @@
 
     def _place_now(self, waiting: Waiting, now: float) -> bool:
         """Place a request that finds the queue empty, the usual case."""
-        state = self._choose(waiting, self._free(now), now)
+        state = self._choose(waiting, self._offered(now), now)
         if state is None:
             return False
         waiting.decide(self._start(state, waiting.demand.work, now))
@@ -196,7 +196,7 @@
         The cost of a call must not grow with the queue: a free slot that the
         first requests do not want is not offered to all others.
         """
-        free = self._free(now)
+        free = self._offered(now)
         for waiting in tuple(self.queue[:MAX_OFFERS]):
             if not free:
                 break
@@ -228,12 +228,20 @@
         expected *= max(state.expected_slowdown(now), 1)
         return Placed(state, state.drag.start(now, expected))
 
-    def _free(self, now: float) -> list[UpstreamState]:
-        return [
+    def _offered(self, now: float) -> list[UpstreamState]:
+        """Return the upstreams with a free slot that are worth sending to.
+
+        Work that begins on a slow upstream holds its slot for several times as
+        long, also after the upstream is fast again. A slow one is therefore
+        used only if all are slow.
+        """
+        usable = [
             state
             for state in self.upstreams.values()
-            if state.usable and now >= state.rest_until and state.has_slot
+            if state.usable and now >= state.rest_until
         ]
+        fast = [state for state in usable if not state.is_slow(now)]
+        return [state for state in fast or usable if state.has_slot]
 
     def _choose(
         self, waiting: Waiting, free: list[UpstreamState], now: float
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -19,8 +19,6 @@
 FAR_COST = 0.006
 #: Extra cost of a full upstream, relative to the work.
 BUSY_COST = 0.1
-#: Seconds for which an upstream usually stays slow.
-SLOW_PHASE = 0.15
 #: Share of an upstream's failure rate that one more response replaces.
 FAILURE_WEIGHT = 0.2
 FIRST_REST = 0.1  # seconds
@@ -82,10 +80,10 @@
     def expected_slowdown(self, now: float) -> float:
         """Return how long work is expected to take, relative to the usual."""
         weight = exp((self.reported_at - now) / SLOWDOWN_MEMORY)
-        expected = weight * self.slowdown + (1 - weight) * TYPICAL_SLOWDOWN
+        unknown = TYPICAL_SLOWDOWN
         if now < self.cold_until:
-            expected *= COLD_SLOWDOWN
-        return expected
+            unknown *= COLD_SLOWDOWN
+        return weight * self.slowdown + (1 - weight) * unknown
 
     def is_slow(self, now: float) -> bool:
         """Return whether the upstream is probably slow."""
@@ -96,10 +94,9 @@
 
         ``work`` is the time that it takes at the usual speed.
         """
-        # Reported slow phases are short: most of a long work is done at the
-        # usual speed.
-        time = min(work * self.expected_slowdown(now), work + SLOW_PHASE)
-        time *= self.drag.factor(now)
+        # Work keeps the speed with which it began, also if the upstream's
+        # speed changes meanwhile.
+        time = work * self.expected_slowdown(now) * self.drag.factor(now)
         if self.in_flight + 1 >= NEARLY_FULL * self.entry.slots:
             time *= 1 + self.full_slowdown
         return time
