--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -73,6 +73,22 @@
     assert [key_of(placing.place()) for _ in range(2)] == ['2', '2']
 
 
+def test_slow_upstream_is_used_if_all_are_slow():
+    placing = Placing(entry('1'), entry('2'))
+    placing.report('1', 3.0)
+    placing.report('2', 5.0)
+    assert key_of(placing.place(target=0.4)) == '1'
+
+
+def test_late_request_does_not_take_a_slow_slot_while_others_are_fast():
+    """It would hold the slot for five times as long as on a fast upstream."""
+    placing = Placing(entry('1', slots=1), entry('2', slots=1))
+    placing.place()
+    slow = '1' if placing.placer.upstreams['2'].in_flight else '2'
+    placing.report(slow, 5.0)
+    assert not placing.place(target=0.01, give_up=5)
+
+
 def test_request_waits_rather_than_miss_its_target_at_a_slow_upstream():
     """Sent there, it would hold a slot and come too late all the same."""
     placing = Placing(entry('1'))
