--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -8,6 +8,7 @@
 from crocusproxy.config.settings import ConfigSettings
 from crocusproxy.console.settings import ConsoleSettings
 from crocusproxy.documents import read_document
+from crocusproxy.entry.settings import EntrySettings
 from crocusproxy.locator.settings import LocatorSettings
 from crocusproxy.proxy.settings import ProxySettings
 
@@ -19,6 +20,7 @@
     [
         (ConfigSettings, 'config'),
         (ConsoleSettings, 'console'),
+        (EntrySettings, 'entry'),
         (LocatorSettings, 'locator'),
         (ProxySettings, 'proxy'),
     ],
