--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -87,8 +87,9 @@
         self.address = address
         self.timeout = timeout
         self.relays = relays
-        self.turn = 0
         self.relay = ''
+        self.failures = 0
+        self.failed: dict[str, int] = {}
         self.relay_reads = 0
 
     async def newest(self, topic: str) -> RecordPage:
@@ -158,12 +159,15 @@
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta
     ) -> bytes:
-        relay = self._choose_way()
+        relay = self._choose_way(wait)
         try:
-            return await self._read(relay, path, query, wait)
+            body = await self._read(relay, path, query, wait)
         except PlatformUnavailableError:
-            self._use_next_way()
+            self._note_failure(relay)
             raise
+        if relay != self.relay:
+            self._use_way(relay)
+        return body
 
     async def _read(
         self, relay: str, path: str, query: dict[str, str], wait: timedelta
@@ -186,19 +190,32 @@
             raise PlatformUnavailableError(f'{path}: status {response.status}')
         return body
 
-    def _choose_way(self) -> str:
-        """Return the relay of the next read; the direct way is tried again."""
-        if self.relay:
+    def _choose_way(self, wait: timedelta) -> str:
+        """Return the relay of the next read, or nothing to read directly.
+
+        The direct way is tried again now and then by a read that would not
+        wait, so that its failure costs little.
+        """
+        if self.relay and not wait:
             self.relay_reads += 1
             if self.relay_reads % _DIRECT_EVERY == 0:
                 return ''
         return self.relay
 
-    def _use_next_way(self) -> None:
-        ways = ('', *self.relays())
-        self.turn += 1
-        self.relay = ways[self.turn % len(ways)]
-        log('store_way_changed', relay=self.relay)
+    def _note_failure(self, relay: str) -> None:
+        """Go on by the way that has not failed for longest.
+
+        A way that is not in use any more has been left by another read.
+        """
+        self.failures += 1
+        self.failed[relay] = self.failures
+        if relay == self.relay:
+            ways = ('', *self.relays())
+            self._use_way(min(ways, key=lambda way: self.failed.get(way, 0)))
+
+    def _use_way(self, relay: str) -> None:
+        self.relay = relay
+        log('store_way_changed', relay=relay)
 
 
 def _split_records(content: bytes) -> Iterator[KeyedRecord]:
--- a/standins/store.py
+++ b/standins/store.py
@@ -41,13 +41,13 @@
         self.runner = None
         self.address = ''
 
-    async def start(self):
+    async def start(self, prefix=''):
         application = web.Application()
         application.add_routes(
             [
-                web.post('/-/log-append', self.append),
-                web.get('/-/log-read', self.read),
-                web.get('/-/log-newest', self.newest),
+                web.post(f'{prefix}/-/log-append', self.append),
+                web.get(f'{prefix}/-/log-read', self.read),
+                web.get(f'{prefix}/-/log-newest', self.newest),
             ]
         )
         self.runner = web.AppRunner(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -103,6 +103,48 @@
     asyncio.run(scenario())
 
 
+def test_failed_try_of_the_direct_way_does_not_leave_a_relay_that_works():
+    """The next relay can be cut off too, and a configuration came 4 s late.
+
+    Hunt ondasur-boletines, scale-2 --seed 236793127286, CONFIG.
+    """
+
+    async def scenario():
+        relay = await StandInStore().start('/store')
+        relay.put(TOPIC, 'a', b'1')
+        ways = (relay.address, '127.0.0.1:1')
+        async with running(lambda: ways) as (store, client):
+            store.refuse = True
+            failures = 0
+            for _ in range(60):
+                try:
+                    await client.newest(TOPIC)
+                except PlatformUnavailableError:
+                    failures += 1
+                await asyncio.sleep(0)
+                if failures:
+                    assert client.relay == relay.address
+            assert failures <= 1 + 60 // 16
+        await relay.stop()
+
+    asyncio.run(scenario())
+
+
+def test_two_readers_that_fail_together_move_on_once():
+    async def scenario():
+        ways = ('127.0.0.1:1', '127.0.0.1:2')
+        async with running(lambda: ways) as (store, client):
+            store.refuse = True
+            await asyncio.gather(
+                client.newest(TOPIC),
+                client.newest('keyed.servers'),
+                return_exceptions=True,
+            )
+            assert client.relay == '127.0.0.1:1'
+
+    asyncio.run(scenario())
+
+
 def test_refused_reader_goes_over_another_instance():
     """The store can turn single instances away for longer than is allowed."""
 
