Send over one path to upstreams, homes and probes, and drop what is unused

Read as a newcomer: upstream calls, passing on and probes each connected, sent and read by themselves; all three now use ConnectionPool.take_or_open and MatchingConnection.exchange. The headers of one connection stood twice. Removed: a slowdown that was passed around but never learned, Demand.idempotent, a type alias and a flag without readers.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Protocol
 
@@ -94,9 +93,6 @@
             self.task.cancel()
 
 
-Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
-
-
 class CallerService(Protocol):
     """What a connection needs from the process that it belongs to."""
 
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -170,7 +170,9 @@
         home = self.keeper.home
         if home is None or (self.keeper.leaving and self.keeper.leading):
             home = self.roster.own
-        return AddressList((home.callers,), self.settings.validity)
+        longest = self.settings.bounds.max_validity
+        validity = min(self.settings.validity, longest)
+        return AddressList((home.callers,), validity)
 
     def reload(self) -> None:
         """Read the settings again; an unusable file changes nothing."""
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -159,7 +159,6 @@
             self.timing.expected_work(route),
             progress.target_at,
             progress.until,
-            route.idempotent,
             progress.tried,
         )
         decided: asyncio.Future[Decision] = (
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -14,7 +14,7 @@
 )
 from ..proxy.pool import ConnectionPool, NotOpenedError
 from .responses import CallerResponse
-from .upstream_call import Broken, NotRun, OutgoingRequest, read_all
+from .upstream_call import Broken, NotRun, OutgoingRequest
 from .upstream_connection import MatchingConnection
 from .upstream_messages import HOP_HEADER, UpstreamMessages
 
@@ -47,7 +47,9 @@
         if not address:
             return NotRun('no home', reached=False)
         try:
-            connection = await self._connect(address, outgoing.request_id)
+            connection = await self.pool.take_or_open(
+                address, outgoing.request_id, _CONNECT_SECONDS, _IDLE_SECONDS
+            )
         except NotOpenedError as error:
             return NotRun(str(error), reached=False)
         try:
@@ -59,14 +61,6 @@
         finally:
             self.pool.release(address, connection)
 
-    async def _connect(
-        self, address: str, request_id: str
-    ) -> UpstreamConnection:
-        idle = self.pool.take_idle(address, request_id, _IDLE_SECONDS)
-        if idle is not None:
-            return idle
-        return await self.pool.open(address, _CONNECT_SECONDS)
-
     async def _exchange(
         self,
         connection: UpstreamConnection,
@@ -75,23 +69,18 @@
         version: int,
     ) -> CallerResponse | NotRun:
         assert isinstance(connection, MatchingConnection)
-        connection.id_header = self.messages.dialect.request_id
-        connection.last_request = outgoing.request_id
         remaining = until - self.clock.monotonic().total_seconds()
+        hop = f'{HOP_HEADER}: {version}'
         sending = self.messages.forwarded(
-            outgoing.message,
-            outgoing.body,
-            remaining,
-            f'{HOP_HEADER}: {version}',
+            outgoing.message, outgoing.body, remaining, hop
         )
-        message = await connection.send(
+        message, body = await connection.exchange(
             sending,
+            outgoing.request_id,
+            self.messages.dialect.request_id,
+            remaining,
             expects_body=outgoing.message.method != 'HEAD',
-            timeout=max(remaining, 0.001),
         )
-        payload = connection.payload
-        assert payload is not None
-        body = await read_all(payload)
         if message.code == BEHIND_STATUS:
             return NotRun('the home has an older configuration', reached=False)
         return self.messages.response(message, body)
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -15,7 +15,7 @@
 
     Args:
         settings: path of the YAML settings file; by default the one that the
-            environment variable CROCUSPROXY_BOOT names.
+            platform's environment variable names.
     """
     path = settings or os.environ.get(SETTINGS_VARIABLE, '')
     loaded = load_or_exit(EntrySettings, path)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -102,13 +102,13 @@
 
     async def _probe(self, state: UpstreamState, path: str) -> None:
         address = state.entry.address
-        connection = self.pool.take_idle(address, '')
-        if connection is None:
-            try:
-                connection = await self.pool.open(address, TIMEOUT_SECONDS)
-            except NotOpenedError as error:
-                self._failed(state, str(error))
-                return
+        try:
+            connection = await self.pool.take_or_open(
+                address, '', TIMEOUT_SECONDS
+            )
+        except NotOpenedError as error:
+            self._failed(state, str(error))
+            return
         assert isinstance(connection, MatchingConnection)
         # The upstream's own id marks the response, which has no request's.
         connection.id_header = self.dialect.upstream
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from aiohttp import StreamReader
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
 from ..clock import Clock
@@ -127,14 +126,12 @@
     async def _connect(
         self, address: str, outgoing: OutgoingRequest, until: float
     ) -> UpstreamConnection:
-        idle_limit = None if outgoing.idempotent else FRESH_IDLE_SECONDS
-        connection = self.pool.take_idle(
-            address, outgoing.request_id, idle_limit
+        return await self.pool.take_or_open(
+            address,
+            outgoing.request_id,
+            min(CONNECT_SECONDS, self._remaining(until)),
+            None if outgoing.idempotent else FRESH_IDLE_SECONDS,
         )
-        if connection is None:
-            timeout = min(CONNECT_SECONDS, max(self._remaining(until), 0.001))
-            connection = await self.pool.open(address, timeout)
-        return connection
 
     async def _exchange(
         self,
@@ -144,21 +141,18 @@
         until: float,
     ) -> CallEnd:
         assert isinstance(connection, MatchingConnection)
-        connection.id_header = self.messages.dialect.request_id
-        connection.last_request = outgoing.request_id
         connection.tag = outgoing
         remaining = self._remaining(until)
         sending = self.messages.request(
             outgoing.message, outgoing.body, upstream.key, remaining
         )
-        message = await connection.send(
+        message, body = await connection.exchange(
             sending,
+            outgoing.request_id,
+            self.messages.dialect.request_id,
+            remaining,
             expects_body=outgoing.message.method != 'HEAD',
-            timeout=max(remaining, 0.001),
         )
-        payload = connection.payload
-        assert payload is not None
-        body = await read_all(payload)
         load = message.headers.get(self.messages.dialect.load)
         if load is not None:
             self.on_load(upstream, load)
@@ -182,10 +176,3 @@
 
     def _remaining(self, until: float) -> float:
         return until - self.clock.monotonic().total_seconds()
-
-
-async def read_all(payload: StreamReader) -> bytes:
-    """Return a whole body; most are there when their head is."""
-    if payload.is_eof():
-        return payload.read_nowait()
-    return await payload.read()
--- a/src/crocusproxy/entry/upstream_connection.py
+++ b/src/crocusproxy/entry/upstream_connection.py
@@ -7,9 +7,10 @@
 from aiohttp import StreamReader
 from aiohttp.http import RawResponseMessage
 
-from ..proxy.connection import UpstreamConnection
+from ..proxy.connection import BrokenResponseError, UpstreamConnection
 
 _SUCCESS = range(200, 300)
+_LEAST_TIMEOUT = 0.001  # seconds
 
 
 class MatchingConnection(UpstreamConnection):
@@ -33,6 +34,37 @@
         self.id_header = ''
         self.surplus = False
 
+    async def exchange(
+        self,
+        request: bytes,
+        answer_id: str,
+        id_header: str,
+        timeout: float,
+        *,
+        expects_body: bool = True,
+    ) -> tuple[RawResponseMessage, bytes]:
+        """Send a request and return the whole response within ``timeout``.
+
+        ``answer_id`` is what the response carries in ``id_header``; others are
+        skipped.
+
+        Raises:
+            BrokenResponseError: there is no complete response.
+        """
+        self.id_header = id_header
+        self.last_request = answer_id
+        message = await self.send(
+            request,
+            expects_body=expects_body,
+            timeout=max(timeout, _LEAST_TIMEOUT),
+        )
+        payload = self.payload
+        if payload is None:
+            raise BrokenResponseError(self.broken)
+        if payload.is_eof():
+            return message, payload.read_nowait()
+        return message, await payload.read()
+
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
         if self.surplus:
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -5,24 +5,12 @@
 
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
+from ..proxy.messages import HOP_BY_HOP, listed_in_connection
 from .dialect import Dialect
 from .responses import CallerResponse
 
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-    )
-)
+#: Written anew for each message.
+_REPLACED = HOP_BY_HOP | {b'content-length', b'expect'}
 #: Marks a request that an instance has passed on to the home, with the version
 #: of the configuration that it goes by.
 HOP_HEADER = 'Crocus-Hop'
@@ -36,10 +24,8 @@
     def __init__(self, dialect: Dialect) -> None:
         self.dialect = dialect
         own = (dialect.deadline, dialect.expected_upstream, HOP_HEADER)
-        self.not_forwarded = _HOP_BY_HOP | {
-            name.lower().encode() for name in own
-        }
-        self.not_returned = _HOP_BY_HOP | {dialect.load.lower().encode()}
+        self.not_forwarded = _REPLACED | {name.lower().encode() for name in own}
+        self.not_returned = _REPLACED | {dialect.load.lower().encode()}
 
     def request(
         self,
@@ -111,10 +97,7 @@
 def _without(
     headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
 ) -> Iterable[tuple[bytes, bytes]]:
-    listed: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b'connection':
-            listed.update(part.strip().lower() for part in value.split(b','))
+    listed = listed_in_connection(headers)
     for name, value in headers:
         lowered = name.lower()
         if lowered not in dropped and lowered not in listed:
--- a/src/crocusproxy/errors.py
+++ b/src/crocusproxy/errors.py
@@ -7,7 +7,7 @@
     """Base of every error that the project raises on purpose.
 
     Attributes:
-        code: stable identifier in snake case, listed in docs/operations.md.
+        code: stable identifier in snake case, listed in docs/OPERATIONS.md.
         message: what happened.
         hint: what the reader can do about it; may be empty.
     """
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 
 from aiohttp import web
 
@@ -43,7 +42,6 @@
         self.view = view
         self.path: tuple[str, ...] = ()
         self.followers: dict[str, asyncio.Queue[FeedMessage | None]] = {}
-        self.closing = False
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
         )
@@ -148,7 +146,7 @@
         return web.Response(body=encode(self.view()))
 
     async def _list(self, _: web.Request) -> web.Response:
-        message = replace(FeedMessage(), members=self.roster.all())
+        message = FeedMessage(members=self.roster.all())
         return web.Response(body=encode(message))
 
 
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -25,8 +25,6 @@
 MIN_QUEUE = 8
 #: Step of the median of the times, relative to the expected ones.
 RATIO_STEP = 0.01
-#: Extra time, relative to the usual, of work on a nearly full upstream.
-FIRST_FULL_SLOWDOWN = 0.7
 #: How many waiting requests a free slot is offered to.
 MAX_OFFERS = 16
 #: Upstreams that differ by less than this share of the work count as equal.
@@ -46,7 +44,6 @@
     work: float
     target_at: float
     give_up_at: float
-    idempotent: bool = True
     excluded: frozenset[str] = frozenset()
 
 
@@ -107,7 +104,6 @@
         self.random = random
         self.upstreams: dict[str, UpstreamState] = {}
         self.queue: list[Waiting] = []
-        self.full_slowdown = FIRST_FULL_SLOWDOWN
         self.usual_ratio = 1.0
 
     def now(self) -> float:
@@ -123,7 +119,7 @@
             if state is not None:
                 state.gone = True
             is_far = entry.failure_domain != self.failure_domain
-            state = UpstreamState(entry, is_far, self.full_slowdown)
+            state = UpstreamState(entry, is_far)
             self.upstreams[entry.key] = state
         warm_up = entry.warm_up.total_seconds()
         state.cold_until = self.now() + warm_up if warm_up else -inf
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -15,6 +15,8 @@
 TYPICAL_SLOWDOWN = 1.2
 #: Share of the slots from which on an upstream counts as nearly full.
 NEARLY_FULL = 0.8
+#: Extra time, relative to the usual, of work on a nearly full upstream.
+FULL_SLOWDOWN = 0.7
 #: Seconds that a request to another failure domain costs more.
 FAR_COST = 0.006
 #: Extra cost of a full upstream, relative to the work.
@@ -34,14 +36,12 @@
     """Requests in flight and the latest signs of one upstream.
 
     ``slowdown`` is how long work takes, relative to the usual, as reported at
-    ``reported_at``. ``full_slowdown`` is the extra time of work on an upstream
-    that is nearly full, relative to the usual. Until ``rest_until`` the
+    ``reported_at``. Until ``rest_until`` the
     upstream gets no request. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
     is_far: bool
-    full_slowdown: float = 0
     cold_until: float = -inf
     reported_at: float = -inf
     slowdown: float = TYPICAL_SLOWDOWN
@@ -98,7 +98,7 @@
         # speed changes meanwhile.
         time = work * self.expected_slowdown(now) * self.drag.factor(now)
         if self.in_flight + 1 >= NEARLY_FULL * self.entry.slots:
-            time *= 1 + self.full_slowdown
+            time *= 1 + FULL_SLOWDOWN
         return time
 
     def cost(self, work: float, now: float) -> float:
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -41,14 +41,13 @@
             NotOpenedError: there is no connection.
         """
         idle_limit = _KEYED_IDLE_SECONDS if self.inbound.key else None
-        self.connection = self.pool.take_idle(
-            self.address, self.inbound.request_id, idle_limit
+        remaining = self.inbound.deadline - clock.monotonic()
+        self.connection = await self.pool.take_or_open(
+            self.address,
+            self.inbound.request_id,
+            remaining.total_seconds(),
+            idle_limit,
         )
-        if self.connection is None:
-            remaining = self.inbound.deadline - clock.monotonic()
-            self.connection = await self.pool.open(
-                self.address, remaining.total_seconds()
-            )
 
     async def send(
         self, now: timedelta, *, to_home: bool = False
--- a/src/crocusproxy/proxy/messages.py
+++ b/src/crocusproxy/proxy/messages.py
@@ -9,7 +9,8 @@
 from ..routing.results import LoadReport
 from .inbound import Inbound
 
-_HOP_BY_HOP = frozenset(
+#: Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
     (
         b'connection',
         b'keep-alive',
@@ -23,7 +24,7 @@
     )
 )
 #: Written anew for each request.
-_REPLACED = _HOP_BY_HOP | {
+_REPLACED = HOP_BY_HOP | {
     b'host',
     b'content-length',
     b'expect',
@@ -33,7 +34,7 @@
     b'x-request-id',
 }
 #: Meant for the proxy, or set by it.
-_NOT_FOR_CALLERS = _HOP_BY_HOP | {
+_NOT_FOR_CALLERS = HOP_BY_HOP | {
     b'crocus-outcome',
     b'endpoint-load-metrics',
     b'upstream-state',
@@ -73,7 +74,7 @@
     if to_home:
         lines.append(b'Crocus-Hops: 1\r\n')
     raw_headers = inbound.message.raw_headers
-    dropped = _listed_in_connection(raw_headers)
+    dropped = listed_in_connection(raw_headers)
     for name, value in raw_headers:
         lowered = name.lower()
         if lowered not in _REPLACED and lowered not in dropped:
@@ -88,7 +89,7 @@
 def response_headers(message: RawResponseMessage) -> CIMultiDict[str]:
     """Return the headers to pass on, without those between two hops."""
     headers: CIMultiDict[str] = CIMultiDict()
-    dropped = _listed_in_connection(message.raw_headers)
+    dropped = listed_in_connection(message.raw_headers)
     for name, value in message.headers.items():
         lowered = name.lower().encode('utf-8', 'surrogateescape')
         if lowered not in _NOT_FOR_CALLERS and lowered not in dropped:
@@ -137,9 +138,10 @@
     return None
 
 
-def _listed_in_connection(
+def listed_in_connection(
     raw_headers: Iterable[tuple[bytes, bytes]],
 ) -> frozenset[bytes]:
+    """Return the headers that a Connection header names, in lower case."""
     listed: set[bytes] = set()
     for name, value in raw_headers:
         if len(name) == 10 and name.lower() == b'connection':
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -73,6 +73,23 @@
             connection.abort()
         return None
 
+    async def take_or_open(
+        self,
+        address: str,
+        request_id: str,
+        timeout: float,
+        idle_limit: float | None = None,
+    ) -> UpstreamConnection:
+        """Return an idle connection, or open one within ``timeout`` seconds.
+
+        Raises:
+            NotOpenedError: there is no connection.
+        """
+        connection = self.take_idle(address, request_id, idle_limit)
+        if connection is None:
+            connection = await self.open(address, timeout)
+        return connection
+
     async def open(self, address: str, timeout: float) -> UpstreamConnection:
         """Open a connection within ``timeout`` seconds and the own limit.
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -16,7 +16,7 @@
 from crocusproxy.cli.exits import Exit
 from crocusproxy.proxy.problems import _STATUS
 
-PAGE = Path('docs/operations.md').read_text()
+PAGE = Path('docs/OPERATIONS.md').read_text()
 TREES = [
     ast.parse(path.read_text())
     for path in sorted(Path('src/crocusproxy').rglob('*.py'))
@@ -173,7 +173,7 @@
     found = collect()
     listed = entries(heading)
     assert example in found
-    assert not sorted(found - listed), 'write an entry in docs/operations.md'
+    assert not sorted(found - listed), 'write an entry in docs/OPERATIONS.md'
     assert not sorted(listed - found), 'no longer in the source'
 
 
