Ask several ways to the store at once, and end reads on a lost one

The home's first relay was turned away as well, and the waiting read of the configuration stayed on it for its full 2.2 s after the other topic had moved on: version 5 in force 3.6 s after its acknowledgement (CONFIG). Change: when a way fails, four others are asked at once and the first that answers is used; reads that wait on the old way end and are repeated at once. A call is given up after 0.6 s.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -44,7 +44,7 @@
 from .upstream_messages import UpstreamMessages
 
 PROGRAM = 'crocus-entry'
-_STORE_TIMEOUT = timedelta(milliseconds=700)
+_STORE_TIMEOUT = timedelta(milliseconds=600)
 _CONNECT_TIMEOUT = timedelta(seconds=1)
 #: Upstreams close idle connections after a time of their own.
 _IDLE_LIMIT = timedelta(seconds=8)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store."""
 
+import asyncio
 import struct
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -23,6 +24,15 @@
 RELAY_PREFIX = '/store'
 #: Every so many reads over a relay, the direct way is tried again.
 _DIRECT_EVERY = 16
+#: How many other ways are asked at once when one is lost.
+_WAYS_AT_ONCE = 4
+
+
+class WayLostError(PlatformUnavailableError):
+    """A read was ended because another one found its way to be lost.
+
+    Nothing is known of the new way yet, so the read can be repeated at once.
+    """
 
 
 class ExpiredOffsetError(CrocusError):
@@ -72,8 +82,8 @@
 
     ``timeout`` bounds each call, in addition to the time a read may wait. The
     store may turn single instances away; ``relays`` returns the internal
-    addresses of others that may still be served. After a failed read the next
-    way is tried.
+    addresses of others that may still be served. When a way fails, others
+    are asked at once.
     """
 
     def __init__(
@@ -91,6 +101,8 @@
         self.failures = 0
         self.failed: dict[str, int] = {}
         self.relay_reads = 0
+        self.looking = False
+        self.reading: dict[asyncio.Task[bytes], str] = {}
 
     async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key.
@@ -160,11 +172,19 @@
         self, path: str, query: dict[str, str], wait: timedelta
     ) -> bytes:
         relay = self._choose_way(wait)
+        reading = asyncio.create_task(self._read(relay, path, query, wait))
+        self.reading[reading] = relay
         try:
-            body = await self._read(relay, path, query, wait)
+            body = await reading
+        except asyncio.CancelledError:
+            if reading in self.reading or _is_cancelled():
+                raise
+            raise WayLostError(f'{path}: the way was lost') from None
         except PlatformUnavailableError:
-            self._note_failure(relay)
+            await self._leave_way(relay, path, query)
             raise
+        finally:
+            self.reading.pop(reading, None)
         if relay != self.relay:
             self._use_way(relay)
         return body
@@ -202,20 +222,69 @@
                 return ''
         return self.relay
 
-    def _note_failure(self, relay: str) -> None:
-        """Go on by the way that has not failed for longest.
+    async def _leave_way(
+        self, lost: str, path: str, query: dict[str, str]
+    ) -> None:
+        """Go on by the first of some other ways that answers.
 
-        A way that is not in use any more has been left by another read.
+        The store may turn several instances away, so one way after the other
+        would take too long. One that is not in use any more has been left by
+        another read; so has one for which another way is being looked for.
         """
         self.failures += 1
-        self.failed[relay] = self.failures
-        if relay == self.relay:
-            ways = ('', *self.relays())
-            self._use_way(min(ways, key=lambda way: self.failed.get(way, 0)))
+        self.failed[lost] = self.failures
+        if lost != self.relay or self.looking:
+            return
+        ways = [way for way in ('', *self.relays()) if way != lost]
+        ways.sort(key=lambda way: self.failed.get(way, 0))
+        self.looking = True
+        try:  # noqa: WPS501 - also when cancelled
+            found = await self._first_to_answer(ways[:_WAYS_AT_ONCE], query)
+        finally:
+            self.looking = False
+        if found is not None:
+            self._use_way(found)
+
+    async def _first_to_answer(
+        self, ways: Sequence[str], query: dict[str, str]
+    ) -> str | None:
+        question = {'Topic': query['Topic'], 'part': query['part']}
+        asked = {
+            asyncio.create_task(
+                self._read(way, '/-/log-newest', question, timedelta())
+            ): way
+            for way in ways
+        }
+        pending = set(asked)
+        found: str | None = None
+        while pending and found is None:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                if task.exception() is None:
+                    found = asked[task]
+                else:
+                    self.failures += 1
+                    self.failed[asked[task]] = self.failures
+        for task in pending:
+            task.cancel()
+        return found
 
     def _use_way(self, relay: str) -> None:
+        """Read by another way; what still waits on the old one is ended."""
         self.relay = relay
         log('store_way_changed', relay=relay)
+        for reading, way in tuple(self.reading.items()):
+            if way != relay:
+                self.reading.pop(reading)
+                reading.cancel()
+
+
+def _is_cancelled() -> bool:
+    """Return whether the running task itself is to end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
 
 
 def _split_records(content: bytes) -> Iterator[KeyedRecord]:
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -10,7 +10,13 @@
 from ..membership.catalog import Catalog
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import UpstreamChange
-from .store import ExpiredOffsetError, KeyedRecord, RecordPage, StoreClient
+from .store import (
+    ExpiredOffsetError,
+    KeyedRecord,
+    RecordPage,
+    StoreClient,
+    WayLostError,
+)
 from .wire import decode_config, decode_upstream
 
 CONFIG_TOPIC = 'keyed.op'
@@ -57,6 +63,8 @@
         while True:
             try:
                 await self.step()
+            except WayLostError:
+                continue
             except PlatformUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_INTERVAL.total_seconds())
