Keep the budgets of instances within their sum, and drive decisions by state machines

Cause: each instance had the slack for itself once it had served ten times as many requests. Three instances that serve at once (homes that change quickly, a split view) spent 382 repeats in a window that allows 378: found by the new machine in tests/limits, fifteen budgets with requests moving between them.

HomeKeeper no longer speaks HTTP itself: MemberClient does, and FeedServer.messages yields what is told. So homes are driven in virtual time by kills, cuts, leaving and changes.

The successor takes over within a second of a killed home, in virtual time.

Ruled out: the machine of homes first failed because its homes did not read the stored configuration when they took over; that was the machine's fault.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -18,6 +18,7 @@
 from ..logs import log
 from ..membership.catalog import Catalog
 from ..membership.home import HomeKeeper
+from ..membership.member_client import MemberClient
 from ..membership.roster import Roster
 from ..placement.upstream_state import UpstreamState
 from ..platform.directory import PATHS
@@ -107,7 +108,7 @@
             lambda: self.keeper.follower_addresses(),
         )
         self.keeper = HomeKeeper(
-            self.session,
+            MemberClient(self.session),
             self.catalog,
             self.roster,
             self.clock,
--- a/src/crocusproxy/limits/shared_budget.py
+++ b/src/crocusproxy/limits/shared_budget.py
@@ -4,9 +4,6 @@
 
 #: Share of the allowance that is left to what other instances spend.
 RESERVE = 0.2
-#: An instance has the whole slack once it has served so many times as many
-#: requests, so that instances that take over from each other don't add up.
-SLACK_GROWTH = 0.1
 
 
 class RepeatBudget:
@@ -14,13 +11,16 @@
 
     ``ratio`` of the requests and ``slack`` repeats are allowed in a window of
     that many seconds, summed over all instances. The instance that serves a
-    site spends most of it; an instance whose requests are few has no slack.
+    site spends most of it. The slack of each one grows with its own requests,
+    and so slowly that all instances together stay within ``ratio`` of all
+    requests, however these are divided among them.
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window = window
+        self.slack_growth = ratio * RESERVE / (1 - RESERVE)
         self.requests: deque[float] = deque()
         self.repeats: deque[float] = deque()
 
@@ -33,8 +33,7 @@
         _drop_before(self.requests, now - self.window)
         _drop_before(self.repeats, now - self.window)
         share = 1 - RESERVE
-        # The slack grows with the requests, so that idle instances have none.
-        slack = min(self.slack, SLACK_GROWTH * len(self.requests))
+        slack = min(self.slack, self.slack_growth * len(self.requests))
         allowed = share * (self.ratio * len(self.requests) + slack)
         if len(self.repeats) + 1 > allowed:
             return False
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -1,7 +1,8 @@
 """The feed by which a home and those that pass it on tell what they know."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 
 from aiohttp import web
 
@@ -67,6 +68,28 @@
                 log('feed_follower_too_slow', member=name)
                 self._end(name)
 
+    def accepts(self, follower: Member) -> bool:
+        """Return whether a member can follow this one."""
+        is_attached = self.view().state in {'home', 'attached'}
+        return is_attached and follower.name not in self.path
+
+    async def messages(
+        self, follower: Member
+    ) -> AsyncGenerator[FeedMessage, None]:
+        """Yield all that a follower has to know, then each change and beat."""
+        self._end(follower.name)
+        queue: asyncio.Queue[FeedMessage | None] = asyncio.Queue()
+        self.followers[follower.name] = queue
+        self._welcome(follower)
+        message: FeedMessage | None = self.full()
+        try:  # noqa: WPS501 - also when the follower goes away
+            while message is not None:
+                yield message
+                message = await _next_message(queue)
+        finally:
+            if self.followers.get(follower.name) is queue:
+                self.followers.pop(follower.name)
+
     def end_all(self) -> None:
         """End each follower's feed, so that it looks for a home."""
         for name in tuple(self.followers):
@@ -100,38 +123,15 @@
             follower = decode(Member, await request.read())
         except MalformedMessageError as error:
             return web.Response(status=400, text=str(error))
-        view = self.view()
-        blocked = view.state not in {'home', 'attached'}
-        if blocked or follower.name in self.path:
-            return web.Response(status=_CONFLICT, body=encode(view))
+        if not self.accepts(follower):
+            return web.Response(status=_CONFLICT, body=encode(self.view()))
         response = web.StreamResponse()
         await response.prepare(request)
-        self._end(follower.name)
-        queue: asyncio.Queue[FeedMessage | None] = asyncio.Queue()
-        self.followers[follower.name] = queue
-        self._welcome(follower)
-        try:  # noqa: WPS501 - also when the follower goes away
-            await self._stream(response, queue, self.full())
-        finally:
-            if self.followers.get(follower.name) is queue:
-                self.followers.pop(follower.name)
+        async with aclosing(self.messages(follower)) as messages:
+            async for message in messages:
+                await response.write(encode_line(message))
         return response
 
-    async def _stream(
-        self,
-        response: web.StreamResponse,
-        queue: 'asyncio.Queue[FeedMessage | None]',
-        first: FeedMessage,
-    ) -> None:
-        message: FeedMessage | None = first
-        while message is not None:
-            await response.write(encode_line(message))
-            try:
-                async with asyncio.timeout(BEAT_SECONDS):
-                    message = await queue.get()
-            except TimeoutError:
-                message = FeedMessage()
-
     def _welcome(self, follower: Member) -> None:
         log('feed_follower_joined', member=follower.name)
         if self.roster.learn((follower,)):
@@ -150,6 +150,16 @@
         return web.Response(body=encode(message))
 
 
+async def _next_message(
+    queue: 'asyncio.Queue[FeedMessage | None]',
+) -> FeedMessage | None:
+    try:
+        async with asyncio.timeout(BEAT_SECONDS):
+            return await queue.get()
+    except TimeoutError:
+        return FeedMessage()
+
+
 def encode_line(message: FeedMessage) -> bytes:
     """Return a message as one line; what is not set is left out.
 
--- a/src/crocusproxy/membership/home.py
+++ b/src/crocusproxy/membership/home.py
@@ -4,29 +4,23 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
-
 from ..clock import Clock
 from ..errors import NotReachableError
 from ..logs import log
-from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import FeedMessage, Member, MemberView
 from .catalog import Catalog
 from .election import Attach, Election, Lead, elect, yields_to
-from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH, FeedServer
+from .feed_server import FeedServer
+from .member_client import MemberClient
 from .roster import Roster
 
-_OK = 200
-#: A feed that is silent for longer is lost.
-FEED_SILENCE_SECONDS = 0.7
-VIEW_SECONDS = 0.35
 LOOK_AGAIN_SECONDS = 0.1
 #: How long a member waits for others to notice the loss of a home.
 PATIENCE = timedelta(seconds=1)
 #: A home asks one of the members that don't follow it this often.
 CHECK_SECONDS = 1.0
 _MAX_ASKED = 24
-_LINE_LIMIT = 64 * 1024 * 1024
 
 
 class HomeKeeper:
@@ -38,14 +32,14 @@
 
     def __init__(
         self,
-        session: ClientSession,
+        client: MemberClient,
         catalog: Catalog,
         roster: Roster,
         clock: Clock,
         on_lead: Callable[[], None],
         on_follow: Callable[[], None],
     ) -> None:
-        self.session = session
+        self.client = client
         self.catalog = catalog
         self.roster = roster
         self.clock = clock
@@ -100,8 +94,7 @@
         Raises:
             NotReachableError: it did not answer.
         """
-        body = await self._call('GET', address, LIST_PATH)
-        self.roster.learn(decode(FeedMessage, body).members)
+        self.roster.learn(await self.client.members(address))
 
     async def _find(self) -> Election:
         started = self.clock.monotonic()
@@ -133,42 +126,19 @@
 
     async def _view_of(self, member: Member) -> MemberView | None:
         try:
-            view = await self._ask_view(member)
+            # The own record tells the other member whom it can ask in turn.
+            view = await self.client.view(member, self.roster.own)
         except (NotReachableError, MalformedMessageError):
             # A member that does not answer takes no part in the election.
             return None
         self.roster.learn((view.member,))
         return view
 
-    async def _ask_view(self, member: Member) -> MemberView:
-        # The own record tells the other member whom it can ask in turn.
-        own = encode(self.roster.own)
-        return decode(
-            MemberView,
-            await self._call('POST', member.internal, VIEW_PATH, own),
-        )
-
-    async def _call(
-        self, method: str, address: str, path: str, body: bytes = b''
-    ) -> bytes:
-        try:
-            async with (
-                asyncio.timeout(VIEW_SECONDS),
-                self.session.request(
-                    method, f'http://{address}{path}', data=body
-                ) as response,
-            ):
-                return await response.read()
-        except (ClientError, OSError, TimeoutError) as error:
-            raise NotReachableError(f'{address}: {error!r}') from error
-
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
         try:
             await self._read_feed(member)
-        except (ClientError, OSError, TimeoutError) as error:
-            reason = repr(error)
-        except MalformedMessageError as error:
+        except (NotReachableError, MalformedMessageError) as error:
             reason = str(error)
         if self.home is None:
             await asyncio.sleep(LOOK_AGAIN_SECONDS)
@@ -178,24 +148,10 @@
         self.home = None
 
     async def _read_feed(self, member: Member) -> None:
-        timeout = ClientTimeout(
-            total=None,
-            sock_connect=VIEW_SECONDS,
-            sock_read=FEED_SILENCE_SECONDS,
-        )
-        async with self.session.post(
-            f'http://{member.internal}{FEED_PATH}',
-            data=encode(self.roster.own),
-            timeout=timeout,
-            read_bufsize=_LINE_LIMIT,
-        ) as response:
-            if response.status != _OK:
+        async for message in self.client.feed(member, self.roster.own):
+            if message.leaving:
                 return
-            async for line in response.content:
-                message = decode(FeedMessage, line)
-                if message.leaving:
-                    return
-                self._take(message)
+            self._take(message)
 
     def _take(self, message: FeedMessage) -> None:
         if message.home is not None:
--- /dev/null
+++ b/src/crocusproxy/membership/member_client.py
@@ -0,0 +1,75 @@
+"""Asks other members over their internal ports."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ..errors import NotReachableError
+from ..protocol.codec import decode, encode
+from ..protocol.home_feed import FeedMessage, Member, MemberView
+from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
+
+_OK = 200
+VIEW_SECONDS = 0.35
+#: A feed that is silent for longer is lost.
+FEED_SILENCE_SECONDS = 0.7
+_LINE_LIMIT = 64 * 1024 * 1024
+
+
+class MemberClient:
+    """The calls that members answer.
+
+    Each call raises NotReachableError if the member does not answer in time,
+    and MalformedMessageError if what it says can't be read.
+    """
+
+    def __init__(self, session: ClientSession) -> None:
+        self.session = session
+
+    async def view(self, member: Member, own: Member) -> MemberView:
+        """Return how ``member`` sees itself, and make ``own`` known to it."""
+        body = await self._call('POST', member.internal, VIEW_PATH, encode(own))
+        return decode(MemberView, body)
+
+    async def members(self, address: str) -> tuple[Member, ...]:
+        """Return the members that the instance at ``address`` knows."""
+        body = await self._call('GET', address, LIST_PATH)
+        return decode(FeedMessage, body).members
+
+    async def feed(
+        self, member: Member, own: Member
+    ) -> AsyncIterator[FeedMessage]:
+        """Yield what ``member`` tells ``own``; nothing if it declines."""
+        timeout = ClientTimeout(
+            total=None,
+            sock_connect=VIEW_SECONDS,
+            sock_read=FEED_SILENCE_SECONDS,
+        )
+        try:
+            async with self.session.post(
+                f'http://{member.internal}{FEED_PATH}',
+                data=encode(own),
+                timeout=timeout,
+                read_bufsize=_LINE_LIMIT,
+            ) as response:
+                if response.status != _OK:
+                    return
+                async for line in response.content:
+                    yield decode(FeedMessage, line)
+        except (ClientError, OSError, TimeoutError) as error:
+            raise NotReachableError(f'{member.name}: {error!r}') from error
+
+    async def _call(
+        self, method: str, address: str, path: str, body: bytes = b''
+    ) -> bytes:
+        try:
+            async with (
+                asyncio.timeout(VIEW_SECONDS),
+                self.session.request(
+                    method, f'http://{address}{path}', data=body
+                ) as response,
+            ):
+                return await response.read()
+        except (ClientError, OSError, TimeoutError) as error:
+            raise NotReachableError(f'{address}: {error!r}') from error
--- /dev/null
+++ b/tests/limits/test_shared_budget_machine.py
@@ -0,0 +1,78 @@
+"""Drives the budgets of several instances while requests move between them.
+
+Guards against more repeats in a window than all instances may send together:
+after changes of the home, with two homes, and while everything fails.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from crocusproxy.limits.shared_budget import RepeatBudget
+
+RATIO = 0.2
+SLACK = 58
+WINDOW = 10.0
+INSTANCES = 15
+#: A request is sent at most so many times more.
+REPEATS = 2
+
+
+def count(times, start, end):
+    return sum(start < time <= end for time in times)
+
+
+class SharedBudgets(RuleBasedStateMachine):
+    """Instances that spend all that their own budget allows."""
+
+    def __init__(self):
+        super().__init__()
+        self.budgets = [
+            RepeatBudget(RATIO, SLACK, WINDOW) for _ in range(INSTANCES)
+        ]
+        self.now = 0.0
+        self.requests = []
+        self.repeats = []
+
+    @rule(
+        seconds=st.sampled_from((0.3, 1.5, 4)),
+        rate=st.sampled_from((20, 150, 400)),
+        serving=st.lists(
+            st.integers(0, INSTANCES - 1), min_size=1, max_size=4, unique=True
+        ),
+        failing=st.booleans(),
+    )
+    def serve(self, seconds, rate, serving, failing):
+        """Send requests to some instances, one after the other."""
+        for number in range(round(seconds * rate)):
+            self.now += 1 / rate
+            budget = self.budgets[serving[number % len(serving)]]
+            budget.count_request(self.now)
+            self.requests.append(self.now)
+            for _ in range(REPEATS if failing else 0):
+                if budget.try_spend(self.now):
+                    self.repeats.append(self.now)
+        self.expect_within_bounds()
+
+    @rule(instance=st.integers(0, INSTANCES - 1))
+    def restart(self, instance):
+        self.budgets[instance] = RepeatBudget(RATIO, SLACK, WINDOW)
+
+    def expect_within_bounds(self):
+        end = self.now
+        spent = count(self.repeats, end - WINDOW, end)
+        allowed = RATIO * self.most_requests(end) + SLACK
+        assert spent <= allowed
+
+    def most_requests(self, end):
+        """Return the requests of this window, or of one shortly before."""
+        return max(
+            count(self.requests, end - shift - WINDOW, end - shift)
+            for shift in (0, WINDOW / 2, WINDOW)
+        )
+
+
+SharedBudgets.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=12, deadline=None
+)
+TestSharedBudgets = SharedBudgets.TestCase
--- /dev/null
+++ b/tests/membership/network.py
@@ -0,0 +1,143 @@
+"""Members in one process, on a network that can be cut, in virtual time."""
+
+import asyncio
+from contextlib import aclosing
+
+from crocusproxy.errors import NotReachableError
+from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.home import HomeKeeper
+from crocusproxy.membership.member_client import (
+    FEED_SILENCE_SECONDS,
+    VIEW_SECONDS,
+)
+from crocusproxy.membership.roster import Roster
+from crocusproxy.protocol.home_feed import Member
+from crocusproxy.routes.model import RouteConfig
+
+from ..virtual_time import LoopClock
+
+DELAY_SECONDS = 0.001
+
+
+class Network:
+    """Carries calls between nodes, unless the way is cut or a node is down.
+
+    A killed process resets its connections; one behind a cut says nothing.
+    """
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.nodes = {}
+        self.cuts = set()
+        self.stored_version = 0
+
+    def publish(self):
+        """Store a new configuration, which every home reads at once."""
+        self.stored_version += 1
+        for node in self.running():
+            if node.keeper.leading:
+                node.read_store()
+
+    def isolate(self, name):
+        self.cuts.update(
+            frozenset((name, other)) for other in self.nodes if other != name
+        )
+
+    def add(self, name):
+        node = Node(self, name)
+        self.nodes[name] = node
+        return node
+
+    def running(self):
+        return [node for node in self.nodes.values() if node.task is not None]
+
+    def is_cut(self, one, other):
+        return frozenset((one, other)) in self.cuts
+
+    async def target(self, own, name, patience):
+        """Return the node of that name, as reached from ``own``."""
+        await asyncio.sleep(DELAY_SECONDS)
+        if self.is_cut(own, name):
+            await asyncio.sleep(patience)
+            raise NotReachableError(f'{name}: no answer')
+        node = self.nodes[name]
+        if node.task is None:
+            raise NotReachableError(f'{name}: connection refused')
+        return node
+
+
+class Node:
+    """One member: its process can be killed and started again."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+        self.task = None
+        self.starts = 0
+        self.versions = []
+
+    @property
+    def home(self):
+        home = self.keeper.home
+        return home.name if home else ''
+
+    def start(self, known=()):
+        self.starts += 1
+        own = Member(self.name, 'a', self.name, self.name, 1.0, self.starts)
+        self.catalog = Catalog()
+        self.versions = []
+        self.catalog.on_config.append(
+            lambda config: self.versions.append(config.version)
+        )
+        self.keeper = HomeKeeper(
+            NetworkClient(self.network, self.name),
+            self.catalog,
+            Roster(own),
+            LoopClock(self.network.loop),
+            self.read_store,
+            lambda: None,
+        )
+        self.keeper.roster.learn(known)
+        self.task = self.network.loop.create_task(self.keeper.run())
+
+    def read_store(self):
+        config = RouteConfig(self.network.stored_version, (), ())
+        self.catalog.use_config(config)
+
+    def kill(self):
+        self.task.cancel()
+        self.task = None
+        self.keeper.server.end_all()
+
+
+class NetworkClient:
+    """The calls of one node to the others."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+
+    async def view(self, member, own):
+        node = await self.network.target(
+            self.name, member.internal, VIEW_SECONDS
+        )
+        node.keeper.roster.learn((own,))
+        return node.keeper.view()
+
+    async def members(self, address):
+        node = await self.network.target(self.name, address, VIEW_SECONDS)
+        return node.keeper.roster.all()
+
+    async def feed(self, member, own):
+        node = await self.network.target(
+            self.name, member.internal, VIEW_SECONDS
+        )
+        server = node.keeper.server
+        if not server.accepts(own):
+            return
+        async with aclosing(server.messages(own)) as messages:
+            async for message in messages:
+                if self.network.is_cut(self.name, member.name):
+                    await asyncio.sleep(FEED_SILENCE_SECONDS)
+                    raise NotReachableError(f'{member.name}: silent')
+                yield message
--- a/tests/membership/test_home.py
+++ b/tests/membership/test_home.py
@@ -7,6 +7,7 @@
 from crocusproxy.clock import SystemClock
 from crocusproxy.membership.catalog import Catalog
 from crocusproxy.membership.home import HomeKeeper
+from crocusproxy.membership.member_client import MemberClient
 from crocusproxy.membership.roster import Roster
 from crocusproxy.protocol.home_feed import Member, UpstreamChange
 from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
@@ -27,7 +28,7 @@
         application = web.Application()
         self.runner = web.AppRunner(application, shutdown_timeout=0.05)
         self.keeper = HomeKeeper(
-            self.session,
+            MemberClient(self.session),
             self.catalog,
             Roster(Member(self.name, 'a', '', self.name, 1.0, 1)),
             SystemClock(),
--- /dev/null
+++ b/tests/membership/test_home_machine.py
@@ -0,0 +1,154 @@
+"""Drives homes and followers through kills, cuts and changes in any order.
+
+Guards against members that stay without a home, two homes that never become
+one, and a configuration that goes back within one process.
+"""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from ..virtual_time import VirtualLoop
+from .network import Network
+
+NAMES = ('a', 'b', 'c', 'd')
+#: Time in which any disorder ends once the network is whole.
+SETTLE_SECONDS = 8
+names = st.sampled_from(NAMES)
+
+
+class Homes(RuleBasedStateMachine):
+    """Four members whose processes and connections come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.network = Network(self.loop)
+
+    @initialize()
+    def start_all(self):
+        nodes = [self.network.add(name) for name in NAMES]
+        for node in nodes:
+            node.start()
+        # Each one has announced itself in the store.
+        members = [node.keeper.roster.own for node in nodes]
+        for node in nodes:
+            node.keeper.roster.learn(members)
+        self.run(3)
+
+    def run(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(seconds=st.sampled_from((0.01, 0.2, 0.5, 1, 3)))
+    def pass_time(self, seconds):
+        self.run(seconds)
+
+    @precondition(lambda self: len(self.network.running()) > 1)
+    @rule(name=names)
+    def kill(self, name):
+        node = self.network.nodes[name]
+        if node.task is not None:
+            node.kill()
+            self.run(0)
+
+    @rule(name=names)
+    def restart(self, name):
+        node = self.network.nodes[name]
+        if node.task is None:
+            # The store lists all members, or it is away and nobody is known.
+            node.start(
+                [
+                    other.keeper.roster.own
+                    for other in self.network.nodes.values()
+                ]
+            )
+
+    @rule(name=names)
+    def leave(self, name):
+        node = self.network.nodes[name]
+        if node.task is not None and len(self.network.running()) > 1:
+            node.keeper.leave()
+            self.run(1)
+            node.kill()
+
+    @rule(one=names, other=names)
+    def cut(self, one, other):
+        if one != other:
+            self.network.cuts.add(frozenset((one, other)))
+
+    @rule(name=names)
+    def isolate(self, name):
+        self.network.isolate(name)
+
+    @rule()
+    def heal(self):
+        self.network.cuts.clear()
+
+    @rule()
+    def publish(self):
+        self.network.publish()
+
+    @invariant()
+    def versions_only_grow(self):
+        for node in self.network.nodes.values():
+            assert node.versions == sorted(set(node.versions))
+
+    def teardown(self):
+        try:
+            self.network.cuts.clear()
+            self.run(SETTLE_SECONDS)
+            self.expect_one_home()
+        finally:
+            for node in self.network.running():
+                node.kill()
+            self.run(1)
+            self.loop.run_until_complete(self.loop.shutdown_asyncgens())
+            self.loop.close()
+
+    def expect_one_home(self):
+        running = self.network.running()
+        if not running:
+            return
+        leading = [node.name for node in running if node.keeper.leading]
+        assert len(leading) == 1
+        assert {node.home for node in running} == set(leading)
+        newest = [node.versions[-1:] for node in running]
+        assert all(one == newest[0] for one in newest)
+
+
+Homes.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=25, deadline=None
+)
+TestHomes = Homes.TestCase
+
+
+def test_successor_takes_over_within_a_second_of_a_killed_home():
+    loop = VirtualLoop()
+    network = Network(loop)
+    nodes = [network.add(name) for name in NAMES]
+    for node in nodes:
+        node.start()
+    members = [node.keeper.roster.own for node in nodes]
+    for node in nodes:
+        node.keeper.roster.learn(members)
+
+    async def scenario():
+        await asyncio.sleep(3)
+        network.nodes['a'].kill()
+        await asyncio.sleep(1)
+
+    loop.run_until_complete(scenario())
+    assert {node.home for node in network.running()} == {'b'}
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
