--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := src tests standins bench
+SOURCES := src tests standins bench soak
 # Tests listed in KNOWN-RED.txt have an open issue; they are printed and passed over.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: help venv format lint test demo bench bench-short clean
+.PHONY: help venv format lint test demo bench bench-short soak clean
 
 help:
 	@echo 'make demo         run the whole system on loopback for about 30 seconds'
@@ -15,6 +15,7 @@
 	@echo 'make lint         check format, style and types'
 	@echo 'make bench        print the benchmark tables and check their bounds'
 	@echo 'make bench-short  run the part of the benchmarks that CI runs'
+	@echo 'make soak         run processes under random faults; SEED=n repeats a run'
 	@echo 'make format       format the code'
 
 venv: $(STAMP)
@@ -48,5 +49,10 @@
 bench-short: $(STAMP)
 	$(BIN)/python -m bench.run --short
 
+# SEED, RUNS, TIME in seconds and INSTANCES may be set; a seed is drawn if left out.
+soak: $(STAMP)
+	$(BIN)/python -m soak $(if $(SEED),--seed=$(SEED)) $(if $(RUNS),--runs=$(RUNS)) \
+	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES))
+
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real processes, faults from outside, promises."""
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -127,10 +127,18 @@
             return web.Response(status=_CONFLICT, body=encode(self.view()))
         response = web.StreamResponse()
         await response.prepare(request)
+        try:
+            await self._stream(follower, response)
+        except ConnectionError as error:
+            log('feed_follower_lost', member=follower.name, reason=str(error))
+        return response
+
+    async def _stream(
+        self, follower: Member, response: web.StreamResponse
+    ) -> None:
         async with aclosing(self.messages(follower)) as messages:
             async for message in messages:
                 await response.write(encode_line(message))
-        return response
 
     def _welcome(self, follower: Member) -> None:
         log('feed_follower_joined', member=follower.name)
--- a/tests/membership/test_home.py
+++ b/tests/membership/test_home.py
@@ -6,6 +6,7 @@
 
 from crocusproxy.clock import SystemClock
 from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.feed_server import BEAT_SECONDS
 from crocusproxy.membership.home import HomeKeeper
 from crocusproxy.membership.member_client import MemberClient
 from crocusproxy.membership.roster import Roster
@@ -137,3 +138,16 @@
         await other.kill()
 
     play(scenario)
+
+
+def test_lost_follower_is_no_error_of_the_home(caplog):
+    """Else each instance that is killed leaves a traceback in the log."""
+
+    async def scenario(nodes):
+        nodes[2].task.cancel()
+        await nodes[2].session.close()
+        await asyncio.sleep(2 * BEAT_SECONDS)
+        assert nodes[2].name not in nodes[0].keeper.server.followers
+
+    play(scenario)
+    assert not [record for record in caplog.records if record.exc_info]
