--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -238,3 +238,17 @@
         placing.pass_time(random.random() / 50)
         for state in placing.placer.upstreams.values():
             assert 0 <= state.in_flight <= state.entry.slots
+
+
+def test_failure_domain_is_not_left_while_its_upstreams_have_room():
+    """Bytes between failure domains are the dearest part of a calm day."""
+    placing = Placing(entry('1', slots=6), entry('2', 'b', slots=6))
+    placed = [key_of(placing.place(work=0.2)) for _ in range(4)]
+    assert placed == ['1'] * 4
+
+
+def test_nearly_full_upstream_is_left_for_another_failure_domain():
+    """Its last slots may be slower, which costs callers more than bytes."""
+    placing = Placing(entry('1', slots=6), entry('2', 'b', slots=6))
+    placed = [key_of(placing.place(work=0.2)) for _ in range(5)]
+    assert placed[-1] == '2'
