--- a/bench/policy.py
+++ b/bench/policy.py
@@ -5,20 +5,28 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from datetime import datetime, timedelta, timezone
 from importlib import import_module
+from json import dumps
 from multiprocessing import get_context
 from pathlib import Path
 from random import Random
-from statistics import geometric_mean
-from typing import Any, Callable, Iterable
+from typing import Any, Callable
 
 import fire
 import yaml
 
-from .policies import POLICIES
+from .crocus_policy import Crocus
+from .policies import (
+    LeastInflight,
+    Oracle,
+    Policy,
+    ProbePool,
+    RandomPolicy,
+    TwoChoices,
+)
+from .policy_report import check, print_ratios, print_table
 from .simulation import Job, Request, Server, Window, World, windows
 
 PROCESSES = 4
@@ -29,6 +37,14 @@
 SCENARIOS = Path(__file__).with_name('scenarios')
 WARM_UP = 1.0  # seconds at the start that are not measured
 RESEND_AFTER = 0.024  # locate again and send: three trips of 8 ms
+POLICIES: dict[str, Callable[[Run, Random], Policy]] = {
+    'random': RandomPolicy,
+    'least_inflight': LeastInflight,
+    'two_choices': TwoChoices,
+    'probe_pool': ProbePool,
+    'crocus': Crocus,
+    'oracle': Oracle,
+}
 DEFAULTS = {
     'servers': 15,
     'slots': 2,
@@ -286,64 +302,6 @@
         return pool.map(play, tasks, chunksize=1)
 
 
-def ratio(
-    rows: Iterable[dict], load: float, field: str, policy: str, over: str
-) -> float:
-    """Geometric mean over the seeds of one policy's figure over another's."""
-    found: dict[tuple, float] = {
-        (row['seed'], row['policy']): max(row[field], 1e-9)
-        for row in rows
-        if row['load'] == load
-    }
-    return geometric_mean(
-        found[seed, policy] / found[seed, over]
-        for seed, name in found
-        if name == policy
-    )
-
-
-def print_table(rows: list[dict]) -> None:
-    names = [name for name in rows[0] if name != 'seed']
-    widths = [max(len(name), 9) for name in names]
-    print(' '.join(name.rjust(width) for name, width in zip(names, widths)))
-    groups: dict[tuple, list[dict]] = {}
-    for row in rows:
-        key = (row['scenario'], row['policy'], row['load'])
-        groups.setdefault(key, []).append(row)
-    for group in groups.values():
-        cells = [
-            f'{sum(row[name] for row in group) / len(group):.4g}'
-            if isinstance(group[0][name], (int, float))
-            else str(group[0][name])
-            for name in names
-        ]
-        print(' '.join(cell.rjust(width) for cell, width in zip(cells, widths)))
-
-
-def check(scenario: dict, rows: list[dict], margin: float) -> bool:
-    """Print each bound of a scenario with its figure, and whether it holds."""
-    passed = True
-    mine = [row for row in rows if row['scenario'] == scenario['name']]
-    for bound in scenario.get('bounds', ()):
-        load, limit = bound['load'], bound['at_most'] * margin
-        if 'over' in bound:
-            text = f'p99 over {bound["over"]}'
-            found = ratio(mine, load, 'p99_ms', 'crocus', bound['over'])
-        else:
-            text = bound['figure']
-            found = max(
-                row[text]
-                for row in mine
-                if row['policy'] == 'crocus' and row['load'] == load
-            )
-        holds = found <= limit
-        passed = passed and holds
-        verdict = 'ok' if holds else 'MISSED'
-        name = f'{scenario["name"]} at {load}'
-        print(f'{name}: {text} {found:.3f}, bound {limit:.3f}: {verdict}')
-    return passed
-
-
 def run(short: bool) -> bool:
     """Print the table and check the bounds, with fixed seeds."""
     scenarios = [read(path) for path in sorted(SCENARIOS.glob('*.yaml'))]
@@ -414,29 +372,12 @@
     rows = play_all(tasks, processes)
     if json:
         for row in rows:
-            print(to_json(row))
+            print(dumps(row))
     else:
         print_table(rows)
         print_ratios(rows, loads, names)
 
 
-def to_json(row: dict) -> str:
-    return json.dumps(row)
-
-
-def print_ratios(
-    rows: list[dict], loads: list[float], names: list[str]
-) -> None:
-    for load in loads:
-        for over in ('oracle', 'least_inflight'):
-            if over in names:
-                cells = [
-                    f'{name} {ratio(rows, load, "p99_ms", name, over):.3f}'
-                    for name in names
-                ]
-                print(f'p99 over {over} at {load}:', ', '.join(cells))
-
-
 if __name__ == '__main__':
     sys.modules['bench.policy'] = sys.modules['__main__']
     fire.Fire(main)
