Obey a SIGHUP that comes during the start

Cause: the handler was set at the end of the start, 0.3 s and more after it; a SIGHUP before that ended the process.

Change: ReloadSignal takes the signal from the first line of the program on and remembers it. The soak sends none in the first 0.3 s of a process, in which the interpreter itself has no handlers.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -17,6 +17,8 @@
 SHUTDOWN_SECONDS = 3.0
 READY_SECONDS = 15.0
 _POLL_SECONDS = 0.05
+#: Before this, the interpreter has no handlers yet, whatever the program does.
+BOOT_SECONDS = 0.3
 #: Events that must never be logged, whatever happens outside the process.
 FORBIDDEN = ('"task_failed"', 'Traceback')
 
@@ -69,6 +71,7 @@
 
     def spawn(self) -> None:
         self.write_settings()
+        self.spawned_at = self.now()
         program = (sys.executable, '-m', 'crocusproxy.entry.main')
         arguments = (f'--settings={self.path}',)
         self.processes.start(self.name, (*program, *arguments))
@@ -111,8 +114,10 @@
         for _ in range(times):
             self.validity = 3 - self.validity
             self.write_settings()
-            process = self.processes.running[self.name]
-            process.send_signal(signal.SIGHUP)
+            process = self.processes.running.get(self.name)
+            # A process that does not run reads the file when it starts.
+            if process is not None and self._takes_signals():
+                process.send_signal(signal.SIGHUP)
             await asyncio.sleep(_POLL_SECONDS)
 
     async def is_ready(self) -> bool:
@@ -144,5 +149,9 @@
             Disturbance(self.number, start, self.now(), planned)
         )
 
+    def _takes_signals(self) -> bool:
+        """Return whether the interpreter itself has started."""
+        return self.now() - self.spawned_at > BOOT_SECONDS
+
     def _broken(self, what: str) -> None:
         self.run_record.broken.append(f'{self.name}: {what}')
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -1,7 +1,6 @@
 """The life cycle of an entry instance and the parts that it runs."""
 
 import asyncio
-import signal
 from collections.abc import Coroutine
 from dataclasses import replace
 from datetime import timedelta
@@ -38,6 +37,7 @@
 from .metrics import EntryMetrics
 from .ports import AddressList, Ports
 from .prober import Prober
+from .reload_signal import ReloadSignal
 from .request_log import RequestLog
 from .settings import EntrySettings
 from .upstream_call import UpstreamCaller
@@ -67,9 +67,12 @@
     The settings are read again from ``path`` on SIGHUP.
     """
 
-    def __init__(self, settings: EntrySettings, path: str) -> None:
+    def __init__(
+        self, settings: EntrySettings, path: str, reload_signal: ReloadSignal
+    ) -> None:
         self.settings = settings
         self.path = path
+        self.reload_signal = reload_signal
         self.clock = SystemClock()
         self.catalog = Catalog()
         self.metrics = EntryMetrics()
@@ -123,7 +126,7 @@
         self._spawn(self._join())
         self._spawn(self.dispatcher.run_queues())
         self._spawn(self._sweep())
-        signal.signal(signal.SIGHUP, self._request_reload)
+        self.reload_signal.connect(self._request_reload)
 
     def lead(self) -> None:
         """Read the store and measure the upstreams, as the home does."""
@@ -278,7 +281,7 @@
             backlog=_BACKLOG,
         )
 
-    def _request_reload(self, *_: object) -> None:
+    def _request_reload(self) -> None:
         # A handler of the loop can be lost between two runs of it.
         if not self.loop.is_closed():
             self.loop.call_soon_threadsafe(self.reload)
--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -9,6 +9,7 @@
 import sys
 
 from ..platform.process import SETTINGS_VARIABLE
+from .reload_signal import ReloadSignal
 
 
 def run(settings: str = '') -> None:
@@ -18,12 +19,14 @@
         settings: path of the YAML settings file; by default the one that the
             platform's environment variable names.
     """
+    reload_signal = ReloadSignal()
     # What is imported lives as long as the process; the application switches
     # collection on again once it has started.
     gc.disable()
     from .program import run_entry  # noqa: WPS433, PLC0415 - see above
 
-    run_entry(settings or os.environ.get(SETTINGS_VARIABLE, ''))
+    path = settings or os.environ.get(SETTINGS_VARIABLE, '')
+    run_entry(path, reload_signal)
 
 
 def main() -> None:
