Serve short requests late in a shutdown, and join by a seed that has a home

Change: after 40 % of the time to shut down, a request is refused only if its deadline lies beyond the end of the process. A starting instance asks its seeds for the home while it announces itself, and follows the home that one of them names; without such a seed it goes by the store as before.

Ruled out: an election among the members that seeds know; two instances that know only each other would choose a home that others then displace.

--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,8 @@
 RECOVERY_SECONDS = 15.0
 #: A new configuration is in force everywhere within this time.
 PROPAGATION_SECONDS = 2.0
+#: Connections that were aborted end within this time.
+SETTLE_SECONDS = 0.1
 _POLL_SECONDS = 0.1
 
 
@@ -47,6 +49,7 @@
             instance.check()
     finally:
         await world.stop()
+        await asyncio.sleep(SETTLE_SECONDS)
     broken = tuple(faults(world.run_record))
     if not broken:
         shutil.rmtree(folder)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -32,6 +32,19 @@
         self.now = now
         self.how: Misbehaviour | None = None
         self.behave = self.misbehave
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def stop(self):
+        super().stop()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
 
     async def answer(self, head, reader, writer):
         before = len(self.runs)
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -13,7 +13,7 @@
 from ..application import Application
 from ..clock import Clock, SystemClock
 from ..documents import read_document
-from ..errors import InvalidDocumentError, NotReachableError
+from ..errors import InvalidDocumentError
 from ..logs import log
 from ..membership.catalog import Catalog
 from ..membership.home import HomeKeeper
@@ -26,7 +26,6 @@
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
-from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
 from .caller_connection import CallerConnection
@@ -53,9 +52,11 @@
 _BACKLOG = 512
 #: The process ends this long before it would be killed.
 _KILL_MARGIN = timedelta(milliseconds=300)
-#: Share of the time to shut down during which new requests are taken; those
-#: that run for longer than the rest of it would be cut off.
-_STOP_TAKING = 0.4
+#: Share of the time to shut down during which every request is taken, and after
+#: which only those that must end before the process does.
+_TAKE_ALL = 0.4
+#: Seconds before the end of the process at which the last response is due.
+_LAST_RESPONSE_MARGIN = 0.5
 #: Share of it after which new connections are refused.
 _STOP_LISTENING = 0.7
 _IDLE_CHECK_SECONDS = 0.02
@@ -151,9 +152,11 @@
         self.gateway.closing = True
         self.keeper.leave()
         limit = self.settings.bounds.shutdown.total_seconds()
-        await asyncio.sleep(limit * _STOP_TAKING)
-        self.gateway.taking = False
-        await asyncio.sleep(limit * (_STOP_LISTENING - _STOP_TAKING))
+        now = self.clock.monotonic().total_seconds()
+        ends_at = now + limit - _LAST_RESPONSE_MARGIN
+        await asyncio.sleep(limit * _TAKE_ALL)
+        self.gateway.ends_at = ends_at
+        await asyncio.sleep(limit * (_STOP_LISTENING - _TAKE_ALL))
         self.server.close()
         for connection in tuple(self.gateway.connections):
             connection.close_gracefully()
@@ -287,18 +290,24 @@
             self.loop.call_soon_threadsafe(self.reload)
 
     async def _join(self) -> None:
+        """Find the home: by a seed that follows one, or through the store.
+
+        Seeds alone may know too few members for an election, but one that has
+        a home can be believed, and needs no store.
+        """
         announcement = Announcement(self.store, self.roster)
-        if not await announcement.try_once():
-            self._spawn(announcement.repeat())
-            for seed in self.settings.seeds:
-                await self._ask_seed(seed)
+        announcing = asyncio.create_task(announcement.try_once())
+        if not await self.keeper.find_home_by(self.settings.seeds):
+            if not await announcing:
+                await self.keeper.learn_from(self.settings.seeds)
+        self._spawn(self._repeat_announcement(announcing, announcement))
         await self.keeper.run()
 
-    async def _ask_seed(self, seed: str) -> None:
-        try:
-            await self.keeper.learn_from(seed)
-        except (NotReachableError, MalformedMessageError) as error:
-            log('seed_not_reached', address=seed, error=repr(error))
+    async def _repeat_announcement(
+        self, first: 'asyncio.Task[bool]', announcement: Announcement
+    ) -> None:
+        if not await first:
+            await announcement.repeat()
 
     def _spawn(
         self, coroutine: Coroutine[Any, Any, None]
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,5 +1,7 @@
 """Takes requests from callers: checks, routes and answers them."""
 
+from math import inf
+
 from ..clock import Clock
 from ..membership.catalog import Catalog
 from ..routes.model import CallerLimits, Route, RouteConfig
@@ -31,8 +33,8 @@
     """Serves the requests of all callers of this process.
 
     ``closing`` is set during shutdown; each response then ends its connection.
-    Once ``taking`` is unset, new requests are refused, since the process might
-    end before they do.
+    The process may end at monotonic second ``ends_at``; a request that may take
+    longer than that is refused.
     """
 
     def __init__(
@@ -52,7 +54,7 @@
         self.forwarder: HomeForwarder | None = None
         self.limits = CallerLimits()
         self.closing = False
-        self.taking = True
+        self.ends_at = inf
         self.connections: set[CallerConnection] = set()
         self.table: RouteTable | None = None
         self.in_flight = 0
@@ -104,8 +106,6 @@
         )
 
     async def _usable_table(self) -> RouteTable | Refusal:
-        if not self.taking:
-            return SHUTTING_DOWN
         await self.start_wait.wait()
         return NOT_READY if self.table is None else self.table
 
@@ -157,6 +157,8 @@
         return b''.join(chunks)
 
     async def _serve(self, progress: Progress) -> CallerResponse | Refusal:
+        if progress.until > self.ends_at:
+            return SHUTTING_DOWN
         if HOP_HEADER not in progress.outgoing.message.headers:
             answer = await self._forward(progress)
             if answer is not None:
--- a/src/crocusproxy/membership/home.py
+++ b/src/crocusproxy/membership/home.py
@@ -88,13 +88,38 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_all()
 
-    async def learn_from(self, address: str) -> None:
-        """Take the members that the instance at ``address`` knows.
+    async def find_home_by(self, addresses: Iterable[str]) -> bool:
+        """Ask instances for their home; return whether one has a home."""
+        tasks = [
+            asyncio.create_task(self._home_by(address)) for address in addresses
+        ]
+        found = False
+        for next_answer in asyncio.as_completed(tasks):
+            found = found or await next_answer
+            if found:
+                break
+        for task in tasks:
+            task.cancel()
+        return found
+
+    async def learn_from(self, addresses: Iterable[str]) -> None:
+        """Take the members that the instances at ``addresses`` know."""
+        for address in addresses:
+            try:
+                self.roster.learn(await self.client.members(address))
+            except (NotReachableError, MalformedMessageError) as error:
+                log('seed_not_reached', address=address, error=str(error))
 
-        Raises:
-            NotReachableError: it did not answer.
-        """
-        self.roster.learn(await self.client.members(address))
+    async def _home_by(self, address: str) -> bool:
+        try:
+            view = await self.client.view(address, self.roster.own)
+        except (NotReachableError, MalformedMessageError) as error:
+            log('seed_not_reached', address=address, error=str(error))
+            return False
+        if view.home is None or view.home.name == self.roster.own.name:
+            return False
+        self.roster.learn((view.member, view.home))
+        return True
 
     async def _find(self) -> Election:
         started = self.clock.monotonic()
@@ -127,7 +152,7 @@
     async def _view_of(self, member: Member) -> MemberView | None:
         try:
             # The own record tells the other member whom it can ask in turn.
-            view = await self.client.view(member, self.roster.own)
+            view = await self.client.view(member.internal, self.roster.own)
         except (NotReachableError, MalformedMessageError):
             # A member that does not answer takes no part in the election.
             return None
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -27,9 +27,9 @@
     def __init__(self, session: ClientSession) -> None:
         self.session = session
 
-    async def view(self, member: Member, own: Member) -> MemberView:
-        """Return how ``member`` sees itself, and make ``own`` known to it."""
-        body = await self._call('POST', member.internal, VIEW_PATH, encode(own))
+    async def view(self, address: str, own: Member) -> MemberView:
+        """Return how a member sees itself, and make ``own`` known to it."""
+        body = await self._call('POST', address, VIEW_PATH, encode(own))
         return decode(MemberView, body)
 
     async def members(self, address: str) -> tuple[Member, ...]:
