--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -126,16 +126,19 @@
         if not self.accepts(follower):
             return web.Response(status=_CONFLICT, body=encode(self.view()))
         response = web.StreamResponse()
-        await response.prepare(request)
         try:
-            await self._stream(follower, response)
+            await self._stream(follower, request, response)
         except ConnectionError as error:
             log('feed_follower_lost', member=follower.name, reason=str(error))
         return response
 
     async def _stream(
-        self, follower: Member, response: web.StreamResponse
+        self,
+        follower: Member,
+        request: web.Request,
+        response: web.StreamResponse,
     ) -> None:
+        await response.prepare(request)
         async with aclosing(self.messages(follower)) as messages:
             async for message in messages:
                 await response.write(encode_line(message))
--- a/tests/membership/test_home.py
+++ b/tests/membership/test_home.py
@@ -1,15 +1,19 @@
 """Guards against instances without a home, or with different ones."""
 
 import asyncio
+from unittest.mock import AsyncMock, Mock
 
-from aiohttp import ClientSession, TCPConnector, web
+from aiohttp import ClientSession, StreamReader, TCPConnector, web
+from aiohttp.client_exceptions import ClientConnectionResetError
+from aiohttp.test_utils import make_mocked_request
 
 from crocusproxy.clock import SystemClock
 from crocusproxy.membership.catalog import Catalog
-from crocusproxy.membership.feed_server import BEAT_SECONDS
+from crocusproxy.membership.feed_server import BEAT_SECONDS, FEED_PATH
 from crocusproxy.membership.home import HomeKeeper
 from crocusproxy.membership.member_client import MemberClient
 from crocusproxy.membership.roster import Roster
+from crocusproxy.protocol.codec import encode
 from crocusproxy.protocol.home_feed import Member, UpstreamChange
 from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
 
@@ -151,3 +155,28 @@
 
     play(scenario)
     assert not [record for record in caplog.records if record.exc_info]
+
+
+def test_follower_that_is_gone_before_its_feed_begins_is_no_error():
+    """A paused instance wakes with many such requests (soak seed 28)."""
+    lost = AsyncMock(side_effect=ClientConnectionResetError('closing'))
+    writer = Mock(write_headers=lost, send_headers=Mock(side_effect=lost))
+
+    async def scenario(nodes):
+        server = nodes[0].keeper.server
+        payload = StreamReader(Mock(), 2**16)
+        payload.feed_data(encode(Member('z', 'a', '127.0.0.1:1', '', 1.0, 1)))
+        payload.feed_eof()
+        request = make_mocked_request(
+            'POST', FEED_PATH, payload=payload, writer=writer
+        )
+        (feed,) = (
+            route.handler
+            for route in server.routes()
+            if route.path == FEED_PATH
+        )
+        await feed(request)
+        assert lost.await_count == 1
+        assert 'z' not in server.followers
+
+    play(scenario, names='a')
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -20,7 +20,8 @@
 ONCE_BROKEN = {
     1: 'a lost follower of the feed was an unhandled error of the home',
     25: 'a relayed read of the store kept a stopped instance from ending',
-    31: 'the same',
+    28: 'a follower that was gone before its feed began was an error too',
+    31: 'the same as 25',
 }
 
 
