Join by whichever tells the members first, a seed or the store

Cause, found by reading: since a starting instance waited for its seeds before it used what the store had told it. A seed on a machine without power does not refuse but is silent, so this could take 350 ms of each start.

Change: the announcement and the seeds are waited for together, and the first that tells a home or all members counts.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -28,6 +28,7 @@
 from ..platform.watch import ConfigWatch, UpstreamWatch
 from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
+from ..tasks import first_true
 from .caller_connection import CallerConnection
 from .crash_watch import CrashWatch
 from .dispatcher import Dispatcher
@@ -290,16 +291,18 @@
             self.loop.call_soon_threadsafe(self.reload)
 
     async def _join(self) -> None:
-        """Find the home: by a seed that follows one, or through the store.
+        """Find the home by a seed that follows one, or all through the store.
 
         Seeds alone may know too few members for an election, but one that has
-        a home can be believed, and needs no store.
+        a home can be believed, and needs no store. What answers first counts.
         """
         announcement = Announcement(self.store, self.roster)
         announcing = asyncio.create_task(announcement.try_once())
-        if not await self.keeper.find_home_by(self.settings.seeds):
-            if not await announcing:
-                await self.keeper.learn_from(self.settings.seeds)
+        finding = asyncio.create_task(
+            self.keeper.find_home_by(self.settings.seeds)
+        )
+        if not await first_true((announcing, finding)):
+            await self.keeper.learn_from(self.settings.seeds)
         self._spawn(self._repeat_announcement(announcing, announcement))
         await self.keeper.run()
 
--- a/src/crocusproxy/membership/home.py
+++ b/src/crocusproxy/membership/home.py
@@ -9,6 +9,7 @@
 from ..logs import log
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import FeedMessage, Member, MemberView
+from ..tasks import first_true
 from .catalog import Catalog
 from .election import Attach, Election, Lead, elect, yields_to
 from .feed_server import FeedServer
@@ -93,11 +94,7 @@
         tasks = [
             asyncio.create_task(self._home_by(address)) for address in addresses
         ]
-        found = False
-        for next_answer in asyncio.as_completed(tasks):
-            found = found or await next_answer
-            if found:
-                break
+        found = await first_true(tasks)
         for task in tasks:
             task.cancel()
         return found
