--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -28,12 +28,12 @@
 from ..platform.watch import ConfigWatch, UpstreamWatch
 from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
-from ..tasks import first_true
 from .caller_connection import CallerConnection
 from .crash_watch import CrashWatch
 from .dispatcher import Dispatcher
 from .gateway import Gateway
 from .home_forwarder import HomeForwarder
+from .joining import join
 from .metrics import EntryMetrics
 from .ports import AddressList, Ports
 from .prober import Prober
@@ -125,7 +125,8 @@
         )
         self._watch_metrics()
         await self._open_ports()
-        self._spawn(self._join())
+        announcement = Announcement(self.store, self.roster)
+        self._spawn(join(announcement, self.keeper, self.settings.seeds))
         self._spawn(self.dispatcher.run_queues())
         self._spawn(self._sweep())
         self.reload_signal.connect(self._request_reload)
@@ -290,28 +291,6 @@
         if not self.loop.is_closed():
             self.loop.call_soon_threadsafe(self.reload)
 
-    async def _join(self) -> None:
-        """Find the home by a seed that follows one, or all through the store.
-
-        Seeds alone may know too few members for an election, but one that has
-        a home can be believed, and needs no store. What answers first counts.
-        """
-        announcement = Announcement(self.store, self.roster)
-        announcing = asyncio.create_task(announcement.try_once())
-        finding = asyncio.create_task(
-            self.keeper.find_home_by(self.settings.seeds)
-        )
-        if not await first_true((announcing, finding)):
-            await self.keeper.learn_from(self.settings.seeds)
-        self._spawn(self._repeat_announcement(announcing, announcement))
-        await self.keeper.run()
-
-    async def _repeat_announcement(
-        self, first: 'asyncio.Task[bool]', announcement: Announcement
-    ) -> None:
-        if not await first:
-            await announcement.repeat()
-
     def _spawn(
         self, coroutine: Coroutine[Any, Any, None]
     ) -> 'asyncio.Task[None]':
--- /dev/null
+++ b/src/crocusproxy/entry/joining.py
@@ -0,0 +1,30 @@
+"""How a starting instance finds the others."""
+
+import asyncio
+from collections.abc import Sequence
+
+from ..membership.home import HomeKeeper
+from ..platform.members import Announcement
+from ..tasks import first_true
+
+
+async def join(
+    announcement: Announcement, keeper: HomeKeeper, seeds: Sequence[str]
+) -> None:
+    """Find members, and keep a home from then on, until cancelled.
+
+    Seeds alone may know too few members for an election, but one that follows
+    a home can be believed, and needs no store. What answers first counts.
+    """
+    announcing = asyncio.create_task(announcement.try_once())
+    finding = asyncio.create_task(keeper.find_home_by(seeds))
+    if not await first_true((announcing, finding)):
+        await keeper.learn_from(seeds)
+    await asyncio.gather(_announce(announcing, announcement), keeper.run())
+
+
+async def _announce(
+    first: 'asyncio.Task[bool]', announcement: Announcement
+) -> None:
+    if not await first:
+        await announcement.repeat()
--- a/src/crocusproxy/entry/start_wait.py
+++ b/src/crocusproxy/entry/start_wait.py
@@ -28,8 +28,10 @@
 
     async def wait(self) -> None:
         """Return once everything is known, or the start has taken too long."""
+        if self.known.is_set():
+            return
         left = self.until - self.clock.monotonic()
-        if self.known.is_set() or left <= timedelta():
+        if left <= timedelta():
             return
         try:
             async with asyncio.timeout(left.total_seconds()):
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -7,6 +7,9 @@
 from ..protocol.home_feed import UpstreamChange
 from ..routes.model import RegisteredUpstream, RouteConfig
 
+#: Removed upstreams of which late reports are still recognized.
+MAX_REMOVED = 10_000
+
 
 class Catalog:
     """The newest configuration and list of upstreams that were seen.
@@ -63,7 +66,7 @@
         if change.entry is None:
             if current is None:
                 return
-            self.removed[change.key] = self.upstreams.pop(change.key)
+            self._remember_removed(self.upstreams.pop(change.key))
         else:
             if not self._is_news(change.entry):
                 return
@@ -74,6 +77,12 @@
             for listener in self.on_upstream:
                 listener(change)
 
+    def _remember_removed(self, entry: RegisteredUpstream) -> None:
+        self.removed.pop(entry.key, None)
+        self.removed[entry.key] = entry
+        while len(self.removed) > MAX_REMOVED:
+            self.removed.pop(next(iter(self.removed)))
+
     def _is_news(self, entry: RegisteredUpstream) -> bool:
         known = self.upstreams.get(entry.key) or self.removed.get(entry.key)
         if known is None:
--- a/tests/limits/test_shared_budget.py
+++ b/tests/limits/test_shared_budget.py
@@ -28,6 +28,39 @@
         assert spent <= RATIO * seen + SLACK
 
 
+def test_memory_is_bounded_though_nothing_is_repeated():
+    """Without repeats, each request since the start was kept."""
+    budget = RepeatBudget(RATIO, SLACK, WINDOW)
+    for number in range(10_000):
+        budget.count_request(number / 10)
+    kept = len(budget.fresh.grants) + len(budget.saved.grants)
+    assert kept <= 2 * (10 * WINDOW + 1)
+
+
+def test_budget_allows_for_a_burst_after_a_calm_time():
+    """Else the first seconds after a fault have hardly any repeats."""
+    budget = RepeatBudget(RATIO, SLACK, WINDOW)
+    for number in range(1500):
+        budget.count_request(number / 150)
+    burst = sum(budget.try_spend(10) for _ in range(100))
+    assert burst >= 0.02 * 1500
+
+
+def test_budget_is_spent_nearly_in_full_by_steady_failures():
+    budget = RepeatBudget(RATIO, SLACK, WINDOW)
+    spent = 0
+    for number in range(3000):
+        budget.count_request(number / 150)
+        spent += budget.try_spend(number / 150)
+    assert spent >= 0.8 * RATIO * 3000
+
+
+def test_ratio_of_zero_allows_nothing():
+    budget = RepeatBudget(0, SLACK, WINDOW)
+    budget.count_request(0)
+    assert not budget.try_spend(0)
+
+
 def test_idle_instance_has_no_slack_of_its_own():
     """Fifteen instances with the full slack each would exceed the sum."""
     budget = RepeatBudget(RATIO, SLACK, WINDOW)
--- a/tests/membership/test_catalog.py
+++ b/tests/membership/test_catalog.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.catalog import MAX_REMOVED, Catalog
 from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
 
@@ -71,3 +71,13 @@
     put(catalog)
     catalog.use_list((replace(ENTRY, key='i-2'),))
     assert set(catalog.upstreams) == {'i-2'}
+
+
+def test_memory_of_removed_upstreams_is_bounded():
+    """Thousands restart each day under new names."""
+    catalog = Catalog()
+    for number in range(MAX_REMOVED + 5):
+        put(catalog, key=f'i-{number}')
+        catalog.change(UpstreamChange(f'i-{number}'))
+    assert len(catalog.removed) == MAX_REMOVED
+    assert 'i-0' not in catalog.removed
