Appoint a home for each failure domain with enough slots

Cause: one home dispatched for the whole site.

Change: the home, which reads the store, appoints one member in each failure domain with at least 32 slots of every service (kept until 16), and the feed distributes the assignment. The directory names the domain home of the caller's failure domain. A domain home dispatches only to the upstreams of its failure domain; if requests queue there, it asks another domain home once, which declines unless it has free fast slots and no queue. A declined query is not repeated for 50 ms. A site with fewer slots keeps one home. Each feed message is now encoded once for all followers.

Ruled out: several addresses in a directory response, as callers choose among them at random; exchange of counts between homes, as a decline with backoff bounds the queries without it.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -1,12 +1,10 @@
 """The life cycle of an entry instance and its components."""
 
 import asyncio
-from collections.abc import Coroutine
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from random import SystemRandom
-from typing import Any
 
 from aiohttp import ClientSession, TCPConnector
 
@@ -16,6 +14,8 @@
 from ..errors import InvalidDocumentError
 from ..logs import log
 from ..membership.catalog import Catalog
+from ..membership.domain_home_planner import DomainHomePlanner
+from ..membership.domain_homes import DomainHomeTable
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
@@ -28,14 +28,17 @@
 from ..platform.watch import ConfigWatch, UpstreamWatch
 from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
+from .background_tasks import BackgroundTasks
 from .caller_connection import CallerConnection
 from .crash_watch import CrashWatch
+from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
 from .gateway import Gateway
 from .home_forwarder import HomeForwarder
 from .joining import join
 from .listeners import AddressList, Listeners
 from .metrics import EntryMetrics
+from .overflow import OverflowTargets
 from .prober import Prober
 from .reload_signal import ReloadSignal
 from .request_log import RequestLog
@@ -100,9 +103,16 @@
             DIRECTORY_API, self.addresses, self.not_ready_reason
         )
         self.member_list = MemberList(_own_member(settings, self.clock))
+        self.domain_homes = DomainHomeTable()
+        self.role = DispatchRole(
+            self.domain_homes,
+            lambda: self.elector.home,
+            lambda: self.member_list.own,
+        )
         self.prober = self._create_prober()
-        self.tasks: list[asyncio.Task[None]] = []
-        self.home_tasks: list[asyncio.Task[None]] = []
+        self.tasks = BackgroundTasks()
+        self.home_tasks = BackgroundTasks()
+        self.probe_tasks = BackgroundTasks()
         self._connect_callbacks()
 
     async def start(self) -> None:
@@ -122,35 +132,50 @@
             self.clock,
             self.start_home_tasks,
             self.stop_home_tasks,
+            self.domain_homes,
         )
         self.gateway.forwarder = HomeForwarder(
-            self.pool, self.messages, self.clock, self.home_address
+            self.pool,
+            self.messages,
+            self.clock,
+            self.role.forwarding_address,
+        )
+        self.gateway.overflow_targets = OverflowTargets(
+            self.role.other_domain_homes, self.dispatcher.random
         )
         self._add_gauges()
         await self._open_ports()
         registration = MemberRegistration(self.store, self.member_list)
-        self._spawn(join(registration, self.elector, self.settings.seeds))
-        self._spawn(self.dispatcher.run_queues())
-        self._spawn(self._close_idle_connections())
+        self.tasks.spawn(join(registration, self.elector, self.settings.seeds))
+        self.tasks.spawn(self.dispatcher.run_queues())
+        self.tasks.spawn(self._close_idle_connections())
         self.reload_signal.connect(self._request_reload)
 
     def start_home_tasks(self) -> None:
-        """Start the tasks that only the home runs: store reads and probes."""
-        self.home_tasks = [
-            self._spawn(
-                ConfigWatch(self.store, self.catalog, self.clock).run()
-            ),
-            self._spawn(
-                UpstreamWatch(self.store, self.catalog, self.clock).run()
-            ),
-            self._spawn(self.prober.run(self.dispatcher.placers.values)),
-        ]
+        """Start the tasks that only the home runs."""
+        watches = (
+            ConfigWatch(self.store, self.catalog, self.clock),
+            UpstreamWatch(self.store, self.catalog, self.clock),
+            DomainHomePlanner(self.elector, self.catalog, self.domain_homes),
+        )
+        for watch in watches:
+            self.home_tasks.spawn(watch.run())
+        self.update_role()
 
     def stop_home_tasks(self) -> None:
         """Stop the tasks that only the home runs."""
-        for task in self.home_tasks:
-            task.cancel()
-        self.home_tasks = []
+        self.home_tasks.cancel()
+        self.update_role()
+
+    def update_role(self) -> None:
+        """Dispatch to the owned upstreams; probe them if this is a home."""
+        self.dispatcher.set_ownership(self.role.owns)
+        if not self.role.is_dispatcher():
+            self.probe_tasks.cancel()
+        elif not self.probe_tasks.tasks:
+            self.probe_tasks.spawn(
+                self.prober.run(self.dispatcher.placers.values)
+            )
 
     async def drain(self) -> None:
         """Serve until callers have had time to switch to other instances."""
@@ -173,17 +198,18 @@
 
     async def stop(self) -> None:
         """Close everything that was opened."""
-        for task in tuple(self.tasks):
-            task.cancel()
+        for tasks in (self.tasks, self.home_tasks, self.probe_tasks):
+            tasks.cancel()
         await self.listeners.close()
         await self.session.close()
         self.pool.close()
 
-    def addresses(self) -> AddressList:
-        """Return the home's address, or this instance's if there is no home."""
-        home = self.elector.home
-        if home is None or (self.elector.leaving and self.elector.is_home):
-            home = self.member_list.own
+    def addresses(self, failure_domain: str) -> AddressList:
+        """Return the address of the home for callers of a failure domain.
+
+        Without a home, this is the address of this instance.
+        """
+        home = self.role.dispatcher_of(failure_domain) or self.member_list.own
         validity_limit = self.settings.bounds.max_validity
         validity = min(self.settings.validity, validity_limit)
         return AddressList((home.callers,), validity)
@@ -209,13 +235,6 @@
         self.dispatcher.bounds = settings.bounds
         self.store.address = settings.store
 
-    def home_address(self) -> str:
-        """Return the home's address; empty if unknown or this instance."""
-        home = self.elector.home
-        if home is None or home.name == self.member_list.own.name:
-            return ''
-        return home.callers
-
     def not_ready_reason(self) -> str:
         """Return why the instance is not ready; empty if it is ready."""
         if self.application.draining:
@@ -266,6 +285,7 @@
         self.application.on_stop.append(self.stop)
         self.dispatcher.refresh_load = self.prober.refresh_load
         self.catalog.on_config.append(self.prober.apply_config)
+        self.domain_homes.on_change.append(lambda _: self.update_role())
 
     def _add_gauges(self) -> None:
         placers = self.dispatcher.placers
@@ -302,15 +322,6 @@
         if not self.loop.is_closed():
             self.loop.call_soon_threadsafe(self.reload)
 
-    def _spawn(
-        self, coroutine: Coroutine[Any, Any, None]
-    ) -> 'asyncio.Task[None]':
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(_log_failure)
-        self.tasks.append(task)
-        task.add_done_callback(self.tasks.remove)
-        return task
-
     async def _close_idle_connections(self) -> None:
         while True:
             await asyncio.sleep(_CLOSE_IDLE_INTERVAL_SECONDS)
@@ -330,8 +341,3 @@
         round(capacity.cpu_share * capacity.cores, 2),
         round(clock.now().timestamp() * 1000),
     )
-
-
-def _log_failure(task: 'asyncio.Task[None]') -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log('task_failed', error=repr(task.exception()))
--- /dev/null
+++ b/src/crocusproxy/entry/dispatch_role.py
@@ -0,0 +1,70 @@
+"""Which instance dispatches a caller's request, and to which upstreams."""
+
+from collections.abc import Callable
+
+from ..membership.domain_homes import DomainHomeTable
+from ..protocol.home_feed import Member
+
+
+class DispatchRole:
+    """The part that this instance has in dispatching.
+
+    Without domain homes, the home dispatches all requests. ``find_home``
+    returns the home, if it is known, and ``find_own`` this member.
+    """
+
+    def __init__(
+        self,
+        table: DomainHomeTable,
+        find_home: Callable[[], Member | None],
+        find_own: Callable[[], Member],
+    ) -> None:
+        self.table = table
+        self.find_home = find_home
+        self.find_own = find_own
+
+    def dispatcher_of(self, failure_domain: str) -> Member | None:
+        """Return the member that dispatches for callers of a failure domain."""
+        return self.table.home_of(failure_domain) or self.find_home()
+
+    def owns(self, failure_domain: str) -> bool:
+        """Return whether to dispatch to the upstreams of a failure domain.
+
+        An instance that is no home dispatches only if it can't reach one, and
+        then to all upstreams.
+        """
+        if not self.is_domain_home():
+            return True
+        domain_home = self.table.home_of(failure_domain)
+        assert domain_home is not None
+        return domain_home.name == self.find_own().name
+
+    def is_domain_home(self) -> bool:
+        """Return whether this instance is home of a failure domain."""
+        name = self.find_own().name
+        return any(
+            home.member.name == name for home in self.table.assignment.homes
+        )
+
+    def is_dispatcher(self) -> bool:
+        """Return whether this instance is a domain home or the only home."""
+        if self.table.assignment.homes:
+            return self.is_domain_home()
+        home = self.find_home()
+        return home is not None and home.name == self.find_own().name
+
+    def forwarding_address(self) -> str:
+        """Return where to forward requests; empty to dispatch them here."""
+        own = self.find_own()
+        if self.is_domain_home():
+            return ''
+        dispatcher = self.dispatcher_of(own.failure_domain)
+        if dispatcher is None or dispatcher.name == own.name:
+            return ''
+        return dispatcher.callers
+
+    def other_domain_homes(self) -> tuple[Member, ...]:
+        """Return the homes to ask for a slot; none unless this is one too."""
+        if not self.is_domain_home():
+            return ()
+        return self.table.others(self.find_own().name)
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from ..limits.shared_retry_budget import SharedRetryBudget
 from ..placement.placer import (
     Decision,
+    Ownership,
     Placed,
     PlacementRequest,
     Refused,
@@ -74,6 +75,13 @@
         self.placers: dict[str, ServicePlacer] = {}
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
         self.last_request_at = float()
+        self.owns: Ownership | None = None
+
+    def set_ownership(self, owns: Ownership) -> None:
+        """Dispatch to the upstreams of the failure domains that ``owns``."""
+        self.owns = owns
+        for placer in self.placers.values():
+            placer.set_ownership(owns)
 
     def apply_upstream_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
@@ -91,6 +99,8 @@
             placer = ServicePlacer(
                 service, self.failure_domain, self.clock, self.random
             )
+            if self.owns is not None:
+                placer.set_ownership(self.owns)
             self.placers[service] = placer
         return placer
 
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests: checks, routing and forwarding."""
 
+from collections.abc import Awaitable
 from math import inf
 
 from ..clock import Clock
@@ -12,11 +13,13 @@
 from .header_names import HeaderNames
 from .home_forwarder import HomeForwarder
 from .metrics import EntryMetrics
+from .overflow import OverflowTargets
 from .refusals import (
     BODY_TOO_LARGE,
     CONFIG_BEHIND,
     INVALID_DEADLINE,
     NO_ROUTE,
+    NO_SPARE_SLOT,
     NOT_READY,
     SHUTTING_DOWN,
     TIMED_OUT,
@@ -27,7 +30,7 @@
 from .responses import CallerResponse, Refusal
 from .start_wait import StartWait
 from .upstream_call import OutgoingRequest
-from .upstream_messages import HOP_HEADER
+from .upstream_messages import HOP_HEADER, OVERFLOW_HEADER
 
 
 class Gateway:
@@ -53,6 +56,7 @@
         self.metrics = metrics
         self.request_log = request_log
         self.forwarder: HomeForwarder | None = None
+        self.overflow_targets: OverflowTargets | None = None
         self.limits = CallerLimits()
         self.is_draining = False
         self.ends_at = inf
@@ -130,7 +134,7 @@
             request,
             outgoing_request,
             route,
-            table.service_for(route),
+            _service_of(request, route) or table.service_for(route),
             table.config.version,
             received_at,
             received_at + _time_limit(caller_timeout, route),
@@ -166,22 +170,70 @@
     async def _serve(self, context: RequestContext) -> CallerResponse | Refusal:
         if context.deadline > self.ends_at:
             return SHUTTING_DOWN
-        if HOP_HEADER not in context.outgoing_request.message.headers:
-            response = await self._forward(context)
+        headers = context.outgoing_request.message.headers
+        if OVERFLOW_HEADER in headers:
+            if not self.dispatcher.placer(context.service).has_spare_slots():
+                return NO_SPARE_SLOT
+        elif HOP_HEADER not in headers:
+            response = await self._serve_elsewhere(context)
             if response is not None:
                 return response
         return await self.dispatcher.run(context)
 
-    async def _forward(
+    async def _serve_elsewhere(
         self, context: RequestContext
     ) -> CallerResponse | Refusal | None:
-        """Return the home's response, or None if this instance dispatches."""
+        """Return another home's response, or None if this one dispatches."""
         if self.forwarder is None:
             return None
-        context.request.is_detached = not context.route.idempotent
-        result = await self.forwarder.forward(
-            context.outgoing_request, context.deadline, context.config_version
+        if self.forwarder.home_address():
+            return await self._await_forward(
+                context,
+                self.forwarder.forward(
+                    context.outgoing_request,
+                    context.deadline,
+                    context.config_version,
+                ),
+            )
+        return await self._overflow(self.forwarder, context)
+
+    async def _overflow(
+        self, forwarder: HomeForwarder, context: RequestContext
+    ) -> CallerResponse | Refusal | None:
+        """Ask another domain home, once, if the own upstreams are full."""
+        targets = self.overflow_targets
+        service = context.service
+        if targets is None:
+            return None
+        if not self.dispatcher.placer(service).is_short_of_slots():
+            return None
+        address = targets.choose(service, context.received_at)
+        if not address:
+            return None
+        response = await self._await_forward(
+            context,
+            forwarder.send_overflow(
+                address,
+                context.outgoing_request,
+                context.deadline,
+                context.config_version,
+                service,
+            ),
         )
+        if response is None:
+            targets.decline(address, service, self._now())
+        else:
+            self.request_log.log_overflow(context, address)
+        return response
+
+    async def _await_forward(
+        self,
+        context: RequestContext,
+        exchange: Awaitable[CallerResponse | NotRun | ResponseLost],
+    ) -> CallerResponse | Refusal | None:
+        """Return the response, or None if this instance dispatches."""
+        context.request.is_detached = not context.route.idempotent
+        result = await exchange
         context.request.is_detached = False
         if isinstance(result, CallerResponse):
             return result
@@ -199,6 +251,9 @@
             return TIMED_OUT
         return None if context.route.idempotent else UPSTREAM_FAILED
 
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
+
     def _refusal_response(
         self, refusal: Refusal, request_id: str
     ) -> CallerResponse:
@@ -208,6 +263,13 @@
         return refusal.response(headers if request_id else ())
 
 
+def _service_of(request: CallerRequest, route: Route) -> str:
+    """Return the service that another domain home has chosen, if any."""
+    service = request.message.headers.get(OVERFLOW_HEADER, '')
+    is_part = any(part.service == service for part in route.parts)
+    return service if is_part else ''
+
+
 def _time_limit(caller_timeout: float | None, route: Route) -> float:
     """Return the seconds within which a response is due."""
     timeout = route.timeout.total_seconds()
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -1,8 +1,9 @@
-"""Forwarding of requests to the home.
+"""Forwarding of requests to the instance that dispatches them.
 
-The home chooses upstreams best, as it sees all requests. Other instances also
-receive requests, because callers keep using an address for some time after the
-home has changed.
+A home chooses upstreams best, as it sees all requests for them. Other instances
+also receive requests, because callers keep using an address for some time after
+the home has changed. A domain home whose upstreams are full sends requests to
+another domain home that has a free slot.
 """
 
 from collections.abc import Callable
@@ -14,11 +15,11 @@
 from .responses import CallerResponse
 from .upstream_call import OutgoingRequest
 from .upstream_connection import MatchingConnection
-from .upstream_messages import HOP_HEADER, UpstreamMessages
+from .upstream_messages import HOP_HEADER, OVERFLOW_HEADER, UpstreamMessages
 
-#: Status with which the home rejects a forwarded request if its configuration
-#: is older than that of the forwarding instance.
-CONFIG_BEHIND_STATUS = 425
+#: Status with which a home declines a forwarded request: its configuration is
+#: older than that of the forwarding instance, or it has no spare slot.
+DECLINED_STATUS = 425
 _CONNECT_TIMEOUT_SECONDS = 0.1
 _IDLE_LIMIT_SECONDS = 5.0
 
@@ -52,6 +53,39 @@
         address = self.home_address()
         if not address:
             return NotRun('no home', reported_by_upstream=False)
+        return await self._send(
+            address,
+            outgoing_request,
+            deadline,
+            f'{HOP_HEADER}: {config_version}',
+        )
+
+    async def send_overflow(
+        self,
+        address: str,
+        outgoing_request: OutgoingRequest,
+        deadline: float,
+        config_version: int,
+        service: str,
+    ) -> CallerResponse | NotRun | ResponseLost:
+        """Send a request for ``service`` to another domain home.
+
+        It declines unless it has a spare slot. Otherwise as ``forward``.
+        """
+        return await self._send(
+            address,
+            outgoing_request,
+            deadline,
+            f'{HOP_HEADER}: {config_version}\r\n{OVERFLOW_HEADER}: {service}',
+        )
+
+    async def _send(
+        self,
+        address: str,
+        outgoing_request: OutgoingRequest,
+        deadline: float,
+        headers: str,
+    ) -> CallerResponse | NotRun | ResponseLost:
         return await exchange_over(
             self.pool,
             address,
@@ -59,7 +93,7 @@
             _CONNECT_TIMEOUT_SECONDS,
             _IDLE_LIMIT_SECONDS,
             lambda connection: self._exchange(
-                connection, outgoing_request, deadline, config_version
+                connection, outgoing_request, deadline, headers
             ),
         )
 
@@ -68,15 +102,14 @@
         connection: MatchingConnection,
         outgoing_request: OutgoingRequest,
         deadline: float,
-        config_version: int,
+        headers: str,
     ) -> CallerResponse | NotRun:
         remaining = deadline - self.clock.monotonic().total_seconds()
-        hop_header = f'{HOP_HEADER}: {config_version}'
         request_bytes = self.messages.forwarded_request(
             outgoing_request.message,
             outgoing_request.body,
             remaining,
-            hop_header,
+            headers,
         )
         message, body = await connection.exchange(
             request_bytes,
@@ -85,9 +118,6 @@
             remaining,
             expects_body=outgoing_request.message.method != 'HEAD',
         )
-        if message.code == CONFIG_BEHIND_STATUS:
-            return NotRun(
-                'the home has an older configuration',
-                reported_by_upstream=False,
-            )
+        if message.code == DECLINED_STATUS:
+            return NotRun('declined by the home', reported_by_upstream=False)
         return self.messages.caller_response(message, body)
--- a/src/crocusproxy/entry/listeners.py
+++ b/src/crocusproxy/entry/listeners.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryApi:
-    """Paths of the directory and readiness ports, and the address format."""
+    """Paths of the directory and readiness ports, and the address format.
+
+    The query parameter ``failure_domain`` has the caller's failure domain.
+    """
 
     resolve_path: str
     readiness_path: str
+    failure_domain: str
     encode_addresses: Callable[[AddressList], bytes]
 
 
@@ -37,14 +41,15 @@
 class Listeners:
     """Serves the address list and the readiness of this instance.
 
-    ``addresses`` returns the list for callers. ``not_ready_reason`` returns why
-    the instance is not ready, or an empty string.
+    ``addresses`` returns the list for callers of a failure domain.
+    ``not_ready_reason`` returns why the instance is not ready, or an empty
+    string.
     """
 
     def __init__(
         self,
         api: DirectoryApi,
-        addresses: Callable[[], AddressList],
+        addresses: Callable[[str], AddressList],
         not_ready_reason: Callable[[], str],
     ) -> None:
         self.api = api
@@ -75,8 +80,10 @@
         for runner in self.runners:
             await runner.cleanup()
 
-    async def _resolve(self, _: web.Request) -> web.Response:
-        address_list = self.addresses()
+    async def _resolve(self, request: web.Request) -> web.Response:
+        address_list = self.addresses(
+            request.query.get(self.api.failure_domain, '')
+        )
         if not address_list.addresses:
             return web.json_response(
                 {'code': 'no_address'}, status=_UNAVAILABLE
--- /dev/null
+++ b/src/crocusproxy/entry/overflow.py
@@ -0,0 +1,42 @@
+"""Choice of the domain home that is asked for a slot.
+
+Answers a load that is larger in one failure domain than its upstreams can
+serve, while those of other failure domains have free slots: callers that move,
+or upstreams that are lost or slow in one failure domain.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from ..protocol.home_feed import Member
+
+#: A domain home that declined is not asked again for this time, so that a
+#: load beyond the capacity of the whole site causes few queries.
+DECLINE_BACKOFF_SECONDS = 0.05
+
+
+class OverflowTargets:
+    """The other domain homes, and for which services they declined lately.
+
+    ``others`` returns the domain homes other than this instance.
+    """
+
+    def __init__(
+        self, others: Callable[[], Sequence[Member]], random: Random
+    ) -> None:
+        self.others = others
+        self.random = random
+        self.declined_until: dict[tuple[str, str], float] = {}
+
+    def choose(self, service: str, now: float) -> str:
+        """Return the address of a domain home, empty if there is none."""
+        addresses = [
+            member.callers
+            for member in self.others()
+            if self.declined_until.get((member.callers, service), now) <= now
+        ]
+        return self.random.choice(addresses) if addresses else ''
+
+    def decline(self, address: str, service: str, now: float) -> None:
+        """Record that a domain home declined or can't be reached."""
+        self.declined_until[address, service] = now + DECLINE_BACKOFF_SECONDS
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -32,6 +32,10 @@
 CONFIG_BEHIND = Refusal(
     425, 'config_behind', 'the sender has a newer configuration'
 )
+#: Sent to a domain home, which then dispatches the request itself.
+NO_SPARE_SLOT = Refusal(
+    425, 'no_spare_slot', 'the upstreams of this instance are needed here'
+)
 
 
 def not_placed(code: str, retry_after: timedelta) -> Refusal:
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -105,6 +105,16 @@
                 reason=reason,
             )
 
+    def log_overflow(self, context: RequestContext, address: str) -> None:
+        """Log that another domain home has responded to a request."""
+        if self._admit(is_failure=False):
+            self._write(
+                'request_overflowed',
+                request_id=context.request_id,
+                service=context.service,
+                domain_home=address,
+            )
+
     def _write(self, event: str, **fields: Any) -> None:
         self.write(event, **fields)
 
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -14,6 +14,9 @@
 #: Marks a request forwarded to the home; its value is the version of the
 #: forwarding instance's configuration.
 HOP_HEADER = 'Crocus-Hop'
+#: Names the service of a request that a domain home sends to another one, since
+#: its own upstreams have no free slot.
+OVERFLOW_HEADER = 'Crocus-Overflow'
 _MAX_RETRY_AFTER = timedelta(seconds=5)
 _MIN_DEADLINE_MS = 1
 
@@ -27,6 +30,7 @@
             header_names.deadline,
             header_names.expected_upstream,
             HOP_HEADER,
+            OVERFLOW_HEADER,
         )
         self.dropped_request_headers = _REPLACED_HEADERS | {
             name.lower().encode() for name in own_headers
--- /dev/null
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -0,0 +1,148 @@
+"""Assignment of failure domains to the members that dispatch their requests.
+
+One home chooses best, as it sees all requests, but its processor and link bound
+the load of the site. A failure domain with many slots loses little by choosing
+among its own upstreams only.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+from ..logs import log
+from ..protocol.home_feed import DomainHome, DomainHomes, Member
+from ..routes.model import RegisteredUpstream
+
+#: Slots of each service that a failure domain needs to get a home of its own.
+MIN_SLOTS_TO_SPLIT = 32
+#: A failure domain with fewer slots of a service loses its home. The distance
+#: to ``MIN_SLOTS_TO_SPLIT`` keeps a restart of upstreams from moving callers.
+MIN_SLOTS_TO_STAY = 16
+#: A domain home is replaced by a member with this many times its capacity.
+MIN_CAPACITY_GAIN = 1.2
+
+#: Slots of each service, by failure domain.
+SlotsByDomain = Mapping[str, Mapping[str, int]]
+
+
+def count_slots(upstreams: Iterable[RegisteredUpstream]) -> SlotsByDomain:
+    """Count the slots of the upstreams that are not leaving."""
+    slots: dict[str, Counter[str]] = {}
+    for upstream in upstreams:
+        if not upstream.leaving:
+            domain_slots = slots.setdefault(upstream.failure_domain, Counter())
+            domain_slots[upstream.service] += upstream.slots
+    return slots
+
+
+def assign_domain_homes(
+    current: DomainHomes,
+    members: Iterable[Member],
+    home_name: str,
+    slots: SlotsByDomain,
+) -> DomainHomes:
+    """Return the domain homes, empty if the home should dispatch alone.
+
+    ``members`` can be reached and stay. A domain home is kept while it is one
+    of them, so that its callers need not move. The member ``home_name`` is
+    chosen last, as it also reads the store and serves the feed. A failure
+    domain with too few slots gets the home of the one with the most slots.
+    """
+    candidates = _by_domain(members)
+    current_homes = {home.failure_domain: home.member for home in current.homes}
+    split_domains = {
+        domain
+        for domain in candidates
+        if _has_enough_slots(domain, slots, is_split=domain in current_homes)
+    }
+    if len(split_domains) < 2:
+        return DomainHomes()
+    homes = {
+        domain: _choose(
+            candidates[domain], current_homes.get(domain), home_name
+        )
+        for domain in sorted(split_domains)
+    }
+    largest = max(sorted(homes), key=lambda domain: sum(slots[domain].values()))
+    for domain in candidates.keys() | slots.keys():
+        homes.setdefault(domain, homes[largest])
+    return DomainHomes(
+        tuple(DomainHome(domain, homes[domain]) for domain in sorted(homes))
+    )
+
+
+def _by_domain(members: Iterable[Member]) -> dict[str, list[Member]]:
+    by_domain: dict[str, list[Member]] = {}
+    for member in members:
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    return by_domain
+
+
+def _has_enough_slots(
+    domain: str, slots: SlotsByDomain, *, is_split: bool
+) -> bool:
+    services = {
+        service for by_service in slots.values() for service in by_service
+    }
+    minimum = MIN_SLOTS_TO_STAY if is_split else MIN_SLOTS_TO_SPLIT
+    domain_slots = slots.get(domain, {})
+    return bool(services) and all(
+        domain_slots.get(service, 0) >= minimum for service in services
+    )
+
+
+def _choose(
+    members: list[Member], current: Member | None, home_name: str
+) -> Member:
+    best = min(
+        members, key=lambda member: (member.name == home_name, member.rank)
+    )
+    for member in members:
+        if current is not None and member.name == current.name:
+            gains_enough = best.capacity >= MIN_CAPACITY_GAIN * member.capacity
+            return best if gains_enough else member
+    return best
+
+
+class DomainHomeTable:
+    """The domain homes that an instance knows.
+
+    ``on_change`` listeners are called with each new assignment.
+    """
+
+    def __init__(self) -> None:
+        self.assignment = DomainHomes()
+        self.on_change: list[Callable[[DomainHomes], None]] = []
+
+    def apply(self, assignment: DomainHomes) -> None:
+        """Replace the domain homes."""
+        if assignment == self.assignment:
+            return
+        self.assignment = assignment
+        log(
+            'domain_homes_changed',
+            homes={
+                home.failure_domain: home.member.name
+                for home in assignment.homes
+            },
+        )
+        for listener in self.on_change:
+            listener(assignment)
+
+    def home_of(self, failure_domain: str) -> Member | None:
+        """Return the domain home, or None if the home dispatches alone.
+
+        An unknown failure domain belongs to the first domain home.
+        """
+        homes = self.assignment.homes
+        for home in homes:
+            if home.failure_domain == failure_domain:
+                return home.member
+        return homes[0].member if homes else None
+
+    def others(self, name: str) -> tuple[Member, ...]:
+        """Return the domain homes other than the member ``name``, once each."""
+        members = {
+            home.member.name: home.member for home in self.assignment.homes
+        }
+        members.pop(name, None)
+        return tuple(members.values())
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -1,6 +1,7 @@
 """The feed by which a home and its followers distribute their state."""
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
@@ -16,6 +17,7 @@
     UpstreamChange,
 )
 from .catalog import Catalog
+from .domain_homes import DomainHomeTable
 from .member_list import MemberList
 
 FEED_PATH = '/members/feed'
@@ -26,6 +28,9 @@
 _CONFLICT = 409
 #: A follower with more unread messages is disconnected.
 _MAX_QUEUED_MESSAGES = 256
+_HEARTBEAT = FeedMessage()
+#: Encoded messages that are kept, as each is sent to all followers.
+_ENCODED_MESSAGES = 4
 
 
 class HomeFeedServer:
@@ -39,12 +44,15 @@
         self,
         catalog: Catalog,
         member_list: MemberList,
+        domain_homes: DomainHomeTable,
         view: Callable[[], MemberView],
     ) -> None:
         self.catalog = catalog
         self.member_list = member_list
+        self.domain_homes = domain_homes
         self.view = view
         self.path: tuple[str, ...] = ()
+        self.encoder = LineEncoder()
         self.followers: dict[str, asyncio.Queue[FeedMessage | None]] = {}
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
@@ -53,6 +61,9 @@
         catalog.on_upstream.append(
             lambda change: self.publish(FeedMessage(changes=(change,)))
         )
+        domain_homes.on_change.append(
+            lambda homes: self.publish(FeedMessage(domain_homes=homes))
+        )
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the internal port."""
@@ -118,6 +129,7 @@
             config=catalog.config,
             changes=changes,
             members=self.member_list.all(),
+            domain_homes=self.domain_homes.assignment,
         )
 
     def _end_feed(self, name: str) -> None:
@@ -148,7 +160,7 @@
         await response.prepare(request)
         async with aclosing(self.messages(follower)) as messages:
             async for message in messages:
-                await response.write(encode_line(message))
+                await response.write(self.encoder.encode(message))
 
     def _register(self, follower: Member) -> None:
         log('feed_follower_joined', member=follower.name)
@@ -175,7 +187,25 @@
         async with asyncio.timeout(HEARTBEAT_INTERVAL_SECONDS):
             return await queue.get()
     except TimeoutError:
-        return FeedMessage()
+        return _HEARTBEAT
+
+
+class LineEncoder:
+    """Encodes messages and keeps the latest lines."""
+
+    def __init__(self) -> None:
+        self.recent: deque[tuple[FeedMessage, bytes]] = deque(
+            maxlen=_ENCODED_MESSAGES
+        )
+
+    def encode(self, message: FeedMessage) -> bytes:
+        """Return the line of a message, the same one for the same object."""
+        for encoded_message, line in self.recent:
+            if encoded_message is message:
+                return line
+        line = encode_line(message)
+        self.recent.append((message, line))
+        return line
 
 
 def encode_line(message: FeedMessage) -> bytes:
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -11,6 +11,7 @@
 from ..protocol.home_feed import FeedMessage, Member, MemberView
 from ..tasks import first_true
 from .catalog import Catalog
+from .domain_homes import DomainHomeTable
 from .election import Attach, ElectionResult, Lead, elect, yields_to
 from .feed_server import HomeFeedServer
 from .member_client import MemberClient
@@ -39,14 +40,18 @@
         clock: Clock,
         on_started_leading: Callable[[], None],
         on_stopped_leading: Callable[[], None],
+        domain_homes: DomainHomeTable | None = None,
     ) -> None:
         self.client = client
         self.catalog = catalog
         self.member_list = member_list
+        self.domain_homes = domain_homes or DomainHomeTable()
         self.clock = clock
         self.on_started_leading = on_started_leading
         self.on_stopped_leading = on_stopped_leading
-        self.server = HomeFeedServer(catalog, member_list, self.view)
+        self.server = HomeFeedServer(
+            catalog, member_list, self.domain_homes, self.view
+        )
         self.home: Member | None = None
         self.epoch = 0
         self.is_home = False
@@ -115,6 +120,17 @@
             except (NotReachableError, MalformedMessageError) as error:
                 log('seed_not_reached', address=address, error=str(error))
 
+    async def query_view(self, member: Member) -> MemberView | None:
+        """Return a member's view, or None if the member can't be reached."""
+        try:
+            # The request adds this member to the other one's member list.
+            view = await self.client.view(member.internal, self.member_list.own)
+        except (NotReachableError, MalformedMessageError):
+            # An unreachable member takes no part in the election.
+            return None
+        self.member_list.merge((view.member,))
+        return view
+
     async def _query_home(self, address: str) -> bool:
         try:
             view = await self.client.view(address, self.member_list.own)
@@ -147,7 +163,7 @@
     async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
         """Return the views of responding members; stop at the first home."""
         tasks = [
-            asyncio.create_task(self._query_view(member)) for member in members
+            asyncio.create_task(self.query_view(member)) for member in members
         ]
         views: list[MemberView] = []
         for next_view in asyncio.as_completed(tasks):
@@ -160,16 +176,6 @@
             task.cancel()
         return views
 
-    async def _query_view(self, member: Member) -> MemberView | None:
-        try:
-            # The request adds this member to the other one's member list.
-            view = await self.client.view(member.internal, self.member_list.own)
-        except (NotReachableError, MalformedMessageError):
-            # An unreachable member takes no part in the election.
-            return None
-        self.member_list.merge((view.member,))
-        return view
-
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
         try:
@@ -205,6 +211,8 @@
             )
         if message.members and self.member_list.merge(message.members):
             self.server.publish(FeedMessage(members=message.members))
+        if message.domain_homes is not None:
+            self.domain_homes.apply(message.domain_homes)
         if message.config is not None:
             self.catalog.apply_config(message.config)
         if message.full:
@@ -259,7 +267,7 @@
         ]
         if not non_followers:
             return None
-        view = await self._query_view(
+        view = await self.query_view(
             non_followers[check_count % len(non_followers)]
         )
         if view is None or view.home is None:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -29,6 +29,10 @@
 RATIO_STEP_SHARE = 0.01
 #: Number of queued requests that are considered for the free slots.
 MAX_QUEUE_SCAN = 16
+#: Queued requests per slot from which other domain homes are asked for a slot.
+MAX_QUEUED_SHARE = 0.1
+#: Share of free slots above which requests of other domain homes are accepted.
+MIN_SPARE_SHARE = 0.1
 #: Costs that differ by less than this share of the service time are equal.
 EQUAL_COST_SHARE = 0.05
 
@@ -67,6 +71,8 @@
 
 
 Decision = Placed | Refused
+#: Returns whether this instance dispatches to a failure domain's upstreams.
+Ownership = Callable[[str], bool]
 _NO_UPSTREAM = Refused('no_upstream', timedelta(milliseconds=200))
 
 
@@ -119,6 +125,7 @@
         self.upstreams: dict[str, UpstreamState] = {}
         self.queue: list[QueuedRequest] = []
         self.median_ratio = 1.0
+        self.owns: Ownership = _owns_all
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -135,6 +142,7 @@
             is_remote = entry.failure_domain != self.failure_domain
             state = UpstreamState(entry, is_remote)
             self.upstreams[entry.key] = state
+        state.is_owned = self.owns(entry.failure_domain)
         warm_up = entry.warm_up.total_seconds()
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
         self.process_queue()
@@ -144,6 +152,32 @@
         state = self.upstreams.pop(key, None)
         if state is not None:
             state.is_removed = True
+            self._refuse_unplaceable()
+
+    def set_ownership(self, owns: Ownership) -> None:
+        """Use only the upstreams of the failure domains that ``owns`` names.
+
+        Requests in flight at other upstreams continue.
+        """
+        self.owns = owns
+        for state in self.upstreams.values():
+            state.is_owned = owns(state.entry.failure_domain)
+        self._refuse_unplaceable()
+        self.process_queue()
+
+    def is_short_of_slots(self) -> bool:
+        """Return whether requests wait long for a slot, or there is none."""
+        return len(self.queue) >= MAX_QUEUED_SHARE * self._slots()
+
+    def has_spare_slots(self) -> bool:
+        """Return whether requests of other instances may be placed here."""
+        if self.queue:
+            return False
+        free = sum(
+            state.entry.slots - state.in_flight
+            for state in self._candidates(self.now())
+        )
+        return free > MIN_SPARE_SHARE * self._slots()
 
     def place(
         self, request: PlacementRequest, on_decision: Callable[[Decision], None]
@@ -232,17 +266,26 @@
                 ]
                 queued_request.on_decision(placed)
 
+    def _refuse_unplaceable(self) -> None:
+        """Refuse the queued requests that no upstream is left for."""
+        for queued_request in tuple(self.queue):
+            if not self._has_upstream(queued_request.request):
+                self.queue.remove(queued_request)
+                queued_request.on_decision(_NO_UPSTREAM)
+
     def _refuse(self, queued_request: QueuedRequest) -> None:
         self.queue.remove(queued_request)
         queued_request.on_decision(self._overloaded())
 
-    def _queue_limit(self) -> int:
-        slots = sum(
+    def _slots(self) -> int:
+        return sum(
             state.entry.slots
             for state in self.upstreams.values()
             if state.is_usable
         )
-        return max(QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
+
+    def _queue_limit(self) -> int:
+        return max(QUEUED_PER_SLOT * self._slots(), MIN_QUEUE_LENGTH)
 
     def _overloaded(self) -> Refused:
         return Refused('overloaded', timedelta(milliseconds=100))
@@ -313,6 +356,11 @@
     return now + state.expected_time(request.service_time, now) <= latest_end
 
 
+def _owns_all(failure_domain: str) -> bool:
+    """Dispatch to all upstreams, as without domain homes."""
+    return True
+
+
 def _is_same_incarnation(
     one: RegisteredUpstream, other: RegisteredUpstream
 ) -> bool:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -42,7 +42,8 @@
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request.
-    Times are monotonic seconds.
+    An upstream that another instance dispatches to is not ``is_owned``. Times
+    are monotonic seconds.
     """
 
     entry: RegisteredUpstream
@@ -55,6 +56,7 @@
     backoff_until: float = -inf
     probed_at: float = -inf
     is_removed: bool = False
+    is_owned: bool = True
     observed: ObservedSlowdown = field(default_factory=ObservedSlowdown)
 
     @property
@@ -65,7 +67,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether new requests may be sent here."""
-        return not self.is_removed and not self.entry.leaving
+        return self.is_owned and not self.is_removed and not self.entry.leaving
 
     @property
     def in_flight(self) -> int:
--- a/src/crocusproxy/platform/directory.py
+++ b/src/crocusproxy/platform/directory.py
@@ -36,4 +36,6 @@
     return adapter_for(_Resolved).dump_json(resolved, by_alias=True)
 
 
-DIRECTORY_API = DirectoryApi('/-/resolve', '/-/readiness', encode_addresses)
+DIRECTORY_API = DirectoryApi(
+    '/-/resolve', '/-/readiness', 'Zone', encode_addresses
+)
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -1,7 +1,8 @@
 """Messages between entry instances: home, members and the home's state.
 
-The home is the entry instance that dispatches requests for the others, its
-members. They follow its feed.
+The home is the entry instance that reads the store and distributes its content
+to the others, its members. They follow its feed. It dispatches the requests of
+all callers, or appoints domain homes that dispatch them.
 """
 
 from dataclasses import dataclass
@@ -57,12 +58,31 @@
     entry: RegisteredUpstream | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class DomainHome:
+    """The member that dispatches the requests of one failure domain.
+
+    It places them on the upstreams of that failure domain.
+    """
+
+    failure_domain: str
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class DomainHomes:
+    """The domain homes of a site; if there are none, the home dispatches."""
+
+    homes: tuple[DomainHome, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class FeedMessage:
     """One message of a home's feed; an empty one is a heartbeat.
 
     ``path`` names the members that relayed the feed, the home first. With
-    ``full``, ``changes`` hold all upstreams.
+    ``full``, ``changes`` hold all upstreams. Without ``domain_homes``, the
+    latest ones stay in force.
     """
 
     epoch: int = 0
@@ -73,3 +93,4 @@
     config: RouteConfig | None = None
     changes: tuple[UpstreamChange, ...] = ()
     members: tuple[Member, ...] = ()
+    domain_homes: DomainHomes | None = None
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -5,6 +5,11 @@
 
 from crocusproxy.errors import NotReachableError
 from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.domain_home_planner import DomainHomePlanner
+from crocusproxy.membership.domain_homes import (
+    MIN_SLOTS_TO_SPLIT,
+    DomainHomeTable,
+)
 from crocusproxy.membership.home_elector import HomeElector
 from crocusproxy.membership.member_client import (
     FEED_TIMEOUT_SECONDS,
@@ -12,10 +17,17 @@
 )
 from crocusproxy.membership.member_list import MemberList
 from crocusproxy.protocol.home_feed import Member
-from crocusproxy.routes.model import RouteConfig
+from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
 from standins.virtual_time import LoopClock
 
 DELAY_SECONDS = 0.001
+#: One upstream of a failure domain that has enough slots for its own home.
+UPSTREAMS = tuple(
+    RegisteredUpstream(
+        f'i-{domain}', 's', '', domain, MIN_SLOTS_TO_SPLIT, False, 1, 1
+    )
+    for domain in ('a', 'b')
+)
 
 
 class Network:
@@ -42,8 +54,8 @@
             frozenset((name, other)) for other in self.nodes if other != name
         )
 
-    def add(self, name):
-        node = Node(self, name)
+    def add(self, name, failure_domain='a'):
+        node = Node(self, name, failure_domain)
         self.nodes[name] = node
         return node
 
@@ -68,10 +80,12 @@
 class Node:
     """One member whose process can be killed and restarted."""
 
-    def __init__(self, network, name):
+    def __init__(self, network, name, failure_domain):
         self.network = network
         self.name = name
+        self.failure_domain = failure_domain
         self.task = None
+        self.planner_task = None
         self.start_count = 0
         self.versions = []
 
@@ -87,9 +101,15 @@
         """
         self.start_count += 1
         own = Member(
-            self.name, 'a', self.name, self.name, 1.0, self.start_count
+            self.name,
+            self.failure_domain,
+            self.name,
+            self.name,
+            1.0,
+            self.start_count,
         )
         self.catalog = Catalog()
+        self.domain_homes = DomainHomeTable()
         self.versions = []
         self.catalog.on_config.append(
             lambda config: self.versions.append(config.version)
@@ -99,8 +119,9 @@
             self.catalog,
             MemberList(own),
             LoopClock(self.network.loop),
-            self.read_store,
-            lambda: None,
+            self.lead,
+            self.stop_leading,
+            self.domain_homes,
         )
         self.task = self.network.loop.create_task(
             self.join(known_members, seeds)
@@ -111,9 +132,20 @@
             self.elector.member_list.merge(known_members)
         await self.elector.run()
 
+    def lead(self):
+        self.read_store()
+        planner = DomainHomePlanner(
+            self.elector, self.catalog, self.domain_homes
+        )
+        self.planner_task = self.network.loop.create_task(planner.run())
+
+    def stop_leading(self):
+        self.planner_task.cancel()
+
     def read_store(self):
         config = RouteConfig(self.network.stored_version, (), ())
         self.catalog.apply_config(config)
+        self.catalog.apply_list(UPSTREAMS)
 
     def kill(self):
         self.task.cancel()
--- a/tests/membership/test_home_elector_machine.py
+++ b/tests/membership/test_home_elector_machine.py
@@ -1,7 +1,8 @@
 """Drives homes and followers through faults and changes in any order.
 
 Guards against members that stay without a home, two homes that never become
-one, and a return to an older configuration within one process.
+one, a return to an older configuration within one process, and domain homes
+that are lost or on which the members do not agree.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from .network import Network
 
 NAMES = ('a', 'b', 'c', 'd')
+FAILURE_DOMAINS = {'a': 'a', 'b': 'a', 'c': 'b', 'd': 'b'}
 #: Time in which the members agree on a home once no link is cut.
 SETTLE_SECONDS = 8
 names = st.sampled_from(NAMES)
@@ -36,7 +38,9 @@
 
     @initialize()
     def start_all(self):
-        nodes = [self.network.add(name) for name in NAMES]
+        nodes = [
+            self.network.add(name, FAILURE_DOMAINS[name]) for name in NAMES
+        ]
         for node in nodes:
             node.start()
         # Each member is registered in the store.
@@ -105,6 +109,7 @@
             self.network.cuts.clear()
             self.run(SETTLE_SECONDS)
             self.check_one_home()
+            self.check_domain_homes()
         finally:
             for node in self.network.running():
                 node.kill()
@@ -122,6 +127,27 @@
         newest = [node.versions[-1:] for node in running]
         assert all(version == newest[0] for version in newest)
 
+    def check_domain_homes(self):
+        """Check that all agree on running homes that stay."""
+        running = {node.name: node for node in self.network.running()}
+        leaving = {
+            name for name, node in running.items() if node.elector.leaving
+        }
+        domains = {FAILURE_DOMAINS[name] for name in running.keys() - leaving}
+        expected_count = len(domains) if len(domains) > 1 else 0
+        for node in running.values():
+            homes = node.domain_homes.assignment.homes
+            assert homes == self.home_assignment(running)
+            assert len(homes) == expected_count
+            for home in homes:
+                assert home.member.name in running.keys() - leaving
+                domain = FAILURE_DOMAINS[home.member.name]
+                assert domain == home.failure_domain
+
+    def home_assignment(self, running):
+        (home,) = (node for node in running.values() if node.elector.is_home)
+        return home.domain_homes.assignment.homes
+
 
 HomeElectorMachine.TestCase.settings = settings(
     max_examples=200, stateful_step_count=25, deadline=None
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -258,3 +258,63 @@
     placing = Placing(entry('1', slots=6), entry('2', 'b', slots=6))
     placed = [placed_key(placing.place(service_time=0.2)) for _ in range(5)]
     assert placed[-1] == '2'
+
+
+def test_upstreams_of_other_domain_homes_get_no_request():
+    """Two homes would otherwise fill the same slots."""
+    placing = Placing(entry('1', 'a'), entry('2', 'b'))
+    placing.placer.set_ownership(lambda domain: domain == 'b')
+    assert placed_key(placing.place()) == '2'
+    assert placed_key(placing.place()) == '2'
+    assert placing.place() == []
+    placing.placer.put(entry('3', 'a'))
+    assert not placing.placer.upstreams['3'].is_usable
+
+
+def test_queued_requests_are_refused_at_once_without_an_upstream():
+    """They would otherwise wait until their deadline."""
+    placing = Placing(entry('1'), entry('2', 'b'))
+    for _ in range(4):
+        placing.place()
+    waiting = placing.place()
+    placing.placer.remove('1')
+    assert waiting == []
+    placing.placer.remove('2')
+    (refused,) = waiting
+    assert isinstance(refused, Refused)
+    assert refused.code == 'no_upstream'
+    assert refused.retry_after > timedelta()
+
+
+def test_queued_requests_are_refused_at_once_without_an_owned_upstream():
+    placing = Placing(entry('1', slots=1))
+    placing.place()
+    waiting = placing.place()
+    placing.placer.set_ownership(lambda _: False)
+    assert [refused.code for refused in waiting] == ['no_upstream']
+
+
+def test_placer_is_short_of_slots_once_requests_wait():
+    placing = Placing(entry('1'))
+    assert not placing.placer.is_short_of_slots()
+    for _ in range(3):
+        placing.place()
+    assert placing.placer.is_short_of_slots()
+
+
+def test_placer_without_upstreams_is_short_of_slots():
+    """Its requests would be refused while other homes could serve them."""
+    assert Placing().placer.is_short_of_slots()
+
+
+def test_slots_of_slow_upstreams_are_not_spare():
+    """A request of another domain home would wait longer here."""
+    placing = Placing(entry('1'), entry('2'))
+    assert placing.placer.has_spare_slots()
+    for _ in range(2):
+        placing.place()
+    placing.report('1', 5.0)
+    placing.report('2', 1.0)
+    placing.place()
+    placing.place()
+    assert not placing.placer.has_spare_slots()
