Find members through seeds, and let one reader retry in a store outage

Each start wrote a record and listed all members, also where a seed followed a home; while the store refused everything, two readers retried each 0.3 s and each failure tried four more paths.

Change: a start asks the seeds first, for at most 0.5 s while they are searching themselves, and calls the store only if none has a home. The home records the members that it knows, at most each 5 s, in records of 500. In an outage one reader retries, each 0.3 to 0.8 s with jitter, and the others wait for its success; after a failover without a working path 1, 3, 7 failures pass before the next one. A retry does not wait for a record, so that it reports the recovery at once.

Ruled out: members that register only when they are needed by an election: an election needs all of them before it starts.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -22,7 +22,8 @@
 from ..placement.upstream_state import UpstreamState
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
-from ..platform.members import MemberRegistration
+from ..platform.members import MemberRegistration, RosterWriter
+from ..platform.outage import StoreOutage
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
@@ -146,17 +147,29 @@
         self._add_gauges()
         await self._open_ports()
         registration = MemberRegistration(self.store, self.member_list)
-        self.tasks.spawn(join(registration, self.elector, self.settings.seeds))
+        control = self.settings.control
+        self.tasks.spawn(
+            join(
+                registration,
+                self.elector,
+                self.settings.seeds,
+                f'{control.host}:{control.port}',
+                self.clock,
+            )
+        )
         self.tasks.spawn(self.dispatcher.run_queues())
         self.tasks.spawn(self._close_idle_connections())
         self.reload_signal.connect(self._request_reload)
 
     def start_home_tasks(self) -> None:
         """Start the tasks that only the home runs."""
+        reader = (self.store, self.catalog, self.clock)
+        outage = StoreOutage(self.dispatcher.random)
         watches = (
-            ConfigWatch(self.store, self.catalog, self.clock),
-            UpstreamWatch(self.store, self.catalog, self.clock),
+            ConfigWatch(*reader, outage),
+            UpstreamWatch(*reader, outage),
             DomainHomePlanner(self.elector, self.catalog, self.domain_homes),
+            RosterWriter(self.store, self.member_list),
         )
         for watch in watches:
             self.home_tasks.spawn(watch.run())
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from enum import IntEnum
 
 from ..clock import Clock
 from ..errors import NotReachableError
 from ..logs import log
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import FeedMessage, Member, MemberView
-from ..tasks import first_true
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
 from .election import Attach, ElectionResult, Lead, elect, yields_to
@@ -25,6 +25,14 @@
 _MAX_QUERIED_MEMBERS = 24
 
 
+class HomeSearch(IntEnum):
+    """What the seeds of a starting member know."""
+
+    UNREACHABLE = 0
+    SEARCHING = 1
+    FOUND = 2
+
+
 class HomeElector:
     """Finds the home, follows its feed, and takes over if there is none.
 
@@ -97,20 +105,23 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_feeds()
 
-    async def find_home(self, addresses: Iterable[str]) -> bool:
+    async def find_home(self, addresses: Iterable[str]) -> HomeSearch:
         """Query seeds concurrently until one reports another member as home.
 
-        The seed and the home are added to the member list. Return whether a
-        home was found.
+        The seed and the home are added to the member list.
         """
         tasks = [
             asyncio.create_task(self._query_home(address))
             for address in addresses
         ]
-        found = await first_true(tasks)
+        search = HomeSearch.UNREACHABLE
+        for next_search in asyncio.as_completed(tasks):
+            search = max(search, await next_search)
+            if search is HomeSearch.FOUND:
+                break
         for task in tasks:
             task.cancel()
-        return found
+        return search
 
     async def fetch_members(self, addresses: Iterable[str]) -> None:
         """Merge the member lists of the instances at ``addresses``."""
@@ -131,16 +142,16 @@
         self.member_list.merge((view.member,))
         return view
 
-    async def _query_home(self, address: str) -> bool:
+    async def _query_home(self, address: str) -> HomeSearch:
         try:
             view = await self.client.view(address, self.member_list.own)
         except (NotReachableError, MalformedMessageError) as error:
             log('seed_not_reached', address=address, error=str(error))
-            return False
+            return HomeSearch.UNREACHABLE
         if view.home is None or view.home.name == self.member_list.own.name:
-            return False
+            return HomeSearch.SEARCHING
         self.member_list.merge((view.member, view.home))
-        return True
+        return HomeSearch.FOUND
 
     async def _run_election(self) -> ElectionResult:
         started = self.clock.monotonic()
--- a/src/crocusproxy/membership/member_list.py
+++ b/src/crocusproxy/membership/member_list.py
@@ -6,11 +6,15 @@
 
 
 class MemberList:
-    """Members by name; a later start of an instance replaces an earlier one."""
+    """Members by name; a later start of an instance replaces an earlier one.
+
+    ``revision`` grows with each change of the list.
+    """
 
     def __init__(self, own: Member) -> None:
         self.own = own
         self.members: dict[str, Member] = {own.name: own}
+        self.revision = 0
 
     def merge(self, members: Iterable[Member]) -> bool:
         """Merge members and return whether any of them changed the list."""
@@ -22,6 +26,7 @@
             if known is None or known.started_at <= member.started_at:
                 self.members[member.name] = member
                 changed = True
+        self.revision += changed
         return changed
 
     def others(self) -> tuple[Member, ...]:
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -1,6 +1,12 @@
-"""Registers this instance in the store and discovers the other members."""
+"""The members' records in the store, by which instances find each other.
+
+The home records the members that it knows in a few records, so that the calls
+to the store do not grow with the number of instances. An instance that reaches
+no home through its seeds registers itself and reads all records.
+"""
 
 import asyncio
+from dataclasses import dataclass
 
 from ..errors import PlatformUnavailableError
 from ..logs import log
@@ -11,10 +17,26 @@
 
 MEMBER_TOPIC = 'keyed.crocus.members'
 RETRY_INTERVAL_SECONDS = 2.0
+#: Minimum time between two records of the member list.
+ROSTER_INTERVAL_SECONDS = 5.0
+#: Time in which most members have joined a new home.
+FIRST_ROSTER_DELAY_SECONDS = 1.0
+#: Members per record; the store limits the size of a record to 256 KiB.
+ROSTER_MEMBERS = 500
+#: Key of a record with several members; the key of other records is the name of
+#: their only member.
+ROSTER_KEY = '/roster/{number}'
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """A part of the home's member list."""
+
+    members: tuple[Member, ...]
 
 
 class MemberRegistration:
-    """Writes one record per start of this instance and reads the others'."""
+    """Writes a record of this instance and reads all members."""
 
     def __init__(self, store: StoreClient, member_list: MemberList) -> None:
         self.store = store
@@ -46,8 +68,46 @@
 
     def _merge_record(self, record: KeyedRecord) -> None:
         try:
-            member = decode(Member, record.content)
+            members = _decode_members(record)
         except MalformedMessageError as error:
             log('member_unusable', member=record.key, error=str(error))
             return
-        self.member_list.merge((member,))
+        self.member_list.merge(members)
+
+
+class RosterWriter:
+    """Records the member list of the home after it has changed."""
+
+    def __init__(self, store: StoreClient, member_list: MemberList) -> None:
+        self.store = store
+        self.member_list = member_list
+        self.written_revision = -1
+
+    async def run(self) -> None:
+        """Write the list after each change, until cancelled."""
+        await asyncio.sleep(FIRST_ROSTER_DELAY_SECONDS)
+        while True:
+            if self.written_revision != self.member_list.revision:
+                await self.write()
+            await asyncio.sleep(ROSTER_INTERVAL_SECONDS)
+
+    async def write(self) -> None:
+        """Write the whole list; a failure is logged."""
+        revision = self.member_list.revision
+        members = self.member_list.all()
+        parts = range(0, len(members), ROSTER_MEMBERS)
+        try:
+            for number, start in enumerate(parts):
+                roster = Roster(members[start : start + ROSTER_MEMBERS])
+                key = ROSTER_KEY.format(number=number)
+                await self.store.put(MEMBER_TOPIC, key, encode(roster))
+        except PlatformUnavailableError as error:
+            log('announcement_failed', error=str(error))
+            return
+        self.written_revision = revision
+
+
+def _decode_members(record: KeyedRecord) -> tuple[Member, ...]:
+    if record.key.startswith('/'):
+        return decode(Roster, record.content).members
+    return (decode(Member, record.content),)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -27,6 +27,10 @@
 _READS_PER_DIRECT_ATTEMPT = 16
 #: How many other paths are tried at once when the current one fails.
 _MAX_FAILOVER_CANDIDATES = 4
+#: After each failover without a working path, this many times as many failures
+#: pass before the next one: the store itself is then probably unreachable.
+_FAILOVER_BACKOFF_FACTOR = 2
+_MAX_SKIPPED_FAILOVERS = 7
 
 
 class PathLostError(PlatformUnavailableError):
@@ -91,7 +95,8 @@
     instances that it may still serve. When the current path fails, the client
     tries other paths at once. An empty relay address stands for the direct
     path. ``last_failures`` contains the value of ``failure_count`` at the
-    latest failure of each path.
+    latest failure of each path. While no path works, ``failovers_to_skip``
+    failures pass before other paths are tried again.
     """
 
     def __init__(
@@ -110,6 +115,8 @@
         self.last_failures: dict[str, int] = {}
         self.relay_reads = 0
         self.is_failing_over = False
+        self.skipped_failovers = 0
+        self.failovers_to_skip = 0
         self.pending_reads: dict[asyncio.Task[bytes], str] = {}
 
     async def newest(self, topic: str) -> RecordPage:
@@ -197,6 +204,7 @@
             raise
         finally:
             self.pending_reads.pop(task, None)
+        self.failovers_to_skip = 0
         if relay != self.relay:
             self._switch_to(relay)
         return body
@@ -247,6 +255,9 @@
         self.last_failures[failed_relay] = self.failure_count
         if failed_relay != self.relay or self.is_failing_over:
             return
+        if self.skipped_failovers < self.failovers_to_skip:
+            self.skipped_failovers += 1
+            return
         candidates = [
             relay for relay in ('', *self.relays()) if relay != failed_relay
         ]
@@ -261,6 +272,12 @@
             self.is_failing_over = False
         if relay is not None:
             self._switch_to(relay)
+            return
+        self.skipped_failovers = 0
+        self.failovers_to_skip = min(
+            _FAILOVER_BACKOFF_FACTOR * self.failovers_to_skip + 1,
+            _MAX_SKIPPED_FAILOVERS,
+        )
 
     async def _first_responding(
         self, candidates: Sequence[str], query: dict[str, str]
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -10,6 +10,7 @@
 from ..membership.catalog import Catalog
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import UpstreamChange
+from .outage import StoreOutage
 from .store import (
     ExpiredOffsetError,
     KeyedRecord,
@@ -26,7 +27,7 @@
 CONFIG_WAIT = timedelta(milliseconds=1500)
 #: Upstreams report continually; one read per report would cost too much.
 UPSTREAM_INTERVAL = timedelta(milliseconds=800)
-RETRY_INTERVAL = timedelta(milliseconds=300)
+LISTING_INTERVAL = timedelta(milliseconds=300)
 #: Upstreams whose entries expired in an outage report again within this time.
 RECOVERY_GRACE = timedelta(milliseconds=2200)
 
@@ -36,7 +37,8 @@
 
     ``handle_records`` is called with the records of each read and with True
     if they are a listing of all keys. ``wait`` is how long a read may wait for
-    a record, and ``interval`` the pause between reads.
+    a record, and ``interval`` the pause between reads. ``outage`` is shared by
+    the readers of one store.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         topic: str,
         clock: Clock,
         handle_records: Callable[[tuple[KeyedRecord, ...], bool], None],
+        outage: StoreOutage,
         wait: timedelta = timedelta(),
         interval: timedelta = timedelta(),
     ) -> None:
@@ -52,6 +55,7 @@
         self.topic = topic
         self.clock = clock
         self.handle_records = handle_records
+        self.outage = outage
         self.wait = wait
         self.interval = interval
         self.next_offset = -1
@@ -67,11 +71,11 @@
                 continue
             except PlatformUnavailableError as error:
                 self._note_failure(error)
-                await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+                await self.outage.wait_to_retry(self.topic)
             except (ExpiredOffsetError, MalformedMessageError) as error:
                 log('topic_listed_anew', topic=self.topic, error=str(error))
                 self.next_offset = -1
-                await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+                await asyncio.sleep(LISTING_INTERVAL.total_seconds())
             else:
                 await asyncio.sleep(self.interval.total_seconds())
 
@@ -84,6 +88,7 @@
         """
         is_listing = self.next_offset < 0
         page = await self._read_page(is_listing)
+        self.outage.end()
         self._note_success()
         self.next_offset = page.end
         self.handle_records(page.records, is_listing)
@@ -91,7 +96,9 @@
     async def _read_page(self, is_listing: bool) -> RecordPage:
         if is_listing:
             return await self.store.newest(self.topic)
-        return await self.store.read(self.topic, self.next_offset, self.wait)
+        # A retry reports at once that the store has recovered.
+        wait = self.wait if self.failing_since is None else timedelta()
+        return await self.store.read(self.topic, self.next_offset, wait)
 
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         if self.failing_since is None:
@@ -115,11 +122,20 @@
     """Follows the topic of the operators' configuration."""
 
     def __init__(
-        self, store: StoreClient, catalog: Catalog, clock: Clock
+        self,
+        store: StoreClient,
+        catalog: Catalog,
+        clock: Clock,
+        outage: StoreOutage,
     ) -> None:
         self.catalog = catalog
         self.topic_watch = TopicWatch(
-            store, CONFIG_TOPIC, clock, self._apply_records, CONFIG_WAIT
+            store,
+            CONFIG_TOPIC,
+            clock,
+            self._apply_records,
+            outage,
+            CONFIG_WAIT,
         )
 
     async def run(self) -> None:
@@ -146,7 +162,11 @@
     """
 
     def __init__(
-        self, store: StoreClient, catalog: Catalog, clock: Clock
+        self,
+        store: StoreClient,
+        catalog: Catalog,
+        clock: Clock,
+        outage: StoreOutage,
     ) -> None:
         self.catalog = catalog
         self.clock = clock
@@ -156,6 +176,7 @@
             UPSTREAM_TOPIC,
             clock,
             self._apply_records,
+            outage,
             interval=UPSTREAM_INTERVAL,
         )
 
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -10,7 +10,7 @@
     MIN_SLOTS_TO_SPLIT,
     DomainHomeTable,
 )
-from crocusproxy.membership.home_elector import HomeElector
+from crocusproxy.membership.home_elector import HomeElector, HomeSearch
 from crocusproxy.membership.member_client import (
     FEED_TIMEOUT_SECONDS,
     REQUEST_TIMEOUT_SECONDS,
@@ -128,7 +128,7 @@
         )
 
     async def join(self, known_members, seeds):
-        if not await self.elector.find_home(seeds):
+        if await self.elector.find_home(seeds) is not HomeSearch.FOUND:
             self.elector.member_list.merge(known_members)
         await self.elector.run()
 
--- a/tests/membership/test_domain_homes.py
+++ b/tests/membership/test_domain_homes.py
@@ -1,4 +1,4 @@
-"""Guards against failure domains without a home and needless moves of callers."""
+"""Guards against failure domains without a home, and needless moves."""
 
 from crocusproxy.membership.domain_homes import (
     MIN_SLOTS_TO_SPLIT,
--- a/tests/membership/test_home_elector_machine.py
+++ b/tests/membership/test_home_elector_machine.py
@@ -17,6 +17,7 @@
     rule,
 )
 
+from crocusproxy.membership.home_elector import HomeSearch
 from standins.virtual_time import VirtualLoop
 
 from .network import Network
@@ -209,7 +210,8 @@
         first.start()
         first.task.cancel()
         second.start()
-        assert not await second.elector.find_home(('c',))
+        search = await second.elector.find_home(('c',))
+        assert search is HomeSearch.SEARCHING
 
     run_scenario(scenario)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -209,6 +209,30 @@
     asyncio.run(scenario())
 
 
+def test_failovers_become_rare_while_no_path_works():
+    """Each failover calls the store over several paths that all fail."""
+
+    async def scenario():
+        relay = await StandInStore().start('/store')
+        relay.is_unavailable = True
+        async with running_client(lambda: (relay.address,)) as (store, client):
+            store.is_unavailable = True
+            for _ in range(16):
+                with pytest.raises(PlatformUnavailableError):
+                    await client.newest(TOPIC)
+            assert relay.calls <= 4
+            relay.is_unavailable = False
+            for _ in range(8):
+                if client.relay:
+                    break
+                with pytest.raises(PlatformUnavailableError):
+                    await client.newest(TOPIC)
+            assert client.relay == relay.address
+        await relay.stop()
+
+    asyncio.run(scenario())
+
+
 def test_path_is_kept_if_no_other_responds():
     async def scenario():
         async with running_client(lambda: ('127.0.0.1:1',)) as (store, client):
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 from datetime import timedelta
+from random import Random
 
 from aiohttp import ClientSession
 
 from crocusproxy.clock import ManualClock
 from crocusproxy.errors import PlatformUnavailableError
 from crocusproxy.membership.catalog import Catalog
+from crocusproxy.platform.outage import StoreOutage
 from crocusproxy.platform.store import StoreClient
 from crocusproxy.platform.watch import (
     CONFIG_TOPIC,
@@ -37,7 +39,9 @@
         catalog = Catalog()
         async with ClientSession() as session:
             client = StoreClient(session, store.address, timedelta(seconds=1))
-            watch = UpstreamWatch(client, catalog, clock)
+            watch = UpstreamWatch(
+                client, catalog, clock, StoreOutage(Random(1))
+            )
             await scenario(store, clock, catalog, watch)
         await store.stop()
 
@@ -116,6 +120,7 @@
             upstream_watch.topic_watch.store,
             catalog,
             clock,
+            StoreOutage(Random(1)),
         )
         task = asyncio.create_task(watch.run())
         await asyncio.sleep(0.05)
