Split placement.placer and the home's tasks into modules of one job

The requests and decisions move to placement.requests, the tasks of the home to entry.home_tasks. No behaviour changes.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -14,7 +14,6 @@
 from ..errors import InvalidDocumentError
 from ..logs import log
 from ..membership.catalog import Catalog
-from ..membership.domain_home_planner import DomainHomePlanner
 from ..membership.domain_homes import DomainHomeTable
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
@@ -22,11 +21,9 @@
 from ..placement.upstream_state import UpstreamState
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
-from ..platform.members import MemberRegistration, RosterWriter
-from ..platform.outage import StoreOutage
+from ..platform.members import MemberRegistration
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
-from ..platform.watch import ConfigWatch, UpstreamWatch
 from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
 from .background_tasks import BackgroundTasks
@@ -36,6 +33,7 @@
 from .dispatcher import Dispatcher
 from .gateway import Gateway
 from .home_forwarder import HomeForwarder
+from .home_tasks import home_tasks
 from .joining import join
 from .listeners import AddressList, Listeners
 from .metrics import EntryMetrics
@@ -163,16 +161,10 @@
 
     def start_home_tasks(self) -> None:
         """Start the tasks that only the home runs."""
-        reader = (self.store, self.catalog, self.clock)
-        outage = StoreOutage(self.dispatcher.random)
-        watches = (
-            ConfigWatch(*reader, outage),
-            UpstreamWatch(*reader, outage),
-            DomainHomePlanner(self.elector, self.catalog, self.domain_homes),
-            RosterWriter(self.store, self.member_list),
-        )
-        for watch in watches:
-            self.home_tasks.spawn(watch.run())
+        for task in home_tasks(
+            self.store, self.elector, self.clock, self.dispatcher.random
+        ):
+            self.home_tasks.spawn(task)
         self.update_role()
 
     def stop_home_tasks(self) -> None:
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -6,14 +6,8 @@
 
 from ..clock import Clock
 from ..limits.shared_retry_budget import SharedRetryBudget
-from ..placement.placer import (
-    Decision,
-    Ownership,
-    Placed,
-    PlacementRequest,
-    Refused,
-    ServicePlacer,
-)
+from ..placement.placer import Ownership, ServicePlacer
+from ..placement.requests import Decision, Placed, PlacementRequest, Refused
 from ..placement.upstream_state import SLOW_THRESHOLD, UpstreamState
 from ..protocol.home_feed import UpstreamChange
 from ..routes.timing import RouteTiming
--- /dev/null
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -0,0 +1,25 @@
+"""The tasks that only the home runs."""
+
+from collections.abc import Coroutine, Iterator
+from random import Random
+from typing import Any
+
+from ..clock import Clock
+from ..membership.domain_home_planner import DomainHomePlanner
+from ..membership.home_elector import HomeElector
+from ..platform.members import RosterWriter
+from ..platform.outage import StoreOutage
+from ..platform.store import StoreClient
+from ..platform.watch import ConfigWatch, UpstreamWatch
+
+
+def home_tasks(
+    store: StoreClient, elector: HomeElector, clock: Clock, random: Random
+) -> Iterator[Coroutine[Any, Any, None]]:
+    """Yield the tasks that read the store and appoint the domain homes."""
+    catalog = elector.catalog
+    outage = StoreOutage(random)
+    yield ConfigWatch(store, catalog, clock, outage).run()
+    yield UpstreamWatch(store, catalog, clock, outage).run()
+    yield DomainHomePlanner(elector, catalog, elector.domain_homes).run()
+    yield RosterWriter(store, elector.member_list).run()
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -6,12 +6,8 @@
 import pytest
 
 from crocusproxy.clock import ManualClock
-from crocusproxy.placement.placer import (
-    Placed,
-    PlacementRequest,
-    Refused,
-    ServicePlacer,
-)
+from crocusproxy.placement.placer import ServicePlacer
+from crocusproxy.placement.requests import Placed, PlacementRequest, Refused
 from crocusproxy.routes.model import RegisteredUpstream
 
 
--- a/tests/placement/test_placer_machine.py
+++ b/tests/placement/test_placer_machine.py
@@ -12,7 +12,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from crocusproxy.clock import ManualClock
-from crocusproxy.placement.placer import Placed, PlacementRequest, ServicePlacer
+from crocusproxy.placement.placer import ServicePlacer
+from crocusproxy.placement.requests import Placed, PlacementRequest
 from crocusproxy.routes.model import RegisteredUpstream
 
 KEYS = ('1', '2', '3')
