Detect a store that was restored from a copy

Cause: an offset counted as a fact that only grows. After a restore from a copy the store gives offsets out again, so a reader would miss records, drop live upstreams that the copy lacks and use upstreams that were removed before.

Change: a position is the store's incarnation, which each response has, and an offset; they are compared in StorePosition alone. A response of a past incarnation is never used, also one that a relay delivers late. At a new one all topics are listed again while the known state serves on; removals wait for 2.2 s, removed upstreams stay removed, a configuration is never replaced by an older one, and the home writes its member list again. The feed distributes the incarnation, so that the next home notices a restore too.

Not covered: the own configuration stream (docs/OPERATIONS.md, known limits).

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -123,6 +123,7 @@
             self.settings.store,
             _STORE_TIMEOUT,
             lambda: self.elector.follower_addresses(),
+            self.catalog.store_incarnation,
         )
         self.elector = HomeElector(
             MemberClient(self.session),
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -6,6 +6,7 @@
 from ..logs import log
 from ..protocol.home_feed import UpstreamChange
 from ..routes.model import RegisteredUpstream, RouteConfig
+from .store_incarnation import StoreIncarnation
 
 #: Number of removed upstreams whose late reports are still recognized.
 MAX_REMOVED_UPSTREAMS = 10_000
@@ -17,7 +18,8 @@
     An older configuration never replaces a newer one. A report of an upstream
     that is older than a known one, by the upstream's start time and then by
     sequence number, is ignored, also after the upstream was removed. Listeners
-    are called after each change.
+    are called after each change. ``store_incarnation`` is that of the store
+    from which the state was read.
     """
 
     def __init__(self) -> None:
@@ -25,6 +27,7 @@
         self.upstreams: dict[str, RegisteredUpstream] = {}
         self.removed_upstreams: dict[str, RegisteredUpstream] = {}
         self.is_complete = False
+        self.store_incarnation = StoreIncarnation()
         self.on_config: list[Callable[[RouteConfig], None]] = []
         self.on_complete: list[Callable[[], None]] = []
         self.on_upstream: list[Callable[[UpstreamChange], None]] = []
@@ -81,6 +84,15 @@
             for listener in self.on_upstream:
                 listener(change)
 
+    def was_removed(self, change: UpstreamChange) -> bool:
+        """Return whether an upstream was removed after this report of it."""
+        removed = self.removed_upstreams.get(change.key)
+        entry = change.entry
+        if removed is None or entry is None:
+            return False
+        last_report = (removed.started_at, removed.sequence)
+        return (entry.started_at, entry.sequence) <= last_report
+
     def _remember_removed(self, entry: RegisteredUpstream) -> None:
         self.removed_upstreams.pop(entry.key, None)
         self.removed_upstreams[entry.key] = entry
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -61,6 +61,9 @@
         catalog.on_upstream.append(
             lambda change: self.publish(FeedMessage(changes=(change,)))
         )
+        catalog.store_incarnation.on_restore.append(
+            lambda number: self.publish(FeedMessage(store_incarnation=number))
+        )
         domain_homes.on_change.append(
             lambda homes: self.publish(FeedMessage(domain_homes=homes))
         )
@@ -130,6 +133,7 @@
             changes=changes,
             members=self.member_list.all(),
             domain_homes=self.domain_homes.assignment,
+            store_incarnation=self.catalog.store_incarnation.number,
         )
 
     def _end_feed(self, name: str) -> None:
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -222,6 +222,7 @@
             )
         if message.members and self.member_list.merge(message.members):
             self.server.publish(FeedMessage(members=message.members))
+        self.catalog.store_incarnation.observe(message.store_incarnation)
         if message.domain_homes is not None:
             self.domain_homes.apply(message.domain_homes)
         if message.config is not None:
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -13,7 +13,8 @@
 from ..membership.member_list import MemberList
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.home_feed import Member
-from .store import KeyedRecord, RecordPage, StoreClient
+from .store import StoreClient
+from .store_records import ExpiredPositionError, KeyedRecord, RecordPage
 
 MEMBER_TOPIC = 'keyed.crocus.members'
 RETRY_INTERVAL_SECONDS = 2.0
@@ -50,7 +51,7 @@
         own = self.member_list.own
         try:
             page = await self._write_and_list(own)
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, ExpiredPositionError) as error:
             log('announcement_failed', error=str(error))
             return False
         for record in page.records:
@@ -76,18 +77,21 @@
 
 
 class RosterWriter:
-    """Records the member list of the home after it has changed."""
+    """Records the member list of the home after it has changed.
+
+    A restored store may lack the record, so it is written again.
+    """
 
     def __init__(self, store: StoreClient, member_list: MemberList) -> None:
         self.store = store
         self.member_list = member_list
-        self.written_revision = -1
+        self.written_state: tuple[int, int] | None = None
 
     async def run(self) -> None:
         """Write the list after each change, until cancelled."""
         await asyncio.sleep(FIRST_ROSTER_DELAY_SECONDS)
         while True:
-            if self.written_revision != self.member_list.revision:
+            if self.written_state != self._state():
                 await self.write()
             await asyncio.sleep(ROSTER_INTERVAL_SECONDS)
 
@@ -104,7 +108,11 @@
         except PlatformUnavailableError as error:
             log('announcement_failed', error=str(error))
             return
-        self.written_revision = revision
+        self.written_state = revision, self.store.incarnation.number
+
+    def _state(self) -> tuple[int, int]:
+        """Return what requires another write once it differs."""
+        return self.member_list.revision, self.store.incarnation.number
 
 
 def _decode_members(record: KeyedRecord) -> tuple[Member, ...]:
--- a/src/crocusproxy/platform/relay.py
+++ b/src/crocusproxy/platform/relay.py
@@ -5,9 +5,10 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from ..logs import log
-from .store import RELAY_PREFIX
+from .store import INCARNATION_HEADER, RELAY_PREFIX
 
 _READ_ENDPOINTS = frozenset(('log-read', 'log-newest'))
+_BAD_REQUEST = 400
 _FORBIDDEN = 403
 _BAD_GATEWAY = 502
 
@@ -33,7 +34,10 @@
         name = request.match_info['name']
         if name not in _READ_ENDPOINTS:
             return web.Response(status=_FORBIDDEN)
-        wait = timedelta(milliseconds=int(request.query.get('WaitMs', '0')))
+        wait_ms = request.query.get('WaitMs', '0')
+        if not wait_ms.isdecimal():
+            return web.Response(status=_BAD_REQUEST, text='WaitMs: no number')
+        wait = timedelta(milliseconds=int(wait_ms))
         total = (self.timeout + wait).total_seconds()
         try:
             async with self.session.get(
@@ -45,4 +49,9 @@
         except (ClientError, TimeoutError) as error:
             log('store_relay_failed', error=repr(error))
             return web.Response(status=_BAD_GATEWAY)
-        return web.Response(status=response.status, body=body)
+        headers = {
+            name: text
+            for name, text in response.headers.items()
+            if name == INCARNATION_HEADER
+        }
+        return web.Response(status=response.status, body=body, headers=headers)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -1,25 +1,29 @@
 """Client of the platform's store."""
 
 import asyncio
-import struct
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Annotated
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
-from pydantic import Base64Bytes, ConfigDict, Field, alias_generators
-from pydantic.dataclasses import dataclass as pydantic_dataclass
 
-from ..errors import CrocusError, PlatformUnavailableError
+from ..errors import PlatformUnavailableError
 from ..logs import log
-from ..protocol.codec import decode
-
+from ..membership.store_incarnation import StoreIncarnation
+from .store_records import (
+    ExpiredPositionError,
+    KeyedRecord,
+    RecordPage,
+    StorePosition,
+    decode_listing,
+    decode_records,
+    encode_record,
+)
+
+#: Number of the store's incarnation, in each of its responses.
+INCARNATION_HEADER = 'Store-Era'
 _OK = 200
 _GONE = 410
-_RECORD_LENGTH = struct.Struct('>I')
-#: Starts the response to a read: two offsets, which this client does not use.
-_PAGE_HEADER = struct.Struct('>QQ')
 _MILLISECOND = timedelta(milliseconds=1)
 #: Path prefix of the relay that other instances serve for the store.
 RELAY_PREFIX = '/store'
@@ -41,49 +45,12 @@
     """
 
 
-class ExpiredOffsetError(CrocusError):
-    """The requested records have been deleted."""
-
-    code = 'offset_expired'
-
-
 @dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """One record of a keyed topic; empty content removes the key.
-
-    ``offset`` is -1 for the records of a read, which do not contain it.
-    """
-
-    key: str
-    content: bytes
-    offset: int = -1
-
-
-@dataclass(frozen=True, slots=True)
-class RecordPage:
-    """Records in order of their offsets; the next read starts at ``end``."""
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-
-
-_PASCAL = ConfigDict(alias_generator=alias_generators.to_pascal)
+class StoreResponse:
+    """Body of a successful read and the store's incarnation."""
 
-
-@pydantic_dataclass(frozen=True, slots=True, config=_PASCAL)
-class _NewestItem:
-    key: str
-    # Base64 on the wire, unlike the raw records of a read.
-    value: Base64Bytes
-    offset: int
-
-
-@pydantic_dataclass(frozen=True, slots=True, config=_PASCAL)
-class _NewestPage:
-    # Lower case on the wire, unlike the other fields.
-    items: Annotated[tuple[_NewestItem, ...], Field(alias='items')]
-    has_more: bool
-    end: int
+    body: bytes
+    incarnation: int
 
 
 class StoreClient:
@@ -96,7 +63,8 @@
     tries other paths at once. An empty relay address stands for the direct
     path. ``last_failures`` contains the value of ``failure_count`` at the
     latest failure of each path. While no path works, ``failovers_to_skip``
-    failures pass before other paths are tried again.
+    failures pass before other paths are tried again. ``incarnation`` is the
+    newest one that any response had.
     """
 
     def __init__(
@@ -105,7 +73,9 @@
         address: str,
         timeout: timedelta,
         relays: Callable[[], Sequence[str]] = tuple,
+        incarnation: StoreIncarnation | None = None,
     ) -> None:
+        self.incarnation = incarnation or StoreIncarnation()
         self.session = session
         self.address = address
         self.timeout = timeout
@@ -117,7 +87,7 @@
         self.is_failing_over = False
         self.skipped_failovers = 0
         self.failovers_to_skip = 0
-        self.pending_reads: dict[asyncio.Task[bytes], str] = {}
+        self.pending_reads: dict[asyncio.Task[StoreResponse], str] = {}
 
     async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key.
@@ -127,40 +97,41 @@
 
         Raises:
             PlatformUnavailableError: the store did not respond.
+            ExpiredPositionError: the store was restored meanwhile.
         """
         records: list[KeyedRecord] = []
         query = {'Topic': topic, 'part': '0'}
-        end = -1
+        end: StorePosition | None = None
         while True:
-            body = await self._get('/-/log-newest', query, timedelta())
-            page = decode(_NewestPage, body)
-            end = page.end if end < 0 else end
-            records.extend(
-                KeyedRecord(item.key, item.value, item.offset)
-                for item in page.items
-            )
-            if not page.has_more or not page.items:
+            response = await self._get('/-/log-newest', query, timedelta())
+            page = decode_listing(response.body)
+            if end is None:
+                end = StorePosition(response.incarnation, page.end)
+            end = end.advance(response.incarnation, 0)
+            records.extend(page.records)
+            if not page.next_key:
                 return RecordPage(tuple(records), end)
-            query['after'] = page.items[-1].key
+            query['after'] = page.next_key
 
     async def read(
-        self, topic: str, start: int, wait: timedelta = timedelta()
+        self, topic: str, start: StorePosition, wait: timedelta = timedelta()
     ) -> RecordPage:
         """Read records from ``start`` on; wait up to ``wait`` for the first.
 
         Raises:
             PlatformUnavailableError: the store did not respond.
-            ExpiredOffsetError: the record at ``start`` was deleted.
+            ExpiredPositionError: the record at ``start`` is gone.
         """
         query = {
             'Topic': topic,
             'part': '0',
-            'From': str(start),
+            'From': str(start.offset),
             'WaitMs': str(wait // _MILLISECOND),
         }
-        body = await self._get('/-/log-read', query, wait)
-        records = tuple(_split_records(body[_PAGE_HEADER.size :]))
-        return RecordPage(records, start + len(records))
+        response = await self._get('/-/log-read', query, wait)
+        records = decode_records(response.body)
+        end = start.advance(response.incarnation, len(records))
+        return RecordPage(records, end)
 
     async def put(self, topic: str, key: str, content: bytes) -> None:
         """Write the newest record of a key.
@@ -168,13 +139,11 @@
         Raises:
             PlatformUnavailableError: the write was not confirmed.
         """
-        key_bytes = key.encode()
-        record = bytes((len(key_bytes),)) + key_bytes + content
         try:
             async with self.session.post(
                 f'http://{self.address}/-/log-append',
                 params={'Topic': topic, 'part': '0'},
-                data=_RECORD_LENGTH.pack(len(record)) + record,
+                data=encode_record(key, content),
                 timeout=ClientTimeout(total=self.timeout.total_seconds()),
             ) as response:
                 await response.read()
@@ -182,15 +151,16 @@
             raise PlatformUnavailableError(f'append: {error!r}') from error
         if response.status != _OK:
             raise PlatformUnavailableError(f'append: status {response.status}')
+        self.incarnation.observe(incarnation_of(response.headers))
 
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta
-    ) -> bytes:
+    ) -> StoreResponse:
         relay = self._choose_relay(wait)
         task = asyncio.create_task(self._read(relay, path, query, wait))
         self.pending_reads[task] = relay
         try:
-            body = await task
+            response = await task
         except asyncio.CancelledError:
             # A switch to another path removes the reads that it cancels from
             # ``pending_reads``.
@@ -207,11 +177,18 @@
         self.failovers_to_skip = 0
         if relay != self.relay:
             self._switch_to(relay)
-        return body
+        self._check_incarnation(path, response)
+        return response
+
+    def _check_incarnation(self, path: str, response: StoreResponse) -> None:
+        if not self.incarnation.observe(response.incarnation):
+            raise ExpiredPositionError(
+                f'{path}: response of past incarnation {response.incarnation}'
+            )
 
     async def _read(
         self, relay: str, path: str, query: dict[str, str], wait: timedelta
-    ) -> bytes:
+    ) -> StoreResponse:
         base = f'{relay}{RELAY_PREFIX}' if relay else self.address
         try:
             async with self.session.get(
@@ -225,10 +202,11 @@
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'{path}: {error!r}') from error
         if response.status == _GONE:
-            raise ExpiredOffsetError(path)
+            self.incarnation.observe(incarnation_of(response.headers))
+            raise ExpiredPositionError(path)
         if response.status != _OK:
             raise PlatformUnavailableError(f'{path}: status {response.status}')
-        return body
+        return StoreResponse(body, incarnation_of(response.headers))
 
     def _choose_relay(self, wait: timedelta) -> str:
         """Return the relay of the next read; empty to read directly.
@@ -291,18 +269,20 @@
         }
         pending = set(relays)
         responding_relay: str | None = None
-        while pending and responding_relay is None:
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                if task.exception() is None:
-                    responding_relay = relays[task]
-                else:
-                    self.failure_count += 1
-                    self.last_failures[relays[task]] = self.failure_count
-        for task in pending:
-            task.cancel()
+        try:  # noqa: WPS501 - also when cancelled
+            while pending and responding_relay is None:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task.exception() is None:
+                        responding_relay = relays[task]
+                    else:
+                        self.failure_count += 1
+                        self.last_failures[relays[task]] = self.failure_count
+        finally:
+            for task in pending:
+                task.cancel()
         return responding_relay
 
     def _switch_to(self, relay: str) -> None:
@@ -321,20 +301,7 @@
     return task is not None and task.cancelling() > 0
 
 
-def _split_records(content: bytes) -> Iterator[KeyedRecord]:
-    """Yield the records of a read; each starts with its key.
-
-    >>> list(_split_records(bytes((0, 0, 0, 4, 2)) + b'ab!'))
-    [KeyedRecord(key='ab', content=b'!', offset=-1)]
-    """
-    position = 0
-    while position + _RECORD_LENGTH.size <= len(content):
-        length = int.from_bytes(
-            content[position : position + _RECORD_LENGTH.size]
-        )
-        position += _RECORD_LENGTH.size
-        record = content[position : position + length]
-        position += length
-        key_end = 1 + record[0] if record else 0
-        key = record[1:key_end].decode(errors='replace')
-        yield KeyedRecord(key, record[key_end:])
+def incarnation_of(headers: Mapping[str, str]) -> int:
+    """Return the store's incarnation, 0 if a response does not have it."""
+    text = headers.get(INCARNATION_HEADER, '')
+    return int(text) if text.isdecimal() else 0
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -8,15 +8,16 @@
 from ..errors import PlatformUnavailableError
 from ..logs import log
 from ..membership.catalog import Catalog
+from ..membership.store_incarnation import UNKNOWN
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import UpstreamChange
 from .outage import StoreOutage
-from .store import (
-    ExpiredOffsetError,
+from .store import PathLostError, StoreClient
+from .store_records import (
+    ExpiredPositionError,
     KeyedRecord,
-    PathLostError,
     RecordPage,
-    StoreClient,
+    StorePosition,
 )
 from .wire import decode_config, decode_upstream
 
@@ -27,7 +28,10 @@
 CONFIG_WAIT = timedelta(milliseconds=1500)
 #: Upstreams report continually; one read per report would cost too much.
 UPSTREAM_INTERVAL = timedelta(milliseconds=800)
+#: Pause before a topic with an unreadable response is listed again.
 LISTING_INTERVAL = timedelta(milliseconds=300)
+#: Pause before a topic whose records are gone is listed again.
+EXPIRED_INTERVAL = timedelta(milliseconds=50)
 #: Upstreams whose entries expired in an outage report again within this time.
 RECOVERY_GRACE = timedelta(milliseconds=2200)
 
@@ -58,7 +62,8 @@
         self.outage = outage
         self.wait = wait
         self.interval = interval
-        self.next_offset = -1
+        self.position: StorePosition | None = None
+        self.listed_incarnation = store.incarnation.number
         self.failing_since: timedelta | None = None
         self.recovered_at: timedelta | None = None
 
@@ -72,10 +77,8 @@
             except PlatformUnavailableError as error:
                 self._note_failure(error)
                 await self.outage.wait_to_retry(self.topic)
-            except (ExpiredOffsetError, MalformedMessageError) as error:
-                log('topic_listed_anew', topic=self.topic, error=str(error))
-                self.next_offset = -1
-                await asyncio.sleep(LISTING_INTERVAL.total_seconds())
+            except (ExpiredPositionError, MalformedMessageError) as error:
+                await self._list_again(error)
             else:
                 await asyncio.sleep(self.interval.total_seconds())
 
@@ -84,21 +87,35 @@
 
         Raises:
             PlatformUnavailableError: the store did not respond.
-            ExpiredOffsetError: the topic must be listed again.
+            ExpiredPositionError: the topic must be listed again.
         """
-        is_listing = self.next_offset < 0
-        page = await self._read_page(is_listing)
+        is_listing = self.position is None
+        page = await self._read_page()
         self.outage.end()
         self._note_success()
-        self.next_offset = page.end
+        self._note_incarnation(page.end.incarnation)
+        self.position = page.end
         self.handle_records(page.records, is_listing)
 
-    async def _read_page(self, is_listing: bool) -> RecordPage:
-        if is_listing:
+    async def _list_again(self, error: Exception) -> None:
+        log('topic_listed_anew', topic=self.topic, error=str(error))
+        self.position = None
+        is_expired = isinstance(error, ExpiredPositionError)
+        pause = EXPIRED_INTERVAL if is_expired else LISTING_INTERVAL
+        await asyncio.sleep(pause.total_seconds())
+
+    async def _read_page(self) -> RecordPage:
+        if self.position is None:
             return await self.store.newest(self.topic)
         # A retry reports at once that the store has recovered.
         wait = self.wait if self.failing_since is None else timedelta()
-        return await self.store.read(self.topic, self.next_offset, wait)
+        return await self.store.read(self.topic, self.position, wait)
+
+    def _note_incarnation(self, incarnation: int) -> None:
+        """Treat a restore of the store as the end of an outage."""
+        if self.listed_incarnation not in {UNKNOWN, incarnation}:
+            self.recovered_at = self.clock.monotonic()
+        self.listed_incarnation = incarnation
 
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         if self.failing_since is None:
@@ -157,8 +174,9 @@
 class UpstreamWatch:
     """Follows the topic of the upstreams' entries.
 
-    A live upstream whose entry expires in a store outage registers again
-    shortly after the store recovers; removals are delayed until then.
+    A live upstream whose entry expires in a store outage, or is missing in the
+    copy from which the store is restored, registers again shortly after the
+    store recovers; removals are delayed until then.
     """
 
     def __init__(
@@ -201,7 +219,9 @@
             if key not in present:
                 self._apply_change(UpstreamChange(key))
         for change in changes:
-            self._apply_change(change)
+            # A restored store lists upstreams that were removed before.
+            if not (self._in_grace() and self.catalog.was_removed(change)):
+                self._apply_change(change)
         self.catalog.mark_complete()
 
     def _apply_change(self, change: UpstreamChange) -> None:
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -82,7 +82,7 @@
 
     ``path`` names the members that relayed the feed, the home first. With
     ``full``, ``changes`` hold all upstreams. Without ``domain_homes``, the
-    latest ones stay in force.
+    latest ones stay in force. ``store_incarnation`` is -1 if not known.
     """
 
     epoch: int = 0
@@ -94,3 +94,4 @@
     changes: tuple[UpstreamChange, ...] = ()
     members: tuple[Member, ...] = ()
     domain_homes: DomainHomes | None = None
+    store_incarnation: int = -1
--- a/standins/store.py
+++ b/standins/store.py
@@ -30,10 +30,12 @@
 
     With ``is_unavailable`` every request is refused with status 503. With
     ``drop_append_responses`` the connection is closed after an append took
-    effect. ``delay`` is in seconds.
+    effect. ``delay`` is in seconds. ``restore`` goes back to the state of an
+    earlier ``copy`` and increases ``incarnation``, as after a disaster.
     """
 
     def __init__(self):
+        self.incarnation = 1
         self.partitions = defaultdict(Partition)
         self.is_unavailable = False
         self.drop_append_responses = False
@@ -44,6 +46,7 @@
 
     async def start(self, prefix=''):
         application = web.Application()
+        application.on_response_prepare.append(self._add_incarnation)
         application.add_routes(
             [
                 web.post(f'{prefix}/-/log-append', self.append),
@@ -71,6 +74,22 @@
         partition.records.append(bytes((len(name),)) + name + content)
         self._notify_readers(partition)
 
+    def copy(self):
+        """Return a copy for ``restore``."""
+        return {
+            key: (list(partition.records), partition.first)
+            for key, partition in self.partitions.items()
+        }
+
+    def restore(self, copy):
+        """Lose all writes since a copy; waiting reads respond at once."""
+        self.incarnation += 1
+        for key, partition in self.partitions.items():
+            records, first = copy.get(key, ([], 0))
+            partition.records = list(records)
+            partition.first = first
+            self._notify_readers(partition)
+
     def expire_records(self, topic):
         """Expire all records; the newest of each key stay listed."""
         partition = self.partitions[topic, 0]
@@ -97,10 +116,12 @@
             return refusal
         partition = self._partition(request)
         start = int(request.query['From'])
-        if start < partition.first:
+        if not partition.first <= start <= partition.end:
             return web.json_response({'First': partition.first}, status=410)
         wait = int(request.query.get('WaitMs', '0')) / 1000
         await self._wait_beyond(partition, start, wait)
+        if start > partition.end:
+            return web.json_response({'First': partition.first}, status=410)
         body = OFFSETS.pack(partition.end, partition.first)
         for record in partition.records[start:]:
             body += LENGTH.pack(len(record)) + record
@@ -134,10 +155,16 @@
             await asyncio.sleep(self.delay)
         return web.Response(status=503) if self.is_unavailable else None
 
+    async def _add_incarnation(self, _, response):
+        response.headers['Store-Era'] = str(self.incarnation)
+
     async def _wait_beyond(self, partition, start, wait):
+        incarnation = self.incarnation
         try:
             async with asyncio.timeout(wait):
-                while partition.end <= start:
+                while (
+                    partition.end <= start and incarnation == self.incarnation
+                ):
                     await partition.changed.wait()
         except TimeoutError:
             pass
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -214,6 +214,38 @@
     assert sorted(versions) == [1, 1, 5, 5]
 
 
+def test_requests_are_served_while_the_store_is_restored(tmp_path):
+    """A configuration of the copy, or a lost list, would cost requests."""
+
+    async def scenario(store, instance, other):
+        copy = store.copy()
+        publish(store, 5)
+        await asyncio.sleep(0.3)
+        store.is_unavailable = True
+        await asyncio.sleep(0.3)
+        store.restore(copy)
+        store.is_unavailable = False
+        for number in range(20):
+            one = (instance, other)[number % 2]
+            assert (await one.send_request(f'r{number}'))[0] == 200
+            await asyncio.sleep(0.1)
+        publish(store, 7)
+        await asyncio.sleep(0.5)
+
+    outputs = run_instances(tmp_path, scenario, count=2)
+    for lines in outputs:
+        versions = [
+            line['version']
+            for line in lines
+            if line['message_type'] == 'route_config_in_force'
+        ]
+        assert versions == [1, 5, 7]
+        (restored,) = [
+            line for line in lines if line['message_type'] == 'store_restored'
+        ]
+        assert (restored['previous'], restored['incarnation']) == (1, 2)
+
+
 def test_store_call_rate_is_independent_of_the_instance_count(tmp_path):
     async def scenario(store, *instances):
         calls_before = store.calls
--- a/tests/platform/test_members.py
+++ b/tests/platform/test_members.py
@@ -72,7 +72,7 @@
         writer = RosterWriter(client, home_list)
         await store.stop()
         await writer.write()
-        assert writer.written_revision != home_list.revision
+        assert writer.written_state is None
 
     run_with_store(scenario)
 
--- a/tests/platform/test_outage.py
+++ b/tests/platform/test_outage.py
@@ -8,8 +8,9 @@
 
 from crocusproxy.errors import PlatformUnavailableError
 from crocusproxy.membership.catalog import Catalog
+from crocusproxy.membership.store_incarnation import StoreIncarnation
 from crocusproxy.platform.outage import MAX_RETRY_SECONDS, StoreOutage
-from crocusproxy.platform.store import RecordPage
+from crocusproxy.platform.store_records import RecordPage, StorePosition
 from crocusproxy.platform.watch import (
     UPSTREAM_INTERVAL,
     ConfigWatch,
@@ -24,11 +25,12 @@
     """Fails the reads of the topics in ``failing_topics``."""
 
     def __init__(self):
+        self.incarnation = StoreIncarnation()
         self.failing_topics = frozenset()
         self.read_times = []
 
     async def newest(self, topic):
-        return await self.read(topic, 0)
+        return await self.read(topic, None)
 
     async def read(self, topic, start, wait=None):
         loop = asyncio.get_running_loop()
@@ -38,7 +40,7 @@
             raise PlatformUnavailableError('status 503')
         if wait is not None:
             await asyncio.sleep(wait.total_seconds())
-        return RecordPage((), 0)
+        return RecordPage((), StorePosition(0, 0))
 
     def reads_between(self, start, end):
         return [topic for topic, at in self.read_times if start <= at < end]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,18 +5,21 @@
 from datetime import timedelta
 
 import pytest
-from aiohttp import ClientSession
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
 
 from crocusproxy.errors import PlatformUnavailableError
-from crocusproxy.platform.store import (
-    ExpiredOffsetError,
+from crocusproxy.platform.relay import StoreRelay
+from crocusproxy.platform.store import PathLostError, StoreClient
+from crocusproxy.platform.store_records import (
+    ExpiredPositionError,
     KeyedRecord,
-    PathLostError,
-    StoreClient,
+    StorePosition,
 )
 from standins.store import StandInStore
 
 TOPIC = 'keyed.op'
+START = StorePosition(1, 0)
 
 
 @asynccontextmanager
@@ -42,7 +45,7 @@
             store.put(TOPIC, 'b', b'')
             following = await client.read(TOPIC, page.end)
             assert following.records == (KeyedRecord('b', b''),)
-            assert following.end == page.end + 1
+            assert following.end == page.end.advance(1, 1)
 
     asyncio.run(scenario())
 
@@ -62,7 +65,7 @@
     async def scenario():
         async with running_client() as (store, client):
             reading = asyncio.create_task(
-                client.read(TOPIC, 0, timedelta(seconds=1))
+                client.read(TOPIC, START, timedelta(seconds=1))
             )
             await asyncio.sleep(0.05)
             store.put(TOPIC, 'a', b'1')
@@ -77,8 +80,8 @@
         async with running_client() as (store, client):
             store.put(TOPIC, 'a', b'1')
             store.expire_records(TOPIC)
-            with pytest.raises(ExpiredOffsetError):
-                await client.read(TOPIC, 0)
+            with pytest.raises(ExpiredPositionError):
+                await client.read(TOPIC, START)
             assert (await client.newest(TOPIC)).records
 
     asyncio.run(scenario())
@@ -155,7 +158,7 @@
             )
             await asyncio.sleep(0.05)
             with pytest.raises(PlatformUnavailableError):
-                await client.read('keyed.servers', 0)
+                await client.read('keyed.servers', START)
             with pytest.raises(PathLostError):
                 await waiting
             assert client.relay == working_relay.address
@@ -252,7 +255,7 @@
     async def scenario():
         async with running_client() as (store, client):
             reading = asyncio.create_task(
-                client.read(TOPIC, 0, timedelta(seconds=10))
+                client.read(TOPIC, START, timedelta(seconds=10))
             )
             await asyncio.sleep(0.05)
             reading.cancel()
@@ -261,3 +264,118 @@
             assert not client.pending_reads
 
     asyncio.run(scenario())
+
+
+def test_read_across_a_restore_returns_no_record():
+    """The offset names another record, and one in between would be missed."""
+
+    async def scenario():
+        async with running_client() as (store, client):
+            copy = store.copy()
+            store.put(TOPIC, 'a', b'1')
+            page = await client.newest(TOPIC)
+            store.restore(copy)
+            store.put(TOPIC, 'b', b'2')
+            store.put(TOPIC, 'c', b'3')
+            with pytest.raises(ExpiredPositionError):
+                await client.read(TOPIC, page.end)
+            listed = await client.newest(TOPIC)
+            assert [record.key for record in listed.records] == ['b', 'c']
+            assert listed.end == StorePosition(2, 2)
+
+    asyncio.run(scenario())
+
+
+def test_waiting_read_ends_when_the_store_is_restored():
+    async def scenario():
+        async with running_client() as (store, client):
+            copy = store.copy()
+            store.put(TOPIC, 'a', b'1')
+            page = await client.newest(TOPIC)
+            waiting = asyncio.create_task(
+                client.read(TOPIC, page.end, timedelta(seconds=10))
+            )
+            await asyncio.sleep(0.05)
+            store.restore(copy)
+            with pytest.raises(ExpiredPositionError):
+                await waiting
+
+    asyncio.run(scenario())
+
+
+def test_late_response_of_a_past_incarnation_is_not_used():
+    """A relay can deliver it after another read saw the restored store."""
+
+    async def scenario():
+        async with running_client() as (store, client):
+            store.put(TOPIC, 'a', b'1')
+            client.incarnation.observe(store.incarnation + 1)
+            with pytest.raises(ExpiredPositionError):
+                await client.newest(TOPIC)
+
+    asyncio.run(scenario())
+
+
+def test_relay_passes_on_the_incarnation():
+    async def scenario():
+        async with running_client() as (store, client):
+            store.incarnation = 7
+            relay = StoreRelay(
+                client.session, store.address, timedelta(seconds=1)
+            )
+            application = web.Application()
+            application.add_routes(relay.routes())
+            server = TestServer(application)
+            await server.start_server()
+            client.relay = f'{server.host}:{server.port}'
+            page = await client.newest(TOPIC)
+            assert page.end == StorePosition(7, 0)
+            await server.close()
+
+    asyncio.run(scenario())
+
+
+def test_relay_refuses_a_wait_that_is_no_number():
+    """It raised an error, which the reader took for a failure of the store."""
+
+    async def scenario():
+        async with running_client() as (store, client):
+            relay = StoreRelay(
+                client.session, store.address, timedelta(seconds=1)
+            )
+            application = web.Application()
+            application.add_routes(relay.routes())
+            server = TestServer(application)
+            await server.start_server()
+            async with client.session.get(
+                server.make_url('/store/-/log-read?Topic=t&part=0&WaitMs=x')
+            ) as response:
+                assert response.status == 400
+            assert store.calls == 0
+            await server.close()
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_failover_leaves_no_task():
+    """Its probes would continue after the instance has stopped reading."""
+
+    async def scenario():
+        relay = await StandInStore().start('/store')
+        relay.delay = 3600.0
+        async with running_client(lambda: (relay.address,)) as (store, client):
+            store.is_unavailable = True
+            reading = asyncio.create_task(client.newest(TOPIC))
+            while not relay.calls:
+                await asyncio.sleep(0.01)
+            reading.cancel()
+            await asyncio.wait((reading,))
+            await asyncio.sleep(0.05)
+            assert asyncio.all_tasks() <= {asyncio.current_task()} | {
+                task
+                for task in asyncio.all_tasks()
+                if 'StoreClient' not in repr(task.get_coro())
+            }
+        await relay.stop()
+
+    asyncio.run(scenario())
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -26,6 +26,11 @@
 ENTRY_DOCUMENT = json.dumps(ENTRY).encode()
 
 
+def encode_entry(sequence):
+    status = {**ENTRY['Status'], 'Sequence': sequence}
+    return json.dumps({**ENTRY, 'Status': status}).encode()
+
+
 def encode_config(version):
     return json.dumps({**CONFIG, 'Version': f'{version:08x}'}).encode()
 
