Send the changes of one read and new members of a moment together

Cause: at the start of the large site the home sent each of 480 upstreams to each of 311 followers in a message of its own, and each new member too. Its processor was busy for over a second: its queries of the members it had chosen timed out (0.35 s), so it appointed others, and after a loss of all instances the callers' addresses no longer named the domain homes.

Change: the changes of one read of the store go into one message, and members that join within 0.5 s into another. A full state replaces changes that are not sent yet.

--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -28,6 +28,8 @@
 _CONFLICT = 409
 #: A follower with more unread messages is disconnected.
 _MAX_QUEUED_MESSAGES = 256
+#: New members are sent together, as all can join at once.
+_MEMBER_BATCH_SECONDS = 0.5
 _HEARTBEAT = FeedMessage()
 #: Encoded messages that are kept, as each is sent to all followers.
 _ENCODED_MESSAGES = 4
@@ -53,14 +55,14 @@
         self.view = view
         self.path: tuple[str, ...] = ()
         self.encoder = LineEncoder()
+        self.unsent_changes: list[UpstreamChange] = []
+        self.unsent_members: list[Member] = []
         self.followers: dict[str, asyncio.Queue[FeedMessage | None]] = {}
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
         )
-        catalog.on_complete.append(lambda: self.publish(self.full_state()))
-        catalog.on_upstream.append(
-            lambda change: self.publish(FeedMessage(changes=(change,)))
-        )
+        catalog.on_complete.append(self._publish_full_state)
+        catalog.on_upstream.append(self._add_change)
         catalog.store_incarnation.on_restore.append(
             lambda number: self.publish(FeedMessage(store_incarnation=number))
         )
@@ -169,7 +171,32 @@
     def _register(self, follower: Member) -> None:
         log('feed_follower_joined', member=follower.name)
         if self.member_list.merge((follower,)):
-            self.publish(FeedMessage(members=(follower,)))
+            if not self.unsent_members:
+                asyncio.get_running_loop().call_later(
+                    _MEMBER_BATCH_SECONDS, self._publish_members
+                )
+            self.unsent_members.append(follower)
+
+    def _publish_members(self) -> None:
+        members = tuple(self.unsent_members)
+        self.unsent_members.clear()
+        self.publish(FeedMessage(members=members))
+
+    def _add_change(self, change: UpstreamChange) -> None:
+        """Send the changes of one read in one message."""
+        if not self.unsent_changes:
+            asyncio.get_running_loop().call_soon(self._publish_changes)
+        self.unsent_changes.append(change)
+
+    def _publish_changes(self) -> None:
+        if self.unsent_changes:
+            changes = tuple(self.unsent_changes)
+            self.unsent_changes.clear()
+            self.publish(FeedMessage(changes=changes))
+
+    def _publish_full_state(self) -> None:
+        self.unsent_changes.clear()
+        self.publish(self.full_state())
 
     async def _handle_view(self, request: web.Request) -> web.Response:
         try:
--- a/tests/membership/test_home_elector.py
+++ b/tests/membership/test_home_elector.py
@@ -1,6 +1,7 @@
 """Guards against instances without a home or with different homes."""
 
 import asyncio
+from dataclasses import replace
 from unittest.mock import AsyncMock, Mock
 
 from aiohttp import ClientSession, StreamReader, TCPConnector, web
@@ -193,3 +194,41 @@
         assert 'z' not in server.followers
 
     run_scenario(scenario, names='a')
+
+
+def test_changes_of_one_read_are_sent_in_one_message():
+    """A message for each would keep a home of hundreds of followers busy."""
+    entries = tuple(replace(ENTRY, key=f'i-{number}') for number in range(100))
+
+    async def scenario(nodes):
+        nodes[0].catalog.mark_complete()
+        server = nodes[0].elector.server
+        sent = []
+        publish = server.publish
+        server.publish = lambda message: (
+            sent.append(message),
+            publish(message),
+        )
+        nodes[0].catalog.apply_list(entries)
+        await wait_until(
+            lambda: all(len(node.catalog.upstreams) == 100 for node in nodes)
+        )
+        assert len(sent) == 1
+
+    run_scenario(scenario)
+
+
+def test_members_that_join_at_once_are_sent_in_one_message():
+    """After a loss of all instances, each would be sent to all others."""
+
+    async def scenario(nodes):
+        server = nodes[0].elector.server
+        sent = []
+        server.publish = sent.append
+        for number in range(50):
+            server._register(Member(f'm{number}', 'a', '', '', 1.0, 1))
+        await wait_until(lambda: sent)
+        (message,) = sent
+        assert len(message.members) == 50
+
+    run_scenario(scenario)
