Serve feeds by way of the domain homes, and encode the state once

Cause: every one of 311 followers read its feed from the home. After a loss of all instances the home encoded and sent its whole state to each of them (about 170 kB), most of it to other failure domains, so that its processor and link were busy for seconds; bytes between failure domains are the largest price.

Change: the first four members of a failure domain by rank follow the home, the others their domain home, and fall back to the home if that is lost. The state and the member list for new followers are the same objects until they change, so they are encoded once.

A start still reads its first state from the home, and the election does not bear this size.

--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -19,7 +19,7 @@
     that is older than a known one, by the upstream's start time and then by
     sequence number, is ignored, also after the upstream was removed. Listeners
     are called after each change. ``store_incarnation`` is that of the store
-    from which the state was read.
+    from which the state was read. ``revision`` grows with each report.
     """
 
     def __init__(self) -> None:
@@ -27,6 +27,7 @@
         self.upstreams: dict[str, RegisteredUpstream] = {}
         self.removed_upstreams: dict[str, RegisteredUpstream] = {}
         self.is_complete = False
+        self.revision = 0
         self.store_incarnation = StoreIncarnation()
         self.on_config: list[Callable[[RouteConfig], None]] = []
         self.on_complete: list[Callable[[], None]] = []
@@ -38,6 +39,7 @@
         if current is not None and config.version <= current.version:
             return
         self.config = config
+        self.revision += 1
         log(
             'route_config_in_force',
             version=config.version,
@@ -64,12 +66,14 @@
         """
         if not self.is_complete:
             self.is_complete = True
+            self.revision += 1
             for listener in self.on_complete:
                 listener()
 
     def apply_change(self, change: UpstreamChange) -> None:
         """Apply one change of the list."""
         current = self.upstreams.get(change.key)
+        self.revision += 1
         if change.entry is None:
             if current is None:
                 return
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -32,7 +32,7 @@
 _MEMBER_BATCH_SECONDS = 0.5
 _HEARTBEAT = FeedMessage()
 #: Encoded messages that are kept, as each is sent to all followers.
-_ENCODED_MESSAGES = 4
+_ENCODED_MESSAGES = 8
 
 
 class HomeFeedServer:
@@ -57,6 +57,10 @@
         self.encoder = LineEncoder()
         self.unsent_changes: list[UpstreamChange] = []
         self.unsent_members: list[Member] = []
+        self.state = FeedMessage()
+        self.state_version: tuple[object, ...] = ()
+        self.members = FeedMessage()
+        self.member_revision = -1
         self.followers: dict[str, asyncio.Queue[FeedMessage | None]] = {}
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
@@ -102,6 +106,7 @@
         """Yield the full state, then changes and heartbeats."""
         self._end_feed(follower.name)
         queue: asyncio.Queue[FeedMessage | None] = asyncio.Queue()
+        queue.put_nowait(self.member_message())
         self.followers[follower.name] = queue
         self._register(follower)
         message: FeedMessage | None = self.full_state()
@@ -119,24 +124,47 @@
             self._end_feed(name)
 
     def full_state(self) -> FeedMessage:
-        """Return the full state for a new follower."""
+        """Return the full state for a new follower, but for the members.
+
+        The message is the same object until the state changes, so that it is
+        encoded once for all instances that start at a moment.
+        """
         view = self.view()
         catalog = self.catalog
-        changes = tuple(
-            UpstreamChange(key, entry)
-            for key, entry in catalog.upstreams.items()
-        )
-        return FeedMessage(
-            view.epoch,
-            view.home,
-            (*self.path, view.member.name),
-            full=catalog.is_complete,
-            config=catalog.config,
-            changes=changes,
-            members=self.member_list.all(),
-            domain_homes=self.domain_homes.assignment,
-            store_incarnation=self.catalog.store_incarnation.number,
+        version = (
+            view,
+            self.path,
+            catalog.revision,
+            catalog.store_incarnation.number,
+            self.domain_homes.assignment,
         )
+        if self.state_version != version:
+            self.state_version = version
+            self.state = FeedMessage(
+                view.epoch,
+                view.home,
+                (*self.path, view.member.name),
+                full=catalog.is_complete,
+                config=catalog.config,
+                changes=tuple(
+                    UpstreamChange(key, entry)
+                    for key, entry in catalog.upstreams.items()
+                ),
+                domain_homes=self.domain_homes.assignment,
+                store_incarnation=catalog.store_incarnation.number,
+            )
+        return self.state
+
+    def member_message(self) -> FeedMessage:
+        """Return the members for a new follower, also as the same object.
+
+        Those that are about to be sent to all followers may be missing.
+        """
+        revision = self.member_list.revision
+        if self.member_revision != revision and not self.unsent_members:
+            self.member_revision = revision
+            self.members = FeedMessage(members=self.member_list.all())
+        return self.members
 
     def _end_feed(self, name: str) -> None:
         queue = self.followers.pop(name, None)
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from contextlib import aclosing
 from datetime import timedelta
 from enum import IntEnum
 
@@ -9,11 +10,17 @@
 from ..errors import NotReachableError
 from ..logs import log
 from ..protocol.codec import MalformedMessageError
-from ..protocol.home_feed import FeedMessage, Member, MemberView
+from ..protocol.home_feed import (
+    DomainHomes,
+    FeedMessage,
+    Member,
+    MemberView,
+)
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
 from .election import Attach, ElectionResult, Lead, elect, yields_to
 from .feed_server import HomeFeedServer
+from .feed_source import feed_source
 from .member_client import MemberClient
 from .member_list import MemberList
 
@@ -37,7 +44,8 @@
     """Finds the home, follows its feed, and takes over if there is none.
 
     ``on_started_leading`` is called when this instance becomes home and
-    ``on_stopped_leading`` when it is no longer one.
+    ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
+    name of a domain home whose feed was lost.
     """
 
     def __init__(
@@ -65,6 +73,8 @@
         self.is_home = False
         self.leaving = False
         self.lost_home_name = ''
+        self.avoided_source = ''
+        self.domain_homes.on_change.append(self._clear_avoided_source)
 
     def view(self) -> MemberView:
         """Return this member's own view of its state and home."""
@@ -189,10 +199,15 @@
 
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
-        try:
-            await self._read_feed(member)
-        except (NotReachableError, MalformedMessageError) as error:
-            reason = str(error)
+        source: Member | None = member
+        while source is not None:
+            followed = source
+            try:
+                source = await self._read_feed(followed)
+            except (NotReachableError, MalformedMessageError) as error:
+                reason = str(error)
+                source = None
+            source = source or self._source_after_loss(followed)
         if self.home is None:
             # The member declined or failed before its first message.
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
@@ -203,11 +218,42 @@
         # Followers of this member would otherwise keep reporting the lost home.
         self.server.end_feeds()
 
-    async def _read_feed(self, member: Member) -> None:
-        async for message in self.client.feed(member, self.member_list.own):
-            if message.leaving:
-                return
-            self._apply_message(message)
+    async def _read_feed(self, source: Member) -> Member | None:
+        """Apply the messages of a feed until it ends.
+
+        Return another member if its feed should be followed from now on.
+        """
+        feed = self.client.feed(source, self.member_list.own)
+        async with aclosing(feed) as messages:
+            async for message in messages:
+                if message.leaving:
+                    return None
+                self._apply_message(message)
+                preferred = self._preferred_source(message)
+                if preferred is not None and preferred.name != source.name:
+                    return preferred
+        return None
+
+    def _preferred_source(self, message: FeedMessage) -> Member | None:
+        """Return the member to follow, None if ``message`` can't change it."""
+        is_relevant = message.members or message.domain_homes is not None
+        if self.home is None or not is_relevant:
+            return None
+        own = self.member_list.own
+        domain_home = self.domain_homes.home_of(own.failure_domain)
+        if domain_home is None or domain_home.name == self.avoided_source:
+            return self.home
+        return feed_source(own, self.home, domain_home, self.member_list.all())
+
+    def _source_after_loss(self, lost: Member) -> Member | None:
+        """Return the home if only a domain home was lost."""
+        if self.home is None or lost.name == self.home.name:
+            return None
+        self.avoided_source = lost.name
+        return self.home
+
+    def _clear_avoided_source(self, _: DomainHomes) -> None:
+        self.avoided_source = ''
 
     def _apply_message(self, message: FeedMessage) -> None:
         if message.home is not None:
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -1,7 +1,7 @@
 """Client of the other members' internal ports."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
@@ -39,7 +39,7 @@
 
     async def feed(
         self, member: Member, own: Member
-    ) -> AsyncIterator[FeedMessage]:
+    ) -> AsyncGenerator[FeedMessage, None]:
         """Yield the messages of a member's feed; none if it declines."""
         timeout = ClientTimeout(
             total=None,
--- /dev/null
+++ b/tests/membership/test_feed_source.py
@@ -0,0 +1,133 @@
+"""Guards against a home whose feeds grow with the number of instances.
+
+Guards as well against followers that keep a domain home that was lost.
+"""
+
+import asyncio
+
+from crocusproxy.membership.feed_source import DIRECT_FOLLOWERS, feed_source
+from crocusproxy.protocol.home_feed import Member
+from standins.virtual_time import VirtualLoop
+
+from .network import Network
+
+NAMES = [f'{domain}{number}' for domain in 'ab' for number in range(8)]
+
+
+def member(name):
+    return Member(name, name[0], name, name, 1.0, 1)
+
+
+MEMBERS = [member(name) for name in NAMES]
+HOME = member('b0')
+DOMAIN_HOME = member('a1')
+
+
+def source_of(name, domain_home=DOMAIN_HOME):
+    return feed_source(member(name), HOME, domain_home, MEMBERS).name
+
+
+def test_all_follow_the_home_without_domain_homes():
+    assert source_of('a7', domain_home=None) == 'b0'
+
+
+def test_domain_home_and_its_possible_successors_follow_the_home():
+    """The next domain home is chosen among the followers of the home."""
+    assert {source_of(f'a{number}') for number in range(4)} == {'b0'}
+    assert source_of('a1') == 'b0'
+
+
+def test_others_follow_their_domain_home():
+    assert {source_of(f'a{number}') for number in range(4, 8)} == {'a1'}
+
+
+def run_site(scenario):
+    """Run ``scenario`` with two failure domains of eight members each."""
+    loop = VirtualLoop()
+    network = Network(loop)
+    nodes = {name: network.add(name, name[0]) for name in NAMES}
+    for node in nodes.values():
+        node.start()
+    members = [node.elector.member_list.own for node in nodes.values()]
+    for node in nodes.values():
+        node.elector.member_list.merge(members)
+
+    async def run():
+        await asyncio.sleep(3)
+        await scenario(network, nodes)
+
+    loop.run_until_complete(run())
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
+
+
+def domain_home_of(nodes, domain):
+    home = nodes['a0'].domain_homes.home_of(domain)
+    return home.name
+
+
+def check_all_follow(network, home):
+    for node in network.running():
+        assert node.home == home
+        assert node.catalog.config is not None
+
+
+def test_home_serves_few_feeds():
+    async def scenario(network, nodes):
+        check_all_follow(network, 'a0')
+        assert len(nodes['a0'].elector.server.followers) == (
+            2 * DIRECT_FOLLOWERS - 1
+        )
+        relay = nodes[domain_home_of(nodes, 'b')]
+        assert relay.elector.server.followers.keys() == {
+            f'b{number}' for number in range(DIRECT_FOLLOWERS, 8)
+        }
+
+    run_site(scenario)
+
+
+def test_followers_of_a_lost_domain_home_get_changes_again():
+    async def scenario(network, nodes):
+        lost = domain_home_of(nodes, 'b')
+        nodes[lost].kill()
+        await asyncio.sleep(2)
+        network.publish()
+        await asyncio.sleep(0.5)
+        check_all_follow(network, 'a0')
+        versions = {node.versions[-1] for node in network.running()}
+        assert versions == {network.stored_version}
+        assert domain_home_of(nodes, 'b') != lost
+
+    run_site(scenario)
+
+
+def test_followers_of_a_silent_domain_home_get_changes_again():
+    """Its connections stay open, so only the silence shows the loss."""
+
+    async def scenario(network, nodes):
+        lost = domain_home_of(nodes, 'b')
+        network.isolate(lost)
+        await asyncio.sleep(4)
+        network.publish()
+        await asyncio.sleep(0.5)
+        reached = [node for node in network.running() if node.name != lost]
+        assert {node.home for node in reached} == {'a0'}
+        versions = {node.versions[-1] for node in reached}
+        assert versions == {network.stored_version}
+
+    run_site(scenario)
+
+
+def test_followers_of_domain_homes_find_the_next_home():
+    async def scenario(network, nodes):
+        nodes['a0'].kill()
+        await asyncio.sleep(4)
+        (home,) = {node.home for node in network.running()}
+        network.publish()
+        await asyncio.sleep(0.5)
+        check_all_follow(network, home)
+        versions = {node.versions[-1] for node in network.running()}
+        assert versions == {network.stored_version}
+
+    run_site(scenario)
--- a/tests/membership/test_home_elector.py
+++ b/tests/membership/test_home_elector.py
@@ -232,3 +232,18 @@
         assert len(message.members) == 50
 
     run_scenario(scenario)
+
+
+def test_state_is_encoded_once_for_all_that_start_at_a_moment():
+    """Encoding it for each of hundreds kept the home busy for seconds."""
+
+    async def scenario(nodes):
+        server = nodes[0].elector.server
+        nodes[0].catalog.apply_list((ENTRY,))
+        state = server.full_state()
+        assert server.full_state() is state
+        assert server.encoder.encode(state) is server.encoder.encode(state)
+        nodes[0].catalog.apply_change(UpstreamChange('i-1'))
+        assert not server.full_state().changes
+
+    run_scenario(scenario)
