Exchange crash reports among the domain homes

Cause: suspects of crashes were kept by each home for itself. With several domain homes, a request that crashes the upstreams that run it could reach two upstreams of each of them before all refuse it.

Change: a domain home sends each crash, and each answered suspect, to the home, which passes them on with its feed.

--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -1,11 +1,12 @@
 """Refusal of requests that crash the upstreams that run them."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from ..clock import Clock
 from ..logs import log
+from ..protocol.home_feed import CrashReport
 from ..routing.crash import Crash, CrashSuspects
 from .upstream_call import OutgoingRequest
 
@@ -14,24 +15,37 @@
     """Refuses requests that were in flight at two crashes.
 
     An upstream counts as crashed if its last connection drops while requests
-    are in flight there and no new connection can be opened.
+    are in flight there and no new connection can be opened. ``send_report``
+    sends a report to the other domain homes.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.tracker = CrashSuspects()
+        self.send_report: Callable[[CrashReport], None] = _skip_report
 
     def record_crash(
         self, address: str, requests: Iterable[OutgoingRequest]
     ) -> None:
         """Record that an upstream crashed with these requests in flight."""
+        fingerprints = sorted({fingerprint(request) for request in requests})
+        report = CrashReport(address, tuple(fingerprints))
+        self.apply_report(report)
+        self.send_report(report)
+
+    def apply_report(self, report: CrashReport) -> None:
+        """Apply a report of this or another domain home."""
+        if report.cleared:
+            for one in report.fingerprints:
+                self.tracker.answered(one)
+            return
         now = self.clock.monotonic()
-        fingerprints = frozenset(fingerprint(request) for request in requests)
-        confirmed = self.tracker.crashed(Crash(address, fingerprints, now))
+        crash = Crash(report.upstream, frozenset(report.fingerprints), now)
+        confirmed = self.tracker.crashed(crash)
         log(
             'upstream_crashed',
-            upstream=address,
-            suspects=len(fingerprints),
+            upstream=report.upstream,
+            suspects=len(report.fingerprints),
             confirmed=len(confirmed),
         )
 
@@ -46,8 +60,12 @@
     def record_response(self, request: OutgoingRequest) -> None:
         """Clear a request that an upstream has answered."""
         tracker = self.tracker
-        if tracker.suspects or tracker.confirmed_until:
-            tracker.answered(fingerprint(request))
+        if not tracker.suspects and not tracker.confirmed_until:
+            return
+        answered = fingerprint(request)
+        if tracker.is_suspect(answered) or answered in tracker.confirmed_until:
+            tracker.answered(answered)
+            self.send_report(CrashReport('', (answered,), cleared=True))
 
 
 def fingerprint(request: OutgoingRequest) -> str:
@@ -59,3 +77,7 @@
         digest.update(b'\0')
     digest.update(request.body)
     return digest.hexdigest()
+
+
+def _skip_report(report: CrashReport) -> None:
+    """Keep the report, as without domain homes."""
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -14,6 +14,7 @@
 from ..errors import InvalidDocumentError
 from ..logs import log
 from ..membership.catalog import Catalog
+from ..membership.crash_exchange import CrashExchange
 from ..membership.domain_homes import DomainHomeTable
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
@@ -125,8 +126,9 @@
             lambda: self.elector.follower_addresses(),
             self.catalog.store_incarnation,
         )
+        member_client = MemberClient(self.session)
         self.elector = HomeElector(
-            MemberClient(self.session),
+            member_client,
             self.catalog,
             self.member_list,
             self.clock,
@@ -134,6 +136,10 @@
             self.stop_home_tasks,
             self.domain_homes,
         )
+        self.crash_exchange = CrashExchange(
+            member_client, self.elector, self.crash_watch.apply_report
+        )
+        self.crash_watch.send_report = self.crash_exchange.send
         self.gateway.forwarder = HomeForwarder(
             self.pool,
             self.messages,
@@ -308,7 +314,12 @@
         member_routes = self.elector.server.routes()
         await self.listeners.open(settings.directory, settings.readiness)
         await self.listeners.add(
-            settings.internal, [*member_routes, *relay.routes()]
+            settings.internal,
+            [
+                *member_routes,
+                *self.crash_exchange.routes(),
+                *relay.routes(),
+            ],
         )
         await self.listeners.add(settings.control, member_routes)
         await self.listeners.add(
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -11,6 +11,7 @@
 from ..logs import log
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import (
+    CrashReport,
     DomainHomes,
     FeedMessage,
     Member,
@@ -74,6 +75,7 @@
         self.leaving = False
         self.lost_home_name = ''
         self.avoided_source = ''
+        self.on_crash_report: list[Callable[[CrashReport], None]] = []
         self.domain_homes.on_change.append(self._clear_avoided_source)
 
     def view(self) -> MemberView:
@@ -273,6 +275,9 @@
             self.domain_homes.apply(message.domain_homes)
         if message.config is not None:
             self.catalog.apply_config(message.config)
+        for report in message.crash_reports:
+            for listener in self.on_crash_report:
+                listener(report)
         if message.full:
             entries = tuple(
                 change.entry
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -7,9 +7,15 @@
 
 from ..errors import NotReachableError
 from ..protocol.codec import decode, encode
-from ..protocol.home_feed import FeedMessage, Member, MemberView
+from ..protocol.home_feed import (
+    CrashReport,
+    FeedMessage,
+    Member,
+    MemberView,
+)
 from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
 
+CRASH_PATH = '/members/crash'
 _OK = 200
 REQUEST_TIMEOUT_SECONDS = 0.35
 #: A feed that sends nothing for longer is treated as lost.
@@ -37,6 +43,10 @@
         body = await self._call('GET', address, LIST_PATH)
         return decode(FeedMessage, body).members
 
+    async def report_crash(self, address: str, report: CrashReport) -> None:
+        """Send a report to the home at ``address``."""
+        await self._call('POST', address, CRASH_PATH, encode(report))
+
     async def feed(
         self, member: Member, own: Member
     ) -> AsyncGenerator[FeedMessage, None]:
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -76,6 +76,19 @@
     homes: tuple[DomainHome, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """The requests in flight at an upstream when it crashed.
+
+    ``upstream`` is its address. ``fingerprints`` identify the requests. With
+    ``cleared``, upstreams have answered these requests instead.
+    """
+
+    upstream: str
+    fingerprints: tuple[str, ...]
+    cleared: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class FeedMessage:
     """One message of a home's feed; an empty one is a heartbeat.
@@ -95,3 +108,4 @@
     members: tuple[Member, ...] = ()
     domain_homes: DomainHomes | None = None
     store_incarnation: int = -1
+    crash_reports: tuple[CrashReport, ...] = ()
