Report changed bounds that need a restart

Fault found by reading: a reload took changed bounds as in force and reported that no restart was needed, but the retry budgets, the prober and the shutdown kept the old ones, except for services that came later. Only the limit of the addresses' validity changes without a restart; the other bounds now stay until then and are reported. Seeds are read at a start only, so the next start uses those of the file. daemon.py gets shorter by own_member and reloading.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -1,7 +1,6 @@
 """The life cycle of an entry instance and its components."""
 
 import asyncio
-from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from random import SystemRandom
@@ -9,7 +8,7 @@
 from aiohttp import ClientSession, TCPConnector
 
 from ..application import Application
-from ..clock import Clock, SystemClock
+from ..clock import SystemClock
 from ..documents import read_document
 from ..errors import InvalidDocumentError
 from ..logs import log
@@ -25,7 +24,6 @@
 from ..platform.members import MemberRegistration
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
-from ..protocol.home_feed import Member
 from ..proxy.pool import ConnectionPool
 from .background_tasks import BackgroundTasks
 from .caller_connection import CallerConnection
@@ -39,8 +37,10 @@
 from .listeners import AddressList, Listeners
 from .metrics import EntryMetrics
 from .overflow import OverflowTargets
+from .own_member import own_member
 from .prober import Prober
 from .reload_signal import ReloadSignal
+from .reloading import reload_settings
 from .request_log import RequestLog
 from .settings import EntrySettings
 from .upstream_call import UpstreamClient
@@ -102,7 +102,7 @@
         self.listeners = Listeners(
             DIRECTORY_API, self.addresses, self.not_ready_reason
         )
-        self.member_list = MemberList(_own_member(settings, self.clock))
+        self.member_list = MemberList(own_member(settings, self.clock))
         self.domain_homes = DomainHomeTable()
         self.role = DispatchRole(
             self.domain_homes,
@@ -234,18 +234,10 @@
             faults = '; '.join(str(fault) for fault in error.faults)
             log('settings_rejected', path=self.path, faults=faults)
             return
-        # The remaining differences take effect only after a restart.
-        fixed_settings = replace(
-            settings,
-            store=self.settings.store,
-            seeds=self.settings.seeds,
-            validity=self.settings.validity,
-            bounds=self.settings.bounds,
-        )
-        log('settings_reloaded', needs_restart=fixed_settings != self.settings)
-        self.settings = settings
-        self.dispatcher.bounds = settings.bounds
-        self.store.address = settings.store
+        reload = reload_settings(self.settings, settings)
+        log('settings_reloaded', needs_restart=reload.needs_restart)
+        self.settings = reload.settings
+        self.store.address = reload.settings.store
 
     def not_ready_reason(self) -> str:
         """Return why the instance is not ready; empty if it is ready."""
@@ -346,15 +338,3 @@
             now = self.clock.monotonic()
             for connection in tuple(self.gateway.connections):
                 connection.enforce_timeouts(now)
-
-
-def _own_member(settings: EntrySettings, clock: Clock) -> Member:
-    capacity = settings.capacity
-    return Member(
-        settings.instance.name,
-        settings.instance.failure_domain,
-        f'{settings.internal.host}:{settings.internal.port}',
-        f'{settings.callers.host}:{settings.callers.port}',
-        round(capacity.cpu_share * capacity.cores, 2),
-        round(clock.now().timestamp() * 1000),
-    )
