--- a/src/crocusproxy/cli/history.py
+++ b/src/crocusproxy/cli/history.py
@@ -11,7 +11,7 @@
 
 
 async def history(system: SystemClient, limit: int, submission: str) -> Result:
-    """Show the last ``limit`` submissions, or only the given one.
+    """Show the last ``limit`` submissions, or only the given one in any case.
 
     Raises:
         NotKnownYetError: the given submission is not in the stream.
@@ -21,6 +21,7 @@
         entries = [entry for entry in entries if entry.submission == submission]
         if not entries:
             raise NotKnownYetError(submission)
+        limit = len(entries)
     shown_entries = entries[max(0, len(entries) - limit) :]
     json_value = [codec.to_plain(entry) for entry in shown_entries]
     text = (
--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -115,7 +115,8 @@
     __slots__ = (
         'last_activity_at',
         'is_finished',
-        'has_partial_head',
+        'is_rejected',
+        'head_started_at',
         'pipeline',
         'gateway',
     )
@@ -127,7 +128,8 @@
         self.gateway = gateway
         self.pipeline: deque[CallerRequest] = deque()
         self.is_finished = False
-        self.has_partial_head = False
+        self.is_rejected = False
+        self.head_started_at: timedelta | None = None
         self.last_activity_at = gateway.clock.monotonic()
         max_header_bytes = gateway.limits.header_bytes
         self._parser = HttpRequestParser(
@@ -160,7 +162,7 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
-        if self.is_finished:
+        if self.is_finished or self.is_rejected:
             return
         self.last_activity_at = self.gateway.clock.monotonic()
         assert self._parser is not None
@@ -169,7 +171,7 @@
         except Exception as error:  # noqa: BLE001 - any parser fault
             self._reject(error)
             return
-        self.has_partial_head = not messages and not self.pipeline
+        self._note_partial_head(is_partial=not messages and not self.pipeline)
         for message, payload in messages:
             self._start_request(message, payload)
         if upgraded:
@@ -180,15 +182,16 @@
     def enforce_timeouts(self, now: timedelta) -> None:
         """Close after the header timeout or the idle timeout.
 
-        Both count from the latest received byte or written response.
+        The header timeout counts from the first byte of a head, the idle
+        timeout from the latest received byte or written response.
         """
         limits = self.gateway.limits
         if self.pipeline or self.transport is None:
             return
-        idle_time = now - self.last_activity_at
-        if self.has_partial_head and idle_time > limits.header_timeout:
+        started_at = self.head_started_at
+        if started_at is not None and now - started_at > limits.header_timeout:
             self._reject(TimeoutError('the head took too long'))
-        elif idle_time > limits.idle_timeout + _IDLE_MARGIN:
+        elif now - self.last_activity_at > limits.idle_timeout + _IDLE_MARGIN:
             self.transport.close()
 
     def close_if_idle(self) -> None:
@@ -197,6 +200,12 @@
             self.is_finished = True
             self.transport.close()
 
+    def _note_partial_head(self, *, is_partial: bool) -> None:
+        if not is_partial:
+            self.head_started_at = None
+        elif self.head_started_at is None:
+            self.head_started_at = self.last_activity_at
+
     def _start_request(
         self, message: RawRequestMessage, payload: StreamReader
     ) -> None:
@@ -274,6 +283,8 @@
 
     def _reject(self, error: BaseException) -> None:
         """Refuse invalid input once all earlier responses were written."""
+        # The parser can't continue after invalid input.
+        self.is_rejected = True
         refusal = _refusal_for(error)
         log('request_not_handled', code=refusal.code, error=repr(error))
         request = CallerRequest(
--- a/src/crocusproxy/routes/table.py
+++ b/src/crocusproxy/routes/table.py
@@ -7,7 +7,8 @@
     """Distributes requests over the services of a route by their weights.
 
     Smooth weighted round robin: the shares are exact over each full cycle, so
-    they hold within each second and not only on average.
+    they hold within each second and not only on average. If all weights are 0,
+    the services get equal shares.
 
     >>> from .model import WeightedService
     >>> split = TrafficSplit((WeightedService('a', 3), WeightedService('b', 1)))
@@ -17,15 +18,17 @@
 
     def __init__(self, weighted_services: tuple[WeightedService, ...]) -> None:
         self.weighted_services = weighted_services
-        self.total = sum(weighted.weight for weighted in weighted_services)
+        weights = [weighted.weight for weighted in weighted_services]
+        self.weights = weights if any(weights) else [1 for _ in weights]
+        self.total = sum(self.weights)
         self.credits = [0 for _ in weighted_services]
 
     def next_service(self) -> str:
         """Return the service of the next request."""
         if len(self.weighted_services) == 1:
             return self.weighted_services[0].service
-        for index, weighted in enumerate(self.weighted_services):
-            self.credits[index] += weighted.weight
+        for index, weight in enumerate(self.weights):
+            self.credits[index] += weight
         best = max(
             range(len(self.weighted_services)), key=self.credits.__getitem__
         )
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -137,6 +137,11 @@
         submission_flag = ('--submission', first['submission'])
         code, entries = await command('history', *platform, *submission_flag)
         assert (code, entries[0]['verdict']['generation']) == (0, 1)
+        # The limit does not apply to a single submission; 0 ended in an error.
+        code, entries = await command(
+            'history', *platform, *submission_flag, '--limit=0'
+        )
+        assert (code, len(entries)) == (0, 1)
         missing_flag = ('--submission', 'missing')
         assert (await command('history', *platform, *missing_flag))[0] == 4
 
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -58,3 +58,9 @@
         counts[weighted.service] == 2 * weighted.weight
         for weighted in weighted_services
     )
+
+
+def test_split_without_weights_gives_equal_shares():
+    """All requests went to the first service."""
+    split = TrafficSplit((WeightedService('a', 0), WeightedService('b', 0)))
+    assert Counter(split.next_service() for _ in range(10)) == {'a': 5, 'b': 5}
