Pace elections by rank, and keep the domain homes over a loss of all

Change: the home records the domain homes with the members, and a view names them, so that the same are appointed again and a small instance begins with the feed of its domain home. A seed that is searching responds once it has a home, instead of being polled. The directory of an instance without a home waits for it up to 0.5 s and names itself only if it can serve. Sixteen candidates by rank query each other and lead after 0.1 s for each larger and 5 ms for each other better member; the others query four members and defer for 3 s. A home checks the three best members that do not follow it and one in rotation.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -25,6 +25,7 @@
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
 from ..proxy.pool import ConnectionPool
+from .addresses import find_addresses
 from .background_tasks import BackgroundTasks
 from .caller_connection import CallerConnection
 from .crash_watch import CrashWatch
@@ -100,7 +101,7 @@
             self.dispatcher.request_log,
         )
         self.listeners = Listeners(
-            DIRECTORY_API, self.addresses, self.not_ready_reason
+            DIRECTORY_API, self.find_addresses, self.not_ready_reason
         )
         self.member_list = MemberList(own_member(settings, self.clock))
         self.domain_homes = DomainHomeTable()
@@ -151,7 +152,9 @@
         )
         self._add_gauges()
         await self._open_ports()
-        registration = MemberRegistration(self.store, self.member_list)
+        registration = MemberRegistration(
+            self.store, self.member_list, self.domain_homes
+        )
         control = self.settings.control
         self.tasks.spawn(
             join(
@@ -216,16 +219,6 @@
         await self.session.close()
         self.pool.close()
 
-    def addresses(self, failure_domain: str) -> AddressList:
-        """Return the address of the home for callers of a failure domain.
-
-        Without a home, this is the address of this instance.
-        """
-        home = self.role.dispatcher_of(failure_domain) or self.member_list.own
-        validity_limit = self.settings.bounds.max_validity
-        validity = min(self.settings.validity, validity_limit)
-        return AddressList((home.callers,), validity)
-
     def reload(self) -> None:
         """Reload the settings; an invalid file changes nothing."""
         try:
@@ -239,6 +232,16 @@
         self.settings = reload.settings
         self.store.address = reload.settings.store
 
+    async def find_addresses(self, failure_domain: str) -> AddressList:
+        """Return the address for callers of a failure domain."""
+        settings = self.settings
+        return await find_addresses(
+            self.role,
+            self.gateway.start_wait,
+            failure_domain,
+            min(settings.validity, settings.bounds.max_validity),
+        )
+
     def not_ready_reason(self) -> str:
         """Return why the instance is not ready; empty if it is ready."""
         if self.application.draining:
--- a/src/crocusproxy/entry/home_tasks.py
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -21,5 +21,6 @@
     outage = StoreOutage(random)
     yield ConfigWatch(store, catalog, clock, outage).run()
     yield UpstreamWatch(store, catalog, clock, outage).run()
-    yield DomainHomePlanner(elector, catalog, elector.domain_homes).run()
-    yield RosterWriter(store, elector.member_list).run()
+    domain_homes = elector.domain_homes
+    yield DomainHomePlanner(elector, catalog, domain_homes).run()
+    yield RosterWriter(store, elector.member_list, domain_homes).run()
--- a/src/crocusproxy/entry/joining.py
+++ b/src/crocusproxy/entry/joining.py
@@ -5,14 +5,14 @@
 from datetime import timedelta
 
 from ..clock import Clock
-from ..membership.home_elector import HomeElector, HomeSearch
+from ..membership.home_elector import HomeElector
+from ..membership.seeds import HomeSearch
 from ..platform.members import MemberRegistration
 from ..tasks import first_true
 
 #: How long an instance waits for a seed that is searching for the home itself.
 #: If all instances start at once, most of them then need no call to the store.
 MAX_SEED_WAIT = timedelta(milliseconds=500)
-_RETRY_INTERVAL_SECONDS = 0.1
 
 
 async def join(
@@ -46,12 +46,11 @@
     """Query the seeds until one has a home, none responds or time is up."""
     ends_at = clock.monotonic() + wait
     while clock.monotonic() < ends_at:
-        match await elector.find_home(seeds):
+        match await elector.seeds.find_home(seeds, may_wait=True):
             case HomeSearch.FOUND:
                 return True
             case HomeSearch.UNREACHABLE:
                 return False
-        await asyncio.sleep(_RETRY_INTERVAL_SECONDS)
     return False
 
 
@@ -68,14 +67,14 @@
     registration_task = asyncio.create_task(registration.register())
     seed_task = asyncio.create_task(_is_found(elector, seeds))
     if not await first_true((registration_task, seed_task)):
-        await elector.fetch_members(seeds)
+        await elector.seeds.fetch_members(seeds)
     await asyncio.gather(
         _register(registration_task, registration), elector.run()
     )
 
 
 async def _is_found(elector: HomeElector, seeds: Sequence[str]) -> bool:
-    return await elector.find_home(seeds) is HomeSearch.FOUND
+    return await elector.seeds.find_home(seeds) is HomeSearch.FOUND
 
 
 async def _register(
--- a/src/crocusproxy/entry/listeners.py
+++ b/src/crocusproxy/entry/listeners.py
@@ -1,6 +1,6 @@
 """HTTP ports of an entry instance other than the port for requests."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -49,7 +49,7 @@
     def __init__(
         self,
         api: DirectoryApi,
-        addresses: Callable[[str], AddressList],
+        addresses: Callable[[str], Awaitable[AddressList]],
         not_ready_reason: Callable[[], str],
     ) -> None:
         self.api = api
@@ -81,7 +81,7 @@
             await runner.cleanup()
 
     async def _resolve(self, request: web.Request) -> web.Response:
-        address_list = self.addresses(
+        address_list = await self.addresses(
             request.query.get(self.api.failure_domain, '')
         )
         if not address_list.addresses:
--- a/src/crocusproxy/entry/start_wait.py
+++ b/src/crocusproxy/entry/start_wait.py
@@ -28,17 +28,19 @@
 
     async def wait(self) -> None:
         """Return once the instance is ready, or after ``MAX_START_WAIT``."""
-        if self.ready_event.is_set():
-            return
         remaining = self.deadline - self.clock.monotonic()
-        if remaining <= timedelta():
-            return
-        try:
-            async with asyncio.timeout(remaining.total_seconds()):
-                await self.ready_event.wait()
-        except TimeoutError:
-            # The request is refused, or served with the state received so far.
-            return
+        if remaining > timedelta():
+            await self.wait_up_to(remaining)
+
+    async def wait_up_to(self, limit: timedelta) -> bool:
+        """Wait until the instance is ready; return False after ``limit``."""
+        if not self.ready_event.is_set():
+            try:
+                async with asyncio.timeout(limit.total_seconds()):
+                    await self.ready_event.wait()
+            except TimeoutError:
+                return False
+        return True
 
     def _check(self) -> None:
         if self.catalog.config is not None and self.catalog.is_complete:
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -106,15 +106,18 @@
 class DomainHomeTable:
     """The domain homes that an instance knows.
 
-    ``on_change`` listeners are called with each new assignment.
+    ``is_known`` is set once any assignment has arrived. ``on_change`` listeners
+    are called with each new one.
     """
 
     def __init__(self) -> None:
         self.assignment = DomainHomes()
+        self.is_known = False
         self.on_change: list[Callable[[DomainHomes], None]] = []
 
     def apply(self, assignment: DomainHomes) -> None:
         """Replace the domain homes."""
+        self.is_known = True
         if assignment == self.assignment:
             return
         self.assignment = assignment
--- a/src/crocusproxy/membership/election.py
+++ b/src/crocusproxy/membership/election.py
@@ -43,13 +43,15 @@
     last_epoch: int,
     *,
     may_wait: bool,
+    may_defer: bool = True,
 ) -> ElectionResult:
     """Decide the next step of a member without a home.
 
     ``views`` are the replies of the members that can be reached.
     ``lost_home_name`` is the home that stopped responding. While ``may_wait``
     is set, members that still follow the lost home are given time to detect
-    the loss, and members with a better rank to become home.
+    the loss, and while ``may_defer`` is, members with a better rank to become
+    home.
     """
     replies = [view for view in views if view.member.name != own.name]
     homes = [view for view in replies if view.state == 'home']
@@ -61,7 +63,7 @@
         return Attach(view_of_newest_home(homes or usable_views).member)
     ranks = [view.member.rank for view in replies if view.state == 'searching']
     ranks_first = min(ranks, default=own.rank) >= own.rank
-    if may_wait and (attached or not ranks_first):
+    if (may_wait and attached) or (may_defer and not ranks_first):
         return RetryElection()
     if attached:
         return Attach(view_of_newest_home(attached).member)
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing
 
 from aiohttp import web
@@ -30,6 +30,8 @@
 _MAX_QUEUED_MESSAGES = 256
 #: New members are sent together, as all can join at once.
 _MEMBER_BATCH_SECONDS = 0.5
+#: How long a member delays its view until it has a home, if asked to.
+_VIEW_WAIT_SECONDS = 0.25
 _HEARTBEAT = FeedMessage()
 #: Encoded messages that are kept, as each is sent to all followers.
 _ENCODED_MESSAGES = 8
@@ -38,8 +40,9 @@
 class HomeFeedServer:
     """Serves this member's view, member list and feed on the internal port.
 
-    ``view`` returns this member's own view. ``path`` names the members through
-    which the feed reaches this one, the home first.
+    ``view`` returns this member's own view. ``wait_for_home`` returns once it
+    has a home, or after some seconds. ``path`` names the members through which
+    the feed reaches this one, the home first.
     """
 
     def __init__(
@@ -48,11 +51,13 @@
         member_list: MemberList,
         domain_homes: DomainHomeTable,
         view: Callable[[], MemberView],
+        wait_for_home: Callable[[float], Awaitable[None]],
     ) -> None:
         self.catalog = catalog
         self.member_list = member_list
         self.domain_homes = domain_homes
         self.view = view
+        self.wait_for_home = wait_for_home
         self.path: tuple[str, ...] = ()
         self.encoder = LineEncoder()
         self.unsent_changes: list[UpstreamChange] = []
@@ -232,6 +237,8 @@
         except MalformedMessageError as error:
             return web.Response(status=400, text=str(error))
         self.member_list.merge((requester,))
+        if 'wait' in request.query:
+            await self.wait_for_home(_VIEW_WAIT_SECONDS)
         return web.Response(body=encode(self.view()))
 
     async def _handle_list(self, _: web.Request) -> web.Response:
--- a/src/crocusproxy/membership/feed_source.py
+++ b/src/crocusproxy/membership/feed_source.py
@@ -23,10 +23,28 @@
     """Return the member whose feed ``own`` should follow."""
     if domain_home is None or domain_home.name == own.name:
         return home
+    return home if is_direct(own, members) else domain_home
+
+
+def first_source(
+    own: Member, home: Member, domain_home: Member | None
+) -> Member:
+    """Return the member to follow first, before the members are known.
+
+    The home sends its whole state to each new follower, so after a loss of all
+    instances the small ones must not all begin with it.
+    """
+    if domain_home is None or own.capacity >= domain_home.capacity:
+        return home
+    return domain_home
+
+
+def is_direct(own: Member, members: Iterable[Member]) -> bool:
+    """Return whether a member is a possible successor of its domain home."""
     better_members = [
         member
         for member in members
         if member.failure_domain == own.failure_domain
         and member.rank < own.rank
     ]
-    return home if len(better_members) < DIRECT_FOLLOWERS else domain_home
+    return len(better_members) < DIRECT_FOLLOWERS
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable
 from contextlib import aclosing
 from datetime import timedelta
-from enum import IntEnum
 
 from ..clock import Clock
 from ..errors import NotReachableError
@@ -15,30 +14,27 @@
     DomainHomes,
     FeedMessage,
     Member,
+    MemberState,
     MemberView,
 )
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
-from .election import Attach, ElectionResult, Lead, elect, yields_to
+from .election import Attach, ElectionResult, Lead, elect
+from .election_pace import MAX_DEFERENCE, lead_delay, queried_members
 from .feed_server import HomeFeedServer
-from .feed_source import feed_source
+from .feed_source import feed_source, first_source
 from .member_client import MemberClient
 from .member_list import MemberList
+from .rival_homes import checked_members, find_better_home
+from .seeds import SeedQueries
 
 RETRY_INTERVAL_SECONDS = 0.1
 #: How long a member waits until others detect the loss of a home.
 MAX_ELECTION_WAIT = timedelta(seconds=1)
 #: Interval at which a home queries one member that does not follow it.
 CHECK_INTERVAL_SECONDS = 1.0
-_MAX_QUERIED_MEMBERS = 24
-
-
-class HomeSearch(IntEnum):
-    """What the seeds of a starting member know."""
-
-    UNREACHABLE = 0
-    SEARCHING = 1
-    FOUND = 2
+#: After this many failures in a row of a domain home, the home is followed.
+_MAX_SOURCE_FAILURES = 5
 
 
 class HomeElector:
@@ -46,7 +42,8 @@
 
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
-    name of a domain home whose feed was lost.
+    name of a domain home whose feed was lost, and ``source_failures`` the
+    number of feeds in a row that did not begin.
     """
 
     def __init__(
@@ -63,31 +60,47 @@
         self.catalog = catalog
         self.member_list = member_list
         self.domain_homes = domain_homes or DomainHomeTable()
+        self.seeds = SeedQueries(client, member_list, self.domain_homes)
         self.clock = clock
         self.on_started_leading = on_started_leading
         self.on_stopped_leading = on_stopped_leading
         self.server = HomeFeedServer(
-            catalog, member_list, self.domain_homes, self.view
+            catalog,
+            member_list,
+            self.domain_homes,
+            self.view,
+            self.wait_for_home,
         )
         self.home: Member | None = None
+        self.home_known = asyncio.Event()
         self.epoch = 0
         self.is_home = False
         self.leaving = False
         self.lost_home_name = ''
         self.avoided_source = ''
+        self.source_failures = 0
         self.on_crash_report: list[Callable[[CrashReport], None]] = []
         self.domain_homes.on_change.append(self._clear_avoided_source)
 
     def view(self) -> MemberView:
         """Return this member's own view of its state and home."""
-        own = self.member_list.own
-        if self.leaving:
-            return MemberView(own, 'leaving', self.epoch, self.home)
-        if self.is_home:
-            return MemberView(own, 'home', self.epoch, own)
-        if self.home is not None:
-            return MemberView(own, 'attached', self.epoch, self.home)
-        return MemberView(own, 'searching', self.epoch)
+        table = self.domain_homes
+        return MemberView(
+            self.member_list.own,
+            self._state(),
+            self.epoch,
+            self.home,
+            table.assignment if table.is_known else None,
+        )
+
+    async def wait_for_home(self, seconds: float) -> None:
+        """Return once a home is known, or after ``seconds``."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.home_known.wait()
+        except TimeoutError:
+            # The view then shows that this member is searching.
+            return
 
     async def run(self) -> None:
         """Follow a home or be the home until cancelled."""
@@ -117,32 +130,6 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_feeds()
 
-    async def find_home(self, addresses: Iterable[str]) -> HomeSearch:
-        """Query seeds concurrently until one reports another member as home.
-
-        The seed and the home are added to the member list.
-        """
-        tasks = [
-            asyncio.create_task(self._query_home(address))
-            for address in addresses
-        ]
-        search = HomeSearch.UNREACHABLE
-        for next_search in asyncio.as_completed(tasks):
-            search = max(search, await next_search)
-            if search is HomeSearch.FOUND:
-                break
-        for task in tasks:
-            task.cancel()
-        return search
-
-    async def fetch_members(self, addresses: Iterable[str]) -> None:
-        """Merge the member lists of the instances at ``addresses``."""
-        for address in addresses:
-            try:
-                self.member_list.merge(await self.client.members(address))
-            except (NotReachableError, MalformedMessageError) as error:
-                log('seed_not_reached', address=address, error=str(error))
-
     async def query_view(self, member: Member) -> MemberView | None:
         """Return a member's view, or None if the member can't be reached."""
         try:
@@ -154,33 +141,42 @@
         self.member_list.merge((view.member,))
         return view
 
-    async def _query_home(self, address: str) -> HomeSearch:
-        try:
-            view = await self.client.view(address, self.member_list.own)
-        except (NotReachableError, MalformedMessageError) as error:
-            log('seed_not_reached', address=address, error=str(error))
-            return HomeSearch.UNREACHABLE
-        if view.home is None or view.home.name == self.member_list.own.name:
-            return HomeSearch.SEARCHING
-        self.member_list.merge((view.member, view.home))
-        return HomeSearch.FOUND
+    def _state(self) -> MemberState:
+        if self.leaving:
+            return 'leaving'
+        if self.is_home:
+            return 'home'
+        return 'searching' if self.home is None else 'attached'
+
+    def _set_home(self, home: Member | None) -> None:
+        self.home = home
+        if home is None:
+            self.home_known.clear()
+        else:
+            self.home_known.set()
 
     async def _run_election(self) -> ElectionResult:
         started = self.clock.monotonic()
         while True:
+            own = self.member_list.own
+            others = self.member_list.others()
+            elapsed = self.clock.monotonic() - started
             views = await self._query_views(
-                self.member_list.others()[:_MAX_QUERIED_MEMBERS]
+                queried_members(own, others, elapsed)
             )
-            may_wait = self.clock.monotonic() - started < MAX_ELECTION_WAIT
             election = elect(
-                self.member_list.own,
+                own,
                 views,
                 self.lost_home_name,
                 self.epoch,
-                may_wait=may_wait,
+                may_wait=elapsed < MAX_ELECTION_WAIT,
+                may_defer=elapsed < MAX_DEFERENCE,
             )
-            if isinstance(election, (Attach, Lead)):
-                return election
+            match election:
+                case Attach():
+                    return election
+                case Lead() if elapsed >= lead_delay(own, others):
+                    return election
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
@@ -201,7 +197,7 @@
 
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
-        source: Member | None = member
+        source: Member | None = self._first_source(member)
         while source is not None:
             followed = source
             try:
@@ -212,11 +208,13 @@
             source = source or self._source_after_loss(followed)
         if self.home is None:
             # The member declined or failed before its first message.
+            self._note_source_failure(followed)
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             return
+        self.source_failures = 0
         log('home_lost', home=self.home.name, reason=reason)
         self.lost_home_name = self.home.name
-        self.home = None
+        self._set_home(None)
         # Followers of this member would otherwise keep reporting the lost home.
         self.server.end_feeds()
 
@@ -247,6 +245,20 @@
             return self.home
         return feed_source(own, self.home, domain_home, self.member_list.all())
 
+    def _first_source(self, member: Member) -> Member:
+        own = self.member_list.own
+        domain_home = self.domain_homes.home_of(own.failure_domain)
+        if domain_home is None or domain_home.name == self.avoided_source:
+            return member
+        return first_source(own, member, domain_home)
+
+    def _note_source_failure(self, source: Member) -> None:
+        """Avoid a domain home that does not become able to serve a feed."""
+        self.source_failures += 1
+        if self.source_failures >= _MAX_SOURCE_FAILURES:
+            self.source_failures = 0
+            self.avoided_source = source.name
+
     def _source_after_loss(self, lost: Member) -> Member | None:
         """Return the home if only a domain home was lost."""
         if self.home is None or lost.name == self.home.name:
@@ -259,7 +271,7 @@
 
     def _apply_message(self, message: FeedMessage) -> None:
         if message.home is not None:
-            self.home = message.home
+            self._set_home(message.home)
             self.epoch = message.epoch
             self.server.path = message.path
             log(
@@ -292,7 +304,7 @@
     async def _lead(self, epoch: int) -> None:
         self.epoch = epoch
         self.is_home = True
-        self.home = self.member_list.own
+        self._set_home(self.member_list.own)
         self.server.path = ()
         log('home_taken_over', epoch=epoch, after=self.lost_home_name)
         self.on_started_leading()
@@ -303,7 +315,7 @@
 
     def _stop_leading(self) -> None:
         self.is_home = False
-        self.home = None
+        self._set_home(None)
         self.server.end_feeds()
         self.on_stopped_leading()
 
@@ -313,26 +325,18 @@
         while not self.leaving:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             check_count += 1
-            view = await self._query_non_follower(check_count)
-            if view is not None and yields_to(self.view(), view):
-                log('home_given_up', member=view.member.name, epoch=view.epoch)
+            non_followers = [
+                member
+                for member in self.member_list.others()
+                if member.name not in self.server.followers
+            ]
+            queried = checked_members(non_followers, check_count)
+            views = await asyncio.gather(*map(self.query_view, queried))
+            rival = find_better_home(self.view(), views)
+            if rival is not None:
+                log(
+                    'home_given_up',
+                    member=rival.member.name,
+                    epoch=rival.epoch,
+                )
                 return
-
-    async def _query_non_follower(self, check_count: int) -> MemberView | None:
-        """Query one member that does not follow this home, in rotation.
-
-        Return its view if it has another home, else None.
-        """
-        non_followers = [
-            member
-            for member in self.member_list.others()
-            if member.name not in self.server.followers
-        ]
-        if not non_followers:
-            return None
-        view = await self.query_view(
-            non_followers[check_count % len(non_followers)]
-        )
-        if view is None or view.home is None:
-            return None
-        return None if view.home.name == self.member_list.own.name else view
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -33,9 +33,15 @@
     def __init__(self, session: ClientSession) -> None:
         self.session = session
 
-    async def view(self, address: str, own: Member) -> MemberView:
-        """Return a member's view, and make ``own`` known to it."""
-        body = await self._call('POST', address, VIEW_PATH, encode(own))
+    async def view(
+        self, address: str, own: Member, *, may_wait: bool = False
+    ) -> MemberView:
+        """Return a member's view, and make ``own`` known to it.
+
+        With ``may_wait``, a member without a home waits briefly for one.
+        """
+        path = f'{VIEW_PATH}?wait' if may_wait else VIEW_PATH
+        body = await self._call('POST', address, path, encode(own))
         return decode(MemberView, body)
 
     async def members(self, address: str) -> tuple[Member, ...]:
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -10,9 +10,10 @@
 
 from ..errors import PlatformUnavailableError
 from ..logs import log
+from ..membership.domain_homes import DomainHomeTable
 from ..membership.member_list import MemberList
 from ..protocol.codec import MalformedMessageError, decode, encode
-from ..protocol.home_feed import Member
+from ..protocol.home_feed import DomainHomes, Member
 from .store import StoreClient
 from .store_records import ExpiredPositionError, KeyedRecord, RecordPage
 
@@ -31,17 +32,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Roster:
-    """A part of the home's member list."""
+    """A part of the home's member list, and its domain homes.
+
+    After a loss of all instances, the same domain homes are appointed again,
+    as callers still have their addresses.
+    """
 
     members: tuple[Member, ...]
+    domain_homes: DomainHomes = DomainHomes()
 
 
 class MemberRegistration:
     """Writes a record of this instance and reads all members."""
 
-    def __init__(self, store: StoreClient, member_list: MemberList) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        member_list: MemberList,
+        domain_homes: DomainHomeTable,
+    ) -> None:
         self.store = store
         self.member_list = member_list
+        self.domain_homes = domain_homes
 
     async def register(self) -> bool:
         """Register this instance and read the other members.
@@ -55,7 +67,7 @@
             log('announcement_failed', error=str(error))
             return False
         for record in page.records:
-            self._merge_record(record)
+            self._apply_record(record)
         return True
 
     async def register_until_written(self) -> None:
@@ -67,13 +79,15 @@
         await self.store.put(MEMBER_TOPIC, own.name, encode(own))
         return await self.store.newest(MEMBER_TOPIC)
 
-    def _merge_record(self, record: KeyedRecord) -> None:
+    def _apply_record(self, record: KeyedRecord) -> None:
         try:
-            members = _decode_members(record)
+            roster = _decode_roster(record)
         except MalformedMessageError as error:
             log('member_unusable', member=record.key, error=str(error))
             return
-        self.member_list.merge(members)
+        self.member_list.merge(roster.members)
+        if roster.domain_homes.homes and not self.domain_homes.is_known:
+            self.domain_homes.apply(roster.domain_homes)
 
 
 class RosterWriter:
@@ -82,10 +96,16 @@
     A restored store may lack the record, so it is written again.
     """
 
-    def __init__(self, store: StoreClient, member_list: MemberList) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        member_list: MemberList,
+        domain_homes: DomainHomeTable,
+    ) -> None:
         self.store = store
         self.member_list = member_list
-        self.written_state: tuple[int, int] | None = None
+        self.domain_homes = domain_homes
+        self.written_state: tuple[object, ...] = ()
 
     async def run(self) -> None:
         """Write the list after each change, until cancelled."""
@@ -97,25 +117,33 @@
 
     async def write(self) -> None:
         """Write the whole list; a failure is logged."""
-        revision = self.member_list.revision
+        state = self._state()
         members = self.member_list.all()
         parts = range(0, len(members), ROSTER_MEMBERS)
         try:
             for number, start in enumerate(parts):
-                roster = Roster(members[start : start + ROSTER_MEMBERS])
+                roster = Roster(
+                    members[start : start + ROSTER_MEMBERS],
+                    self.domain_homes.assignment,
+                )
                 key = ROSTER_KEY.format(number=number)
                 await self.store.put(MEMBER_TOPIC, key, encode(roster))
         except PlatformUnavailableError as error:
             log('announcement_failed', error=str(error))
             return
-        self.written_state = revision, self.store.incarnation.number
+        # The first response may be the one that tells the incarnation.
+        self.written_state = (*state[:-1], self.store.incarnation.number)
 
-    def _state(self) -> tuple[int, int]:
+    def _state(self) -> tuple[object, ...]:
         """Return what requires another write once it differs."""
-        return self.member_list.revision, self.store.incarnation.number
+        return (
+            self.member_list.revision,
+            self.domain_homes.assignment,
+            self.store.incarnation.number,
+        )
 
 
-def _decode_members(record: KeyedRecord) -> tuple[Member, ...]:
+def _decode_roster(record: KeyedRecord) -> Roster:
     if record.key.startswith('/'):
-        return decode(Roster, record.content).members
-    return (decode(Member, record.content),)
+        return decode(Roster, record.content)
+    return Roster((decode(Member, record.content),))
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -10,6 +10,8 @@
 
 from ..routes.model import RegisteredUpstream, RouteConfig
 
+MemberState = Literal['searching', 'attached', 'home', 'leaving']
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -35,21 +37,6 @@
         return -self.capacity, self.name
 
 
-@dataclass(frozen=True, slots=True)
-class MemberView:
-    """State of a member, as it sees itself.
-
-    ``home`` is the home that it is attached to, possibly itself; a member in
-    state ``searching`` has none. A home that took over later has a higher
-    ``epoch``.
-    """
-
-    member: Member
-    state: Literal['searching', 'attached', 'home', 'leaving']
-    epoch: int = 0
-    home: Member | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamChange:
     """An upstream that was added or replaced; removed if ``entry`` is None."""
@@ -76,6 +63,22 @@
     homes: tuple[DomainHome, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    """State of a member, as it sees itself.
+
+    ``home`` is the home that it is attached to, possibly itself; a member in
+    state ``searching`` has none. A home that took over later has a higher
+    ``epoch``. ``domain_homes`` is None if they are not known.
+    """
+
+    member: Member
+    state: MemberState
+    epoch: int = 0
+    home: Member | None = None
+    domain_homes: DomainHomes | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """The requests in flight at an upstream when it crashed.
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -1,10 +1,11 @@
 """Guards against a shutdown that waits for long polls of other instances."""
 
 import asyncio
+from datetime import timedelta
 
 from aiohttp import ClientSession, web
 
-from crocusproxy.entry.listeners import Listeners
+from crocusproxy.entry.listeners import AddressList, Listeners
 from crocusproxy.platform.directory import DIRECTORY_API
 from crocusproxy.settings import Listen
 from standins.processes import free_ports
@@ -33,3 +34,42 @@
             await asyncio.gather(read_task, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+def query_directory(addresses):
+    """Return the status and body of a query by a caller in ``b``."""
+
+    async def scenario():
+        listeners = Listeners(DIRECTORY_API, addresses, lambda: '')
+        directory, readiness = free_ports(2)
+        await listeners.open(
+            Listen('127.0.0.1', directory), Listen('127.0.0.1', readiness)
+        )
+        async with (
+            ClientSession() as session,
+            session.get(
+                f'http://127.0.0.1:{directory}/-/resolve?Name=a.example&Zone=b'
+            ) as response,
+        ):
+            result = response.status, await response.json()
+        await listeners.close()
+        return result
+
+    return asyncio.run(scenario())
+
+
+def test_caller_gets_the_address_for_its_failure_domain():
+    async def find_addresses(failure_domain):
+        return AddressList((f'home-{failure_domain}',), timedelta(seconds=2))
+
+    status, body = query_directory(find_addresses)
+    assert (status, body['Addresses']) == (200, ['home-b'])
+
+
+def test_caller_gets_no_address_without_a_home():
+    """It would keep that of an instance that can't serve yet."""
+
+    async def find_addresses(_):
+        return AddressList((), timedelta(seconds=2))
+
+    assert query_directory(find_addresses)[0] == 503
--- /dev/null
+++ b/tests/membership/test_election_pace.py
@@ -0,0 +1,154 @@
+"""Guards against elections that overload the members that should lead.
+
+Seen on a played day of 312 instances (trouble-1 of ondasur-boletines-large):
+after a loss of all instances, dozens of small members became home at once.
+"""
+
+import asyncio
+from collections import Counter
+from datetime import timedelta
+
+from crocusproxy.membership.election_pace import (
+    CANDIDATES,
+    MAX_DEFERENCE,
+    MAX_QUERIED_MEMBERS,
+    QUERIED_IN_DOMAIN,
+    lead_delay,
+    queried_members,
+)
+from crocusproxy.membership.rival_homes import (
+    CHECKED_BEST_MEMBERS,
+    checked_members,
+    find_better_home,
+)
+from crocusproxy.protocol.home_feed import Member, MemberView
+from standins.virtual_time import VirtualLoop
+
+from .network import Network
+
+NOW = timedelta()
+
+
+def member(name, capacity=1.0):
+    return Member(name, name[0], name, name, capacity, 1)
+
+
+LARGE = [
+    member(f'{domain}{number}', 2.0) for domain in 'ab' for number in '123'
+]
+SMALL = [
+    member(f'{domain}x{number:02}') for domain in 'ab' for number in range(40)
+]
+SITE = sorted([*LARGE, *SMALL], key=lambda one: one.rank)
+
+
+def others_of(own):
+    return [one for one in SITE if one != own]
+
+
+def queried_by(own, elapsed=NOW):
+    return queried_members(own, others_of(own), elapsed)
+
+
+def test_members_that_should_not_lead_send_few_queries():
+    queried = queried_by(SMALL[39])
+    assert len(queried) <= QUERIED_IN_DOMAIN + 1
+    assert set(LARGE[:3]) <= set(queried)
+
+
+def test_no_member_is_queried_by_all_others():
+    counts = Counter(one for own in SITE for one in queried_by(own))
+    assert max(counts.values()) <= len(SITE) // 2 + CANDIDATES
+
+
+def test_best_members_query_each_other():
+    assert set(queried_by(LARGE[0])) >= set(LARGE[1:])
+    assert len(queried_by(LARGE[0])) == MAX_QUERIED_MEMBERS
+
+
+def test_all_query_the_best_members_if_none_of_them_leads():
+    """The few members that they query may all be lost."""
+    later = MAX_DEFERENCE + timedelta(milliseconds=1)
+    assert len(queried_by(SMALL[39], later)) == MAX_QUERIED_MEMBERS
+
+
+def test_members_of_a_small_site_query_all_others():
+    site = SITE[:15]
+    for own in site:
+        others = [one for one in site if one != own]
+        assert queried_members(own, others, NOW) == tuple(others)
+
+
+def test_best_member_leads_at_once():
+    """A delay would lengthen each loss of a home."""
+    assert lead_delay(SITE[0], SITE[1:]) == timedelta()
+
+
+def test_small_members_lead_one_after_the_other():
+    delays = [lead_delay(one, others_of(one)) for one in SITE]
+    assert delays == sorted(set(delays))
+    assert delays[len(LARGE)] >= timedelta(milliseconds=500)
+
+
+def test_home_checks_the_best_members_and_one_in_rotation():
+    """Two homes that only check in rotation would coexist for minutes."""
+    others = others_of(SITE[-1])
+    checks = [checked_members(others, count) for count in range(len(others))]
+    assert all(set(LARGE[:CHECKED_BEST_MEMBERS]) <= set(one) for one in checks)
+    assert {one for check in checks for one in check} == set(others)
+    assert checked_members([], 0) == ()
+
+
+def test_home_yields_to_a_better_one_only():
+    own = MemberView(LARGE[1], 'home', 2, LARGE[1])
+    better = MemberView(SMALL[0], 'attached', 2, LARGE[0])
+    worse = MemberView(SMALL[0], 'attached', 1, SMALL[3])
+    searching = MemberView(SMALL[1], 'searching')
+    assert find_better_home(own, [None, searching, worse]) is None
+    assert find_better_home(own, [worse, better]) == better
+
+
+def play_loss_of_all(slow_starts):
+    """Start all members of a site at once and return the names that led.
+
+    ``slow_starts`` are seconds by which members start later. Each query costs
+    its receiver processor time.
+    """
+    loop = VirtualLoop()
+    network = Network(loop)
+    network.query_seconds = 0.004
+    names = [one.name for one in SITE]
+    for one in SITE:
+        network.add(one.name, one.failure_domain, one.capacity)
+    led = []
+
+    async def run():
+        for name in names:
+            node = network.nodes[name]
+            lead = node.lead
+
+            def record(name=name, lead=lead):
+                led.append(name)
+                lead()
+
+            node.lead = record
+            delay = slow_starts.get(name, 0.001)
+            loop.call_later(delay, node.start, SITE)
+        await asyncio.sleep(6)
+        homes = {node.home for node in network.running()}
+        assert len(homes) == 1
+
+    loop.run_until_complete(run())
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
+    return led
+
+
+def test_one_member_leads_after_a_loss_of_all():
+    assert play_loss_of_all({}) == ['a1']
+
+
+def test_few_members_lead_while_all_large_ones_are_slow_to_start():
+    late = {one.name: 0.9 + 0.01 * n for n, one in enumerate(LARGE)}
+    assert len(play_loss_of_all(late)) <= 3
