Keep the domain homes while the home itself is overloaded

It was also the domain home of its own failure domain.

A domain home that becomes home hands over if another member has the same capacity. Members that are no candidates pause 0.4 s between queries.

--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -43,9 +43,9 @@
     """Return the domain homes, empty if the home should dispatch alone.
 
     ``members`` can be reached and stay. A domain home is kept while it is one
-    of them, so that its callers need not move. The member ``home_name`` is
-    chosen last, as it also reads the store and serves the feed. A failure
-    domain with too few slots gets the home of the one with the most slots.
+    of them, so that its callers need not move, unless it is ``home_name``.
+    That member is chosen last, as it also reads the store and serves the feed.
+    A failure domain with too few slots gets the home of the largest one.
     """
     candidates = _by_domain(members)
     current_homes = {home.failure_domain: home.member for home in current.homes}
@@ -98,8 +98,10 @@
     )
     for member in members:
         if current is not None and member.name == current.name:
-            gains_enough = best.capacity >= MIN_CAPACITY_GAIN * member.capacity
-            return best if gains_enough else member
+            is_better = best.capacity >= MIN_CAPACITY_GAIN * member.capacity
+            if member.name == home_name:
+                is_better = best.capacity >= member.capacity
+            return best if is_better else member
     return best
 
 
--- a/src/crocusproxy/membership/election_pace.py
+++ b/src/crocusproxy/membership/election_pace.py
@@ -18,6 +18,9 @@
 QUERIED_IN_DOMAIN = 3
 #: How long the others leave the election to the candidates.
 MAX_DEFERENCE = timedelta(seconds=3)
+#: Pauses between the queries of candidates and of the others.
+CANDIDATE_INTERVAL = timedelta(milliseconds=100)
+OTHER_INTERVAL = timedelta(milliseconds=400)
 #: Delay before leading, for each member with more capacity.
 DELAY_PER_LARGER_MEMBER = timedelta(milliseconds=100)
 #: Delay before leading, for each other member with a better rank.
@@ -52,5 +55,12 @@
     return delay if better_count < CANDIDATES else MAX_DEFERENCE + delay
 
 
+def query_interval(own: Member, others: Sequence[Member]) -> timedelta:
+    """Return the pause before the members are queried again."""
+    if _count_better(own, others) < CANDIDATES:
+        return CANDIDATE_INTERVAL
+    return OTHER_INTERVAL
+
+
 def _count_better(own: Member, others: Sequence[Member]) -> int:
     return sum(member.rank < own.rank for member in others)
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -20,7 +20,12 @@
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
 from .election import Attach, ElectionResult, Lead, elect
-from .election_pace import MAX_DEFERENCE, lead_delay, queried_members
+from .election_pace import (
+    MAX_DEFERENCE,
+    lead_delay,
+    queried_members,
+    query_interval,
+)
 from .feed_server import HomeFeedServer
 from .feed_source import feed_source, first_source
 from .member_client import MemberClient
@@ -177,7 +182,8 @@
                     return election
                 case Lead() if elapsed >= lead_delay(own, others):
                     return election
-            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+            pause = query_interval(own, others)
+            await asyncio.sleep(pause.total_seconds())
 
     async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
         """Return the views of responding members; stop at the first home."""
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -22,13 +22,16 @@
 from standins.virtual_time import LoopClock
 
 DELAY_SECONDS = 0.001
-#: One upstream of a failure domain that has enough slots for its own home.
-UPSTREAMS = tuple(
-    RegisteredUpstream(
-        f'i-{domain}', 's', '', domain, MIN_SLOTS_TO_SPLIT, False, 1, 1
+
+
+def make_upstreams(domains):
+    """Return an upstream with enough slots for a home of each domain."""
+    return tuple(
+        RegisteredUpstream(
+            f'i-{domain}', 's', '', domain, MIN_SLOTS_TO_SPLIT, False, 1, 1
+        )
+        for domain in domains
     )
-    for domain in ('a', 'b')
-)
 
 
 class Network:
@@ -42,6 +45,7 @@
         self.nodes = {}
         self.cuts = set()
         self.query_seconds = 0
+        self.upstreams = make_upstreams('ab')
         self.stored_version = 0
 
     def publish(self):
@@ -161,7 +165,7 @@
     def read_store(self):
         config = RouteConfig(self.network.stored_version, (), ())
         self.catalog.apply_config(config)
-        self.catalog.apply_list(UPSTREAMS)
+        self.catalog.apply_list(self.network.upstreams)
 
     def kill(self):
         self.task.cancel()
@@ -175,8 +179,12 @@
     def __init__(self, network, name):
         self.network = network
         self.name = name
+        self.is_overloaded = False
 
     async def view(self, address, own, *, may_wait=False):
+        if self.is_overloaded:
+            await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
+            raise NotReachableError(f'{address}: no response')
         node = await self.network.connect(
             self.name, address, REQUEST_TIMEOUT_SECONDS
         )
--- a/tests/membership/test_domain_homes.py
+++ b/tests/membership/test_domain_homes.py
@@ -86,6 +86,16 @@
     assert names(assigned(current, without_b2)) == {'a': 'a2', 'b': 'b1'}
 
 
+def test_domain_home_that_becomes_home_hands_over():
+    """It would dispatch while it sends its state to all instances."""
+    current = DomainHomes(
+        (DomainHome('a', MEMBERS[0]), DomainHome('b', MEMBERS[3]))
+    )
+    assert names(assigned(current, home='a1')) == {'a': 'a2', 'b': 'b1'}
+    alone = [one for one in MEMBERS if one.name != 'a2']
+    assert names(assigned(current, alone, 'a1'))['a'] == 'a1'
+
+
 def test_small_domain_home_is_replaced_by_a_large_instance():
     """A small instance can be the first to join after a loss of all."""
     current = DomainHomes(
--- a/tests/membership/test_feed_source.py
+++ b/tests/membership/test_feed_source.py
@@ -9,7 +9,7 @@
 from crocusproxy.protocol.home_feed import Member
 from standins.virtual_time import VirtualLoop
 
-from .network import Network
+from .network import Network, make_upstreams
 
 NAMES = [f'{domain}{number}' for domain in 'ab' for number in range(8)]
 
@@ -41,11 +41,13 @@
     assert {source_of(f'a{number}') for number in range(4, 8)} == {'a1'}
 
 
-def run_site(scenario):
-    """Run ``scenario`` with two failure domains of eight members each."""
+def run_site(scenario, domains='ab'):
+    """Run ``scenario`` with failure domains of eight members each."""
     loop = VirtualLoop()
     network = Network(loop)
-    nodes = {name: network.add(name, name[0]) for name in NAMES}
+    network.upstreams = make_upstreams(domains)
+    names = [f'{domain}{number}' for domain in domains for number in range(8)]
+    nodes = {name: network.add(name, name[0]) for name in names}
     for node in nodes.values():
         node.start()
     members = [node.elector.member_list.own for node in nodes.values()]
@@ -119,6 +121,39 @@
     run_site(scenario)
 
 
+def test_overloaded_home_replaces_no_domain_home():
+    """Its queries time out although the domain homes work.
+
+    Seen on a played day of 312 instances (trouble-1 of
+    ondasur-boletines-large): the home replaced all domain homes three times.
+    """
+
+    async def scenario(network, nodes):
+        homes = nodes['a0'].domain_homes.assignment
+        client = nodes['a0'].elector.client
+        client.is_overloaded = True
+        await asyncio.sleep(1.5)
+        client.is_overloaded = False
+        await asyncio.sleep(1)
+        assert nodes['a0'].domain_homes.assignment == homes
+
+    run_site(scenario, 'abc')
+
+
+def test_lost_domain_homes_are_replaced_although_most_are_lost():
+    """Most queries fail then too."""
+
+    async def scenario(network, nodes):
+        for domain in 'bc':
+            nodes[domain_home_of(nodes, domain)].kill()
+        await asyncio.sleep(5)
+        running = {node.name for node in network.running()}
+        assert domain_home_of(nodes, 'b') in running
+        assert domain_home_of(nodes, 'c') in running
+
+    run_site(scenario, 'abc')
+
+
 def test_followers_of_domain_homes_find_the_next_home():
     async def scenario(network, nodes):
         nodes['a0'].kill()
