Probe an upstream in backoff only once the backoff has ended

Probes load servers that are about to return.

Change: the background probes skip upstreams in backoff.

--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -92,7 +92,11 @@
             interval = self.interval
             if placer.queue and state.has_slot:
                 interval = self.queue_interval
-            if state.is_usable and now - latest >= interval:
+            if (
+                state.is_usable
+                and now >= state.backoff_until
+                and now - latest >= interval
+            ):
                 self._start_probe(state, path)
 
     def _start_probe(
--- a/tests/entry/test_prober.py
+++ b/tests/entry/test_prober.py
@@ -82,3 +82,21 @@
 
     busy_server.answer = silent
     run_scenario(scenario, [busy_server])
+
+
+def test_lost_upstream_is_probed_once_its_backoff_has_ended():
+    """It was probed each 60 ms while requests were queued (inc-1cc3)."""
+
+    async def scenario(system):
+        prober = make_prober(system)
+        placer = system.dispatcher.placer('s')
+        state = placer.upstreams['i-1']
+        now = placer.now()
+        state.failed(now)
+        prober._probe_stale(placer, '/health', now)
+        assert not prober.tasks
+        prober._probe_stale(placer, '/health', state.backoff_until)
+        assert prober.tasks.keys() == {'i-1'}
+        await asyncio.gather(*prober.tasks.values())
+
+    run_scenario(scenario, [make_server()])
