Restore the store from older copies in the soak

make soak RESTORES=n adds restores at random times, each from a copy 0.2 to 3 s old after 0.1 to 1 s away; the operator and the upstreams write theirs again 0.3 s later. The other faults of a seed stay as they were.

--- a/Makefile
+++ b/Makefile
@@ -56,10 +56,12 @@
 bench-short: $(STAMP)
 	$(BIN)/python -m bench.run --short
 
-# Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES.
+# Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
+# of the store in each run.
 soak: $(STAMP)
 	$(BIN)/python -m soak $(if $(SEED),--seed=$(SEED)) $(if $(RUNS),--runs=$(RUNS)) \
-	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES))
+	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
+	  $(if $(RESTORES),--restores=$(RESTORES))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
     runs: int = 1,
     seconds: float = 12,
     instances: int = 4,
+    restores: int = 0,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -24,11 +25,12 @@
         runs: number of runs.
         seconds: duration of the faults in each run.
         instances: number of entry processes.
+        restores: how often the store is restored from a copy in each run.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
     for next_seed in range(first_seed, first_seed + runs):
-        verdict = asyncio.run(run_seed(next_seed, seconds, instances))
+        verdict = asyncio.run(run_seed(next_seed, seconds, instances, restores))
         report(verdict)
         failed_runs += bool(verdict.violations)
     print(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -49,6 +49,17 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """The store is away for ``seconds`` and comes back from an older copy.
+
+    The copy is ``copy_age`` seconds older than the moment at which it goes.
+    """
+
+    copy_age: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class DisruptStoreLinks:
     """The links from some instances to the store are faulty."""
@@ -112,6 +123,7 @@
     | Pause
     | Reload
     | DegradeStore
+    | RestoreStore
     | DisruptStoreLinks
     | DisruptUpstreamLink
     | CrashUpstream
@@ -137,6 +149,8 @@
         self, seed: int, instance_count: int, upstream_count: int
     ) -> None:
         self.random = Random(seed)
+        # Separate, so that the other faults of a seed stay the same.
+        self.restore_random = Random(f'restores-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -157,6 +171,24 @@
             now += self.random.uniform(0.2, 1.6)
         return tuple(sorted(faults, key=lambda scheduled: scheduled.at))
 
+    def schedule_restores(
+        self, count: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return restores of the store at random times, in their order."""
+        uniform = self.restore_random.uniform
+        return tuple(
+            ScheduledFault(
+                at,
+                RestoreStore(
+                    copy_age=round(uniform(0.2, 3), 2),
+                    seconds=round(uniform(0.1, 1), 2),
+                ),
+            )
+            for at in sorted(
+                round(uniform(0.5, seconds), 2) for _ in range(count)
+            )
+        )
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/run.py
+++ b/soak/run.py
@@ -34,12 +34,23 @@
     log_folder: Path | None
 
 
-async def run_seed(seed: int, seconds: float, instances: int) -> Verdict:
-    """Run the faults of a seed and check the invariants."""
+async def run_seed(
+    seed: int, seconds: float, instances: int, restores: int = 0
+) -> Verdict:
+    """Run the faults of a seed and check the invariants.
+
+    ``restores`` is how often the store is restored from a copy, besides.
+    """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     testbed = Testbed(folder, instances, seed)
     planner = Planner(seed, instances, len(SERVICES) * UPSTREAMS_PER_SERVICE)
-    schedule = planner.schedule(seconds)
+    schedule = sorted(
+        (
+            *planner.schedule(seconds),
+            *planner.schedule_restores(restores, seconds),
+        ),
+        key=lambda scheduled: scheduled.at,
+    )
     try:
         await testbed.start()
         await _await_readiness(testbed, 'not ready after the start')
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -24,12 +24,14 @@
     Publish,
     Reload,
     ReplaceUpstream,
+    RestoreStore,
     SlowUpstream,
     StoreFault,
     Terminate,
 )
 from .records import RunRecord, UpstreamDisturbance
 from .upstreams import NORMAL_PERCENT, SLOW_PERCENT, Upstream
+from .upstreams import TOPIC as UPSTREAM_TOPIC
 
 SERVICES = ('s1', 's2')
 UPSTREAMS_PER_SERVICE = 3
@@ -37,6 +39,8 @@
 DRAIN_SECONDS = 2.0
 STORE_DELAY_SECONDS = 0.3
 PUBLISH_INTERVAL_SECONDS = 0.15
+#: Operator and upstreams write again this long after a restore of the store.
+REWRITE_SECONDS = 0.3
 
 
 class Testbed:
@@ -146,6 +150,8 @@
                 await self.instances[number].reload(times)
             case DegradeStore(mode=mode, seconds=seconds):
                 await self._degrade_store(mode, seconds)
+            case RestoreStore(copy_age=copy_age, seconds=seconds):
+                await self._restore_store(copy_age, seconds)
             case DisruptStoreLinks(
                 instances=numbers, link_fault=link_fault, seconds=seconds
             ):
@@ -173,6 +179,24 @@
         store.is_unavailable = store.drop_append_responses = False
         store.delay = 0.0
 
+    async def _restore_store(self, copy_age: float, seconds: float) -> None:
+        """Lose the latest writes; operator and upstreams write theirs again."""
+        copy = self.store.copy()
+        await asyncio.sleep(copy_age)
+        self.store.is_unavailable = True
+        await asyncio.sleep(seconds)
+        self.store.restore(copy)
+        self.store.is_unavailable = False
+        await asyncio.sleep(REWRITE_SECONDS)
+        self.operator.publish()
+        current_keys = set()
+        for upstream in self.upstreams:
+            upstream.register_again()
+            current_keys.add(upstream.server.key)
+        # The platform removes the entries of servers that have ended.
+        for key in self.store.keys(UPSTREAM_TOPIC) - current_keys:
+            self.store.put(UPSTREAM_TOPIC, key, b'')
+
     async def _disrupt_store_links(
         self, numbers: tuple[int, ...], link_fault: LinkFault, seconds: float
     ) -> None:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -98,6 +98,7 @@
         self.now = now
         self.generation = 0
         self.sequence = 0
+        self.state = ''
 
     async def start(self) -> 'Upstream':
         """Start a server under a new key and register it."""
@@ -118,6 +119,7 @@
 
     def register(self, state: str = 'ready') -> None:
         self.sequence += 1
+        self.state = state
         entry = {
             'Address': self.link.address,
             'ServerInfo': {
@@ -135,6 +137,11 @@
         }
         self.store.put(TOPIC, self.server.key, json.dumps(entry).encode())
 
+    def register_again(self) -> None:
+        """Write the entry again, unless the server has ended."""
+        if self.state:
+            self.register(self.state)
+
     async def crash(self, down_seconds: float) -> None:
         """Lose all running requests and restart under the same key."""
         await self.link.stop()
@@ -149,6 +156,7 @@
         self.register('draining')
         key, link, server = self.server.key, self.link, self.server
         await asyncio.sleep(drain_seconds)
+        self.state = ''
         self.store.put(TOPIC, key, b'')
         await link.stop()
         server.stop()
--- a/standins/store.py
+++ b/standins/store.py
@@ -90,6 +90,15 @@
             partition.first = first
             self._notify_readers(partition)
 
+    def keys(self, topic):
+        """Return the keys whose newest record has content."""
+        present = set()
+        for record in self.partitions[topic, 0].records:
+            end = 1 + record[0]
+            update = present.add if record[end:] else present.discard
+            update(record[1:end].decode())
+        return present
+
     def expire_records(self, topic):
         """Expire all records; the newest of each key stay listed."""
         partition = self.partitions[topic, 0]
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -17,11 +17,23 @@
     drawn_types = {
         type(scheduled.fault)
         for seed in range(50)
-        for scheduled in Planner(seed, 4, 6).schedule(12)
+        for planner in (Planner(seed, 4, 6),)
+        for scheduled in (
+            *planner.schedule(12),
+            *planner.schedule_restores(1, 12),
+        )
     }
     assert drawn_types == set(get_args(Fault))
 
 
+def test_restores_leave_the_other_faults_of_a_seed_unchanged():
+    """The regression seeds would otherwise no longer show their failures."""
+    planner = Planner(7, 4, 6)
+    restores = planner.schedule_restores(4, 12)
+    assert len(restores) == 4
+    assert planner.schedule(12) == Planner(7, 4, 6).schedule(12)
+
+
 def test_schedule_is_ordered_and_has_series():
     times = [scheduled.at for scheduled in Planner(7, 4, 6).schedule(60)]
     assert times == sorted(times)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -16,6 +16,12 @@
     assert verdict.outcomes['answered 200'] > verdict.request_count / 3
 
 
+def test_run_with_restores_of_the_store_has_no_violations():
+    verdict = asyncio.run(run_seed(2, SECONDS, INSTANCES, restores=3))
+    assert not verdict.violations
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 3
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
