Elect without waiting for members that still ask their seeds

And a member whose delay had not passed slept a whole query interval of 0.1 s.

Change: a member is starting until it takes part in elections, and nobody defers to it. The pause ends with the delay, and the delay for a better member of the same capacity is 2 ms instead of 5.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -124,7 +124,7 @@
             self.session,
             self.settings.store,
             _STORE_TIMEOUT,
-            lambda: self.elector.follower_addresses(),
+            lambda: self.elector.server.follower_addresses(),
             self.catalog.store_incarnation,
         )
         member_client = MemberClient(self.session)
--- a/src/crocusproxy/membership/election_pace.py
+++ b/src/crocusproxy/membership/election_pace.py
@@ -24,7 +24,7 @@
 #: Delay before leading, for each member with more capacity.
 DELAY_PER_LARGER_MEMBER = timedelta(milliseconds=100)
 #: Delay before leading, for each other member with a better rank.
-DELAY_PER_MEMBER = timedelta(milliseconds=5)
+DELAY_PER_MEMBER = timedelta(milliseconds=2)
 
 
 def queried_members(
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -87,6 +87,14 @@
             web.get(LIST_PATH, self._handle_list),
         ]
 
+    def follower_addresses(self) -> tuple[str, ...]:
+        """Return the internal addresses of the members that follow this one."""
+        return tuple(
+            member.internal
+            for member in self.member_list.others()
+            if member.name in self.followers
+        )
+
     def publish(self, message: FeedMessage) -> None:
         """Queue a message for each follower."""
         for name, queue in tuple(self.followers.items()):
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -79,6 +79,7 @@
         self.home: Member | None = None
         self.home_known = asyncio.Event()
         self.epoch = 0
+        self.is_electing = False
         self.is_home = False
         self.leaving = False
         self.lost_home_name = ''
@@ -109,6 +110,7 @@
 
     async def run(self) -> None:
         """Follow a home or be the home until cancelled."""
+        self.is_electing = True
         while True:
             match await self._run_election():
                 case Attach(member=member):
@@ -118,14 +120,6 @@
                 case _:
                     await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
-    def follower_addresses(self) -> tuple[str, ...]:
-        """Return the internal addresses of the members that follow this one."""
-        return tuple(
-            member.internal
-            for member in self.member_list.others()
-            if member.name in self.server.followers
-        )
-
     def leave(self) -> None:
         """End all feeds and do not lead again.
 
@@ -151,7 +145,9 @@
             return 'leaving'
         if self.is_home:
             return 'home'
-        return 'searching' if self.home is None else 'attached'
+        if self.home is not None:
+            return 'attached'
+        return 'searching' if self.is_electing else 'starting'
 
     def _set_home(self, home: Member | None) -> None:
         self.home = home
@@ -177,12 +173,15 @@
                 may_wait=elapsed < MAX_ELECTION_WAIT,
                 may_defer=elapsed < MAX_DEFERENCE,
             )
+            pause = query_interval(own, others)
             match election:
                 case Attach():
                     return election
-                case Lead() if elapsed >= lead_delay(own, others):
-                    return election
-            pause = query_interval(own, others)
+                case Lead():
+                    remaining = lead_delay(own, others) - elapsed
+                    if remaining <= timedelta():
+                        return election
+                    pause = min(pause, remaining)
             await asyncio.sleep(pause.total_seconds())
 
     async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -10,7 +10,7 @@
 
 from ..routes.model import RegisteredUpstream, RouteConfig
 
-MemberState = Literal['searching', 'attached', 'home', 'leaving']
+MemberState = Literal['starting', 'searching', 'attached', 'home', 'leaving']
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,8 @@
     """State of a member, as it sees itself.
 
     ``home`` is the home that it is attached to, possibly itself; a member in
-    state ``searching`` has none. A home that took over later has a higher
+    state ``searching`` has none, and one in state ``starting`` takes no part
+    in elections yet. A home that took over later has a higher
     ``epoch``. ``domain_homes`` is None if they are not known.
     """
 
--- a/tests/membership/test_election.py
+++ b/tests/membership/test_election.py
@@ -65,3 +65,13 @@
         view_a = MemberView(A, 'home', epoch_a, A)
         view_b = MemberView(B, 'home', epoch_b, B)
         assert yields_to(view_a, view_b) != yields_to(view_b, view_a)
+
+
+def test_member_that_takes_no_part_yet_is_not_waited_for():
+    """It waits for its seeds, which would wait for it in turn.
+
+    Seen as lower credit after a loss of all instances on routewise-lakes
+    (scale-2) and ondasur-boletines (scale-2).
+    """
+    views = [MemberView(A, 'starting')]
+    assert elect(B, views, '', 0, may_wait=True) == Lead(1)
--- a/tests/membership/test_home_elector_machine.py
+++ b/tests/membership/test_home_elector_machine.py
@@ -233,6 +233,25 @@
     run_scenario(scenario)
 
 
+def test_seeds_do_not_wait_for_members_that_wait_for_them():
+    """Both waited until the time for seeds was up, at each loss of all."""
+
+    async def scenario(network):
+        for node in network.running():
+            node.kill()
+        started = network.loop.time()
+        # The member 'a' ranks first and asks the seed, which elects.
+        joining, seed = network.nodes['a'], network.nodes['c']
+        joining.start()
+        joining.task.cancel()
+        seed.start([joining.elector.member_list.own])
+        search = await joining.elector.seeds.find_home(('c',), may_wait=True)
+        assert search is HomeSearch.FOUND
+        assert network.loop.time() - started < 0.1
+
+    run_scenario(scenario)
+
+
 def test_indirect_follower_switches_to_the_new_home():
     """The follower must not keep reporting a home that stepped down."""
 
