Count the slots of a service only while requests wait

Each request of a domain home, and of a home alone, added up the slots of all upstreams to decide whether to ask for a slot elsewhere. With an empty queue that holds only if no upstream can be used, which the first usable one decides. The answer is the same in every case; no test changed.

--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -101,6 +101,9 @@
 
     def is_short_of_slots(self) -> bool:
         """Return whether requests wait long for a slot, or there is none."""
+        if not self.queue:
+            # The usual case, for which the slots need not be counted.
+            return not any(state.is_usable for state in self.upstreams.values())
         return len(self.queue) >= MAX_QUEUED_SHARE * self._slots()
 
     def has_spare_slots(self) -> bool:
