Log and count what rate-limited upstreams get

Neither logs nor metrics showed that an upstream states a rate limit, so its cause could not be told from other explanations. One line is now written when a limit is first seen, changes or ends; call_ended has the limit that was known; crocus_entry_limited_upstreams and crocus_entry_limited_sends_total show how many upstreams state one and what they get, requests and probes apart. Placement is unchanged.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -12,7 +12,12 @@
 #: Related events are shown from this long before the request.
 LOOKBACK_SECONDS = 5.0
 _UPSTREAM_EVENTS = frozenset(
-    ('upstream_changed', 'probe_failed', 'upstream_entry_unusable')
+    (
+        'upstream_changed',
+        'upstream_limit_changed',
+        'probe_failed',
+        'upstream_entry_unusable',
+    )
 )
 _INSTANCE_EVENTS = frozenset(
     (
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -18,7 +18,6 @@
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
-from ..placement.upstream_state import UpstreamState
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
@@ -43,6 +42,7 @@
 from .reload_signal import ReloadSignal
 from .reloading import reload_settings
 from .request_log import RequestLog
+from .response_observer import ResponseObserver
 from .settings import EntrySettings
 from .upstream_call import UpstreamClient
 from .upstream_connection import MatchingConnection
@@ -91,6 +91,7 @@
             on_crash=self.crash_watch.record_crash,
             connection_type=MatchingConnection,
         )
+        self.observer = ResponseObserver(HEADER_NAMES, self.clock)
         self.dispatcher = self._create_dispatcher()
         self.gateway = Gateway(
             self.catalog,
@@ -250,19 +251,9 @@
             return 'no_configuration'
         return ''
 
-    def apply_load(self, upstream: UpstreamState, text: str) -> None:
-        """Apply the load header of an upstream's response."""
-        load = HEADER_NAMES.parse_load(text)
-        if load is not None and load.slowdown is not None:
-            upstream.report(
-                load.slowdown, self.clock.monotonic().total_seconds()
-            )
-
     def _create_dispatcher(self) -> Dispatcher:
         return Dispatcher(
-            UpstreamClient(
-                self.pool, self.messages, self.clock, self.apply_load
-            ),
+            UpstreamClient(self.pool, self.messages, self.clock, self.observer),
             self.settings.instance.failure_domain,
             self.settings.bounds,
             self.clock,
@@ -277,7 +268,7 @@
             self.pool,
             HEADER_NAMES,
             self.clock,
-            self.apply_load,
+            self.observer,
             lambda: self.dispatcher.last_request_at,
             self.settings.bounds.probes_per_second,
             self.metrics,
@@ -301,6 +292,7 @@
             lambda: sum(len(placer.queue) for placer in placers.values()),
             lambda: self.catalog.config.version if self.catalog.config else 0,
             lambda: self.elector.epoch,
+            lambda: sum(placer.limited_count() for placer in placers.values()),
         )
 
     async def _open_ports(self) -> None:
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -207,6 +207,8 @@
 
         def before_send() -> None:  # noqa: WPS430
             context.send_count += 1
+            if upstream.rate_limit is not None:
+                self.metrics.count_limited_send('request')
             if not context.route.idempotent:
                 context.request.is_detached = True
 
--- a/src/crocusproxy/entry/header_names.py
+++ b/src/crocusproxy/entry/header_names.py
@@ -25,7 +25,8 @@
     ``signature`` marks a response as the upstream's own. ``not_run`` marks a
     response to a request that was not run. ``expected_upstream`` contains the
     key of the only upstream that may run a request, ``upstream`` that of the
-    upstream that responded.
+    upstream that responded. ``rate_limit`` contains the requests per second
+    that an upstream takes from all instances together.
     """
 
     request_id: str
@@ -35,4 +36,6 @@
     upstream: str
     not_run: str
     load: str
+    rate_limit: str
     parse_load: Callable[[str], UpstreamLoad | None]
+    parse_rate_limit: Callable[[str], float | None]
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -43,6 +43,12 @@
             'Upstreams that were asked for their load.',
             registry=registry,
         )
+        self.limited_sends = Counter(
+            'crocus_entry_limited_sends',
+            'Requests and probes sent to upstreams that state a rate limit.',
+            ('kind',),
+            registry=registry,
+        )
         self.registry = registry
 
     def count_call(
@@ -52,6 +58,10 @@
         self.calls.labels(service, outcome_of(result)).inc()
         self.call_seconds.labels(service).observe(seconds)
 
+    def count_limited_send(self, kind: str) -> None:
+        """Count a request or a probe sent to a rate-limited upstream."""
+        self.limited_sends.labels(kind).inc()
+
     def count_refusal(self, code: str) -> None:
         """Count a refusal."""
         self.refusals.labels(code).inc()
@@ -62,6 +72,7 @@
         queued: Callable[[], float],
         config_version: Callable[[], float],
         epoch: Callable[[], float],
+        limited_upstreams: Callable[[], float],
     ) -> None:
         """Register gauges that call these functions at each scrape."""
         registry = self.registry
@@ -85,3 +96,8 @@
             'How often the home has changed.',
             registry=registry,
         ).set_function(epoch)
+        Gauge(
+            'crocus_entry_limited_upstreams',
+            'Upstreams that state a rate limit.',
+            registry=registry,
+        ).set_function(limited_upstreams)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
+from aiohttp.http import RawResponseMessage
+
 from ..clock import Clock
 from ..logs import log
 from ..placement.placer import ServicePlacer
@@ -13,6 +15,7 @@
 from ..routes.model import RouteConfig
 from .header_names import HeaderNames
 from .metrics import EntryMetrics
+from .response_observer import ResponseObserver
 from .upstream_connection import MatchingConnection
 
 _CHECK_INTERVAL_SECONDS = 0.02
@@ -33,8 +36,8 @@
 class Prober:
     """Probes the upstreams that may be chosen next.
 
-    ``on_load`` receives the load header of a response. ``last_request_at``
-    returns the monotonic second of the latest request.
+    ``observer`` receives each response. ``last_request_at`` returns the
+    monotonic second of the latest request.
     """
 
     def __init__(
@@ -42,7 +45,7 @@
         pool: ConnectionPool,
         header_names: HeaderNames,
         clock: Clock,
-        on_load: Callable[[UpstreamState, str], None],
+        observer: ResponseObserver,
         last_request_at: Callable[[], float],
         probes_per_second: float,
         metrics: EntryMetrics,
@@ -50,7 +53,7 @@
         self.pool = pool
         self.header_names = header_names
         self.clock = clock
-        self.on_load = on_load
+        self.observer = observer
         self.last_request_at = last_request_at
         self.metrics = metrics
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
@@ -104,6 +107,8 @@
     ) -> 'asyncio.Task[None]':
         state.probed_at = self._now()
         self.metrics.probes.inc()
+        if state.rate_limit is not None:
+            self.metrics.count_limited_send('probe')
         task = asyncio.create_task(self._probe(state, path))
         self.tasks[state.key] = task
         task.add_done_callback(lambda _: self.tasks.pop(state.key, None))
@@ -125,7 +130,7 @@
         connection.last_request_id = state.key
         request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
         try:
-            load = await self._fetch_load(connection, request.encode())
+            message = await self._exchange(connection, request.encode())
         except DeadlineError:
             # A busy upstream may respond late; an idle one has failed.
             if not state.in_flight:
@@ -133,19 +138,19 @@
         except (BrokenResponseError, OSError) as error:
             self._record_failure(state, str(error))
         else:
-            self.on_load(state, load)
+            self.observer.observe_probe(state, message)
         finally:
             self.pool.release(address, connection)
 
-    async def _fetch_load(
+    async def _exchange(
         self, connection: MatchingConnection, request: bytes
-    ) -> str:
+    ) -> RawResponseMessage:
         message = await connection.send(
             request, expects_body=True, timeout=PROBE_TIMEOUT_SECONDS
         )
         if connection.payload is not None:
             await connection.payload.read()
-        return message.headers.get(self.header_names.load, '')
+        return message
 
     def _record_failure(self, state: UpstreamState, reason: str) -> None:
         state.reported_at = -inf
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -33,6 +33,7 @@
     in_flight: int
     slowdown: float
     reported_at: float
+    rate_limit: float | None
 
 
 class RequestLog:
@@ -57,6 +58,7 @@
             upstream.in_flight,
             upstream.slowdown,
             upstream.reported_at,
+            upstream.rate_limit,
         )
 
     def log_call(
@@ -77,6 +79,7 @@
             in_flight=snapshot.in_flight,
             slowdown=round(snapshot.slowdown, 2),
             slowdown_age_ms=_age(snapshot.sent_at - snapshot.reported_at),
+            rate_limit=snapshot.rate_limit,
             waited_ms=_milliseconds(snapshot.sent_at - context.received_at),
             took_ms=_milliseconds(now - snapshot.sent_at),
             left_ms=_milliseconds(context.deadline - now),
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -10,6 +10,7 @@
 from ..proxy.pool import ConnectionPool
 from .call_results import CallResult, NotRun, Responded, ResponseLost
 from .exchange import exchange_over
+from .response_observer import ResponseObserver
 from .upstream_connection import MatchingConnection
 from .upstream_messages import UpstreamMessages, retry_after
 
@@ -34,7 +35,7 @@
 class UpstreamClient:
     """Sends requests over pooled connections and classifies the responses.
 
-    ``on_load`` receives the load header of each response.
+    ``observer`` receives each response.
     """
 
     def __init__(
@@ -42,12 +43,12 @@
         pool: ConnectionPool,
         messages: UpstreamMessages,
         clock: Clock,
-        on_load: Callable[[UpstreamState, str], None],
+        observer: ResponseObserver,
     ) -> None:
         self.pool = pool
         self.messages = messages
         self.clock = clock
-        self.on_load = on_load
+        self.observer = observer
 
     async def call(
         self,
@@ -101,9 +102,11 @@
             remaining,
             expects_body=outgoing_request.message.method != 'HEAD',
         )
-        load = message.headers.get(self.messages.header_names.load)
-        if load is not None:
-            self.on_load(upstream, load)
+        self.observer.observe_call(
+            upstream,
+            message,
+            is_signed=self.messages.is_from_upstream(message),
+        )
         return self._classify(message, body)
 
     def _classify(self, message: RawResponseMessage, body: bytes) -> CallResult:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -99,6 +99,12 @@
         self._refuse_unplaceable()
         self.process_queue()
 
+    def limited_count(self) -> int:
+        """Return the number of upstreams that state a rate limit."""
+        return sum(
+            state.rate_limit is not None for state in self.upstreams.values()
+        )
+
     def is_short_of_slots(self) -> bool:
         """Return whether requests wait long for a slot, or there is none."""
         if not self.queue:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -42,8 +42,10 @@
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request.
-    An upstream that another instance dispatches to is not ``is_owned``. Times
-    are monotonic seconds.
+    An upstream that another instance dispatches to is not ``is_owned``.
+    ``rate_limit`` is the number of requests per second that the upstream takes
+    from all instances together, None without limit. Times are monotonic
+    seconds.
     """
 
     entry: RegisteredUpstream
@@ -57,6 +59,7 @@
     probed_at: float = -inf
     is_removed: bool = False
     is_owned: bool = True
+    rate_limit: float | None = None
     observed: ObservedSlowdown = field(default_factory=ObservedSlowdown)
 
     @property
--- a/src/crocusproxy/platform/headers.py
+++ b/src/crocusproxy/platform/headers.py
@@ -1,5 +1,7 @@
 """HTTP headers that this system exchanges with callers and upstreams."""
 
+from math import isfinite
+
 from ..entry.header_names import HeaderNames, UpstreamLoad
 
 _REQUIRED_LOAD_FIELDS = 3
@@ -28,6 +30,19 @@
     return UpstreamLoad(int(running), int(waiting), int(slots), slowdown)
 
 
+def parse_rate_limit(text: str) -> float | None:
+    """Return a rate limit in requests per second, or None if it is malformed.
+
+    >>> parse_rate_limit('2.5'), parse_rate_limit('-1'), parse_rate_limit('nan')
+    (2.5, None, None)
+    """
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if isfinite(limit) and limit >= 0 else None
+
+
 HEADER_NAMES = HeaderNames(
     request_id='X-Crocusproxy-Request-Id',
     deadline='X-Crocusproxy-Deadline-Milliseconds',
@@ -40,5 +55,7 @@
     upstream='X-Crocusproxy-Instance-Id',
     not_run='X-Crocusproxy-Not-Executed',
     load='X-Crocusproxy-Server-Load',
+    rate_limit='Server-Limit',
     parse_load=parse_load,
+    parse_rate_limit=parse_rate_limit,
 )
--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -14,6 +14,8 @@
     closed without a response. ``work`` is the usual service time in seconds and
     ``slowdown`` the present one in percent of it. ``runs`` lists the ids of the
     requests that were run, ``heads`` the head and body of each arrival.
+    ``terms`` are additional header lines of all responses, ``arrival_times`` the
+    loop times at which requests and probes arrived.
     """
 
     def __init__(self, key='i-1', slots=2, work=0.0, slowdown=100):
@@ -22,6 +24,8 @@
         self.work = work
         self.slowdown = slowdown
         self.response_script = None
+        self.terms = ()
+        self.arrival_times = []
         self.running = 0
         self.runs = []
         self.heads = []
@@ -55,6 +59,7 @@
             line.split(': ', 1) for line in head.split('\r\n')[1:] if line
         )
         body = await reader.readexactly(int(headers.get('Content-Length', 0)))
+        self.arrival_times.append(asyncio.get_running_loop().time())
         if head.startswith('GET /health '):
             self.probes += 1
             writer.write(self.response('', b'', health=True))
@@ -92,6 +97,7 @@
             f'Content-Length: {len(body)}',
             f'X-Crocusproxy-Server-Load: {self.running},0,{self.slots},'
             f'{self.slowdown}',
+            *self.terms,
         ]
         if health:
             lines.append(f'X-Crocusproxy-Instance-Id: {self.key}')
@@ -101,7 +107,10 @@
         return '\r\n'.join((*lines, '', '')).encode() + body
 
     def refusal(self, status, reason):
-        return (
-            f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
-            f'X-Crocusproxy-Not-Executed: 1\r\n\r\n'
-        ).encode()
+        lines = (
+            f'HTTP/1.1 {status} {reason}',
+            'Content-Length: 0',
+            'X-Crocusproxy-Not-Executed: 1',
+            *self.terms,
+        )
+        return '\r\n'.join((*lines, '', '')).encode()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -13,6 +13,7 @@
 from crocusproxy.entry.gateway import Gateway
 from crocusproxy.entry.metrics import EntryMetrics
 from crocusproxy.entry.request_log import RequestLog
+from crocusproxy.entry.response_observer import ResponseObserver
 from crocusproxy.entry.settings import Bounds
 from crocusproxy.entry.upstream_call import UpstreamClient
 from crocusproxy.entry.upstream_connection import MatchingConnection
@@ -73,17 +74,13 @@
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.clock = SystemClock()
         self.crash_watch = CrashWatch(self.clock)
+        self.observer = ResponseObserver(HEADER_NAMES, self.clock, self.log)
         self.pool.on_crash = self.crash_watch.record_crash
         metrics = EntryMetrics(CollectorRegistry())
         self.log_lines = []
-        request_log = RequestLog(
-            self.clock,
-            lambda event, **fields: self.log_lines.append((event, fields)),
-        )
+        request_log = RequestLog(self.clock, self.log)
         self.dispatcher = Dispatcher(
-            UpstreamClient(
-                self.pool, self.messages, self.clock, self.apply_load
-            ),
+            UpstreamClient(self.pool, self.messages, self.clock, self.observer),
             'a',
             Bounds(),
             self.clock,
@@ -104,9 +101,8 @@
         self.listener = None
         self.address = ''
 
-    def apply_load(self, upstream, text):
-        load = HEADER_NAMES.parse_load(text)
-        upstream.report(load.slowdown, self.clock.monotonic().total_seconds())
+    def log(self, event, **fields):
+        self.log_lines.append((event, fields))
 
     async def start(self, servers=(), configuration=None):
         loop = asyncio.get_running_loop()
--- a/tests/entry/test_prober.py
+++ b/tests/entry/test_prober.py
@@ -16,7 +16,7 @@
         system.pool,
         HEADER_NAMES,
         system.clock,
-        system.apply_load,
+        system.observer,
         lambda: system.dispatcher.last_request_at,
         60,
         EntryMetrics(CollectorRegistry()),
