Reproduce three terms of upstreams that are ignored, as known red tests

On this code an upstream that states 2 requests per second gets 48 requests and probes in 3 s where 14 are allowed; one that says it leaves gets 20 more; Retry-After: 30 ends after 2 s, and the one of a probe is not read at all.

--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -14,8 +14,8 @@
     closed without a response. ``work`` is the usual service time in seconds and
     ``slowdown`` the present one in percent of it. ``runs`` lists the ids of the
     requests that were run, ``heads`` the head and body of each arrival.
-    ``terms`` are additional header lines of all responses, ``arrival_times`` the
-    loop times at which requests and probes arrived.
+    ``terms`` are additional header lines of all responses, ``arrival_times``
+    the loop times at which requests and probes arrived.
     """
 
     def __init__(self, key='i-1', slots=2, work=0.0, slowdown=100):
@@ -25,6 +25,7 @@
         self.slowdown = slowdown
         self.response_script = None
         self.terms = ()
+        self.health_status = '200 OK'
         self.arrival_times = []
         self.running = 0
         self.runs = []
@@ -62,7 +63,9 @@
         self.arrival_times.append(asyncio.get_running_loop().time())
         if head.startswith('GET /health '):
             self.probes += 1
-            writer.write(self.response('', b'', health=True))
+            writer.write(
+                self.response('', b'', health=True, status=self.health_status)
+            )
             return
         self.heads.append((head, body))
         expected = headers.get('X-Crocusproxy-Expected-Instance', self.key)
--- /dev/null
+++ b/tests/entry/test_upstream_terms.py
@@ -0,0 +1,94 @@
+"""Guards against requests that ignore what upstreams ask for in responses."""
+
+import asyncio
+
+from .harness import make_server, run_scenario
+from .test_prober import make_prober
+
+LIMITED = 'Server-Limit: 2'
+LEAVING = 'Server-Leaving: 1'
+
+
+async def send_load(system, seconds, per_second=40):
+    """Send a steady load and return the statuses of its responses."""
+    tasks = []
+    for number in range(int(seconds * per_second)):
+        tasks.append(asyncio.create_task(system.request(f'load-{number}')))
+        await asyncio.sleep(1 / per_second)
+    return [status for status, _, _ in await asyncio.gather(*tasks)]
+
+
+def start_probes(system):
+    prober = make_prober(system)
+    return asyncio.create_task(prober.run(system.dispatcher.placers.values))
+
+
+def test_upstream_gets_no_more_than_the_rate_limit_that_it_states():
+    async def scenario(system):
+        probe_task = start_probes(system)
+        limited, _ = system.servers
+        limited.terms = (LIMITED,)
+        await send_load(system, 0.5)
+        arrived_before = len(limited.arrival_times)
+        statuses = await send_load(system, 3)
+        probe_task.cancel()
+        arrived = len(limited.arrival_times) - arrived_before
+        # One and a half times the limit, and five.
+        assert arrived <= 1.5 * 2 * 3 + 5
+        assert set(statuses) == {200}
+
+    run_scenario(
+        scenario,
+        [make_server('i-1', work=0.01), make_server('i-2', work=0.01)],
+    )
+
+
+def test_upstream_that_states_in_a_response_that_it_leaves_gets_no_request():
+    async def scenario(system):
+        leaving, other = system.servers
+        leaving.terms = (LEAVING,)
+        await send_load(system, 0.5)
+        arrived_before = len(leaving.heads)
+        statuses = await send_load(system, 0.5)
+        assert len(leaving.heads) == arrived_before
+        assert set(statuses) == {200}
+        assert other.runs
+
+    run_scenario(scenario, [make_server('i-1'), make_server('i-2')])
+
+
+def test_upstream_is_left_alone_as_long_as_its_retry_after_says():
+    """A longer time was cut to 2 s, and a later failure cut it again."""
+
+    async def scenario(system):
+        system.allow_retries()
+        shedding, _ = system.servers
+        shedding.slots = 0
+        shedding.terms = ('Retry-After: 30',)
+        await send_load(system, 0.5)
+        placer = system.dispatcher.placers['s']
+        state = placer.upstreams['i-1']
+        now = placer.now()
+        state.failed(now)
+        candidates = placer._candidates(now + 25)
+        assert state not in candidates
+        assert len(candidates) == 1
+
+    run_scenario(scenario, [make_server('i-1'), make_server('i-2')])
+
+
+def test_retry_after_of_a_probe_is_respected():
+    async def scenario(system):
+        prober = make_prober(system)
+        (server,) = system.servers
+        state = system.dispatcher.placer('s').upstreams['i-1']
+        server.health_status = '503 Service Unavailable'
+        server.terms = ('Retry-After: 30',)
+        await prober._probe(state, '/health')
+        placer = system.dispatcher.placer('s')
+        assert not placer._candidates(placer.now() + 25)
+        status, headers, _ = await system.request('r1')
+        assert status == 503
+        assert 20 < float(headers['retry-after']) <= 45
+
+    run_scenario(scenario, [make_server('i-1')])
