Place requests within the rate limits that upstreams state

Callers saw nothing; upstreams that asked for 2 requests per second got 25 in 4 s.

Placement knew slots, speed and failures, all of them the dispatching instance's own; a bound for all instances together had no place in it.

Change: UpstreamTerms holds what an incarnation of an upstream has stated, outside the placer, so that an entry that expires and comes back does not end it. A token bucket with little burst permits each request; probes of a limited upstream stop. Only the one dispatcher of an upstream uses a limited upstream, so the sum over instances holds. An instance that relays a response of the home learns its terms by an internal header, and begins with them if it becomes home. If all upstreams limit their rate, requests wait only if their turn comes in time; refused callers return one after the other.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -18,6 +18,7 @@
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
+from ..placement.upstream_terms import TermsTable
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
@@ -91,7 +92,10 @@
             on_crash=self.crash_watch.record_crash,
             connection_type=MatchingConnection,
         )
-        self.observer = ResponseObserver(HEADER_NAMES, self.clock)
+        self.terms_table = TermsTable()
+        self.observer = ResponseObserver(
+            HEADER_NAMES, self.clock, self.terms_table
+        )
         self.dispatcher = self._create_dispatcher()
         self.gateway = Gateway(
             self.catalog,
@@ -147,6 +151,7 @@
             self.messages,
             self.clock,
             self.role.forwarding_address,
+            self.observer.observe_relayed,
         )
         self.gateway.overflow_targets = OverflowTargets(
             self.role.other_domain_homes, self.dispatcher.random
@@ -185,8 +190,10 @@
 
     def update_role(self) -> None:
         """Dispatch to the owned upstreams; probe them if this is a home."""
+        is_dispatcher = self.role.is_dispatcher()
         self.dispatcher.set_ownership(self.role.owns)
-        if not self.role.is_dispatcher():
+        self.dispatcher.set_exclusive(is_exclusive=is_dispatcher)
+        if not is_dispatcher:
             self.probe_tasks.cancel()
         elif not self.probe_tasks.tasks:
             self.probe_tasks.spawn(
@@ -261,6 +268,7 @@
             self.metrics,
             RequestLog(self.clock),
             self.crash_watch,
+            self.terms_table,
         )
 
     def _create_prober(self) -> Prober:
@@ -282,6 +290,8 @@
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
         self.dispatcher.refresh_load = self.prober.refresh_load
+        # An instance without a home is not the only one that dispatches.
+        self.dispatcher.set_exclusive(is_exclusive=False)
         self.catalog.on_config.append(self.prober.apply_config)
         self.domain_homes.on_change.append(lambda _: self.update_role())
 
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -9,6 +9,7 @@
 from ..placement.placer import Ownership, ServicePlacer
 from ..placement.requests import Decision, Placed, PlacementRequest, Refused
 from ..placement.upstream_state import SLOW_THRESHOLD, UpstreamState
+from ..placement.upstream_terms import TermsTable
 from ..protocol.home_feed import UpstreamChange
 from ..routes.timing import RouteTiming
 from .call_results import CallResult, NotRun, Responded, ResponseLost
@@ -55,6 +56,7 @@
         metrics: EntryMetrics,
         request_log: RequestLog,
         crash_watch: CrashWatch,
+        terms_table: TermsTable,
     ) -> None:
         self.client = client
         self.failure_domain = failure_domain
@@ -70,6 +72,8 @@
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
         self.last_request_at = float()
         self.owns: Ownership | None = None
+        self.is_exclusive = True
+        self.terms_table = terms_table
 
     def set_ownership(self, owns: Ownership) -> None:
         """Dispatch to the upstreams of the failure domains that ``owns``."""
@@ -77,6 +81,12 @@
         for placer in self.placers.values():
             placer.set_ownership(owns)
 
+    def set_exclusive(self, *, is_exclusive: bool) -> None:
+        """Set whether no other instance dispatches to the owned upstreams."""
+        self.is_exclusive = is_exclusive
+        for placer in self.placers.values():
+            placer.set_exclusive(is_exclusive=is_exclusive)
+
     def apply_upstream_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
         entry = change.entry
@@ -91,8 +101,13 @@
         placer = self.placers.get(service)
         if placer is None:
             placer = ServicePlacer(
-                service, self.failure_domain, self.clock, self.random
+                service,
+                self.failure_domain,
+                self.clock,
+                self.random,
+                self.terms_table,
             )
+            placer.set_exclusive(is_exclusive=self.is_exclusive)
             if self.owns is not None:
                 placer.set_ownership(self.owns)
             self.placers[service] = placer
@@ -158,9 +173,12 @@
         """Probe an upstream and return whether it is slow.
 
         With a fresh load report, return False without a probe, as the choice
-        already took that report into account.
+        already took that report into account. A rate limit counts probes too,
+        so they would take the place of requests.
         """
         state = placed.upstream
+        if state.rate_limit is not None:
+            return False
         if self._now() - state.reported_at < FRESH_LOAD_SECONDS:
             return False
         try:
@@ -246,9 +264,11 @@
     ) -> None:
         match result:
             case Responded(is_failure=False):
+                context.responder = upstream.entry
                 upstream.succeeded()
                 self.crash_watch.record_response(context.outgoing_request)
             case Responded():
+                context.responder = upstream.entry
                 context.may_have_run = True
                 rate = upstream.failure_rate
                 upstream.failure_rate += ERROR_WEIGHT * (1 - rate)
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,11 +1,17 @@
 """Handling of callers' requests: checks, routing and forwarding."""
 
 from collections.abc import Awaitable
+from dataclasses import replace
 from math import inf
 
 from ..clock import Clock
 from ..membership.catalog import Catalog
-from ..routes.model import CallerLimits, Route, RouteConfig
+from ..routes.model import (
+    CallerLimits,
+    RegisteredUpstream,
+    Route,
+    RouteConfig,
+)
 from ..routes.table import RouteTable
 from .call_results import NotRun, ResponseLost
 from .caller_connection import CallerConnection, CallerRequest
@@ -30,7 +36,11 @@
 from .responses import CallerResponse, Refusal
 from .start_wait import StartWait
 from .upstream_call import OutgoingRequest
-from .upstream_messages import HOP_HEADER, OVERFLOW_HEADER
+from .upstream_messages import (
+    HOP_HEADER,
+    OVERFLOW_HEADER,
+    RESPONDER_HEADER,
+)
 
 
 class Gateway:
@@ -178,7 +188,10 @@
             response = await self._serve_elsewhere(context)
             if response is not None:
                 return response
-        return await self.dispatcher.run(context)
+        response = await self.dispatcher.run(context)
+        if HOP_HEADER in headers and isinstance(response, CallerResponse):
+            return _with_responder(response, context.responder)
+        return response
 
     async def _serve_elsewhere(
         self, context: RequestContext
@@ -263,6 +276,17 @@
         return refusal.response(headers if request_id else ())
 
 
+def _with_responder(
+    response: CallerResponse, responder: RegisteredUpstream | None
+) -> CallerResponse:
+    """Name the upstream that responded, for the forwarding instance."""
+    if responder is None:
+        return response
+    name = f'{responder.key} {responder.started_at}'
+    header = (RESPONDER_HEADER.encode(), name.encode())
+    return replace(response, headers=(*response.headers, header))
+
+
 def _service_of(request: CallerRequest, route: Route) -> str:
     """Return the service that another domain home has chosen, if any."""
     service = request.message.headers.get(OVERFLOW_HEADER, '')
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable
 
+from aiohttp.http import RawResponseMessage
+
 from ..clock import Clock
 from ..proxy.pool import ConnectionPool
 from .call_results import NotRun, ResponseLost
@@ -25,7 +27,10 @@
 
 
 class HomeForwarder:
-    """Sends requests to the address that ``home_address`` returns, if any."""
+    """Sends requests to the address that ``home_address`` returns, if any.
+
+    ``on_response`` receives each response of a home.
+    """
 
     def __init__(
         self,
@@ -33,11 +38,13 @@
         messages: UpstreamMessages,
         clock: Clock,
         home_address: Callable[[], str],
+        on_response: Callable[[RawResponseMessage], None] | None = None,
     ) -> None:
         self.pool = pool
         self.messages = messages
         self.clock = clock
         self.home_address = home_address
+        self.on_response = on_response
 
     async def forward(
         self,
@@ -120,4 +127,6 @@
         )
         if message.code == DECLINED_STATUS:
             return NotRun('declined by the home', reported_by_upstream=False)
+        if self.on_response is not None:
+            self.on_response(message)
         return self.messages.caller_response(message, body)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -97,6 +97,8 @@
                 interval = self.queue_interval
             if (
                 state.is_usable
+                # A rate limit counts probes too; requests show the load.
+                and state.rate_limit is None
                 and now >= state.backoff_until
                 and now - latest >= interval
             ):
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..routes.model import Route
+from ..routes.model import RegisteredUpstream, Route
 from .caller_connection import CallerRequest
 from .upstream_call import OutgoingRequest
 
@@ -17,6 +17,7 @@
     are the keys of the upstreams tried so far, and ``send_count`` is the number
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
+    ``responder`` is the upstream whose response is returned.
     """
 
     request: CallerRequest
@@ -30,6 +31,7 @@
     tried_keys: frozenset[str] = frozenset()
     may_have_run: bool = False
     send_count: int = 0
+    responder: RegisteredUpstream | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -2,34 +2,41 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, Literal
 
 from aiohttp.http import RawResponseMessage
 
 from ..clock import Clock
 from ..logs import log
 from ..placement.upstream_state import UpstreamState
+from ..placement.upstream_terms import TermsTable, UpstreamTerms
 from .header_names import HeaderNames
+from .upstream_messages import RESPONDER_HEADER
 
 #: Shortest time between two log lines about malformed headers.
 MALFORMED_LOG_INTERVAL = timedelta(seconds=10)
 MAX_LOGGED_CHARACTERS = 100
 
+Source = Literal['response', 'probe', 'relayed']
+
 
 class ResponseObserver:
-    """Records the load and the rate limit that upstreams state.
+    """Records the load and the terms that upstreams state.
 
-    ``write`` receives an event and its fields.
+    ``terms_table`` holds the terms of all upstreams. ``write`` receives an
+    event and its fields.
     """
 
     def __init__(
         self,
         header_names: HeaderNames,
         clock: Clock,
+        terms_table: TermsTable,
         write: Callable[..., None] = log,
     ) -> None:
         self.header_names = header_names
         self.clock = clock
+        self.terms_table = terms_table
         self.write = write
         self.malformed_logged_at: timedelta | None = None
 
@@ -45,9 +52,11 @@
         A limit holds until a signed response does not state one.
         """
         self._observe_load(upstream, message)
-        self._observe_limit(upstream, message, 'response')
-        if is_signed and self.header_names.rate_limit not in message.headers:
-            self._set_limit(upstream, None, 'response')
+        self._observe_terms(upstream.key, upstream.terms, message, 'response')
+        if is_signed:
+            self._end_unstated(
+                upstream.key, upstream.terms, message, 'response'
+            )
 
     def observe_probe(
         self, upstream: UpstreamState, message: RawResponseMessage
@@ -57,7 +66,22 @@
         It does not end a limit: a health endpoint may not state limits.
         """
         self._observe_load(upstream, message)
-        self._observe_limit(upstream, message, 'probe')
+        self._observe_terms(upstream.key, upstream.terms, message, 'probe')
+
+    def observe_relayed(self, message: RawResponseMessage) -> None:
+        """Record what an upstream's response states that a home has sent.
+
+        This instance passes the response on, so the terms bind it too, once
+        it dispatches itself.
+        """
+        responder = message.headers.get(RESPONDER_HEADER, '')
+        key, _, started_at = responder.rpartition(' ')
+        if not key or not started_at.isdecimal():
+            # The home itself has responded, or it runs an older build.
+            return
+        terms = self.terms_table.terms_of(key, int(started_at))
+        self._observe_terms(key, terms, message, 'relayed')
+        self._end_unstated(key, terms, message, 'relayed')
 
     def _observe_load(
         self, upstream: UpstreamState, message: RawResponseMessage
@@ -65,41 +89,54 @@
         text = message.headers.get(self.header_names.load, '')
         load = self.header_names.parse_load(text)
         if load is not None and load.slowdown is not None:
-            upstream.report(
-                load.slowdown, self.clock.monotonic().total_seconds()
-            )
+            upstream.report(load.slowdown, self._now())
 
-    def _observe_limit(
-        self, upstream: UpstreamState, message: RawResponseMessage, source: str
+    def _observe_terms(
+        self,
+        key: str,
+        terms: UpstreamTerms,
+        message: RawResponseMessage,
+        source: Source,
     ) -> None:
         text = message.headers.get(self.header_names.rate_limit)
         if text is None:
             return
         limit = self.header_names.parse_rate_limit(text)
         if limit is None:
-            self._log_malformed(upstream, self.header_names.rate_limit, text)
+            self._log_malformed(key, self.header_names.rate_limit, text)
         else:
-            self._set_limit(upstream, limit, source)
+            self._change_limit(key, terms, limit, source)
+
+    def _end_unstated(
+        self,
+        key: str,
+        terms: UpstreamTerms,
+        message: RawResponseMessage,
+        source: Source,
+    ) -> None:
+        if self.header_names.rate_limit not in message.headers:
+            self._change_limit(key, terms, None, source)
 
-    def _set_limit(
-        self, upstream: UpstreamState, limit: float | None, source: str
+    def _change_limit(
+        self,
+        key: str,
+        terms: UpstreamTerms,
+        limit: float | None,
+        source: Source,
     ) -> None:
-        previous = upstream.rate_limit
+        previous = terms.rate_limit
         if limit == previous:
             return
-        upstream.rate_limit = limit
+        terms.apply_rate_limit(limit, self._now())
         self._write(
             'upstream_limit_changed',
-            upstream=upstream.key,
-            service=upstream.entry.service,
+            upstream=key,
             limit=limit,
             previous=previous,
             source=source,
         )
 
-    def _log_malformed(
-        self, upstream: UpstreamState, header: str, text: str
-    ) -> None:
+    def _log_malformed(self, key: str, header: str, text: str) -> None:
         now = self.clock.monotonic()
         logged_at = self.malformed_logged_at
         if logged_at is not None and now - logged_at < MALFORMED_LOG_INTERVAL:
@@ -107,10 +144,13 @@
         self.malformed_logged_at = now
         self._write(
             'upstream_header_malformed',
-            upstream=upstream.key,
+            upstream=key,
             header=header,
             content=text[:MAX_LOGGED_CHARACTERS],
         )
 
     def _write(self, event: str, **fields: Any) -> None:
         self.write(event, **fields)
+
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -17,6 +17,9 @@
 #: Names the service of a request that a domain home sends to another one, since
 #: its own upstreams have no free slot.
 OVERFLOW_HEADER = 'Crocus-Overflow'
+#: Names the upstream, and its start, that has responded to a forwarded request,
+#: so that the forwarding instance learns what the upstream has stated.
+RESPONDER_HEADER = 'Crocus-Upstream'
 _MAX_RETRY_AFTER = timedelta(seconds=5)
 _MIN_DEADLINE_MS = 1
 
@@ -36,7 +39,8 @@
             name.lower().encode() for name in own_headers
         }
         self.dropped_response_headers = _REPLACED_HEADERS | {
-            header_names.load.lower().encode()
+            header_names.load.lower().encode(),
+            RESPONDER_HEADER.lower().encode(),
         }
 
     def upstream_request(
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -20,7 +20,13 @@
     QueuedRequest,
     Refused,
 )
+from .stated_capacity import (
+    ReturnSchedule,
+    StatedCapacity,
+    stated_capacity,
+)
 from .upstream_state import UpstreamState
+from .upstream_terms import TermsTable
 
 #: Queued requests per slot; more could not be served in time.
 QUEUED_PER_SLOT = 2
@@ -40,6 +46,7 @@
 Ownership = Callable[[str], bool]
 
 _NO_UPSTREAM = Refused('no_upstream', timedelta(milliseconds=200))
+_OVERLOADED = Refused('overloaded', timedelta(milliseconds=100))
 
 
 class ServicePlacer:
@@ -50,16 +57,24 @@
     """
 
     def __init__(
-        self, service: str, failure_domain: str, clock: Clock, random: Random
+        self,
+        service: str,
+        failure_domain: str,
+        clock: Clock,
+        random: Random,
+        terms_table: TermsTable | None = None,
     ) -> None:
         self.service = service
         self.failure_domain = failure_domain
         self.clock = clock
         self.random = random
+        self.terms_table = terms_table or TermsTable()
+        self.return_schedule = ReturnSchedule(random)
         self.upstreams: dict[str, UpstreamState] = {}
         self.queue: list[QueuedRequest] = []
         self.median_ratio = 1.0
         self.owns: Ownership = _owns_all
+        self.is_exclusive = True
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -74,9 +89,12 @@
             if state is not None:
                 state.is_removed = True
             is_remote = entry.failure_domain != self.failure_domain
-            state = UpstreamState(entry, is_remote)
+            state = UpstreamState(
+                entry, is_remote, terms=self.terms_table.terms(entry)
+            )
             self.upstreams[entry.key] = state
         state.is_owned = self.owns(entry.failure_domain)
+        state.is_exclusive = self.is_exclusive
         warm_up = entry.warm_up.total_seconds()
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
         self.process_queue()
@@ -99,6 +117,17 @@
         self._refuse_unplaceable()
         self.process_queue()
 
+    def set_exclusive(self, *, is_exclusive: bool) -> None:
+        """Set whether no other instance dispatches to the owned upstreams.
+
+        Otherwise rate-limited upstreams get no requests from this instance.
+        """
+        self.is_exclusive = is_exclusive
+        for state in self.upstreams.values():
+            state.is_exclusive = is_exclusive
+        self._refuse_unplaceable()
+        self.process_queue()
+
     def limited_count(self) -> int:
         """Return the number of upstreams that state a rate limit."""
         return sum(
@@ -119,6 +148,7 @@
         free = sum(
             state.entry.slots - state.in_flight
             for state in self._candidates(self.now())
+            if state.rate_limit is None
         )
         return free > MIN_SPARE_SHARE * self._slots()
 
@@ -157,20 +187,25 @@
     def process_queue(self) -> None:
         """Place queued requests, then refuse excess ones.
 
-        Requests with too little time left are refused, and the last ones in
+        Requests that cannot start in time are refused, and the last ones in
         rank if the queue is longer than its limit.
         """
         now = self.now()
         self.queue.sort(key=lambda queued_request: queued_request.rank(now))
         self._place_queued(now)
+        if not self.queue:
+            return
+        capacity = stated_capacity(self.upstreams.values(), now)
+        position = 0
         for queued_request in tuple(self.queue):
-            if (
-                now + queued_request.request.service_time
-                >= queued_request.request.deadline
-            ):
-                self._refuse(queued_request)
+            request = queued_request.request
+            start = capacity.start_of(position)
+            if start + request.service_time >= request.deadline:
+                self._refuse(queued_request, capacity, now)
+            else:
+                position += 1
         while len(self.queue) > self._queue_limit():
-            self._refuse(self.queue[-1])
+            self._refuse(self.queue[-1], capacity, now)
 
     def _has_upstream(self, request: PlacementRequest) -> bool:
         return any(
@@ -205,7 +240,9 @@
                     state, queued_request.request.service_time, now
                 )
                 candidates = [
-                    candidate for candidate in candidates if candidate.has_slot
+                    candidate
+                    for candidate in candidates
+                    if candidate.has_slot and candidate.may_start(now)
                 ]
                 queued_request.on_decision(placed)
 
@@ -216,29 +253,41 @@
                 self.queue.remove(queued_request)
                 queued_request.on_decision(_NO_UPSTREAM)
 
-    def _refuse(self, queued_request: QueuedRequest) -> None:
+    def _refuse(
+        self,
+        queued_request: QueuedRequest,
+        capacity: StatedCapacity,
+        now: float,
+    ) -> None:
         self.queue.remove(queued_request)
-        queued_request.on_decision(self._overloaded())
+        if not capacity.is_limited:
+            queued_request.on_decision(_OVERLOADED)
+            return
+        returns_at = self.return_schedule.next_return(
+            capacity.start_of(len(self.queue)), capacity.rate
+        )
+        queued_request.on_decision(
+            Refused('rate_limited', timedelta(seconds=returns_at - now))
+        )
 
     def _slots(self) -> int:
+        """Return the slots of the upstreams that do not limit their rate."""
         return sum(
             state.entry.slots
             for state in self.upstreams.values()
-            if state.is_usable
+            if state.is_usable and state.rate_limit is None
         )
 
     def _queue_limit(self) -> int:
         return max(QUEUED_PER_SLOT * self._slots(), MIN_QUEUE_LENGTH)
 
-    def _overloaded(self) -> Refused:
-        return Refused('overloaded', timedelta(milliseconds=100))
-
     def _start(
         self, state: UpstreamState, service_time: float, now: float
     ) -> Placed:
         # Extra time that all upstreams need is not slowness of this one.
         expected = self.median_ratio * service_time
         expected *= max(state.expected_slowdown(now), 1)
+        state.terms.count_request(now)
         return Placed(state, state.observed.start(now, expected))
 
     def _candidates(self, now: float) -> list[UpstreamState]:
@@ -251,7 +300,7 @@
         usable = [
             state
             for state in self.upstreams.values()
-            if state.is_usable and now >= state.backoff_until
+            if state.is_usable and state.may_start(now)
         ]
         fast = [state for state in usable if not state.is_slow(now)]
         return [state for state in fast or usable if state.has_slot]
--- /dev/null
+++ b/src/crocusproxy/placement/stated_capacity.py
@@ -0,0 +1,79 @@
+"""When upstreams will take requests, as far as they have stated it.
+
+Answers a load beyond the rate limits that all upstreams of a service state:
+requests wait only if their turn comes in time, and refused callers are told
+to return when there is room, one after the other.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+
+from .upstream_state import UpstreamState
+
+#: Callers that are refused return within this time after there is room.
+MAX_RETURN_SPREAD_SECONDS = 5.0
+#: Time between returning callers if no rate limit says otherwise.
+MIN_RETURN_INTERVAL_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class StatedCapacity:
+    """The next start that the upstreams permit, and the starts per second.
+
+    ``next_start`` is in monotonic seconds. ``rate`` is infinite if an upstream
+    without a limit takes requests from then on.
+    """
+
+    next_start: float
+    rate: float
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether each upstream limits its rate."""
+        return self.rate < inf
+
+    def start_of(self, position: int) -> float:
+        """Return the expected start of the request at a queue position."""
+        return self.next_start + position / self.rate
+
+
+def stated_capacity(
+    upstreams: Iterable[UpstreamState], now: float
+) -> StatedCapacity:
+    """Return what the usable upstreams permit together."""
+    next_start = inf
+    rate = float()
+    for state in upstreams:
+        if not state.is_usable:
+            continue
+        limiter = state.terms.limiter
+        if limiter is None:
+            return StatedCapacity(now, inf)
+        rate += limiter.rate
+        next_start = min(next_start, limiter.next_at(now))
+    if not rate:
+        return StatedCapacity(now, inf)
+    return StatedCapacity(next_start, rate)
+
+
+class ReturnSchedule:
+    """Divides the times at which refused callers should return."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.latest = -inf
+
+    def next_return(self, earliest: float, rate: float) -> float:
+        """Return when the next caller should return, in monotonic seconds.
+
+        Callers return ``rate`` per second, from ``earliest`` on.
+        """
+        interval = max(1 / rate, MIN_RETURN_INTERVAL_SECONDS)
+        self.latest = max(self.latest, earliest) + interval
+        if self.latest > earliest + MAX_RETURN_SPREAD_SECONDS:
+            # More callers than there will be room for.
+            spread = self.random.uniform(0, MAX_RETURN_SPREAD_SECONDS)
+            self.latest = earliest + spread
+        return self.latest
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -6,6 +6,7 @@
 
 from ..routes.model import RegisteredUpstream
 from .observed_slowdown import ObservedSlowdown
+from .upstream_terms import UpstreamTerms
 
 #: Seconds after which a reported slowdown has lost 63 % of its weight.
 SLOWDOWN_DECAY_SECONDS = 0.07
@@ -42,10 +43,9 @@
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request.
-    An upstream that another instance dispatches to is not ``is_owned``.
-    ``rate_limit`` is the number of requests per second that the upstream takes
-    from all instances together, None without limit. Times are monotonic
-    seconds.
+    An upstream that another instance dispatches to is not ``is_owned``; one
+    that others may dispatch to as well is not ``is_exclusive``. Times are
+    monotonic seconds.
     """
 
     entry: RegisteredUpstream
@@ -59,8 +59,9 @@
     probed_at: float = -inf
     is_removed: bool = False
     is_owned: bool = True
-    rate_limit: float | None = None
+    is_exclusive: bool = True
     observed: ObservedSlowdown = field(default_factory=ObservedSlowdown)
+    terms: UpstreamTerms = field(default_factory=UpstreamTerms)
 
     @property
     def key(self) -> str:
@@ -70,7 +71,15 @@
     @property
     def is_usable(self) -> bool:
         """Return whether new requests may be sent here."""
-        return self.is_owned and not self.is_removed and not self.entry.leaving
+        if self.is_removed or self.entry.leaving:
+            return False
+        # A rate limit binds all instances together, so only one may use it.
+        return self.is_owned and (self.is_exclusive or self.rate_limit is None)
+
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the stated limit in requests per second, if there is one."""
+        return self.terms.rate_limit
 
     @property
     def in_flight(self) -> int:
@@ -82,6 +91,12 @@
         """Return whether a slot is free."""
         return len(self.observed.running) < self.entry.slots
 
+    def may_start(self, now: float) -> bool:
+        """Return whether no backoff or rate limit forbids a request."""
+        if now < self.backoff_until:
+            return False
+        return self.terms.next_request_at(now) <= now
+
     def report(self, slowdown: float, now: float) -> None:
         """Record a reported slowdown."""
         self.slowdown = max(slowdown, _MIN_SLOWDOWN)
--- /dev/null
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -0,0 +1,68 @@
+"""What upstreams have asked for in their responses.
+
+Terms belong to an incarnation of an upstream and outlive its entry in the list
+of upstreams, as an entry can expire and come back while its upstream lives on.
+"""
+
+from dataclasses import dataclass
+
+from ..limits.rate_limiter import RateLimiter
+from ..routes.model import RegisteredUpstream
+
+#: Incarnations whose terms are kept, also after their entries are removed.
+MAX_INCARNATIONS = 20_000
+
+
+@dataclass(slots=True)
+class UpstreamTerms:
+    """Terms of one incarnation of an upstream.
+
+    ``rate_limit`` is the number of requests per second that the upstream takes
+    from all instances together, None without limit; ``limiter`` then permits
+    the requests of this instance. Times are monotonic seconds.
+    """
+
+    rate_limit: float | None = None
+    limiter: RateLimiter | None = None
+
+    def apply_rate_limit(self, limit: float | None, now: float) -> None:
+        """Apply a stated limit, or the end of one."""
+        self.rate_limit = limit
+        if limit is None:
+            self.limiter = None
+        elif self.limiter is None:
+            self.limiter = RateLimiter(limit, now)
+        else:
+            self.limiter.change_rate(limit, now)
+
+    def next_request_at(self, now: float) -> float:
+        """Return when a request is permitted, ``now`` at the earliest."""
+        return now if self.limiter is None else self.limiter.next_at(now)
+
+    def count_request(self, now: float) -> None:
+        """Count a request that is sent."""
+        if self.limiter is not None:
+            self.limiter.take(now)
+
+
+class TermsTable:
+    """The terms of the latest known incarnation of each upstream."""
+
+    def __init__(self) -> None:
+        self.incarnations: dict[str, tuple[int, UpstreamTerms]] = {}
+
+    def terms(self, entry: RegisteredUpstream) -> UpstreamTerms:
+        """Return the terms of an incarnation, created on first use."""
+        return self.terms_of(entry.key, entry.started_at)
+
+    def terms_of(self, key: str, started_at: int) -> UpstreamTerms:
+        """Return the terms by key and start, those of the latest start."""
+        known_start, terms = self.incarnations.get(key, (started_at, None))
+        if terms is not None and known_start >= started_at:
+            return terms
+        created = UpstreamTerms()
+        self.incarnations.pop(key, None)
+        self.incarnations[key] = (started_at, created)
+        while len(self.incarnations) > MAX_INCARNATIONS:
+            self.incarnations.pop(next(iter(self.incarnations)))
+        return created
--- a/tests/entry/test_upstream_terms.py
+++ b/tests/entry/test_upstream_terms.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from .harness import make_server, run_scenario
+from crocusproxy.entry.home_forwarder import HomeForwarder
+
+from .harness import GatewaySystem, make_server, run_scenario
 from .test_prober import make_prober
 
 LIMITED = 'Server-Limit: 2'
@@ -92,3 +94,73 @@
         assert 20 < float(headers['retry-after']) <= 45
 
     run_scenario(scenario, [make_server('i-1')])
+
+
+def with_home(scenario, servers, home_servers):
+    """Run ``scenario`` with an instance that forwards to a home."""
+
+    async def run_with_home(system):
+        home = await GatewaySystem().start(home_servers)
+        addresses = [home.address]
+        system.gateway.forwarder = HomeForwarder(
+            system.pool,
+            system.messages,
+            system.clock,
+            lambda: addresses[0],
+            system.observer.observe_relayed,
+        )
+        try:
+            await scenario(system, home, addresses)
+        finally:
+            await home.stop()
+
+    run_scenario(run_with_home, servers)
+
+
+def test_instance_knows_a_limit_from_a_response_that_it_relayed():
+    """As the next home, it would begin as if there were no limit."""
+
+    async def scenario(system, home, addresses):
+        (server,) = home.servers
+        server.terms = (LIMITED,)
+        _, headers, _ = await system.request('r1')
+        assert 'crocus-upstream' not in headers
+        system.register(server)
+        assert system.dispatcher.placers['s'].upstreams['i-1'].rate_limit == 2
+        addresses[0] = ''
+        arrived_before = len(server.arrival_times)
+        statuses = await send_load(system, 2)
+        assert len(server.arrival_times) - arrived_before <= 2 * 2 + 1
+        assert set(statuses) == {200, 503}
+
+    with_home(scenario, [], [make_server('i-1')])
+
+
+def test_instance_that_can_not_reach_the_home_spends_no_limit_beside_it():
+    async def scenario(system, home, addresses):
+        (server,) = home.servers
+        system.dispatcher.set_exclusive(is_exclusive=False)
+        server.terms = (LIMITED,)
+        await system.request('r1')
+        system.register(server)
+        addresses[0] = '127.0.0.1:1'
+        arrived_before = len(server.arrival_times)
+        assert set(await send_load(system, 1)) == {503}
+        assert len(server.arrival_times) == arrived_before
+
+    with_home(scenario, [], [make_server('i-1')])
+
+
+def test_relayed_response_without_a_limit_ends_it():
+    async def scenario(system, home, addresses):
+        (server,) = home.servers
+        server.terms = (LIMITED,)
+        await system.request('r1')
+        server.terms = ()
+        await asyncio.sleep(0.6)
+        await system.request('r2')
+        system.register(server)
+        state = system.dispatcher.placers['s'].upstreams['i-1']
+        assert state.rate_limit is None
+
+    with_home(scenario, [], [make_server('i-1')])
