Send nothing to an upstream whose responses say that it leaves

Callers could get a refused or cut request at the end of such an upstream; it got requests until its entry in the list changed, which some upstreams never report.

Cause: the header Server-Leaving was not read. Change: it marks the incarnation in its terms, at every instance that passed the response on, also for a home; only another start of the upstream takes requests again, whatever the list says meanwhile. Requests that no upstream is left for are refused at once. A response of another server at the address (421) is no statement of the upstream, for limits neither.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -15,6 +15,7 @@
     (
         'upstream_changed',
         'upstream_limit_changed',
+        'upstream_leaving',
         'probe_failed',
         'upstream_entry_unusable',
     )
--- a/src/crocusproxy/entry/header_names.py
+++ b/src/crocusproxy/entry/header_names.py
@@ -26,7 +26,8 @@
     response to a request that was not run. ``expected_upstream`` contains the
     key of the only upstream that may run a request, ``upstream`` that of the
     upstream that responded. ``rate_limit`` contains the requests per second
-    that an upstream takes from all instances together.
+    that an upstream takes from all instances together. ``leaving`` marks the
+    responses of an upstream that is about to end.
     """
 
     request_id: str
@@ -37,5 +38,6 @@
     not_run: str
     load: str
     rate_limit: str
+    leaving: str
     parse_load: Callable[[str], UpstreamLoad | None]
     parse_rate_limit: Callable[[str], float | None]
--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -17,6 +17,10 @@
 MALFORMED_LOG_INTERVAL = timedelta(seconds=10)
 MAX_LOGGED_CHARACTERS = 100
 
+_MISDIRECTED = 421
+#: Values of the header ``leaving`` that do not mark a leaving upstream.
+_NOT_LEAVING = frozenset(('', '0'))
+
 Source = Literal['response', 'probe', 'relayed']
 
 
@@ -51,6 +55,9 @@
 
         A limit holds until a signed response does not state one.
         """
+        if message.code == _MISDIRECTED:
+            # Another server has responded at the upstream's address.
+            return
         self._observe_load(upstream, message)
         self._observe_terms(upstream.key, upstream.terms, message, 'response')
         if is_signed:
@@ -98,6 +105,9 @@
         message: RawResponseMessage,
         source: Source,
     ) -> None:
+        leaving = message.headers.get(self.header_names.leaving, '')
+        if leaving.strip() not in _NOT_LEAVING:
+            self._mark_leaving(key, terms, source)
         text = message.headers.get(self.header_names.rate_limit)
         if text is None:
             return
@@ -117,6 +127,13 @@
         if self.header_names.rate_limit not in message.headers:
             self._change_limit(key, terms, None, source)
 
+    def _mark_leaving(
+        self, key: str, terms: UpstreamTerms, source: Source
+    ) -> None:
+        if not terms.is_leaving:
+            terms.is_leaving = True
+            self._write('upstream_leaving', upstream=key, source=source)
+
     def _change_limit(
         self,
         key: str,
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -181,8 +181,11 @@
         if answered:
             step = RATIO_STEP_SHARE if ratio > 1 else -RATIO_STEP_SHARE
             self.median_ratio *= 1 + step
-        if self.queue:
-            self.process_queue()
+        if not self.queue:
+            return
+        if placed.upstream.terms.is_leaving:
+            self._refuse_unplaceable()
+        self.process_queue()
 
     def process_queue(self) -> None:
         """Place queued requests, then refuse excess ones.
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -71,7 +71,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether new requests may be sent here."""
-        if self.is_removed or self.entry.leaving:
+        if self.is_removed or self.entry.leaving or self.terms.is_leaving:
             return False
         # A rate limit binds all instances together, so only one may use it.
         return self.is_owned and (self.is_exclusive or self.rate_limit is None)
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -19,11 +19,13 @@
 
     ``rate_limit`` is the number of requests per second that the upstream takes
     from all instances together, None without limit; ``limiter`` then permits
-    the requests of this instance. Times are monotonic seconds.
+    the requests of this instance. ``is_leaving`` does not end: only another
+    incarnation takes requests again. Times are monotonic seconds.
     """
 
     rate_limit: float | None = None
     limiter: RateLimiter | None = None
+    is_leaving: bool = False
 
     def apply_rate_limit(self, limit: float | None, now: float) -> None:
         """Apply a stated limit, or the end of one."""
--- a/src/crocusproxy/platform/headers.py
+++ b/src/crocusproxy/platform/headers.py
@@ -56,6 +56,7 @@
     not_run='X-Crocusproxy-Not-Executed',
     load='X-Crocusproxy-Server-Load',
     rate_limit='Server-Limit',
+    leaving='Server-Leaving',
     parse_load=parse_load,
     parse_rate_limit=parse_rate_limit,
 )
--- a/tests/entry/test_upstream_terms.py
+++ b/tests/entry/test_upstream_terms.py
@@ -164,3 +164,51 @@
         assert state.rate_limit is None
 
     with_home(scenario, [], [make_server('i-1')])
+
+
+def test_relayed_leaving_binds_this_instance_whatever_the_list_says():
+    """The entry of a leaving upstream can expire, come back or be late."""
+
+    async def scenario(system, home, addresses):
+        (leaving,) = home.servers
+        leaving.terms = (LEAVING,)
+        await system.request('r1')
+        leaving.terms = ()
+        addresses[0] = ''
+        system.register(leaving, sequence=2)
+        assert (await system.request('r2'))[0] == 503
+        assert len(leaving.heads) == 1
+        leaving.key = 'i-2'
+        system.register(leaving)
+        assert (await system.request('r3'))[0] == 200
+
+    with_home(scenario, [], [make_server('i-1')])
+
+
+def test_queued_request_is_refused_once_the_last_upstream_leaves():
+    async def scenario(system):
+        (server,) = system.servers
+        server.terms = (LEAVING,)
+        tasks = [
+            asyncio.create_task(system.request(f'r{number}'))
+            for number in range(2)
+        ]
+        await asyncio.sleep(0.05)
+        server.work = 0
+        statuses = sorted([(await task)[0] for task in tasks])
+        assert statuses == [200, 503]
+        assert len(server.heads) == 1
+
+    run_scenario(scenario, [make_server('i-1', slots=1, work=0.2)])
+
+
+def test_leaving_of_another_server_at_the_address_is_ignored():
+    async def scenario(system):
+        (server,) = system.servers
+        server.key, server.terms = 'i-other', (LEAVING,)
+        await system.request('r1')
+        server.key, server.terms = 'i-1', ()
+        await asyncio.sleep(0.3)
+        assert (await system.request('r2'))[0] == 200
+
+    run_scenario(scenario, [make_server('i-1')])
