Leave an upstream alone for as long as its Retry-After says

Upstreams that asked for a long backoff were sent requests after 2 s at the latest; their callers got slower or refused requests.

Cause: the value was cut to 5 s when read and to 2 s when applied, a later failure replaced it by a shorter backoff, and it was read neither in responses to probes nor in refusals without the header that says that the request did not run. Change: every 503 or 429 with a valid value asks this instance for a backoff, which is kept in the terms of the upstream's incarnation and never shortened; probes respect it too. If all upstreams of a service asked for one, requests that would start too late are refused at once, with the time at which the first backoff ends.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -16,6 +16,7 @@
         'upstream_changed',
         'upstream_limit_changed',
         'upstream_leaving',
+        'upstream_backoff',
         'probe_failed',
         'upstream_entry_unusable',
     )
--- a/src/crocusproxy/entry/call_results.py
+++ b/src/crocusproxy/entry/call_results.py
@@ -1,7 +1,6 @@
 """Possible results of sending one request to one upstream or to the home."""
 
 from dataclasses import dataclass
-from datetime import timedelta
 
 from .responses import CallerResponse
 
@@ -25,7 +24,6 @@
 
     reason: str
     reported_by_upstream: bool
-    retry_after: timedelta | None = None
     is_misdirected: bool = False
 
 
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -272,8 +272,8 @@
                 context.may_have_run = True
                 rate = upstream.failure_rate
                 upstream.failure_rate += ERROR_WEIGHT * (1 - rate)
-            case NotRun(reported_by_upstream=True, retry_after=backoff):
-                upstream.shed(now, backoff)
+            case NotRun(reported_by_upstream=True):
+                upstream.shed(now)
             case NotRun():
                 upstream.failed(now)
             case ResponseLost(is_timeout=is_timeout):
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -99,7 +99,7 @@
                 state.is_usable
                 # A rate limit counts probes too; requests show the load.
                 and state.rate_limit is None
-                and now >= state.backoff_until
+                and state.may_start(now)
                 and now - latest >= interval
             ):
                 self._start_probe(state, path)
--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -11,13 +11,18 @@
 from ..placement.upstream_state import UpstreamState
 from ..placement.upstream_terms import TermsTable, UpstreamTerms
 from .header_names import HeaderNames
-from .upstream_messages import RESPONDER_HEADER
+from .upstream_messages import RESPONDER_HEADER, parse_retry_after
 
 #: Shortest time between two log lines about malformed headers.
 MALFORMED_LOG_INTERVAL = timedelta(seconds=10)
 MAX_LOGGED_CHARACTERS = 100
+#: Shorter backoffs are frequent under load, and call_ended shows them.
+MIN_LOGGED_BACKOFF_SECONDS = 1.0
 
 _MISDIRECTED = 421
+_RETRY_AFTER = 'Retry-After'
+#: Refusals whose ``Retry-After`` asks this instance to send nothing.
+_BACKOFF_STATUSES = frozenset((429, 503))
 #: Values of the header ``leaving`` that do not mark a leaving upstream.
 _NOT_LEAVING = frozenset(('', '0'))
 
@@ -59,6 +64,7 @@
             # Another server has responded at the upstream's address.
             return
         self._observe_load(upstream, message)
+        self._observe_backoff(upstream, message)
         self._observe_terms(upstream.key, upstream.terms, message, 'response')
         if is_signed:
             self._end_unstated(
@@ -73,6 +79,7 @@
         It does not end a limit: a health endpoint may not state limits.
         """
         self._observe_load(upstream, message)
+        self._observe_backoff(upstream, message)
         self._observe_terms(upstream.key, upstream.terms, message, 'probe')
 
     def observe_relayed(self, message: RawResponseMessage) -> None:
@@ -98,6 +105,25 @@
         if load is not None and load.slowdown is not None:
             upstream.report(load.slowdown, self._now())
 
+    def _observe_backoff(
+        self, upstream: UpstreamState, message: RawResponseMessage
+    ) -> None:
+        text = message.headers.get(_RETRY_AFTER)
+        if text is None or message.code not in _BACKOFF_STATUSES:
+            return
+        backoff = parse_retry_after(text)
+        if backoff is None:
+            self._log_malformed(upstream.key, _RETRY_AFTER, text)
+            return
+        now = self._now()
+        seconds = backoff.total_seconds()
+        is_extended = now + seconds > upstream.terms.backoff_until
+        upstream.terms.request_backoff(seconds, now)
+        if is_extended and seconds >= MIN_LOGGED_BACKOFF_SECONDS:
+            self._write(
+                'upstream_backoff', upstream=upstream.key, seconds=seconds
+            )
+
     def _observe_terms(
         self,
         key: str,
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -12,7 +12,7 @@
 from .exchange import exchange_over
 from .response_observer import ResponseObserver
 from .upstream_connection import MatchingConnection
-from .upstream_messages import UpstreamMessages, retry_after
+from .upstream_messages import UpstreamMessages
 
 #: The upstream may be closing a connection that was idle for longer, and a
 #: non-idempotent request sent on it would be lost.
@@ -114,7 +114,6 @@
             return NotRun(
                 f'status {message.code}',
                 reported_by_upstream=True,
-                retry_after=retry_after(message),
                 is_misdirected=message.code == 421,
             )
         if not self.messages.is_from_upstream(message):
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from math import inf
 
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
@@ -20,7 +21,8 @@
 #: Names the upstream, and its start, that has responded to a forwarded request,
 #: so that the forwarding instance learns what the upstream has stated.
 RESPONDER_HEADER = 'Crocus-Upstream'
-_MAX_RETRY_AFTER = timedelta(seconds=5)
+#: Bounds the effect of an absurd value.
+_MAX_RETRY_AFTER_SECONDS = 3600.0
 _MIN_DEADLINE_MS = 1
 
 
@@ -110,17 +112,19 @@
         )
 
 
-def retry_after(message: RawResponseMessage) -> timedelta | None:
-    """Return the requested backoff, None without a valid ``Retry-After``."""
-    text = message.headers.get('Retry-After', '')
+def parse_retry_after(text: str) -> timedelta | None:
+    """Return the requested backoff, None if it is no number of seconds.
+
+    >>> parse_retry_after('2.5').total_seconds(), parse_retry_after('soon')
+    (2.5, None)
+    """
     try:
         seconds = float(text)
     except ValueError:
         return None
-    if not 0 <= seconds < float('inf'):
+    if not 0 <= seconds < inf:
         return None
-    # The inner limit prevents an overflow of timedelta.
-    return min(timedelta(seconds=min(seconds, 60)), _MAX_RETRY_AFTER)
+    return timedelta(seconds=min(seconds, _MAX_RETRY_AFTER_SECONDS))
 
 
 def _filter_headers(
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -263,14 +263,14 @@
         now: float,
     ) -> None:
         self.queue.remove(queued_request)
-        if not capacity.is_limited:
+        if not capacity.is_limited(now):
             queued_request.on_decision(_OVERLOADED)
             return
         returns_at = self.return_schedule.next_return(
             capacity.start_of(len(self.queue)), capacity.rate
         )
         queued_request.on_decision(
-            Refused('rate_limited', timedelta(seconds=returns_at - now))
+            Refused('upstreams_limited', timedelta(seconds=returns_at - now))
         )
 
     def _slots(self) -> int:
--- a/src/crocusproxy/placement/stated_capacity.py
+++ b/src/crocusproxy/placement/stated_capacity.py
@@ -1,6 +1,6 @@
 """When upstreams will take requests, as far as they have stated it.
 
-Answers a load beyond the rate limits that all upstreams of a service state:
+Answers a load beyond what all upstreams of a service say that they take:
 requests wait only if their turn comes in time, and refused callers are told
 to return when there is room, one after the other.
 """
@@ -29,10 +29,9 @@
     next_start: float
     rate: float
 
-    @property
-    def is_limited(self) -> bool:
-        """Return whether each upstream limits its rate."""
-        return self.rate < inf
+    def is_limited(self, now: float) -> bool:
+        """Return whether no upstream takes any number of requests now."""
+        return self.rate < inf or self.next_start > now
 
     def start_of(self, position: int) -> float:
         """Return the expected start of the request at a queue position."""
@@ -48,14 +47,16 @@
     for state in upstreams:
         if not state.is_usable:
             continue
+        start = state.terms.next_request_at(now)
         limiter = state.terms.limiter
-        if limiter is None:
+        if limiter is not None:
+            rate += limiter.rate
+        elif start <= now:
             return StatedCapacity(now, inf)
-        rate += limiter.rate
-        next_start = min(next_start, limiter.next_at(now))
-    if not rate:
+        next_start = min(next_start, start)
+    if next_start == inf:
         return StatedCapacity(now, inf)
-    return StatedCapacity(next_start, rate)
+    return StatedCapacity(next_start, rate or inf)
 
 
 class ReturnSchedule:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -1,7 +1,6 @@
 """State of one upstream and the expected cost of its next request."""
 
 from dataclasses import dataclass, field
-from datetime import timedelta
 from math import exp, inf
 
 from ..routes.model import RegisteredUpstream
@@ -42,7 +41,8 @@
     """Requests in flight and latest signals of one upstream.
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
-    at ``reported_at``. Until ``backoff_until`` the upstream gets no request.
+    at ``reported_at``. Until ``backoff_until`` the upstream gets no request;
+    ``terms`` may ask for a longer time.
     An upstream that another instance dispatches to is not ``is_owned``; one
     that others may dispatch to as well is not ``is_exclusive``. Times are
     monotonic seconds.
@@ -160,10 +160,7 @@
         )
         self.backoff_until = now + min(backoff, MAX_BACKOFF_SECONDS)
 
-    def shed(self, now: float, retry_after: timedelta | None) -> None:
+    def shed(self, now: float) -> None:
         """Record that the upstream shed a request."""
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate) / 2
-        backoff = SHED_BACKOFF_SECONDS
-        if retry_after is not None:
-            backoff = min(retry_after.total_seconds(), MAX_BACKOFF_SECONDS)
-        self.backoff_until = max(self.backoff_until, now + backoff)
+        self.backoff_until = max(self.backoff_until, now + SHED_BACKOFF_SECONDS)
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -1,10 +1,14 @@
 """What upstreams have asked for in their responses.
 
+A rate limit and a leaving bind all instances; a backoff binds only the instance
+that got the response which asked for it.
+
 Terms belong to an incarnation of an upstream and outlive its entry in the list
 of upstreams, as an entry can expire and come back while its upstream lives on.
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from ..limits.rate_limiter import RateLimiter
 from ..routes.model import RegisteredUpstream
@@ -20,12 +24,14 @@
     ``rate_limit`` is the number of requests per second that the upstream takes
     from all instances together, None without limit; ``limiter`` then permits
     the requests of this instance. ``is_leaving`` does not end: only another
-    incarnation takes requests again. Times are monotonic seconds.
+    incarnation takes requests again. Until ``backoff_until`` it wants nothing
+    from this instance. Times are monotonic seconds.
     """
 
     rate_limit: float | None = None
     limiter: RateLimiter | None = None
     is_leaving: bool = False
+    backoff_until: float = -inf
 
     def apply_rate_limit(self, limit: float | None, now: float) -> None:
         """Apply a stated limit, or the end of one."""
@@ -39,7 +45,14 @@
 
     def next_request_at(self, now: float) -> float:
         """Return when a request is permitted, ``now`` at the earliest."""
-        return now if self.limiter is None else self.limiter.next_at(now)
+        earliest = max(now, self.backoff_until)
+        if self.limiter is None:
+            return earliest
+        return max(earliest, self.limiter.next_at(now))
+
+    def request_backoff(self, seconds: float, now: float) -> None:
+        """Apply a requested backoff; it does not shorten an earlier one."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
 
     def count_request(self, now: float) -> None:
         """Count a request that is sent."""
