Run failed background tasks again, and send responses whole before an exit

Callers would see an instance that is ready and never reads a change, probes or serves its queue again, and a response cut at its end by a planned stop if they read slowly.

Cause: a background task that failed unexpectedly was logged and not started again; the drain counted a request as done once its response was handed to the transport. A Crocus-Hop header with a digit that is no decimal failed the request with 500.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -200,6 +200,11 @@
             self.is_finished = True
             self.transport.close()
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the caller has yet to receive bytes of a response."""
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def _note_partial_head(self, *, is_partial: bool) -> None:
         if not is_partial:
             self.head_started_at = None
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from random import SystemRandom
 
@@ -163,7 +164,8 @@
         )
         control = self.settings.control
         self.tasks.spawn(
-            join(
+            partial(
+                join,
                 registration,
                 self.elector,
                 self.settings.seeds,
@@ -171,8 +173,8 @@
                 self.clock,
             )
         )
-        self.tasks.spawn(self.dispatcher.run_queues())
-        self.tasks.spawn(self._close_idle_connections())
+        self.tasks.spawn(self.dispatcher.run_queues)
+        self.tasks.spawn(self._close_idle_connections)
         self.reload_signal.connect(self._request_reload)
 
     def start_home_tasks(self) -> None:
@@ -197,7 +199,7 @@
             self.probe_tasks.cancel()
         elif not self.probe_tasks.tasks:
             self.probe_tasks.spawn(
-                self.prober.run(self.dispatcher.placers.values)
+                partial(self.prober.run, self.dispatcher.placers.values)
             )
 
     async def drain(self) -> None:
@@ -216,7 +218,7 @@
         for connection in tuple(self.gateway.connections):
             connection.close_if_idle()
         log('port_closed', in_flight=self.gateway.in_flight)
-        while self.gateway.in_flight:
+        while self.gateway.in_flight or self.gateway.has_unsent_bytes():
             await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
 
     async def stop(self) -> None:
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -82,6 +82,10 @@
         self.table = RouteTable(config)
         self.limits = config.limits
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a response waits for a caller that reads slowly."""
+        return any(one.has_unsent_bytes() for one in self.connections)
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
         self.in_flight += 1
@@ -317,6 +321,6 @@
 def _needs_newer_config(required_version: str | None, version: int) -> bool:
     return (
         required_version is not None
-        and required_version.isdigit()
+        and required_version.isdecimal()
         and int(required_version) > version
     )
--- a/src/crocusproxy/entry/home_tasks.py
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -1,8 +1,7 @@
 """The tasks that only the home runs."""
 
-from collections.abc import Coroutine, Iterator
+from collections.abc import Iterator
 from random import Random
-from typing import Any
 
 from ..clock import Clock
 from ..membership.domain_home_planner import DomainHomePlanner
@@ -11,16 +10,17 @@
 from ..platform.outage import StoreOutage
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
+from .background_tasks import Run
 
 
 def home_tasks(
     store: StoreClient, elector: HomeElector, clock: Clock, random: Random
-) -> Iterator[Coroutine[Any, Any, None]]:
+) -> Iterator[Run]:
     """Yield the tasks that read the store and appoint the domain homes."""
     catalog = elector.catalog
     outage = StoreOutage(random)
-    yield ConfigWatch(store, catalog, clock, outage).run()
-    yield UpstreamWatch(store, catalog, clock, outage).run()
+    yield ConfigWatch(store, catalog, clock, outage).run
+    yield UpstreamWatch(store, catalog, clock, outage).run
     domain_homes = elector.domain_homes
-    yield DomainHomePlanner(elector, catalog, domain_homes).run()
-    yield RosterWriter(store, elector.member_list, domain_homes).run()
+    yield DomainHomePlanner(elector, catalog, domain_homes).run
+    yield RosterWriter(store, elector.member_list, domain_homes).run
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -388,3 +388,40 @@
         assert await caller.reader.read() == b''
 
     run_scenario(scenario, [make_server(work=0.1)])
+
+
+def test_unsent_rest_of_a_response_keeps_the_process_alive():
+    """At a shutdown, the rest was lost if the caller read slowly."""
+
+    async def scenario(system):
+        (server,) = system.servers
+        body = b'x' * 16_000_000
+        server.response_script = lambda request_id: raw_response(
+            request_id, body, extra_headers=SIGNATURE
+        )
+        caller = await system.connect()
+        caller.send('r1', deadline_ms=5000)
+        await asyncio.sleep(0.5)
+        assert not system.gateway.in_flight
+        assert system.gateway.has_unsent_bytes()
+        assert len((await caller.read())[2]) == len(body)
+        await asyncio.sleep(0.05)
+        assert not system.gateway.has_unsent_bytes()
+        caller.close()
+
+    run_scenario(scenario, [make_server()])
+
+
+def test_hop_header_that_is_no_number_is_ignored():
+    """It made the request fail with an internal error."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        caller.writer.write(
+            'GET /safe/x HTTP/1.1\r\nHost: a.example\r\nCrocus-Hop: \u00b2\r\n'
+            'X-Crocusproxy-Request-Id: r1\r\n\r\n'.encode()
+        )
+        assert (await caller.read())[0] == 200
+        caller.close()
+
+    run_scenario(scenario, [make_server()])
