Do not take a late copy of a refusal for the next request's response

A caller could be told that its request did not run though it ran.

Cause: only success responses had to echo the request id. A second copy of a refusal without an id, late on a connection that is in use again, was accepted as the response to the next request. Change: on a connection that has carried another request, a response without an id breaks the exchange, so the outcome is unknown. The stand-in echoes it too.

The test failed before (503 for a request that ran).

--- a/src/crocusproxy/entry/upstream_connection.py
+++ b/src/crocusproxy/entry/upstream_connection.py
@@ -18,10 +18,17 @@
 
     ``id_header`` names the header in which an upstream echoes the request id.
     A response without length ends with the connection; it is incomplete if the
-    connection is reset.
+    connection is reset. On a connection that has carried another request, a
+    response without an id may be a second copy of the one to that request, so
+    ``requires_id`` is set.
     """
 
-    __slots__ = ('id_header', 'has_surplus_response')
+    __slots__ = (
+        'has_been_used',
+        'has_surplus_response',
+        'id_header',
+        'requires_id',
+    )
 
     reads_until_close = True
 
@@ -33,6 +40,8 @@
         super().__init__(loop, on_lost)
         self.id_header = ''
         self.has_surplus_response = False
+        self.has_been_used = False
+        self.requires_id = False
 
     async def exchange(
         self,
@@ -52,6 +61,7 @@
         """
         self.id_header = id_header
         self.last_request_id = expected_id
+        self.requires_id = self.has_been_used
         message = await self.send(
             request,
             expects_body=expects_body,
@@ -64,8 +74,16 @@
             return message, payload.read_nowait()
         return message, await payload.read()
 
+    def send(
+        self, request: bytes, *, expects_body: bool, timeout: float
+    ) -> asyncio.Future[RawResponseMessage]:
+        """Write a request; the future resolves to the head of its response."""
+        self.has_been_used = True
+        return super().send(request, expects_body=expects_body, timeout=timeout)
+
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
+        self.requires_id = False
         if self.has_surplus_response:
             self.fault = self.fault or 'more than one response'
         return super().finish()
@@ -85,9 +103,13 @@
             # The response has already arrived; this one matches no request.
             self.has_surplus_response = True
             return
-        if message.code >= _SUCCESS.start and not self._is_expected(message):
-            self.has_surplus_response = True
-            return
+        if message.code >= _SUCCESS.start:
+            if self.requires_id and self.id_header not in message.headers:
+                self._abort_with('response without id on a reused connection')
+                return
+            if not self._is_expected(message):
+                self.has_surplus_response = True
+                return
         super()._accept(message, payload)
 
     def _is_expected(self, message: RawResponseMessage) -> bool:
--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -71,9 +71,9 @@
         expected = headers.get('X-Crocusproxy-Expected-Instance', self.key)
         request_id = headers[REQUEST_ID]
         if expected != self.key:
-            writer.write(self.refusal(421, 'Misdirected Request'))
+            writer.write(self.refusal(421, 'Misdirected Request', request_id))
         elif self.running >= self.slots:
-            writer.write(self.refusal(503, 'Service Unavailable'))
+            writer.write(self.refusal(503, 'Service Unavailable', request_id))
         else:
             await self.run(request_id, writer)
 
@@ -109,11 +109,12 @@
             lines.append(f'{SIGNATURE}: s')
         return '\r\n'.join((*lines, '', '')).encode() + body
 
-    def refusal(self, status, reason):
+    def refusal(self, status, reason, request_id):
         lines = (
             f'HTTP/1.1 {status} {reason}',
             'Content-Length: 0',
             'X-Crocusproxy-Not-Executed: 1',
+            f'{REQUEST_ID}: {request_id}',
             *self.terms,
         )
         return '\r\n'.join((*lines, '', '')).encode()
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -425,3 +425,23 @@
         caller.close()
 
     run_scenario(scenario, [make_server()])
+
+
+def test_late_copy_of_a_refusal_is_no_answer_to_the_next_request():
+    """The caller was told that a request that ran did not run."""
+
+    async def scenario(system):
+        first, second = system.servers
+        system.allow_retries()
+        second.slots = 0
+        assert (await system.request('r1'))[0] == 200
+        copy = (
+            b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n'
+            b'X-Crocusproxy-Not-Executed: 1\r\n\r\n'
+        )
+        first.response_script = lambda request_id: copy
+        status, _, _ = await system.request('r2', '/once/', 'POST', b'x')
+        assert first.runs == ['r1', 'r2']
+        assert status == 502
+
+    run_scenario(scenario, [make_server('i-1'), make_server('i-2')])
