Tell all instances what upstreams state and which requests crash them

After a change of the home or a restart, an upstream that had said in a response that it leaves was used again, one that had stated a rate limit got requests as if it had not, and a request that had crashed upstreams could crash two more.

Cause: terms and crash reports were held by the dispatching instance. Terms of an earlier start of an upstream are dropped. The home publishes crash reports on sites without domain homes too.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -19,7 +19,7 @@
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
-from ..placement.upstream_terms import TermsTable
+from ..membership.terms_exchange import TermsExchange
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
@@ -93,9 +93,8 @@
             on_crash=self.crash_watch.record_crash,
             connection_type=MatchingConnection,
         )
-        self.terms_table = TermsTable()
         self.observer = ResponseObserver(
-            HEADER_NAMES, self.clock, self.terms_table
+            HEADER_NAMES, self.clock, self.catalog.terms
         )
         self.dispatcher = self._create_dispatcher()
         self.gateway = Gateway(
@@ -147,6 +146,9 @@
             member_client, self.elector, self.crash_watch.apply_report
         )
         self.crash_watch.send_report = self.crash_exchange.send
+        self.terms_exchange = TermsExchange(
+            member_client, self.elector, self.catalog.terms
+        )
         self.gateway.forwarder = HomeForwarder(
             self.pool,
             self.messages,
@@ -270,7 +272,7 @@
             self.metrics,
             RequestLog(self.clock),
             self.crash_watch,
-            self.terms_table,
+            self.catalog.terms,
         )
 
     def _create_prober(self) -> Prober:
@@ -317,6 +319,7 @@
             [
                 *member_routes,
                 *self.crash_exchange.routes(),
+                *self.terms_exchange.routes(),
                 *relay.routes(),
             ],
         )
--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -158,6 +158,7 @@
     ) -> None:
         if not terms.is_leaving:
             terms.is_leaving = True
+            self.terms_table.report_change(key)
             self._write('upstream_leaving', upstream=key, source=source)
 
     def _change_limit(
@@ -171,6 +172,7 @@
         if limit == previous:
             return
         terms.apply_rate_limit(limit, self._now())
+        self.terms_table.report_change(key)
         self._write(
             'upstream_limit_changed',
             upstream=key,
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from ..logs import log
-from ..protocol.home_feed import UpstreamChange
+from ..placement.upstream_terms import TermsTable
+from ..protocol.home_feed import StatedTerms, UpstreamChange
 from ..routes.model import RegisteredUpstream, RouteConfig
 from .store_incarnation import StoreIncarnation
 
@@ -19,7 +20,8 @@
     that is older than a known one, by the upstream's start time and then by
     sequence number, is ignored, also after the upstream was removed. Listeners
     are called after each change. ``store_incarnation`` is that of the store
-    from which the state was read. ``revision`` grows with each report.
+    from which the state was read. ``terms`` holds what the upstreams have
+    stated. ``revision`` grows with each report and change of terms.
     """
 
     def __init__(self) -> None:
@@ -29,6 +31,8 @@
         self.is_complete = False
         self.revision = 0
         self.store_incarnation = StoreIncarnation()
+        self.terms = TermsTable()
+        self.terms.on_change.append(self._note_terms)
         self.on_config: list[Callable[[RouteConfig], None]] = []
         self.on_complete: list[Callable[[], None]] = []
         self.on_upstream: list[Callable[[UpstreamChange], None]] = []
@@ -97,6 +101,9 @@
         last_report = (removed.started_at, removed.sequence)
         return (entry.started_at, entry.sequence) <= last_report
 
+    def _note_terms(self, stated: StatedTerms, is_own: bool) -> None:
+        self.revision += 1
+
     def _remember_removed(self, entry: RegisteredUpstream) -> None:
         self.removed_upstreams.pop(entry.key, None)
         self.removed_upstreams[entry.key] = entry
--- a/src/crocusproxy/membership/crash_exchange.py
+++ b/src/crocusproxy/membership/crash_exchange.py
@@ -1,7 +1,8 @@
-"""Distribution of crash reports among the domain homes.
+"""Distribution of crash reports among the instances.
 
-A request that crashes the upstreams that run it can reach every domain home.
-Without the reports of the others, each would lose two upstreams to it.
+A request that crashes the upstreams that run it can reach every domain home,
+and the successor of a home. Without the reports of the others, each would lose
+two upstreams to it.
 """
 
 import asyncio
@@ -40,13 +41,13 @@
         return [web.post(CRASH_PATH, self._handle)]
 
     def send(self, report: CrashReport) -> None:
-        """Send a report to the other domain homes, if there are any."""
+        """Send a report to the home's followers and other domain homes."""
         elector = self.elector
-        if not elector.domain_homes.assignment.homes:
-            return
         if elector.is_home:
             self._publish(report)
-        elif elector.home is not None:
+            return
+        has_domain_homes = bool(elector.domain_homes.assignment.homes)
+        if has_domain_homes and elector.home is not None:
             address = elector.home.internal
             task = asyncio.create_task(self._post(address, report))
             self.tasks.add(task)
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -163,6 +163,7 @@
                 ),
                 domain_homes=self.domain_homes.assignment,
                 store_incarnation=catalog.store_incarnation.number,
+                terms=catalog.terms.stated(),
             )
         return self.state
 
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -16,6 +16,7 @@
     Member,
     MemberState,
     MemberView,
+    StatedTerms,
 )
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
@@ -129,6 +130,12 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_feeds()
 
+    def apply_terms(self, terms: Iterable[StatedTerms]) -> None:
+        """Apply the terms of upstreams that another instance has sent."""
+        now = self.clock.monotonic().total_seconds()
+        for stated in terms:
+            self.catalog.terms.apply(stated, now)
+
     async def query_view(self, member: Member) -> MemberView | None:
         """Return a member's view, or None if the member can't be reached."""
         try:
@@ -292,9 +299,8 @@
             self.domain_homes.apply(message.domain_homes)
         if message.config is not None:
             self.catalog.apply_config(message.config)
-        for report in message.crash_reports:
-            for listener in self.on_crash_report:
-                listener(report)
+        self.apply_terms(message.terms)
+        self._apply_crash_reports(message.crash_reports)
         if message.full:
             entries = tuple(
                 change.entry
@@ -306,6 +312,11 @@
         for change in message.changes:
             self.catalog.apply_change(change)
 
+    def _apply_crash_reports(self, reports: Iterable[CrashReport]) -> None:
+        for report in reports:
+            for listener in self.on_crash_report:
+                listener(report)
+
     async def _lead(self, epoch: int) -> None:
         self.epoch = epoch
         self.is_home = True
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -17,6 +17,7 @@
 from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
 
 CRASH_PATH = '/members/crash'
+TERMS_PATH = '/members/terms'
 _OK = 200
 REQUEST_TIMEOUT_SECONDS = 0.35
 #: A feed that sends nothing for longer is treated as lost.
@@ -53,6 +54,10 @@
         """Send a report to the home at ``address``."""
         await self._call('POST', address, CRASH_PATH, encode(report))
 
+    async def report_terms(self, address: str, message: FeedMessage) -> None:
+        """Send the terms of upstreams to the home at ``address``."""
+        await self._call('POST', address, TERMS_PATH, encode(message))
+
     async def feed(
         self, member: Member, own: Member
     ) -> AsyncGenerator[FeedMessage, None]:
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -7,10 +7,12 @@
 of upstreams, as an entry can expire and come back while its upstream lives on.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 
 from ..limits.rate_limiter import RateLimiter
+from ..protocol.home_feed import StatedTerms
 from ..routes.model import RegisteredUpstream
 
 #: Incarnations whose terms are kept, also after their entries are removed.
@@ -60,24 +62,75 @@
             self.limiter.take(now)
 
 
+#: Receives changed terms, and whether this instance has got them from the
+#: upstream rather than from another instance.
+TermsListener = Callable[[StatedTerms, bool], None]
+
+
 class TermsTable:
     """The terms of the latest known incarnation of each upstream."""
 
     def __init__(self) -> None:
         self.incarnations: dict[str, tuple[int, UpstreamTerms]] = {}
+        self.on_change: list[TermsListener] = []
 
     def terms(self, entry: RegisteredUpstream) -> UpstreamTerms:
         """Return the terms of an incarnation, created on first use."""
         return self.terms_of(entry.key, entry.started_at)
 
     def terms_of(self, key: str, started_at: int) -> UpstreamTerms:
-        """Return the terms by key and start, those of the latest start."""
+        """Return the terms by key and start.
+
+        Those of an earlier start than the latest one are new and not kept.
+        """
         known_start, terms = self.incarnations.get(key, (started_at, None))
-        if terms is not None and known_start >= started_at:
+        if terms is not None and known_start == started_at:
             return terms
         created = UpstreamTerms()
+        if known_start <= started_at:
+            self._keep(key, started_at, created)
+        return created
+
+    def apply(self, stated: StatedTerms, now: float) -> None:
+        """Apply what another instance has got from an upstream."""
+        terms = self.terms_of(stated.key, stated.started_at)
+        leaving = terms.is_leaving or stated.leaving
+        is_same = (terms.rate_limit, terms.is_leaving) == (
+            stated.rate_limit,
+            leaving,
+        )
+        if is_same:
+            return
+        terms.apply_rate_limit(stated.rate_limit, now)
+        terms.is_leaving = leaving
+        self._notify(stated.key, is_own=False)
+
+    def report_change(self, key: str) -> None:
+        """Call the listeners after a change that an upstream has stated."""
+        self._notify(key, is_own=True)
+
+    def stated(self) -> tuple[StatedTerms, ...]:
+        """Return the terms of the upstreams that have stated some."""
+        return tuple(
+            _stated(key, started_at, terms)
+            for key, (started_at, terms) in self.incarnations.items()
+            if terms.is_leaving or terms.rate_limit is not None
+        )
+
+    def _keep(self, key: str, started_at: int, terms: UpstreamTerms) -> None:
         self.incarnations.pop(key, None)
-        self.incarnations[key] = (started_at, created)
+        self.incarnations[key] = (started_at, terms)
         while len(self.incarnations) > MAX_INCARNATIONS:
             self.incarnations.pop(next(iter(self.incarnations)))
-        return created
+
+    def _notify(self, key: str, *, is_own: bool) -> None:
+        incarnation = self.incarnations.get(key)
+        if incarnation is None:
+            return
+        stated = _stated(key, *incarnation)
+        for listener in self.on_change:
+            listener(stated, is_own)
+
+
+def _stated(key: str, started_at: int, terms: UpstreamTerms) -> StatedTerms:
+    return StatedTerms(key, started_at, terms.rate_limit, terms.is_leaving)
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -93,6 +93,19 @@
     cleared: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StatedTerms:
+    """What an incarnation of an upstream has stated for all instances.
+
+    ``rate_limit`` is in requests per second, None without limit.
+    """
+
+    key: str
+    started_at: int
+    rate_limit: float | None = None
+    leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class FeedMessage:
     """One message of a home's feed; an empty one is a heartbeat.
@@ -113,3 +126,4 @@
     domain_homes: DomainHomes | None = None
     store_incarnation: int = -1
     crash_reports: tuple[CrashReport, ...] = ()
+    terms: tuple[StatedTerms, ...] = ()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -19,7 +19,6 @@
 from crocusproxy.entry.upstream_connection import MatchingConnection
 from crocusproxy.entry.upstream_messages import UpstreamMessages
 from crocusproxy.membership.catalog import Catalog
-from crocusproxy.placement.upstream_terms import TermsTable
 from crocusproxy.platform.headers import HEADER_NAMES
 from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.proxy.pool import ConnectionPool
@@ -75,9 +74,8 @@
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.clock = SystemClock()
         self.crash_watch = CrashWatch(self.clock)
-        self.terms_table = TermsTable()
         self.observer = ResponseObserver(
-            HEADER_NAMES, self.clock, self.terms_table, self.log
+            HEADER_NAMES, self.clock, self.catalog.terms, self.log
         )
         self.pool.on_crash = self.crash_watch.record_crash
         metrics = EntryMetrics(CollectorRegistry())
@@ -92,7 +90,7 @@
             metrics,
             request_log,
             self.crash_watch,
-            self.terms_table,
+            self.catalog.terms,
         )
         self.gateway = Gateway(
             self.catalog,
--- a/tests/membership/test_crash_exchange.py
+++ b/tests/membership/test_crash_exchange.py
@@ -150,3 +150,17 @@
         assert second.watch.tracker.is_suspect(FINGERPRINT)
 
     run_with_home(scenario)
+
+
+def test_crash_at_the_only_home_is_known_to_its_successor():
+    """It would lose two more upstreams to the same request."""
+
+    async def scenario(home, first, second):
+        for member in (home, first, second):
+            member.elector.domain_homes.apply(DomainHomes())
+        await report(home, '10.0.0.1:80')
+        await report(home, '10.0.0.2:80')
+        assert first.is_refused()
+        assert second.is_refused()
+
+    run_with_home(scenario)
