--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -299,8 +299,7 @@
             self.domain_homes.apply(message.domain_homes)
         if message.config is not None:
             self.catalog.apply_config(message.config)
-        self.apply_terms(message.terms)
-        self._apply_crash_reports(message.crash_reports)
+        self._apply_reports(message)
         if message.full:
             entries = tuple(
                 change.entry
@@ -312,8 +311,9 @@
         for change in message.changes:
             self.catalog.apply_change(change)
 
-    def _apply_crash_reports(self, reports: Iterable[CrashReport]) -> None:
-        for report in reports:
+    def _apply_reports(self, message: FeedMessage) -> None:
+        self.apply_terms(message.terms)
+        for report in message.crash_reports:
             for listener in self.on_crash_report:
                 listener(report)
 
