State limits, leaving and backoffs in the soak, and check them

Upstreams of the soak state all three terms and end them; three invariants count what arrives by the same window, allowance and slack as the users' rules, probes included, and excuse only unplanned disturbances of an instance. Terms have a random source of their own, so the regression seeds stay as they are.

--- a/Makefile
+++ b/Makefile
@@ -57,11 +57,11 @@
 	$(BIN)/python -m bench.run --short
 
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
-# of the store in each run.
+# of the store and TERMS of upstreams in each run.
 soak: $(STAMP)
 	$(BIN)/python -m soak $(if $(SEED),--seed=$(SEED)) $(if $(RUNS),--runs=$(RUNS)) \
 	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
-	  $(if $(RESTORES),--restores=$(RESTORES))
+	  $(if $(RESTORES),--restores=$(RESTORES)) $(if $(TERMS),--terms=$(TERMS))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     seconds: float = 12,
     instances: int = 4,
     restores: int = 0,
+    terms: int = 4,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -26,11 +27,14 @@
         seconds: duration of the faults in each run.
         instances: number of entry processes.
         restores: how often the store is restored from a copy in each run.
+        terms: how often an upstream states terms in its responses.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
     for next_seed in range(first_seed, first_seed + runs):
-        verdict = asyncio.run(run_seed(next_seed, seconds, instances, restores))
+        verdict = asyncio.run(
+            run_seed(next_seed, seconds, instances, restores, terms)
+        )
         report(verdict)
         failed_runs += bool(verdict.violations)
     print(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,7 @@
 from .link import LinkFault
 
 StoreFault = Literal['refuse', 'slow', 'lose_answers', 'forget']
+Terms = Literal['limit', 'leave', 'backoff']
 ResponseFault = Literal['mute', 'error', 'extra', 'unsigned']
 
 
@@ -110,6 +111,19 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class StateTerms:
+    """An upstream states terms in its responses for some time.
+
+    ``figure`` is the limit in requests per second, or the backoff in seconds.
+    """
+
+    upstream: int
+    terms: Terms
+    figure: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Publish:
     """The operator publishes ``count`` configurations in quick succession."""
@@ -130,6 +144,7 @@
     | ReplaceUpstream
     | CorruptResponses
     | SlowUpstream
+    | StateTerms
     | Publish
 )
 
@@ -151,6 +166,7 @@
         self.random = Random(seed)
         # Separate, so that the other faults of a seed stay the same.
         self.restore_random = Random(f'restores-{seed}')
+        self.terms_random = Random(f'terms-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -189,6 +205,26 @@
             )
         )
 
+    def schedule_terms(
+        self, count: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return terms that upstreams state, in the order of their times."""
+        random = self.terms_random
+        return tuple(
+            ScheduledFault(
+                at,
+                StateTerms(
+                    random.randrange(self.upstream_count),
+                    random.choice(('limit', 'limit', 'leave', 'backoff')),
+                    figure=round(random.choice((0, 1, 2.5, 6)), 2),
+                    seconds=round(random.uniform(4, 6), 2),
+                ),
+            )
+            for at in sorted(
+                round(random.uniform(0.5, seconds), 2) for _ in range(count)
+            )
+        )
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,6 +1,7 @@
 """Requests, arrivals and disturbances recorded during a run."""
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Literal
 
 Outcome = Literal['answered', 'cut', 'left', 'late', 'not_sent']
@@ -30,13 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request received by an upstream; ``has_run`` if processing began."""
+    """A request received by an upstream; ``has_run`` if processing began.
+
+    ``upstream`` is the key of the server.
+    """
 
     request_id: str
     path: str
     service: str
     arrived_at: float
     has_run: bool
+    upstream: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,12 +62,31 @@
     end: float
 
 
+@dataclass(slots=True)
+class Statement:
+    """Terms that a server stated, from ``set_at`` to ``ended_at``.
+
+    ``figure`` is the limit in requests per second, or the backoff in seconds.
+    ``told_at`` is the time of the first response with the terms.
+    """
+
+    upstream: str
+    terms: Literal['limit', 'leave', 'backoff']
+    figure: float
+    set_at: float
+    told_at: float | None = None
+    ended_at: float = inf
+
+
 @dataclass(slots=True)
 class RunRecord:
     """The observations of a run against which the invariants are checked."""
 
     requests: list[SentRequest] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    #: Probes that arrived, by the key of the server.
+    probe_times: dict[str, list[float]] = field(default_factory=dict)
+    statements: list[Statement] = field(default_factory=list)
     instance_disturbances: list[InstanceDisturbance] = field(
         default_factory=list
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,11 +35,16 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, instances: int, restores: int = 0
+    seed: int,
+    seconds: float,
+    instances: int,
+    restores: int = 0,
+    terms: int = 0,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
-    ``restores`` is how often the store is restored from a copy, besides.
+    Besides, the store is restored from a copy ``restores`` times, and
+    upstreams state ``terms`` terms in their responses.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     testbed = Testbed(folder, instances, seed)
@@ -48,6 +53,7 @@
         (
             *planner.schedule(seconds),
             *planner.schedule_restores(restores, seconds),
+            *planner.schedule_terms(terms, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -26,6 +26,7 @@
     ReplaceUpstream,
     RestoreStore,
     SlowUpstream,
+    StateTerms,
     StoreFault,
     Terminate,
 )
@@ -218,6 +219,11 @@
                 upstream.link.apply(LinkFault.NONE)
             case CrashUpstream(upstream=number, down_seconds=down_seconds):
                 await self.upstreams[number].crash(down_seconds)
+            case StateTerms(
+                upstream=number, terms=terms, figure=figure, seconds=seconds
+            ):
+                await self.upstreams[number].state_terms(terms, figure, seconds)
+                return
             case ReplaceUpstream(upstream=number):
                 await self.upstreams[number].replace(DRAIN_SECONDS)
             case CorruptResponses(upstream=number, mode=mode, seconds=seconds):
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -9,8 +9,8 @@
 from standins.store import StandInStore
 
 from .link import Link
-from .plan import ResponseFault
-from .records import Arrival, RunRecord
+from .plan import ResponseFault, Terms
+from .records import Arrival, RunRecord, Statement
 
 TOPIC = 'keyed.servers'
 WORK_SECONDS = 0.02
@@ -33,6 +33,7 @@
         self.response_fault: ResponseFault | None = None
         self.response_script = self.faulty_response
         self.writers: set[asyncio.StreamWriter] = set()
+        self.statement: Statement | None = None
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -49,6 +50,8 @@
     async def answer(self, head, reader, writer):
         runs_before = len(self.runs)
         if head.startswith('GET /health '):
+            times = self.run_record.probe_times.setdefault(self.key, [])
+            times.append(self.now())
             await super().answer(head, reader, writer)
             return
         arrived_at = self.now()
@@ -61,9 +64,35 @@
         await asyncio.sleep(0)
         has_run = request_id in self.runs[runs_before:]
         self.run_record.arrivals.append(
-            Arrival(request_id, path, self.service, arrived_at, has_run)
+            Arrival(
+                request_id, path, self.service, arrived_at, has_run, self.key
+            )
         )
         await response_task
+        statement = self.statement
+        if statement is not None and statement.told_at is None:
+            statement.told_at = self.now()
+
+    def state(self, terms: Terms, figure: float) -> None:
+        """State terms from now on; a backoff comes with each refusal."""
+        match terms:
+            case 'limit':
+                self.terms = (f'Server-Limit: {figure}',)
+            case 'leave':
+                self.terms = ('Server-Leaving: 1',)
+            case 'backoff':
+                self.terms = (f'Retry-After: {figure}',)
+                self.slots = 0
+        self.statement = Statement(self.key, terms, figure, self.now())
+        self.run_record.statements.append(self.statement)
+
+    def end_statement(self) -> None:
+        """State no terms any more."""
+        if self.statement is not None:
+            self.statement.ended_at = self.now()
+        self.statement = None
+        self.terms = ()
+        self.slots = SLOTS
 
     def faulty_response(self, request_id: str) -> bytes | None:
         valid_response = self.response(request_id, request_id.encode())
@@ -151,9 +180,26 @@
         self.link = await Link(self.server.address).start()
         self.register()
 
-    async def replace(self, drain_seconds: float) -> None:
-        """Drain, stop after ``drain_seconds``, and start under a new key."""
-        self.register('draining')
+    async def state_terms(
+        self, terms: Terms, figure: float, seconds: float
+    ) -> None:
+        """State terms for some time; a server that leaves is replaced."""
+        server = self.server
+        server.state(terms, figure)
+        if terms == 'leave':
+            await self.replace(seconds, state='ready')
+            return
+        await asyncio.sleep(seconds)
+        server.end_statement()
+
+    async def replace(
+        self, drain_seconds: float, state: str = 'draining'
+    ) -> None:
+        """Drain, stop after ``drain_seconds``, and start under a new key.
+
+        ``state`` is what the entry says until then.
+        """
+        self.register(state)
         key, link, server = self.server.key, self.link, self.server
         await asyncio.sleep(drain_seconds)
         self.state = ''
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -8,6 +8,7 @@
     InstanceDisturbance,
     RunRecord,
     SentRequest,
+    Statement,
     UpstreamDisturbance,
 )
 
@@ -128,3 +129,64 @@
         run.arrivals.append(arrival(request_id, path, 's1', at))
     (line,) = find_violations(run)
     assert 'version 1 after 2' in line
+
+
+def stated(terms, figure=0.0):
+    return Statement('i-1', terms, figure, set_at=9.0, told_at=10.0)
+
+
+def arrivals_at(times):
+    return [
+        Arrival(f'r{number}', PATH, 's2', time, False, 'i-1')
+        for number, time in enumerate(times)
+    ]
+
+
+def violations_with(statement, times, **fields):
+    requests = [
+        sent_request(request_id=f'r{number}', body=f'r{number}', sent_at=time)
+        for number, time in enumerate(times)
+    ]
+    run = RunRecord(
+        requests,
+        arrivals_at(times),
+        allowed_services={PATH: {'s2'}},
+        statements=[statement],
+        **fields,
+    )
+    return find_violations(run)
+
+
+@pytest.mark.parametrize(
+    ('statement', 'times', 'message'),
+    [
+        (stated('limit', 1), [11 + number / 4 for number in range(12)], '12 r'),
+        (stated('leave'), [12.1], 'which leaves'),
+        (stated('backoff', 5), [11, 11.1, 14.9], '3 requests in the backoff'),
+    ],
+)
+def test_ignored_terms_are_reported(statement, times, message):
+    (violation,) = violations_with(statement, times)
+    assert message in violation
+
+
+@pytest.mark.parametrize(
+    ('statement', 'times'),
+    [
+        (stated('limit', 1), [11 + number / 4 for number in range(11)]),
+        (stated('limit', 1), [9 + number / 20 for number in range(25)]),
+        (stated('leave'), [11.9]),
+        (stated('backoff', 5), [10.2, 10.3, 10.4, 11, 12, 15.1]),
+    ],
+)
+def test_kept_terms_are_no_violation(statement, times):
+    assert not violations_with(statement, times)
+
+
+def test_probes_count_towards_a_limit():
+    times = [11 + number / 4 for number in range(11)]
+    probes = {'i-1': [12.0]}
+    (violation,) = violations_with(
+        stated('limit', 1), times, probe_times=probes
+    )
+    assert '12 requests in 4 s' in violation
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -21,6 +21,7 @@
         for scheduled in (
             *planner.schedule(12),
             *planner.schedule_restores(1, 12),
+            *planner.schedule_terms(1, 12),
         )
     }
     assert drawn_types == set(get_args(Fault))
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -22,6 +22,11 @@
     assert verdict.outcomes['answered 200'] > verdict.request_count / 3
 
 
+def test_run_in_which_upstreams_state_terms_has_no_violations():
+    verdict = asyncio.run(run_seed(3, SECONDS, INSTANCES, terms=4))
+    assert not verdict.violations
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
