--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -281,6 +281,7 @@
         for arrival in run.arrivals:
             if (
                 arrival.upstream == statement.upstream
+                and arrival.arrived_at <= statement.ended_at
                 and sent_at.get(arrival.request_id, 0) > latest_start
                 and not _is_excused(run, binds_at, arrival.arrived_at)
             ):
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -44,6 +44,8 @@
 
     def stop(self):
         super().stop()
+        # A new server under the same key knows nothing of these terms.
+        self.end_statement(self.statement)
         for writer in tuple(self.writers):
             writer.transport.abort()
 
@@ -73,8 +75,9 @@
         if statement is not None and statement.told_at is None:
             statement.told_at = self.now()
 
-    def state(self, terms: Terms, figure: float) -> None:
-        """State terms from now on; a backoff comes with each refusal."""
+    def state(self, terms: Terms, figure: float) -> Statement:
+        """State only these terms from now on; a backoff with each refusal."""
+        self.end_statement(self.statement)
         match terms:
             case 'limit':
                 self.terms = (f'Server-Limit: {figure}',)
@@ -85,11 +88,13 @@
                 self.slots = 0
         self.statement = Statement(self.key, terms, figure, self.now())
         self.run_record.statements.append(self.statement)
+        return self.statement
 
-    def end_statement(self) -> None:
-        """State no terms any more."""
-        if self.statement is not None:
-            self.statement.ended_at = self.now()
+    def end_statement(self, statement: Statement | None) -> None:
+        """State no terms any more, unless others have replaced these."""
+        if statement is None or statement is not self.statement:
+            return
+        statement.ended_at = self.now()
         self.statement = None
         self.terms = ()
         self.slots = SLOTS
@@ -185,12 +190,12 @@
     ) -> None:
         """State terms for some time; a server that leaves is replaced."""
         server = self.server
-        server.state(terms, figure)
+        statement = server.state(terms, figure)
         if terms == 'leave':
             await self.replace(seconds, state='ready')
             return
         await asyncio.sleep(seconds)
-        server.end_statement()
+        server.end_statement(statement)
 
     async def replace(
         self, drain_seconds: float, state: str = 'draining'
