--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -93,9 +93,10 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether no backoff or rate limit forbids a request."""
-        if now < self.backoff_until:
+        terms = self.terms
+        if now < self.backoff_until or now < terms.backoff_until:
             return False
-        return self.terms.next_request_at(now) <= now
+        return terms.limiter is None or terms.limiter.next_at(now) <= now
 
     def report(self, slowdown: float, now: float) -> None:
         """Record a reported slowdown."""
