--- a/src/crocusproxy/routing/outcomes.py
+++ b/src/crocusproxy/routing/outcomes.py
@@ -5,7 +5,8 @@
 from .results import Answered, Cancelled, Failed, Rejected, Result
 from .state import OpenRequest, UpstreamState
 
-MAX_BACKOFF_SECONDS = 5.0
+#: Bounds the effect of an absurd ``Retry-After``.
+MAX_BACKOFF_SECONDS = 3600.0
 
 
 def record_result(
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 from random import Random
 
+import pytest
+
 from crocusproxy.clock import ManualClock
 from crocusproxy.config.model import Service, Upstream
 from crocusproxy.routing.balancer import Balancer
@@ -176,12 +178,14 @@
     assert [one.is_running for one in found] == [True, True, False]
 
 
-def test_shedding_upstream_gets_no_requests_for_its_retry_after():
+@pytest.mark.parametrize('milliseconds', [300, 60_000])
+def test_shedding_upstream_gets_no_requests_for_its_retry_after(milliseconds):
+    """A longer backoff than 5 s was cut."""
     members = upstreams(1)
     subject = balancer(members)
     subject.started(members[0], timedelta())
-    finish(subject, members[0], Rejected(timedelta(milliseconds=300)))
-    advance(subject, milliseconds=299)
+    finish(subject, members[0], Rejected(timedelta(milliseconds=milliseconds)))
+    advance(subject, milliseconds=milliseconds - 1)
     assert subject.choose(RequestInfo()) == Wait()
     advance(subject, milliseconds=2)
     assert subject.choose(RequestInfo()) == Dispatch(members[0])
