Bound the log lines of changing limits, and split and shorten what grew

Read as a newcomer: whether an upstream is fast enough for a request is a question to the queued request; the table applies a list of terms itself. A limit that changes with each response writes at most one line per second (its test failed before).

--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -16,6 +16,8 @@
 #: Shortest time between two log lines about malformed headers.
 MALFORMED_LOG_INTERVAL = timedelta(seconds=10)
 MAX_LOGGED_CHARACTERS = 100
+#: Shortest time between two lines about other values of an upstream's limit.
+LIMIT_LOG_INTERVAL_SECONDS = 1.0
 #: Shorter backoffs are frequent under load, and call_ended shows them.
 MIN_LOGGED_BACKOFF_SECONDS = 1.0
 
@@ -171,8 +173,16 @@
         previous = terms.rate_limit
         if limit == previous:
             return
-        terms.apply_rate_limit(limit, self._now())
+        now = self._now()
+        terms.apply_rate_limit(limit, now)
         self.terms_table.report_change(key)
+        is_change_of_value = None not in {limit, previous}
+        if (
+            is_change_of_value
+            and now - terms.limit_logged_at < LIMIT_LOG_INTERVAL_SECONDS
+        ):
+            return
+        terms.limit_logged_at = now
         self._write(
             'upstream_limit_changed',
             upstream=key,
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -16,7 +16,6 @@
     Member,
     MemberState,
     MemberView,
-    StatedTerms,
 )
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
@@ -130,12 +129,6 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_feeds()
 
-    def apply_terms(self, terms: Iterable[StatedTerms]) -> None:
-        """Apply the terms of upstreams that another instance has sent."""
-        now = self.clock.monotonic().total_seconds()
-        for stated in terms:
-            self.catalog.terms.apply(stated, now)
-
     async def query_view(self, member: Member) -> MemberView | None:
         """Return a member's view, or None if the member can't be reached."""
         try:
@@ -312,7 +305,8 @@
             self.catalog.apply_change(change)
 
     def _apply_reports(self, message: FeedMessage) -> None:
-        self.apply_terms(message.terms)
+        now = self.clock.monotonic().total_seconds()
+        self.catalog.terms.apply(message.terms, now)
         for report in message.crash_reports:
             for listener in self.on_crash_report:
                 listener(report)
--- a/src/crocusproxy/membership/terms_exchange.py
+++ b/src/crocusproxy/membership/terms_exchange.py
@@ -72,5 +72,6 @@
             message = decode(FeedMessage, await request.read())
         except MalformedMessageError as error:
             return web.Response(status=400, text=str(error))
-        self.elector.apply_terms(message.terms)
+        now = self.elector.clock.monotonic().total_seconds()
+        self.table.apply(message.terms, now)
         return web.Response()
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -322,7 +322,7 @@
         for state in candidates:
             if state.key in queued_request.request.excluded:
                 continue
-            if not _is_fast_enough(state, queued_request, now):
+            if not queued_request.accepts(state, now):
                 continue
             cost = state.cost(service_time, now)
             if cost <= lowest + margin:
@@ -332,25 +332,6 @@
         return self.random.choice(equal) if equal else None
 
 
-def _is_fast_enough(
-    state: UpstreamState, queued_request: QueuedRequest, now: float
-) -> bool:
-    """Return whether an upstream is fast enough for a request.
-
-    A request that can still meet its target is not sent to a slow upstream
-    at which it would miss the target.
-    """
-    if not state.is_slow(now):
-        return True
-    request = queued_request.request
-    latest_end = (
-        request.target_at
-        if queued_request.can_meet_target(now)
-        else request.deadline
-    )
-    return now + state.expected_time(request.service_time, now) <= latest_end
-
-
 def _owns_all(failure_domain: str) -> bool:
     """Dispatch to all upstreams, as without domain homes."""
     return True
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -64,6 +64,21 @@
             <= self.request.target_at
         )
 
+    def accepts(self, state: UpstreamState, now: float) -> bool:
+        """Return whether an upstream is fast enough for this request.
+
+        A request that can still meet its target is not sent to a slow upstream
+        at which it would miss the target.
+        """
+        if not state.is_slow(now):
+            return True
+        request = self.request
+        latest_end = (
+            request.target_at if self.can_meet_target(now) else request.deadline
+        )
+        end = now + state.expected_time(request.service_time, now)
+        return end <= latest_end
+
     def rank(self, now: float) -> tuple[bool, int, bool, float]:
         """Return the sort key of the queue.
 
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -42,10 +42,9 @@
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request;
-    ``terms`` may ask for a longer time.
-    An upstream that another instance dispatches to is not ``is_owned``; one
-    that others may dispatch to as well is not ``is_exclusive``. Times are
-    monotonic seconds.
+    ``terms`` may ask for a longer time. An upstream that another instance
+    dispatches to is not ``is_owned``; one that others may dispatch to as well
+    is not ``is_exclusive``. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -7,7 +7,7 @@
 of upstreams, as an entry can expire and come back while its upstream lives on.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import inf
 
@@ -27,13 +27,15 @@
     from all instances together, None without limit; ``limiter`` then permits
     the requests of this instance. ``is_leaving`` does not end: only another
     incarnation takes requests again. Until ``backoff_until`` it wants nothing
-    from this instance. Times are monotonic seconds.
+    from this instance. ``limit_logged_at`` is when a change of the limit was
+    last logged. Times are monotonic seconds.
     """
 
     rate_limit: float | None = None
     limiter: RateLimiter | None = None
     is_leaving: bool = False
     backoff_until: float = -inf
+    limit_logged_at: float = -inf
 
     def apply_rate_limit(self, limit: float | None, now: float) -> None:
         """Apply a stated limit, or the end of one."""
@@ -91,19 +93,10 @@
             self._keep(key, started_at, created)
         return created
 
-    def apply(self, stated: StatedTerms, now: float) -> None:
-        """Apply what another instance has got from an upstream."""
-        terms = self.terms_of(stated.key, stated.started_at)
-        leaving = terms.is_leaving or stated.leaving
-        is_same = (terms.rate_limit, terms.is_leaving) == (
-            stated.rate_limit,
-            leaving,
-        )
-        if is_same:
-            return
-        terms.apply_rate_limit(stated.rate_limit, now)
-        terms.is_leaving = leaving
-        self._notify(stated.key, is_own=False)
+    def apply(self, stated_terms: Iterable[StatedTerms], now: float) -> None:
+        """Apply what another instance has got from upstreams."""
+        for stated in stated_terms:
+            self._apply_one(stated, now)
 
     def report_change(self, key: str) -> None:
         """Call the listeners after a change that an upstream has stated."""
@@ -117,6 +110,19 @@
             if terms.is_leaving or terms.rate_limit is not None
         )
 
+    def _apply_one(self, stated: StatedTerms, now: float) -> None:
+        terms = self.terms_of(stated.key, stated.started_at)
+        leaving = terms.is_leaving or stated.leaving
+        is_same = (terms.rate_limit, terms.is_leaving) == (
+            stated.rate_limit,
+            leaving,
+        )
+        if is_same:
+            return
+        terms.apply_rate_limit(stated.rate_limit, now)
+        terms.is_leaving = leaving
+        self._notify(stated.key, is_own=False)
+
     def _keep(self, key: str, started_at: int, terms: UpstreamTerms) -> None:
         self.incarnations.pop(key, None)
         self.incarnations[key] = (started_at, terms)
--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -43,7 +43,9 @@
         return self
 
     def stop(self):
-        self.server.close()
+        # A fault can stop a server of the soak before it has started.
+        if self.server is not None:
+            self.server.close()
 
     async def serve(self, reader, writer):
         self.opened += 1
--- a/tests/entry/test_response_observer.py
+++ b/tests/entry/test_response_observer.py
@@ -77,3 +77,16 @@
         assert state_of(system).rate_limit == 2
 
     run_scenario(scenario, [make_server()])
+
+
+def test_limit_that_changes_with_each_response_is_not_logged_each_time():
+    async def scenario(system):
+        (server,) = system.servers
+        for number in range(6):
+            server.terms = (f'Server-Limit: {100 + number}',)
+            await system.request(f'r{number}')
+            await asyncio.sleep(0.03)
+        assert state_of(system).rate_limit == 105
+        assert limits_logged(system) == [100]
+
+    run_scenario(scenario, [make_server()])
--- a/tests/membership/test_terms_exchange.py
+++ b/tests/membership/test_terms_exchange.py
@@ -100,7 +100,7 @@
         home.state(rate=None)
         await asyncio.sleep(0.2)
         assert second.known() == (None, True)
-        second.elector.apply_terms((StatedTerms('i-1', 1),))
+        second.table.apply((StatedTerms('i-1', 1),), 0)
         assert second.known() == (None, True)
 
     run_with_home(scenario)
@@ -111,7 +111,7 @@
 
     async def scenario(home, first, second, published):
         first.known(started_at=2)
-        first.elector.apply_terms((StatedTerms('i-1', 1, 2, leaving=True),))
+        first.table.apply((StatedTerms('i-1', 1, 2, leaving=True),), 0)
         assert first.known(started_at=2) == (None, False)
 
     run_with_home(scenario)
