Read the terms of a response in one step

Found by reading the change again: two functions with the same parameters looked up the same header of each response one after the other, and Retry-After was looked up in every response though only two statuses count. One function now reads and ends a limit, and the status is checked first. Behaviour is the same; no test changed.

--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -67,11 +67,13 @@
             return
         self._observe_load(upstream, message)
         self._observe_backoff(upstream, message)
-        self._observe_terms(upstream.key, upstream.terms, message, 'response')
-        if is_signed:
-            self._end_unstated(
-                upstream.key, upstream.terms, message, 'response'
-            )
+        self._observe_terms(
+            upstream.key,
+            upstream.terms,
+            message,
+            'response',
+            may_end_limit=is_signed,
+        )
 
     def observe_probe(
         self, upstream: UpstreamState, message: RawResponseMessage
@@ -82,7 +84,13 @@
         """
         self._observe_load(upstream, message)
         self._observe_backoff(upstream, message)
-        self._observe_terms(upstream.key, upstream.terms, message, 'probe')
+        self._observe_terms(
+            upstream.key,
+            upstream.terms,
+            message,
+            'probe',
+            may_end_limit=False,
+        )
 
     def observe_relayed(self, message: RawResponseMessage) -> None:
         """Record what an upstream's response states that a home has sent.
@@ -96,8 +104,7 @@
             # The home itself has responded, or it runs an older build.
             return
         terms = self.terms_table.terms_of(key, int(started_at))
-        self._observe_terms(key, terms, message, 'relayed')
-        self._end_unstated(key, terms, message, 'relayed')
+        self._observe_terms(key, terms, message, 'relayed', may_end_limit=True)
 
     def _observe_load(
         self, upstream: UpstreamState, message: RawResponseMessage
@@ -110,8 +117,10 @@
     def _observe_backoff(
         self, upstream: UpstreamState, message: RawResponseMessage
     ) -> None:
+        if message.code not in _BACKOFF_STATUSES:
+            return
         text = message.headers.get(_RETRY_AFTER)
-        if text is None or message.code not in _BACKOFF_STATUSES:
+        if text is None:
             return
         backoff = parse_retry_after(text)
         if backoff is None:
@@ -132,12 +141,16 @@
         terms: UpstreamTerms,
         message: RawResponseMessage,
         source: Source,
+        *,
+        may_end_limit: bool,
     ) -> None:
         leaving = message.headers.get(self.header_names.leaving, '')
         if leaving.strip() not in _NOT_LEAVING:
             self._mark_leaving(key, terms, source)
         text = message.headers.get(self.header_names.rate_limit)
         if text is None:
+            if may_end_limit:
+                self._change_limit(key, terms, None, source)
             return
         limit = self.header_names.parse_rate_limit(text)
         if limit is None:
@@ -145,16 +158,6 @@
         else:
             self._change_limit(key, terms, limit, source)
 
-    def _end_unstated(
-        self,
-        key: str,
-        terms: UpstreamTerms,
-        message: RawResponseMessage,
-        source: Source,
-    ) -> None:
-        if self.header_names.rate_limit not in message.headers:
-            self._change_limit(key, terms, None, source)
-
     def _mark_leaving(
         self, key: str, terms: UpstreamTerms, source: Source
     ) -> None:
