Record and log which upstreams an instance can't connect to

UpstreamReach holds the evidence of an instance: failures of new connections, and when one last worked. It logs upstreams_unreached and upstreams_reached_again, at most once a second, and feeds a metric. No decision uses it yet. The new setting source binds connections to an address, so that a test can cut off one of several processes on loopback.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -33,6 +33,8 @@
         'draining',
         'started',
         'settings_reloaded',
+        'upstreams_unreached',
+        'upstreams_reached_again',
     )
 )
 _HIDDEN_FIELDS = frozenset(
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -20,6 +20,7 @@
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
 from ..membership.terms_exchange import TermsExchange
+from ..placement.upstream_reach import UpstreamReach
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
@@ -92,10 +93,13 @@
             _UPSTREAM_IDLE_LIMIT,
             on_crash=self.crash_watch.record_crash,
             connection_type=MatchingConnection,
+            source=str(self.settings.source or ''),
         )
         self.observer = ResponseObserver(
             HEADER_NAMES, self.clock, self.catalog.terms
         )
+        self.reach = UpstreamReach(self.clock)
+        self.catalog.on_upstream.append(self.reach.apply_change)
         self.dispatcher = self._create_dispatcher()
         self.gateway = Gateway(
             self.catalog,
@@ -264,7 +268,9 @@
 
     def _create_dispatcher(self) -> Dispatcher:
         return Dispatcher(
-            UpstreamClient(self.pool, self.messages, self.clock, self.observer),
+            UpstreamClient(
+                self.pool, self.messages, self.clock, self.observer, self.reach
+            ),
             self.settings.instance.failure_domain,
             self.settings.bounds,
             self.clock,
@@ -284,6 +290,7 @@
             lambda: self.dispatcher.last_request_at,
             self.settings.bounds.probes_per_second,
             self.metrics,
+            self.reach,
         )
 
     def _connect_callbacks(self) -> None:
@@ -307,6 +314,7 @@
             lambda: self.catalog.config.version if self.catalog.config else 0,
             lambda: self.elector.epoch,
             lambda: sum(placer.limited_count() for placer in placers.values()),
+            lambda: len(self.reach.unreached()),
         )
 
     async def _open_ports(self) -> None:
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -73,6 +73,7 @@
         config_version: Callable[[], float],
         epoch: Callable[[], float],
         limited_upstreams: Callable[[], float],
+        unreached_upstreams: Callable[[], float],
     ) -> None:
         """Register gauges that call these functions at each scrape."""
         registry = self.registry
@@ -101,3 +102,8 @@
             'Upstreams that state a rate limit.',
             registry=registry,
         ).set_function(limited_upstreams)
+        Gauge(
+            'crocus_entry_unreached_upstreams',
+            'Upstreams that this instance could not connect to lately.',
+            registry=registry,
+        ).set_function(unreached_upstreams)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -9,10 +9,12 @@
 from ..clock import Clock
 from ..logs import log
 from ..placement.placer import ServicePlacer
+from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import UpstreamState
 from ..proxy.connection import BrokenResponseError, DeadlineError
 from ..proxy.pool import ConnectionPool, NotOpenedError
 from ..routes.model import RouteConfig
+from .exchange import recorded_in
 from .header_names import HeaderNames
 from .metrics import EntryMetrics
 from .response_observer import ResponseObserver
@@ -36,8 +38,8 @@
 class Prober:
     """Probes the upstreams that may be chosen next.
 
-    ``observer`` receives each response. ``last_request_at`` returns the
-    monotonic second of the latest request.
+    ``observer`` receives each response, ``reach`` whether one arrived.
+    ``last_request_at`` returns the monotonic second of the latest request.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         last_request_at: Callable[[], float],
         probes_per_second: float,
         metrics: EntryMetrics,
+        reach: UpstreamReach,
     ) -> None:
         self.pool = pool
         self.header_names = header_names
@@ -56,6 +59,7 @@
         self.observer = observer
         self.last_request_at = last_request_at
         self.metrics = metrics
+        self.reach = reach
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
         self.interval = max(PROBE_INTERVAL_SECONDS, 1 / rate)
         self.queue_interval = max(QUEUE_PROBE_INTERVAL_SECONDS, 1 / rate)
@@ -123,6 +127,7 @@
                 address, '', PROBE_TIMEOUT_SECONDS
             )
         except NotOpenedError as error:
+            self.reach.failed(state.key)
             self._record_failure(state, str(error))
             return
         assert isinstance(connection, MatchingConnection)
@@ -132,10 +137,12 @@
         connection.last_request_id = state.key
         request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
         try:
-            message = await self._exchange(connection, request.encode())
+            with recorded_in(self.reach, state.key, connection):
+                message = await self._exchange(connection, request.encode())
         except DeadlineError:
             # A busy upstream may respond late; an idle one has failed.
             if not state.in_flight:
+                self.reach.failed(state.key)
                 self._record_failure(state, 'no response in time')
         except (BrokenResponseError, OSError) as error:
             self._record_failure(state, str(error))
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import field
 from datetime import timedelta
+from ipaddress import IPv4Address, IPv6Address
 from typing import Annotated, Any
 
 from pydantic import BeforeValidator
@@ -64,7 +65,9 @@
     ``readiness`` the platform's checks, and ``internal`` the other instances.
     ``control`` serves instances that start with this one as a seed: ``seeds``
     lists control addresses of other instances for a start without the store.
-    ``validity`` is how long a caller may use the address list.
+    ``validity`` is how long a caller may use the address list. Connections to
+    upstreams and other instances come from the IP address ``source``; without
+    it, the operating system chooses one.
     """
 
     instance: InstanceIdentity
@@ -76,6 +79,7 @@
     metrics: Address
     store: str
     seeds: tuple[str, ...] = ()
+    source: IPv4Address | IPv6Address | None = None
     bounds: Bounds = field(default_factory=Bounds)
     capacity: Capacity = field(default_factory=Capacity)
     validity: Duration = timedelta(seconds=5)
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -6,10 +6,11 @@
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
 from ..clock import Clock
+from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import UpstreamState
 from ..proxy.pool import ConnectionPool
 from .call_results import CallResult, NotRun, Responded, ResponseLost
-from .exchange import exchange_over
+from .exchange import exchange_over, recorded_in
 from .response_observer import ResponseObserver
 from .upstream_connection import MatchingConnection
 from .upstream_messages import UpstreamMessages
@@ -35,7 +36,7 @@
 class UpstreamClient:
     """Sends requests over pooled connections and classifies the responses.
 
-    ``observer`` receives each response.
+    ``observer`` receives each response, ``reach`` whether one arrived.
     """
 
     def __init__(
@@ -44,11 +45,13 @@
         messages: UpstreamMessages,
         clock: Clock,
         observer: ResponseObserver,
+        reach: UpstreamReach,
     ) -> None:
         self.pool = pool
         self.messages = messages
         self.clock = clock
         self.observer = observer
+        self.reach = reach
 
     async def call(
         self,
@@ -61,15 +64,23 @@
 
         ``before_send`` is called immediately before the first byte is written.
         """
+        remaining = self._remaining(deadline)
+
+        def on_not_opened() -> None:  # noqa: WPS430
+            # Too little time is no evidence against the upstream.
+            if remaining >= CONNECT_TIMEOUT_SECONDS:
+                self.reach.failed(upstream.key)
+
         return await exchange_over(
             self.pool,
             upstream.entry.address,
             outgoing_request.request_id,
-            min(CONNECT_TIMEOUT_SECONDS, self._remaining(deadline)),
+            min(CONNECT_TIMEOUT_SECONDS, remaining),
             None if outgoing_request.idempotent else UNSAFE_IDLE_LIMIT_SECONDS,
             lambda connection: self._exchange(
                 connection, upstream, outgoing_request, deadline, before_send
             ),
+            on_not_opened,
         )
 
     async def _exchange(
@@ -95,13 +106,14 @@
             upstream.key,
             remaining,
         )
-        message, body = await connection.exchange(
-            request_bytes,
-            outgoing_request.request_id,
-            self.messages.header_names.request_id,
-            remaining,
-            expects_body=outgoing_request.message.method != 'HEAD',
-        )
+        with recorded_in(self.reach, upstream.key, connection):
+            message, body = await connection.exchange(
+                request_bytes,
+                outgoing_request.request_id,
+                self.messages.header_names.request_id,
+                remaining,
+                expects_body=outgoing_request.message.method != 'HEAD',
+            )
         self.observer.observe_call(
             upstream,
             message,
--- /dev/null
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -0,0 +1,130 @@
+"""Which upstreams this instance can connect to.
+
+An instance that is cut off from the upstreams sees each of them fail. It must
+not take that for as many faults of upstreams: other instances may reach them.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..logs import log
+from ..protocol.home_feed import UpstreamChange
+
+#: Number of upstreams whose failure since the latest new connection that worked
+#: is unlikely to be their own.
+MIN_UNREACHED = 3
+#: With this share of all upstreams unreached, other instances are asked even if
+#: connections to the rest work.
+PARTIAL_SHARE = 0.25
+#: A failure is forgotten if the upstream was not tried again for this time.
+FAILURE_MEMORY_SECONDS = 5.0
+#: Shortest time between two log lines about the loss of upstreams.
+LOG_INTERVAL_SECONDS = 1.0
+MAX_LOGGED_KEYS = 8
+
+
+@dataclass(slots=True)
+class _Failures:
+    """Monotonic seconds of the first and latest failure since a success."""
+
+    first_at: float
+    latest_at: float
+
+
+class UpstreamReach:
+    """Records the connections of this instance to upstreams, by their keys.
+
+    ``connected_at`` is when a new connection last worked, ``heard_at`` when any
+    response last arrived, both in monotonic seconds. ``on_silence`` listeners
+    are called when several upstreams fail and none responds any more.
+    """
+
+    def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
+        self.clock = clock
+        self.write = write
+        self.known_keys: set[str] = set()
+        self.failures: dict[str, _Failures] = {}
+        self.connected_at = float()
+        self.heard_at = float()
+        self.is_doubt_logged = False
+        self.logged_at = float()
+        self.on_silence: list[Callable[[], None]] = []
+
+    def apply_change(self, change: UpstreamChange) -> None:
+        """Apply a change of the list of upstreams."""
+        if change.entry is None:
+            self.known_keys.discard(change.key)
+            self.failures.pop(change.key, None)
+        else:
+            self.known_keys.add(change.key)
+
+    def responded(self, key: str, *, is_new_connection: bool) -> None:
+        """Record that an upstream has responded."""
+        now = self._now()
+        self.heard_at = now
+        if is_new_connection:
+            self.connected_at = now
+            self.failures.pop(key, None)
+        if self.is_doubt_logged and not self.is_doubtful():
+            self._log('upstreams_reached_again', now)
+            self.is_doubt_logged = False
+
+    def failed(self, key: str) -> None:
+        """Record that no response came over a new connection."""
+        if key not in self.known_keys:
+            return
+        now = self._now()
+        failures = self.failures.setdefault(key, _Failures(now, now))
+        failures.latest_at = now
+        if self.is_silent():
+            for listener in self.on_silence:
+                listener()
+        if not self.is_doubt_logged and self.is_doubtful():
+            if now - self.logged_at >= LOG_INTERVAL_SECONDS:
+                self.is_doubt_logged = True
+                self.logged_at = now
+                self._log('upstreams_unreached', now)
+
+    def unreached(self) -> tuple[str, ...]:
+        """Return the keys of the upstreams that failed lately."""
+        oldest = self._now() - FAILURE_MEMORY_SECONDS
+        for key, failures in tuple(self.failures.items()):
+            if failures.latest_at < oldest:
+                self.failures.pop(key)
+        return tuple(self.failures)
+
+    def is_doubtful(self) -> bool:
+        """Return whether this instance may be cut off from upstreams.
+
+        Its connections to them may still work while new ones fail.
+        """
+        unreached_count = len(self.unreached())
+        is_partly_lost = unreached_count >= max(
+            MIN_UNREACHED, PARTIAL_SHARE * len(self.known_keys)
+        )
+        return is_partly_lost or self._failed_since(self.connected_at)
+
+    def is_silent(self) -> bool:
+        """Return whether upstreams fail and none has responded meanwhile."""
+        return self._failed_since(max(self.connected_at, self.heard_at))
+
+    def _failed_since(self, moment: float) -> bool:
+        failed_count = sum(
+            failures.latest_at > moment for failures in self.failures.values()
+        )
+        return failed_count >= max(1, min(MIN_UNREACHED, len(self.known_keys)))
+
+    def _log(self, event: str, now: float) -> None:
+        first_failures = [one.first_at for one in self.failures.values()]
+        self.write(
+            event,
+            unreached=len(self.failures),
+            known=len(self.known_keys),
+            upstreams=','.join(list(self.failures)[:MAX_LOGGED_KEYS]),
+            since_seconds=round(now - min(first_failures, default=now), 2),
+            heard_seconds_ago=round(now - self.heard_at, 2),
+        )
+
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -38,6 +38,7 @@
 
     ``on_crash`` is called when the last connection to an address was lost
     while requests were in flight there, and no new one can be opened.
+    Connections come from the IP address ``source`` unless it is empty.
     """
 
     def __init__(
@@ -46,7 +47,9 @@
         idle_limit: timedelta,
         on_crash: CrashListener | None = None,
         connection_type: type[UpstreamConnection] = UpstreamConnection,
+        source: str = '',
     ) -> None:
+        self.local_address = (source, 0) if source else None
         self.connection_type = connection_type
         self.connect_timeout_seconds = connect_timeout.total_seconds()
         self.idle_limit_seconds = idle_limit.total_seconds()
@@ -120,8 +123,11 @@
                     lambda: self.connection_type(loop, on_lost),
                     host.strip('[]'),
                     int(port),
+                    local_addr=self.local_address,
                 )
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            raise NotOpenedError(f'{address}: no connection in time') from error
+        except OSError as error:
             raise NotOpenedError(f'{address}: {error}') from error
         if not connection.is_usable:
             raise NotOpenedError(f'{address}: closed at once')
--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -15,7 +15,8 @@
     ``slowdown`` the present one in percent of it. ``runs`` lists the ids of the
     requests that were run, ``heads`` the head and body of each arrival.
     ``terms`` are additional header lines of all responses, ``arrival_times``
-    the loop times at which requests and probes arrived.
+    the loop times at which requests and probes arrived. New connections from
+    the IP addresses in ``refused_sources`` are reset.
     """
 
     def __init__(self, key='i-1', slots=2, work=0.0, slowdown=100):
@@ -33,6 +34,8 @@
         self.probes = 0
         self.closed_while_running = 0
         self.opened = 0
+        self.refused_sources = set()
+        self.writers = set()
         self.server = None
         self.address = ''
 
@@ -47,8 +50,19 @@
         if self.server is not None:
             self.server.close()
 
+    def cut_off(self, source, *, keeps_open=False):
+        """Reset the connections from an IP address, or only new ones."""
+        self.refused_sources.add(source)
+        for writer in () if keeps_open else tuple(self.writers):
+            if writer.get_extra_info('peername')[0] == source:
+                writer.transport.abort()
+
     async def serve(self, reader, writer):
+        if writer.get_extra_info('peername')[0] in self.refused_sources:
+            writer.transport.abort()
+            return
         self.opened += 1
+        self.writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -56,6 +70,8 @@
                 self.closed_while_running += reader.at_eof()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self.writers.discard(writer)
 
     async def answer(self, head, reader, writer):
         headers = dict(
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -19,6 +19,7 @@
 from crocusproxy.entry.upstream_connection import MatchingConnection
 from crocusproxy.entry.upstream_messages import UpstreamMessages
 from crocusproxy.membership.catalog import Catalog
+from crocusproxy.placement.upstream_reach import UpstreamReach
 from crocusproxy.platform.headers import HEADER_NAMES
 from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.proxy.pool import ConnectionPool
@@ -78,11 +79,15 @@
             HEADER_NAMES, self.clock, self.catalog.terms, self.log
         )
         self.pool.on_crash = self.crash_watch.record_crash
+        self.reach = UpstreamReach(self.clock, self.log)
+        self.catalog.on_upstream.append(self.reach.apply_change)
         metrics = EntryMetrics(CollectorRegistry())
         self.log_lines = []
         request_log = RequestLog(self.clock, self.log)
         self.dispatcher = Dispatcher(
-            UpstreamClient(self.pool, self.messages, self.clock, self.observer),
+            UpstreamClient(
+                self.pool, self.messages, self.clock, self.observer, self.reach
+            ),
             'a',
             Bounds(),
             self.clock,
--- a/tests/entry/test_prober.py
+++ b/tests/entry/test_prober.py
@@ -20,6 +20,7 @@
         lambda: system.dispatcher.last_request_at,
         60,
         EntryMetrics(CollectorRegistry()),
+        system.reach,
     )
     prober.apply_config(system.catalog.config)
     system.dispatcher.refresh_load = prober.refresh_load
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -30,6 +30,7 @@
         self.path = Path(folder) / f'{name}.yaml'
         self.ports = dict(zip(PORTS, ports, strict=True))
         self.store = store
+        self.source = None
         self.process = None
 
     def write(self, **changes):
@@ -37,6 +38,7 @@
             'instance': {'name': self.name, 'failure_domain': 'a'},
             **{name: f'127.0.0.1:{port}' for name, port in self.ports.items()},
             'store': self.store.address,
+            'source': self.source,
             'bounds': {'shutdown': '3s'},
             **changes,
         }
@@ -124,6 +126,7 @@
     async def run():
         store = await StandInStore().start()
         servers = [await SlotServer(f'i-{n}').start() for n in (1, 2)]
+        store.first_servers = servers
         publish(store, 1)
         for server, service in zip(servers, ('s1', 's2'), strict=True):
             register(store, server, service)
@@ -134,6 +137,8 @@
             for number in range(count)
         ]
         outputs = []
+        for number, instance in enumerate(instances):
+            instance.source = f'127.0.1.{number + 1}'
         try:
             for instance in instances:
                 await instance.start()
