Let another member dispatch for one without upstreams

Cause: the home was chosen by capacity and name and kept while members reached it; nothing asked whether it reaches upstreams. Class: a loss of the observer is taken for a fault of all that it observes.

The dispatcher's evidence of failed new connections is now part of its view. The home lets it and others try the same upstreams at the same moment, and assigns its failure domains to a member that reaches at least half of them more.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -33,6 +33,8 @@
         'draining',
         'started',
         'settings_reloaded',
+        'domain_homes_changed',
+        'upstream_reach_compared',
         'upstreams_unreached',
         'upstreams_reached_again',
     )
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -42,6 +42,7 @@
 from .overflow import OverflowTargets
 from .own_member import own_member
 from .prober import Prober
+from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
 from .reloading import reload_settings
 from .request_log import RequestLog
@@ -145,6 +146,18 @@
             self.start_home_tasks,
             self.stop_home_tasks,
             self.domain_homes,
+            self.reach.unreached_if_doubtful,
+        )
+        self.reach_check = ReachCheck(
+            self.pool,
+            self.catalog,
+            HEADER_NAMES,
+            self.clock,
+            self.metrics,
+            self.reach,
+        )
+        self.reach_queries = ReachQueries(
+            member_client, self.settings.instance.name, self.reach_check
         )
         self.crash_exchange = CrashExchange(
             member_client, self.elector, self.crash_watch.apply_report
@@ -186,7 +199,11 @@
     def start_home_tasks(self) -> None:
         """Start the tasks that only the home runs."""
         for task in home_tasks(
-            self.store, self.elector, self.clock, self.dispatcher.random
+            self.store,
+            self.elector,
+            self.clock,
+            self.dispatcher.random,
+            self.reach_queries.ask,
         ):
             self.home_tasks.spawn(task)
         self.update_role()
@@ -203,6 +220,8 @@
         self.dispatcher.set_exclusive(is_exclusive=is_dispatcher)
         if not is_dispatcher:
             self.probe_tasks.cancel()
+            if self.role.forwarding_address():
+                self.dispatcher.hand_over()
         elif not self.probe_tasks.tasks:
             self.probe_tasks.spawn(
                 partial(self.prober.run, self.dispatcher.placers.values)
@@ -301,6 +320,9 @@
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
         self.dispatcher.refresh_load = self.prober.refresh_load
+        self.dispatcher.has_successor = lambda: bool(
+            self.role.forwarding_address()
+        )
         # An instance without a home is not the only one that dispatches.
         self.dispatcher.set_exclusive(is_exclusive=False)
         self.catalog.on_config.append(self.prober.apply_config)
@@ -328,6 +350,7 @@
                 *member_routes,
                 *self.crash_exchange.routes(),
                 *self.terms_exchange.routes(),
+                *self.reach_check.routes(),
                 *relay.routes(),
             ],
         )
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -44,7 +44,10 @@
 
 
 class Dispatcher:
-    """Chooses upstreams, sends requests and applies the call results."""
+    """Chooses upstreams, sends requests and applies the call results.
+
+    ``has_successor`` returns whether another instance dispatches in its place.
+    """
 
     def __init__(
         self,
@@ -67,6 +70,7 @@
         self.request_log = request_log
         self.crash_watch = crash_watch
         self.refresh_load: RefreshLoad = _skip_refresh
+        self.has_successor: Callable[[], bool] = _has_no_successor
         self.timing = RouteTiming()
         self.placers: dict[str, ServicePlacer] = {}
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -87,6 +91,11 @@
         for placer in self.placers.values():
             placer.set_exclusive(is_exclusive=is_exclusive)
 
+    def hand_over(self) -> None:
+        """Refuse the waiting requests, so that a successor can serve them."""
+        for placer in self.placers.values():
+            placer.refuse_all()
+
     def apply_upstream_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
         entry = change.entry
@@ -288,9 +297,10 @@
         if isinstance(result, NotRun) and not result.reported_by_upstream:
             # Each attempt adds a tried key, so the difference is the number of
             # attempts that sent nothing.
+            attempt_count = len(context.tried_keys) - context.send_count
             return (
-                len(context.tried_keys) - context.send_count
-                < MAX_CONNECT_FAILURES
+                attempt_count < MAX_CONNECT_FAILURES
+                and not self.has_successor()
             )
         if not isinstance(result, NotRun) and not context.route.idempotent:
             return False
@@ -323,6 +333,11 @@
     """Keep the latest known load."""
 
 
+def _has_no_successor() -> bool:
+    """Dispatch alone."""
+    return False
+
+
 def _more_informative(
     previous: CallResult | None, latest: CallResult
 ) -> CallResult:
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -23,6 +23,7 @@
 from .refusals import (
     BODY_TOO_LARGE,
     CONFIG_BEHIND,
+    DISPATCHER_REPLACED,
     INVALID_DEADLINE,
     NO_ROUTE,
     NO_SPARE_SLOT,
@@ -192,27 +193,60 @@
             response = await self._serve_elsewhere(context)
             if response is not None:
                 return response
+        return await self._dispatch(context)
+
+    async def _dispatch(
+        self, context: RequestContext
+    ) -> CallerResponse | Refusal:
         response = await self.dispatcher.run(context)
-        if HOP_HEADER in headers and isinstance(response, CallerResponse):
+        if isinstance(response, Refusal):
+            return await self._serve_by_successor(context, response)
+        if HOP_HEADER in context.outgoing_request.message.headers:
             return _with_responder(response, context.responder)
         return response
 
+    async def _serve_by_successor(
+        self, context: RequestContext, refusal: Refusal
+    ) -> CallerResponse | Refusal:
+        """Let the instance that dispatches now serve a request, if any.
+
+        It has replaced this one while the request waited here.
+        """
+        if context.send_count or context.may_have_run or not self._successor():
+            return refusal
+        if HOP_HEADER in context.outgoing_request.message.headers:
+            return DISPATCHER_REPLACED
+        response = await self._serve_elsewhere(context)
+        return refusal if response is None else response
+
+    def _successor(self) -> str:
+        return self.forwarder.home_address() if self.forwarder else ''
+
     async def _serve_elsewhere(
         self, context: RequestContext
     ) -> CallerResponse | Refusal | None:
         """Return another home's response, or None if this one dispatches."""
         if self.forwarder is None:
             return None
-        if self.forwarder.home_address():
-            return await self._await_forward(
-                context,
-                self.forwarder.forward(
-                    context.outgoing_request,
-                    context.deadline,
-                    context.config_version,
-                ),
-            )
-        return await self._overflow(self.forwarder, context)
+        address = self.forwarder.home_address()
+        if not address:
+            return await self._overflow(self.forwarder, context)
+        response = await self._forward(self.forwarder, context)
+        if response is None and self._successor() not in {'', address}:
+            response = await self._forward(self.forwarder, context)
+        return response
+
+    async def _forward(
+        self, forwarder: HomeForwarder, context: RequestContext
+    ) -> CallerResponse | Refusal | None:
+        return await self._await_forward(
+            context,
+            forwarder.forward(
+                context.outgoing_request,
+                context.deadline,
+                context.config_version,
+            ),
+        )
 
     async def _overflow(
         self, forwarder: HomeForwarder, context: RequestContext
--- a/src/crocusproxy/entry/home_tasks.py
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..membership.domain_home_planner import DomainHomePlanner
 from ..membership.home_elector import HomeElector
+from ..membership.reach_judge import AskReach, ReachJudge
 from ..platform.members import RosterWriter
 from ..platform.outage import StoreOutage
 from ..platform.store import StoreClient
@@ -14,7 +15,11 @@
 
 
 def home_tasks(
-    store: StoreClient, elector: HomeElector, clock: Clock, random: Random
+    store: StoreClient,
+    elector: HomeElector,
+    clock: Clock,
+    random: Random,
+    ask_reach: AskReach,
 ) -> Iterator[Run]:
     """Yield the tasks that read the store and appoint the domain homes."""
     catalog = elector.catalog
@@ -22,5 +27,6 @@
     yield ConfigWatch(store, catalog, clock, outage).run
     yield UpstreamWatch(store, catalog, clock, outage).run
     domain_homes = elector.domain_homes
-    yield DomainHomePlanner(elector, catalog, domain_homes).run
+    judge = ReachJudge(ask_reach, clock, random)
+    yield DomainHomePlanner(elector, catalog, domain_homes, judge).run
     yield RosterWriter(store, elector.member_list, domain_homes).run
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
-from aiohttp.http import RawResponseMessage
-
 from ..clock import Clock
 from ..logs import log
 from ..placement.placer import ServicePlacer
@@ -17,6 +15,7 @@
 from .exchange import recorded_in
 from .header_names import HeaderNames
 from .metrics import EntryMetrics
+from .probe_exchange import exchange_probe
 from .response_observer import ResponseObserver
 from .upstream_connection import MatchingConnection
 
@@ -131,14 +130,15 @@
             self._record_failure(state, str(error))
             return
         assert isinstance(connection, MatchingConnection)
-        # A health response has no request id, so it is matched by the key of
-        # the upstream.
-        connection.id_header = self.header_names.upstream
-        connection.last_request_id = state.key
-        request = f'GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n'
         try:
             with recorded_in(self.reach, state.key, connection):
-                message = await self._exchange(connection, request.encode())
+                message = await exchange_probe(
+                    connection,
+                    state.entry,
+                    path,
+                    self.header_names,
+                    PROBE_TIMEOUT_SECONDS,
+                )
         except DeadlineError:
             # A busy upstream may respond late; an idle one has failed.
             if not state.in_flight:
@@ -151,16 +151,6 @@
         finally:
             self.pool.release(address, connection)
 
-    async def _exchange(
-        self, connection: MatchingConnection, request: bytes
-    ) -> RawResponseMessage:
-        message = await connection.send(
-            request, expects_body=True, timeout=PROBE_TIMEOUT_SECONDS
-        )
-        if connection.payload is not None:
-            await connection.payload.read()
-        return message
-
     def _record_failure(self, state: UpstreamState, reason: str) -> None:
         state.reported_at = -inf
         state.failed(self._now())
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -36,6 +36,10 @@
 NO_SPARE_SLOT = Refusal(
     425, 'no_spare_slot', 'the upstreams of this instance are needed here'
 )
+#: Sent to a forwarding instance, which then looks for the present dispatcher.
+DISPATCHER_REPLACED = Refusal(
+    425, 'dispatcher_replaced', 'another instance dispatches these requests now'
+)
 
 
 def not_placed(code: str, retry_after: timedelta) -> Refusal:
--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -8,6 +8,7 @@
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable, assign_domain_homes, count_slots
 from .home_elector import HomeElector
+from .reach_judge import ReachJudge
 
 CHECK_INTERVAL_SECONDS = 0.2
 #: A domain home counts as lost after this many failed queries in a row.
@@ -16,6 +17,8 @@
 #: itself. Failures then count only after this many checks in a row.
 MAX_DOUBTFUL_CHECKS = 6
 _MIN_DOUBTFUL_FAILURES = 2
+#: Members that are tried in place of ones that turn out to be unusable.
+MAX_APPOINTMENTS = 4
 
 
 class DomainHomePlanner:
@@ -23,11 +26,17 @@
 
     ``failed_queries`` counts the failed queries in a row by member name,
     ``doubtful_checks`` the checks in a row in which most queries failed.
+    ``judge`` knows the members that are cut off from upstreams.
     """
 
     def __init__(
-        self, elector: HomeElector, catalog: Catalog, table: DomainHomeTable
+        self,
+        elector: HomeElector,
+        catalog: Catalog,
+        table: DomainHomeTable,
+        judge: ReachJudge,
     ) -> None:
+        self.judge = judge
         self.elector = elector
         self.catalog = catalog
         self.table = table
@@ -51,16 +60,48 @@
             if self._is_doubtful(views)
             else self._find_unusable(present, views, MAX_FAILED_QUERIES)
         )
+        await self._compare_reach(present, views)
+        await self.judge.recheck()
         assignment = self._assign(present, unusable)
-        # The feed to a lost member can stay open for long, so a member is
-        # queried before it is appointed.
+        for _ in range(MAX_APPOINTMENTS):
+            lost = await self._find_lost(assignment, present)
+            if not lost:
+                break
+            unusable |= lost
+            assignment = self._assign(present, unusable)
+        self.table.apply(assignment)
+
+    async def _compare_reach(
+        self,
+        present: Sequence[Member],
+        views: Sequence[MemberView | None],
+    ) -> None:
+        """Compare dispatching members that may be cut off with others."""
+        own_view = self.elector.view()
+        dispatches = not self.table.assignment.homes or any(
+            home.member.name == own_view.member.name
+            for home in self.table.assignment.homes
+        )
+        members = self._available(present)
+        for view in (*views, own_view if dispatches else None):
+            if view is not None and view.unreached:
+                await self.judge.compare(view.member, view.unreached, members)
+
+    async def _find_lost(
+        self, assignment: DomainHomes, present: Sequence[Member]
+    ) -> set[str]:
+        """Return newly appointed members that are lost or cut off.
+
+        The feed to a lost member can stay open for long, so a member is
+        queried before it is appointed.
+        """
         appointed = self._newly_appointed(assignment, present)
         lost = self._find_unusable(
             appointed, await self._query(appointed), max_failures=1
         )
-        if lost:
-            assignment = self._assign(present, unusable | lost)
-        self.table.apply(assignment)
+        return lost | await self.judge.exclude_cut_off(
+            member for member in appointed if member.name not in lost
+        )
 
     async def _query(
         self, members: Sequence[Member]
@@ -115,18 +156,22 @@
     def _assign(
         self, present: Iterable[Member], unusable: set[str]
     ) -> DomainHomes:
-        """Assign domains to this member, its followers and present homes."""
-        own = self.elector.member_list.own
-        names = {own.name, *self.elector.server.followers}
-        names.update(member.name for member in present)
-        members = [
-            member
-            for member in self.elector.member_list.all()
-            if member.name in names - unusable
-        ]
+        """Assign domains to members that are not ``unusable``."""
         return assign_domain_homes(
             self.table.assignment,
-            members,
-            own.name,
+            [
+                member
+                for member in self._available(present)
+                if member.name not in unusable
+            ],
+            self.elector.member_list.own.name,
             count_slots(self.catalog.upstreams.values()),
+            self.judge.cut_off,
         )
+
+    def _available(self, present: Iterable[Member]) -> list[Member]:
+        """Return this member, its followers and present domain homes."""
+        member_list = self.elector.member_list
+        names = {member_list.own.name, *self.elector.server.followers}
+        names.update(member.name for member in present)
+        return [member for member in member_list.all() if member.name in names]
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from ..logs import log
 from ..protocol.home_feed import DomainHome, DomainHomes, Member
@@ -39,6 +39,7 @@
     members: Iterable[Member],
     home_name: str,
     slots: SlotsByDomain,
+    cut_off: Collection[str] = (),
 ) -> DomainHomes:
     """Return the domain homes, empty if the home should dispatch alone.
 
@@ -46,9 +47,64 @@
     of them, so that its callers need not move, unless it is ``home_name``.
     That member is chosen last, as it also reads the store and serves the feed.
     A failure domain with too few slots gets the home of the largest one.
+    Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
+    If the home should dispatch alone but is cut off, another member does.
     """
+    everyone = tuple(members)
+    able = tuple(one for one in everyone if one.name not in cut_off) or everyone
+    split = _split(current, able, home_name, slots)
+    if split.homes:
+        return split
+    domains = {member.failure_domain for member in everyone} | slots.keys()
+    return _single(current, able, home_name, domains)
+
+
+def _single(
+    current: DomainHomes,
+    members: tuple[Member, ...],
+    home_name: str,
+    domains: Iterable[str],
+) -> DomainHomes:
+    """Return one member for all failure domains, empty if it is the home.
+
+    A member that has replaced the home stays, so that callers need not move
+    again, unless the home has more capacity.
+    """
+    by_name = {member.name: member for member in members}
+    home = by_name.get(home_name)
+    present = by_name.get(_single_name(current), home)
+    if present is None:
+        present = min(members, key=lambda member: member.rank)
+    if home is not None and home.capacity >= (
+        MIN_CAPACITY_GAIN * present.capacity
+    ):
+        present = home
+    if present.name == home_name:
+        return DomainHomes()
+    return DomainHomes(
+        tuple(DomainHome(domain, present) for domain in sorted(domains))
+    )
+
+
+def _single_name(assignment: DomainHomes) -> str:
+    """Return the member that dispatches for all, empty if there are several."""
+    names = {home.member.name for home in assignment.homes}
+    return names.pop() if len(names) == 1 else ''
+
+
+def _split(
+    current: DomainHomes,
+    members: tuple[Member, ...],
+    home_name: str,
+    slots: SlotsByDomain,
+) -> DomainHomes:
+    """Return a home for each large failure domain, empty if these are few."""
     candidates = _by_domain(members)
-    current_homes = {home.failure_domain: home.member for home in current.homes}
+    current_homes: dict[str, Member] = {}
+    if not _single_name(current):
+        current_homes = {
+            home.failure_domain: home.member for home in current.homes
+        }
     split_domains = {
         domain
         for domain in candidates
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -48,7 +48,8 @@
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
     name of a domain home whose feed was lost, and ``source_failures`` the
-    number of feeds in a row that did not begin.
+    number of feeds in a row that did not begin. ``find_unreached`` returns the
+    upstreams that this instance can't connect to, if it may be cut off.
     """
 
     def __init__(
@@ -60,8 +61,10 @@
         on_started_leading: Callable[[], None],
         on_stopped_leading: Callable[[], None],
         domain_homes: DomainHomeTable | None = None,
+        find_unreached: Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
         self.client = client
+        self.find_unreached = find_unreached
         self.catalog = catalog
         self.member_list = member_list
         self.domain_homes = domain_homes or DomainHomeTable()
@@ -97,6 +100,7 @@
             self.epoch,
             self.home,
             table.assignment if table.is_known else None,
+            self.find_unreached(),
         )
 
     async def wait_for_home(self, seconds: float) -> None:
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -12,12 +12,15 @@
     FeedMessage,
     Member,
     MemberView,
+    ReachQuery,
+    ReachReport,
 )
 from .feed_lines import MAX_LINE_BYTES, decode_line
 from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
 
 CRASH_PATH = '/members/crash'
 TERMS_PATH = '/members/terms'
+REACH_PATH = '/members/reach'
 _OK = 200
 REQUEST_TIMEOUT_SECONDS = 0.35
 #: A feed that sends nothing for longer is treated as lost.
@@ -58,6 +61,11 @@
         """Send the terms of upstreams to the home at ``address``."""
         await self._call('POST', address, TERMS_PATH, encode(message))
 
+    async def reach(self, address: str, query: ReachQuery) -> ReachReport:
+        """Return which upstreams the member at ``address`` can reach."""
+        body = await self._call('POST', address, REACH_PATH, encode(query))
+        return decode(ReachReport, body)
+
     async def feed(
         self, member: Member, own: Member
     ) -> AsyncGenerator[FeedMessage, None]:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -128,6 +128,12 @@
         self._refuse_unplaceable()
         self.process_queue()
 
+    def refuse_all(self) -> None:
+        """Refuse the queued requests, as another instance dispatches now."""
+        for queued_request in tuple(self.queue):
+            self.queue.remove(queued_request)
+            queued_request.on_decision(_NO_UPSTREAM)
+
     def limited_count(self) -> int:
         """Return the number of upstreams that state a rate limit."""
         return sum(
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 from ..clock import Clock
 from ..logs import log
@@ -43,21 +44,21 @@
     def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
         self.clock = clock
         self.write = write
-        self.known_keys: set[str] = set()
+        self.addresses: dict[str, str] = {}
         self.failures: dict[str, _Failures] = {}
-        self.connected_at = float()
-        self.heard_at = float()
+        self.connected_at = -inf
+        self.heard_at = -inf
         self.is_doubt_logged = False
-        self.logged_at = float()
+        self.logged_at = -inf
         self.on_silence: list[Callable[[], None]] = []
 
     def apply_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
         if change.entry is None:
-            self.known_keys.discard(change.key)
+            self.addresses.pop(change.key, None)
             self.failures.pop(change.key, None)
         else:
-            self.known_keys.add(change.key)
+            self.addresses[change.key] = change.entry.address
 
     def responded(self, key: str, *, is_new_connection: bool) -> None:
         """Record that an upstream has responded."""
@@ -72,7 +73,7 @@
 
     def failed(self, key: str) -> None:
         """Record that no response came over a new connection."""
-        if key not in self.known_keys:
+        if key not in self.addresses:
             return
         now = self._now()
         failures = self.failures.setdefault(key, _Failures(now, now))
@@ -94,36 +95,48 @@
                 self.failures.pop(key)
         return tuple(self.failures)
 
+    def unreached_if_doubtful(self) -> tuple[str, ...]:
+        """Return the unreached upstreams if this instance may be cut off."""
+        return self.unreached() if self.is_doubtful() else ()
+
     def is_doubtful(self) -> bool:
         """Return whether this instance may be cut off from upstreams.
 
+        Only other instances can tell whether it is, or the upstreams are down.
         Its connections to them may still work while new ones fail.
         """
         unreached_count = len(self.unreached())
         is_partly_lost = unreached_count >= max(
-            MIN_UNREACHED, PARTIAL_SHARE * len(self.known_keys)
+            MIN_UNREACHED, PARTIAL_SHARE * len(self.addresses)
         )
-        return is_partly_lost or self._failed_since(self.connected_at)
+        if is_partly_lost:
+            return True
+        enough = max(1, min(MIN_UNREACHED, len(self.addresses)))
+        return self._failed_since(self.connected_at) >= enough
 
     def is_silent(self) -> bool:
-        """Return whether upstreams fail and none has responded meanwhile."""
-        return self._failed_since(max(self.connected_at, self.heard_at))
+        """Return whether upstreams fail and none has responded meanwhile.
+
+        One or two may have crashed, even if there are no others.
+        """
+        return self._failed_since(self.heard_at) >= MIN_UNREACHED
 
-    def _failed_since(self, moment: float) -> bool:
-        failed_count = sum(
+    def _failed_since(self, moment: float) -> int:
+        return sum(
             failures.latest_at > moment for failures in self.failures.values()
         )
-        return failed_count >= max(1, min(MIN_UNREACHED, len(self.known_keys)))
 
     def _log(self, event: str, now: float) -> None:
         first_failures = [one.first_at for one in self.failures.values()]
         self.write(
             event,
             unreached=len(self.failures),
-            known=len(self.known_keys),
+            known=len(self.addresses),
             upstreams=','.join(list(self.failures)[:MAX_LOGGED_KEYS]),
             since_seconds=round(now - min(first_failures, default=now), 2),
-            heard_seconds_ago=round(now - self.heard_at, 2),
+            heard_seconds_ago=(
+                None if self.heard_at == -inf else round(now - self.heard_at, 2)
+            ),
         )
 
     def _now(self) -> float:
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -70,7 +70,9 @@
     ``home`` is the home that it is attached to, possibly itself; a member in
     state ``searching`` has none, and one in state ``starting`` takes no part
     in elections yet. A home that took over later has a higher
-    ``epoch``. ``domain_homes`` is None if they are not known.
+    ``epoch``. ``domain_homes`` is None if they are not known. ``unreached``
+    are keys of upstreams that the member can't connect to, if these are so many
+    that it may be cut off.
     """
 
     member: Member
@@ -78,6 +80,21 @@
     epoch: int = 0
     home: Member | None = None
     domain_homes: DomainHomes | None = None
+    unreached: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ReachQuery:
+    """Asks a member to connect to upstreams, given by their keys."""
+
+    upstreams: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReachReport:
+    """The upstreams of a query that a member could connect to."""
+
+    reached: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import aclosing
+from random import Random
 
 from crocusproxy.errors import NotReachableError
 from crocusproxy.membership.catalog import Catalog
@@ -16,6 +17,7 @@
     REQUEST_TIMEOUT_SECONDS,
 )
 from crocusproxy.membership.member_list import MemberList
+from crocusproxy.membership.reach_judge import ReachJudge
 from crocusproxy.membership.seeds import HomeSearch
 from crocusproxy.protocol.home_feed import Member
 from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
@@ -24,12 +26,10 @@
 DELAY_SECONDS = 0.001
 
 
-def make_upstreams(domains):
-    """Return an upstream with enough slots for a home of each domain."""
+def make_upstreams(domains, slots=MIN_SLOTS_TO_SPLIT):
+    """Return an upstream in each domain, with enough slots for homes there."""
     return tuple(
-        RegisteredUpstream(
-            f'i-{domain}', 's', '', domain, MIN_SLOTS_TO_SPLIT, False, 1, 1
-        )
+        RegisteredUpstream(f'i-{domain}', 's', '', domain, slots, False, 1, 1)
         for domain in domains
     )
 
@@ -44,6 +44,7 @@
         self.loop = loop
         self.nodes = {}
         self.cuts = set()
+        self.lost_upstreams = {}
         self.query_seconds = 0
         self.upstreams = make_upstreams('ab')
         self.stored_version = 0
@@ -60,6 +61,12 @@
             frozenset((name, other)) for other in self.nodes if other != name
         )
 
+    def lose_upstreams(self, name, keys=None):
+        """Cut a node off from upstreams, from all without ``keys``."""
+        if keys is None:
+            keys = {entry.key for entry in self.upstreams}
+        self.lost_upstreams[name] = frozenset(keys)
+
     def add(self, name, failure_domain='a', capacity=1.0):
         node = Node(self, name, failure_domain, capacity)
         self.nodes[name] = node
@@ -142,6 +149,7 @@
             self.lead,
             self.stop_leading,
             self.domain_homes,
+            self.find_unreached,
         )
         self.task = self.network.loop.create_task(
             self.join(known_members, seeds)
@@ -154,11 +162,34 @@
 
     def lead(self):
         self.read_store()
+        clock = LoopClock(self.network.loop)
+        judge = ReachJudge(self.ask_reach, clock, Random(self.start_count))
         planner = DomainHomePlanner(
-            self.elector, self.catalog, self.domain_homes
+            self.elector, self.catalog, self.domain_homes, judge
         )
         self.planner_task = self.network.loop.create_task(planner.run())
 
+    @property
+    def reached(self):
+        """The keys of the upstreams that this node can connect to."""
+        lost = self.network.lost_upstreams.get(self.name, frozenset())
+        return {entry.key for entry in self.network.upstreams} - lost
+
+    def find_unreached(self):
+        """Return what a dispatcher with requests would have noticed."""
+        keys = {entry.key for entry in self.network.upstreams}
+        return tuple(sorted(keys - self.reached))
+
+    async def ask_reach(self, member, keys):
+        """Ask a member as over its internal port, this one included."""
+        try:
+            node = await self.network.connect(
+                self.name, member.name, REQUEST_TIMEOUT_SECONDS
+            )
+        except NotReachableError:
+            return None
+        return frozenset(node.reached.intersection(keys))
+
     def stop_leading(self):
         self.planner_task.cancel()
 
