Do not suspect requests in flight when all upstreams are lost at once

Callers whose requests were in flight got 503 request_suspected for up to ten minutes after an instance had lost all upstreams, at every instance: each upstream counted as crashed, and two crashes confirm a suspect.

A failed crash check is now evidence of UpstreamReach. Once three upstreams fail and none has responded meanwhile, crashes are not counted and those of the last second are retracted, also at the other instances. With one or two lost upstreams, or while others respond, a crash counts as before.

test_requests_in_flight_at_a_loss_of_all_upstreams_are_no_crash_suspects fails without the change (503 instead of 200).

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -31,6 +31,7 @@
 from crocusproxy.entry.request_log import RequestLog
 from crocusproxy.entry.responses import CallerResponse
 from crocusproxy.entry.settings import Bounds
+from crocusproxy.placement.upstream_reach import UpstreamReach
 from crocusproxy.placement.upstream_terms import TermsTable
 from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.routes.model import (
@@ -249,7 +250,7 @@
             Random(model.random.random()),
             EntryMetrics(CollectorRegistry()),
             RequestLog(clock, lambda *_, **__: None),
-            CrashWatch(clock),
+            CrashWatch(clock, UpstreamReach(clock)),
             TermsTable(),
         )
         self.dispatcher.refresh_load = self.refresh
--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -1,26 +1,39 @@
 """Refusal of requests that crash the upstreams that run them."""
 
 import hashlib
+from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from datetime import timedelta
 
 from ..clock import Clock
 from ..logs import log
+from ..placement.upstream_reach import UpstreamReach
 from ..protocol.home_feed import CrashReport
 from ..routing.crash import Crash, CrashSuspects
 from .upstream_call import OutgoingRequest
 
+#: Crashes that are retracted if they turn out to be one loss of all upstreams.
+RETRACTION_PERIOD = timedelta(seconds=1)
+MAX_RETRACTED_REPORTS = 16
+
 
 class CrashWatch:
     """Refuses requests that were in flight at two crashes.
 
     An upstream counts as crashed if its last connection drops while requests
-    are in flight there and no new connection can be opened. ``send_report``
-    sends a report to the other domain homes.
+    are in flight there and no new connection can be opened. Several that are
+    lost at once, by the evidence in ``reach``, are one loss of this instance.
+    ``send_report`` sends a report to the other domain homes.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, reach: UpstreamReach) -> None:
         self.clock = clock
+        self.reach = reach
+        reach.on_silence.append(self.retract_latest)
+        self.latest_reports: deque[tuple[timedelta, CrashReport]] = deque(
+            maxlen=MAX_RETRACTED_REPORTS
+        )
         self.tracker = CrashSuspects()
         self.send_report: Callable[[CrashReport], None] = _skip_report
 
@@ -28,11 +41,26 @@
         self, address: str, requests: Iterable[OutgoingRequest]
     ) -> None:
         """Record that an upstream crashed with these requests in flight."""
+        self.reach.failed_at(address)
+        if self.reach.is_silent():
+            log('crash_not_counted', upstream=address)
+            return
         fingerprints = sorted({fingerprint(request) for request in requests})
         report = CrashReport(address, tuple(fingerprints))
+        self.latest_reports.append((self.clock.monotonic(), report))
         self.apply_report(report)
         self.send_report(report)
 
+    def retract_latest(self) -> None:
+        """Clear the requests of the latest crashes."""
+        earliest = self.clock.monotonic() - RETRACTION_PERIOD
+        for reported_at, report in self.latest_reports:
+            if reported_at >= earliest:
+                retraction = replace(report, cleared=True)
+                self.apply_report(retraction)
+                self.send_report(retraction)
+        self.latest_reports.clear()
+
     def apply_report(self, report: CrashReport) -> None:
         """Apply a report of this or another domain home."""
         if report.cleared:
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -88,7 +88,9 @@
         self.catalog = Catalog()
         self.metrics = EntryMetrics()
         self.messages = UpstreamMessages(HEADER_NAMES)
-        self.crash_watch = CrashWatch(self.clock)
+        self.reach = UpstreamReach(self.clock)
+        self.catalog.on_upstream.append(self.reach.apply_change)
+        self.crash_watch = CrashWatch(self.clock, self.reach)
         self.pool = ConnectionPool(
             _CONNECT_TIMEOUT,
             _UPSTREAM_IDLE_LIMIT,
@@ -99,8 +101,6 @@
         self.observer = ResponseObserver(
             HEADER_NAMES, self.clock, self.catalog.terms
         )
-        self.reach = UpstreamReach(self.clock)
-        self.catalog.on_upstream.append(self.reach.apply_change)
         self.dispatcher = self._create_dispatcher()
         self.gateway = Gateway(
             self.catalog,
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -38,7 +38,8 @@
 
     ``connected_at`` is when a new connection last worked, ``heard_at`` when any
     response last arrived, both in monotonic seconds. ``on_silence`` listeners
-    are called when several upstreams fail and none responds any more.
+    are called when several upstreams fail and none responds any more, and
+    ``on_end_of_silence`` listeners at the next response.
     """
 
     def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
@@ -51,6 +52,7 @@
         self.is_doubt_logged = False
         self.logged_at = -inf
         self.on_silence: list[Callable[[], None]] = []
+        self.on_end_of_silence: list[Callable[[], None]] = []
 
     def apply_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
@@ -63,6 +65,9 @@
     def responded(self, key: str, *, is_new_connection: bool) -> None:
         """Record that an upstream has responded."""
         now = self._now()
+        if self.is_silent():
+            for listener in self.on_end_of_silence:
+                listener()
         self.heard_at = now
         if is_new_connection:
             self.connected_at = now
@@ -87,6 +92,12 @@
                 self.logged_at = now
                 self._log('upstreams_unreached', now)
 
+    def failed_at(self, address: str) -> None:
+        """Record that the upstream at an address accepts no connection."""
+        for key, known_address in self.addresses.items():
+            if known_address == address:
+                self.failed(key)
+
     def unreached(self) -> tuple[str, ...]:
         """Return the keys of the upstreams that failed lately."""
         oldest = self._now() - FAILURE_MEMORY_SECONDS
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -74,13 +74,13 @@
         )
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.clock = SystemClock()
-        self.crash_watch = CrashWatch(self.clock)
+        self.reach = UpstreamReach(self.clock, self.log)
+        self.catalog.on_upstream.append(self.reach.apply_change)
+        self.crash_watch = CrashWatch(self.clock, self.reach)
         self.observer = ResponseObserver(
             HEADER_NAMES, self.clock, self.catalog.terms, self.log
         )
         self.pool.on_crash = self.crash_watch.record_crash
-        self.reach = UpstreamReach(self.clock, self.log)
-        self.catalog.on_upstream.append(self.reach.apply_change)
         metrics = EntryMetrics(CollectorRegistry())
         self.log_lines = []
         request_log = RequestLog(self.clock, self.log)
--- /dev/null
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -0,0 +1,82 @@
+"""Guards against effects of a loss of all upstreams that outlive it."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from crocusproxy.clock import ManualClock
+from crocusproxy.entry.crash_watch import CrashWatch, fingerprint
+from crocusproxy.placement.upstream_reach import UpstreamReach
+
+from .harness import make_server, run_scenario
+
+
+def crash(server):
+    """End all connections and refuse new ones."""
+    server.stop()
+    for writer in tuple(server.writers):
+        writer.transport.abort()
+
+
+async def send_at_once(system, count):
+    """Send equal requests, which then run at different upstreams."""
+    tasks = [
+        asyncio.create_task(system.request(f'r{number}'))
+        for number in range(count)
+    ]
+    await asyncio.sleep(0.1)
+    return tasks
+
+
+def test_requests_in_flight_at_a_loss_of_all_upstreams_are_no_crash_suspects():
+    """They were refused for ten minutes after the loss had ended."""
+
+    async def scenario(system):
+        tasks = await send_at_once(system, 8)
+        for server in system.servers:
+            crash(server)
+        await asyncio.gather(*tasks)
+        await system.add(make_server('i-new'))
+        assert (await system.request('after'))[0] == 200
+        assert not system.crash_watch.tracker.suspects
+
+    servers = [make_server(f'i-{number}', work=0.5) for number in range(4)]
+    run_scenario(scenario, servers)
+
+
+@pytest.mark.parametrize('lost', [1, 2])
+def test_request_that_crashes_upstreams_is_suspected_while_others_respond(lost):
+    async def scenario(system):
+        tasks = await send_at_once(system, 8)
+        for server in system.servers[:lost]:
+            crash(server)
+        await asyncio.sleep(0.05)
+        tracker = system.crash_watch.tracker
+        assert len(tracker.suspects) + len(tracker.confirmed_until) == 1
+        await asyncio.gather(*tasks)
+
+    servers = [make_server(f'i-{number}', work=0.5) for number in range(4)]
+    run_scenario(scenario, servers)
+
+
+def test_retraction_reaches_the_other_instances():
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=10))
+    reach = UpstreamReach(clock, lambda *_, **__: None)
+    reach.addresses = {f'i-{number}': f'h:{number}' for number in range(4)}
+    watch = CrashWatch(clock, reach)
+    reports = []
+    watch.send_report = reports.append
+
+    class Message:
+        method, path, headers = 'GET', '/', {}
+
+    class Request:
+        message, body = Message, b''
+
+    for number in range(4):
+        watch.record_crash(f'h:{number}', (Request,))
+    assert [report.cleared for report in reports] == [False, False, True, True]
+    assert not watch.refused_for(Request)
+    assert reports[-1].fingerprints == (fingerprint(Request),)
--- a/tests/membership/test_crash_exchange.py
+++ b/tests/membership/test_crash_exchange.py
@@ -14,6 +14,7 @@
 from crocusproxy.membership.home_elector import HomeElector
 from crocusproxy.membership.member_client import MemberClient
 from crocusproxy.membership.member_list import MemberList
+from crocusproxy.placement.upstream_reach import UpstreamReach
 from crocusproxy.protocol.home_feed import (
     CrashReport,
     DomainHome,
@@ -33,7 +34,8 @@
         client = MemberClient(session)
         table = DomainHomeTable()
         table.apply(DomainHomes((DomainHome(name, own),)))
-        self.watch = CrashWatch(ManualClock())
+        clock = ManualClock()
+        self.watch = CrashWatch(clock, UpstreamReach(clock))
         self.elector = HomeElector(
             client,
             Catalog(),
