Use upstreams at once when the first responds after a loss of all

The first response after such a silence now ends the backoffs.

The new test fails without it: 1 of 4 upstreams is used.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -323,6 +323,7 @@
         self.dispatcher.has_successor = lambda: bool(
             self.role.forwarding_address()
         )
+        self.reach.on_end_of_silence.append(self.dispatcher.end_backoffs)
         # An instance without a home is not the only one that dispatches.
         self.dispatcher.set_exclusive(is_exclusive=False)
         self.catalog.on_config.append(self.prober.apply_config)
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -96,6 +96,11 @@
         for placer in self.placers.values():
             placer.refuse_all()
 
+    def end_backoffs(self) -> None:
+        """Use upstreams at once whose failures were those of this instance."""
+        for placer in self.placers.values():
+            placer.end_backoffs()
+
     def apply_upstream_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
         entry = change.entry
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -134,6 +134,12 @@
             self.queue.remove(queued_request)
             queued_request.on_decision(_NO_UPSTREAM)
 
+    def end_backoffs(self) -> None:
+        """Forget the failures of the upstreams in a row."""
+        for state in self.upstreams.values():
+            state.end_backoff()
+        self.process_queue()
+
     def limited_count(self) -> int:
         """Return the number of upstreams that state a rate limit."""
         return sum(
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -160,6 +160,13 @@
         )
         self.backoff_until = now + min(backoff, MAX_BACKOFF_SECONDS)
 
+    def end_backoff(self) -> None:
+        """Forget the failures in a row; they were not those of the upstream."""
+        if self.consecutive_failures:
+            self.consecutive_failures = 0
+            self.failure_rate = 0
+            self.backoff_until = -inf
+
     def shed(self, now: float) -> None:
         """Record that the upstream shed a request."""
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate) / 2
--- a/tests/entry/test_loss_of_upstreams.py
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -80,3 +80,27 @@
     assert [report.cleared for report in reports] == [False, False, True, True]
     assert not watch.refused_for(Request)
     assert reports[-1].fingerprints == (fingerprint(Request),)
+
+
+def test_upstreams_are_used_at_once_when_the_first_of_them_responds():
+    """Refusals went on for up to two seconds after the loss had ended."""
+
+    async def scenario(system):
+        system.reach.on_end_of_silence.append(system.dispatcher.end_backoffs)
+        placer = system.dispatcher.placer('s')
+        for server in system.servers:
+            server.cut_off('127.0.0.1')
+        for number in range(12):
+            await system.request(f'before-{number}', deadline_ms=50)
+        first, *others = placer.upstreams.values()
+        for _ in range(6):
+            for state in others:
+                state.failed(placer.now())
+        for server in system.servers:
+            server.refused_sources.clear()
+        async with asyncio.timeout(3):
+            while (await system.request('after'))[0] != 200:
+                await asyncio.sleep(0.01)
+        assert len(placer._candidates(placer.now())) == len(system.servers)
+
+    run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
