Give up responses that do not end

An upstream that sent chunks, a body without length or informational responses without end filled the memory of the process that serves the site, or kept it busy, until the deadline of the request; a late response with a large body stopped the expected one behind it.

All bytes received during an exchange are taken from a budget, a quarter of the instance's memory. A response may hold no more than is left of it, so several endless ones get little each and small ones always have room. Informational and late responses are limited in number, and the body of a late one is discarded. Header lines and lines without end are bounded by the parser.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -46,6 +46,7 @@
 from .reload_signal import ReloadSignal
 from .reloading import reload_settings
 from .request_log import RequestLog
+from .response_budget import budget_of
 from .response_observer import ResponseObserver
 from .settings import EntrySettings
 from .upstream_call import UpstreamClient
@@ -95,7 +96,10 @@
             _CONNECT_TIMEOUT,
             _UPSTREAM_IDLE_LIMIT,
             on_crash=self.crash_watch.record_crash,
-            connection_type=MatchingConnection,
+            connection_type=partial(
+                MatchingConnection,
+                budget=budget_of(self.settings.capacity.memory_mb),
+            ),
             source=str(self.settings.source or ''),
         )
         self.observer = ResponseObserver(
--- a/src/crocusproxy/entry/upstream_connection.py
+++ b/src/crocusproxy/entry/upstream_connection.py
@@ -8,7 +8,10 @@
 from aiohttp.http import RawResponseMessage
 
 from ..proxy.connection import BrokenResponseError, UpstreamConnection
+from .response_budget import ResponseBudget
 
+#: A connection carries one request at a time, so few can be late.
+MAX_SKIPPED_RESPONSES = 8
 _SUCCESS = range(200, 300)
 _MIN_TIMEOUT_SECONDS = 0.001
 
@@ -20,14 +23,19 @@
     A response without length ends with the connection; it is incomplete if the
     connection is reset. On a connection that has carried another request, a
     response without an id may be a second copy of the one to that request, so
-    ``requires_id`` is set.
+    ``requires_id`` is set. All bytes received during an exchange are taken from
+    ``budget``.
     """
 
     __slots__ = (
+        'budget',
         'has_been_used',
         'has_surplus_response',
+        'held_bytes',
         'id_header',
         'requires_id',
+        'skipped_count',
+        'skipped_payload',
     )
 
     reads_until_close = True
@@ -36,8 +44,13 @@
         self,
         loop: asyncio.AbstractEventLoop,
         on_lost: Callable[[UpstreamConnection], None],
+        budget: ResponseBudget,
     ) -> None:
         super().__init__(loop, on_lost)
+        self.budget = budget
+        self.held_bytes = 0
+        self.skipped_count = 0
+        self.skipped_payload: StreamReader | None = None
         self.id_header = ''
         self.has_surplus_response = False
         self.has_been_used = False
@@ -84,10 +97,24 @@
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
         self.requires_id = False
+        self.skipped_payload = None
+        self.skipped_count = 0
+        self._give_back()
         if self.has_surplus_response:
             self.fault = self.fault or 'more than one response'
         return super().finish()
 
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse received bytes unless the response is too large."""
+        if not self.budget.take(self.held_bytes, len(data)):
+            self._abort_with('the response is too large')
+            return
+        self.held_bytes += len(data)
+        super().data_received(data)
+        if self.skipped_payload is not None:
+            # Nobody reads it, and the expected response comes after it.
+            self.skipped_payload.read_nowait()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End a response without length if the connection closed cleanly."""
         payload = self.payload
@@ -95,6 +122,11 @@
             if not payload.is_eof() and self._lacks_length():
                 payload.feed_eof()
         super().connection_lost(exc)
+        self._give_back()
+
+    def _give_back(self) -> None:
+        self.budget.give_back(self.held_bytes)
+        self.held_bytes = 0
 
     def _accept(
         self, message: RawResponseMessage, payload: StreamReader
@@ -108,10 +140,17 @@
                 self._abort_with('response without id on a reused connection')
                 return
             if not self._is_expected(message):
-                self.has_surplus_response = True
+                self._skip(payload)
                 return
         super()._accept(message, payload)
 
+    def _skip(self, payload: StreamReader) -> None:
+        self.has_surplus_response = True
+        self.skipped_payload = payload
+        self.skipped_count += 1
+        if self.skipped_count > MAX_SKIPPED_RESPONSES:
+            self._abort_with('too many responses to other requests')
+
     def _is_expected(self, message: RawResponseMessage) -> bool:
         echoed_id: Any = message.headers.get(self.id_header)
         if echoed_id is None:
--- a/src/crocusproxy/proxy/connection.py
+++ b/src/crocusproxy/proxy/connection.py
@@ -15,6 +15,8 @@
 
 _READ_BUFFER_BYTES = 64 * 1024
 _MAX_HEADER_FIELD_BYTES = 16 * 1024
+#: More than any server needs before one final response.
+MAX_INFORMATIONAL_RESPONSES = 32
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
@@ -44,6 +46,7 @@
         'echoes_request_id',
         'expects_body',
         'idle_since',
+        'informational_count',
         'last_request_id',
         'message',
         'on_lost',
@@ -69,6 +72,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.fault = ''
         self.is_aborted = False
+        self.informational_count = 0
         self.expects_body = True
         self.idle_since = float()
         self.last_request_id = ''
@@ -108,6 +112,7 @@
         )
         self.message = None
         self.payload = None
+        self.informational_count = 0
         self.expects_body = expects_body
         self.waiter = self._loop.create_future()
         self.timer = self._loop.call_later(timeout, self._on_timeout)
@@ -180,6 +185,9 @@
         if message.code < _FIRST_FINAL_STATUS:
             if message.code == _SWITCHING_PROTOCOLS:
                 self._abort_with('protocol switch that was not asked for')
+            self.informational_count += 1
+            if self.informational_count > MAX_INFORMATIONAL_RESPONSES:
+                self._abort_with('too many informational responses')
             return
         if self.message is not None:
             self._abort_with('more than one response')
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -11,6 +11,12 @@
 CrashListener = Callable[[str, tuple[Any, ...]], None]
 
 
+ConnectionFactory = Callable[
+    [asyncio.AbstractEventLoop, Callable[[UpstreamConnection], None]],
+    UpstreamConnection,
+]
+
+
 #: A running host accepts a connection within this time.
 CRASH_CHECK_SECONDS = 0.1
 
@@ -46,7 +52,7 @@
         connect_timeout: timedelta,
         idle_limit: timedelta,
         on_crash: CrashListener | None = None,
-        connection_type: type[UpstreamConnection] = UpstreamConnection,
+        connection_type: ConnectionFactory = UpstreamConnection,
         source: str = '',
     ) -> None:
         self.local_address = (source, 0) if source else None
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 from prometheus_client import CollectorRegistry
@@ -13,6 +14,7 @@
 from crocusproxy.entry.gateway import Gateway
 from crocusproxy.entry.metrics import EntryMetrics
 from crocusproxy.entry.request_log import RequestLog
+from crocusproxy.entry.response_budget import ResponseBudget
 from crocusproxy.entry.response_observer import ResponseObserver
 from crocusproxy.entry.settings import Bounds
 from crocusproxy.entry.upstream_call import UpstreamClient
@@ -34,6 +36,7 @@
 from standins.slot_server import SlotServer
 
 HOST = 'a.example'
+RESPONSE_BUDGET_BYTES = 16 * 1024 * 1024
 
 
 def make_route(prefix, idempotent, timeout=1.0, attempts=3):
@@ -67,10 +70,11 @@
 
     def __init__(self):
         self.catalog = Catalog()
+        self.budget = ResponseBudget(RESPONSE_BUDGET_BYTES)
         self.pool = ConnectionPool(
             timedelta(seconds=1),
             timedelta(seconds=8),
-            connection_type=MatchingConnection,
+            connection_type=partial(MatchingConnection, budget=self.budget),
         )
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.clock = SystemClock()
