Compare the reach of members sooner after a cut has ended

A handover at 22.54 s waited 0.17 s for the new dispatcher to try again what it had just reached. Members that reach upstreams again now end the pause, and one that has just passed is not asked again.

--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from itertools import chain, zip_longest
+from math import inf
 from random import Random
 
 from ..clock import Clock
@@ -21,9 +22,11 @@
 #: Share of the upstreams by which another member must reach more.
 MIN_GAIN_SHARE = 0.5
 #: Pause after a comparison in which no member reached more.
-COMPARE_INTERVAL_SECONDS = 1.0
+COMPARE_INTERVAL_SECONDS = 0.5
 #: Interval at which members that are cut off try again.
-RECHECK_INTERVAL_SECONDS = 2.0
+RECHECK_INTERVAL_SECONDS = 1.0
+#: A member that has just reached upstreams need not try again.
+PASS_VALIDITY_SECONDS = 1.0
 #: Members of one failure domain that must all be cut off for it to count as cut
 #: off as a whole.
 MIN_DOMAIN_SAMPLE = 3
@@ -37,7 +40,9 @@
 class ReachJudge:
     """Keeps the members that are cut off, with the upstreams they can't reach.
 
-    ``cut_off`` is keyed by member name.
+    ``cut_off`` is keyed by member name, as are ``compare_at``, the time of the
+    next comparison, and ``passed_at``, when a member last reached more than
+    another.
     """
 
     def __init__(self, ask: AskReach, clock: Clock, random: Random) -> None:
@@ -46,6 +51,7 @@
         self.random = random
         self.cut_off: dict[str, tuple[Member, Keys]] = {}
         self.compare_at: dict[str, float] = {}
+        self.passed_at: dict[str, float] = {}
         self.recheck_at = float()
 
     async def compare(
@@ -84,6 +90,7 @@
         )
         if not able:
             return
+        self.passed_at = dict.fromkeys(able, self._now())
         self._mark(suspect, keys)
         for member, report in zip(compared, reports, strict=True):
             if report is not None and member.name not in able:
@@ -107,6 +114,8 @@
             # before it gets a role.
             if report is None or _reaches_more(len(report), 0, len(keys)):
                 self.cut_off.pop(member.name, None)
+                # It may be able to replace one that still is cut off.
+                self.compare_at.clear()
                 log('member_reaches_upstreams', member=member.name)
 
     async def exclude_cut_off(self, members: Iterable[Member]) -> set[str]:
@@ -125,7 +134,12 @@
                 )
             )
         )
-        asked = tuple(members)
+        earliest = self._now() - PASS_VALIDITY_SECONDS
+        asked = tuple(
+            member
+            for member in members
+            if self.passed_at.get(member.name, -inf) < earliest
+        )
         reports = await asyncio.gather(
             *(self.ask(member, keys) for member in asked)
         )
