Cut instances off from all upstreams in the soak, and check their callers

Instances connect from addresses of their own, so that the links to upstreams can reset all or only new connections of some of them, in overlapping cuts. The invariant compares callers of cut instances with the others from 3 s on.

--- a/Makefile
+++ b/Makefile
@@ -57,11 +57,12 @@
 	$(BIN)/python -m bench.run --short
 
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
-# of the store and TERMS of upstreams in each run.
+# of the store, TERMS of upstreams and CUTS of instances in each run.
 soak: $(STAMP)
 	$(BIN)/python -m soak $(if $(SEED),--seed=$(SEED)) $(if $(RUNS),--runs=$(RUNS)) \
 	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
-	  $(if $(RESTORES),--restores=$(RESTORES)) $(if $(TERMS),--terms=$(TERMS))
+	  $(if $(RESTORES),--restores=$(RESTORES)) $(if $(TERMS),--terms=$(TERMS)) \
+	  $(if $(CUTS),--cuts=$(CUTS))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,8 @@
     instances: int = 4,
     restores: int = 0,
     terms: int = 4,
+    cuts: int = 2,
+    faults: bool = True,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -28,12 +30,16 @@
         instances: number of entry processes.
         restores: how often the store is restored from a copy in each run.
         terms: how often an upstream states terms in its responses.
+        cuts: how often instances lose all upstreams.
+        faults: whether to inject other faults too.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
     for next_seed in range(first_seed, first_seed + runs):
         verdict = asyncio.run(
-            run_seed(next_seed, seconds, instances, restores, terms)
+            run_seed(
+                next_seed, seconds, instances, restores, terms, cuts, faults
+            )
         )
         report(verdict)
         failed_runs += bool(verdict.violations)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -54,6 +54,7 @@
             for name, port in zip(PORT_NAMES, ports, strict=True)
         }
         self.settings_path = processes.folder / f'{self.name}.yaml'
+        self.source = f'127.0.1.{number + 1}'
         self.validity_seconds = 1
         #: Serializes kills, terminations and pauses.
         self.lock = asyncio.Lock()
@@ -69,6 +70,7 @@
             **self.addresses,
             'store': self.link.address,
             'seeds': self.seeds,
+            'source': self.source,
             'validity': f'{self.validity_seconds}s',
             'bounds': {
                 'shutdown': f'{SHUTDOWN_TIMEOUT_SECONDS}s',
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -27,6 +27,14 @@
 #: Requests of each instance that may cross the refusal with the backoff.
 BACKOFF_SLACK = 2
 
+#: Callers of an instance without upstreams are served from this time on.
+HANDOVER_SECONDS = 3.0
+#: They are served at least this share as often as in the rest of the run.
+MIN_SERVED_RATIO = 2 / 3
+#: Failures that are allowed, and the share of requests allowed besides.
+ALLOWED_FAILURES = 10
+ALLOWED_FAILURE_SHARE = 1 / 50
+
 
 def find_violations(run: RunRecord) -> list[str]:
     """Return one line for each violation in the run."""
@@ -42,6 +50,7 @@
         _config_rollbacks,
         _exceeded_limits,
         _requests_after_leaving,
+        _unserved_in_cuts,
         _requests_in_backoff,
     )
     return [*run.violations, *(line for check in checks for line in check(run))]
@@ -305,3 +314,46 @@
         )
         if count > BACKOFF_SLACK * len(instances) and not is_excused:
             yield f'{count} requests in the backoff of {statement.upstream}'
+
+
+def _unserved_in_cuts(run: RunRecord) -> Iterator[str]:
+    """Check that callers of instances without upstreams are served.
+
+    Other instances have upstreams, and are not disturbed themselves.
+    """
+    requests = [
+        request
+        for request in run.requests
+        if request.outcome != 'left'
+        and not _is_excused(
+            run, request.sent_at - HANDOVER_SECONDS, request.ended_at
+        )
+    ]
+    in_cuts = [request for request in requests if _is_in_cut(run, request)]
+    others = [request for request in requests if not _is_in_cut(run, request)]
+    failed_count = len(in_cuts) - _count_served(in_cuts)
+    allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(requests)
+    if not in_cuts or not others or failed_count <= allowed:
+        return
+    share = _count_served(in_cuts) / len(in_cuts)
+    other_share = _count_served(others) / len(others)
+    if share < MIN_SERVED_RATIO * other_share:
+        yield (
+            f'{failed_count} of {len(in_cuts)} requests not served at '
+            f'instances without upstreams; share elsewhere {other_share:.2f}'
+        )
+
+
+def _is_in_cut(run: RunRecord, request: SentRequest) -> bool:
+    return any(
+        cut.instance == request.instance
+        and cut.start + HANDOVER_SECONDS <= request.sent_at <= cut.end
+        for cut in run.upstream_cuts
+    )
+
+
+def _count_served(requests: list[SentRequest]) -> int:
+    return sum(
+        request.outcome == 'answered' and request.status in {200, 404}
+        for request in requests
+    )
--- a/soak/link.py
+++ b/soak/link.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects network faults."""
 
 import asyncio
+from collections.abc import Collection
 from contextlib import suppress
 from enum import StrEnum
 
@@ -23,11 +24,15 @@
 class Link:
     """Forwards connections to ``target`` and injects a fault.
 
-    A connection on which bytes were dropped stays silent permanently.
+    A connection on which bytes were dropped stays silent permanently. New
+    connections from the IP addresses in ``refused`` are reset.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(
+        self, target: str, refused: Collection[str] = frozenset()
+    ) -> None:
         self.target = target
+        self.refused = refused
         self.fault = LinkFault.NONE
         self.address = ''
         self.server: asyncio.Server | None = None
@@ -53,7 +58,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.fault is LinkFault.RESET:
+        if self.fault is LinkFault.RESET or _source(writer) in self.refused:
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(':')
@@ -96,6 +101,17 @@
         if not is_dropping:
             writer.close()
 
+    def abort_from(self, source: str) -> None:
+        """Reset the open connections from an IP address."""
+        for writer in tuple(self.open_writers):
+            if _source(writer) == source:
+                writer.transport.abort()
+
     def _abort_all(self) -> None:
         for writer in tuple(self.open_writers):
             writer.transport.abort()
+
+
+def _source(writer: asyncio.StreamWriter) -> str:
+    peer = writer.get_extra_info('peername')
+    return str(peer[0]) if peer else ''
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -79,6 +79,19 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class CutOffInstances:
+    """Instances lose all upstreams; other connections stay.
+
+    Their connections to upstreams are reset, or live on if ``keeps_open``, and
+    new ones are reset.
+    """
+
+    instances: tuple[int, ...]
+    keeps_open: bool
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class CrashUpstream:
     """An upstream loses its running requests and restarts under its key."""
@@ -140,6 +153,7 @@
     | RestoreStore
     | DisruptStoreLinks
     | DisruptUpstreamLink
+    | CutOffInstances
     | CrashUpstream
     | ReplaceUpstream
     | CorruptResponses
@@ -167,6 +181,7 @@
         # Separate, so that the other faults of a seed stay the same.
         self.restore_random = Random(f'restores-{seed}')
         self.terms_random = Random(f'terms-{seed}')
+        self.cuts_random = Random(f'cuts-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -225,6 +240,33 @@
             )
         )
 
+    def schedule_cuts(
+        self, count: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return losses of all upstreams, in the order of their times.
+
+        They may overlap; each leaves at least one instance.
+        """
+        random = self.cuts_random
+        return tuple(
+            ScheduledFault(
+                at,
+                CutOffInstances(
+                    tuple(
+                        random.sample(
+                            range(self.instance_count),
+                            random.randint(1, max(self.instance_count - 1, 1)),
+                        )
+                    ),
+                    keeps_open=random.random() < 0.5,
+                    seconds=round(random.uniform(4, 7), 2),
+                ),
+            )
+            for at in sorted(
+                round(random.uniform(0.5, seconds), 2) for _ in range(count)
+            )
+        )
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/records.py
+++ b/soak/records.py
@@ -62,6 +62,15 @@
     end: float
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamCut:
+    """A period in which an instance could not connect to upstreams."""
+
+    instance: int
+    start: float
+    end: float
+
+
 @dataclass(slots=True)
 class Statement:
     """Terms that a server stated, from ``set_at`` to ``ended_at``.
@@ -93,6 +102,7 @@
     upstream_disturbances: list[UpstreamDisturbance] = field(
         default_factory=list
     )
+    upstream_cuts: list[UpstreamCut] = field(default_factory=list)
     #: Services to which any configuration routed a path, by path.
     allowed_services: dict[str, set[str]] = field(default_factory=dict)
     #: Unexpected exits, forbidden log lines and failed recovery checks.
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,20 +40,24 @@
     instances: int,
     restores: int = 0,
     terms: int = 0,
+    cuts: int = 0,
+    faults: bool = True,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
-    Besides, the store is restored from a copy ``restores`` times, and
-    upstreams state ``terms`` terms in their responses.
+    Besides, the store is restored from a copy ``restores`` times, upstreams
+    state ``terms`` terms in their responses, and instances lose all upstreams
+    ``cuts`` times. Without ``faults``, there are no others.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     testbed = Testbed(folder, instances, seed)
     planner = Planner(seed, instances, len(SERVICES) * UPSTREAMS_PER_SERVICE)
     schedule = sorted(
         (
-            *planner.schedule(seconds),
+            *(planner.schedule(seconds) if faults else ()),
             *planner.schedule_restores(restores, seconds),
             *planner.schedule_terms(terms, seconds),
+            *planner.schedule_cuts(cuts, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from pathlib import Path
 from random import Random
 
@@ -15,6 +16,7 @@
 from .plan import (
     CorruptResponses,
     CrashUpstream,
+    CutOffInstances,
     DegradeStore,
     DisruptStoreLinks,
     DisruptUpstreamLink,
@@ -30,7 +32,7 @@
     StoreFault,
     Terminate,
 )
-from .records import RunRecord, UpstreamDisturbance
+from .records import RunRecord, UpstreamCut, UpstreamDisturbance
 from .upstreams import NORMAL_PERCENT, SLOW_PERCENT, Upstream
 from .upstreams import TOPIC as UPSTREAM_TOPIC
 
@@ -56,6 +58,8 @@
         self.instance_count = instances
         self.random = Random(seed)
         self.instances: list[Instance] = []
+        #: Sources of connections that upstreams refuse, by overlapping cuts.
+        self.refused: Counter[str] = Counter()
         self.upstreams: list[Upstream] = []
         self.callers: list[Caller] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -71,7 +75,12 @@
         for number in range(UPSTREAMS_PER_SERVICE * len(SERVICES)):
             service = SERVICES[number % len(SERVICES)]
             upstream = Upstream(
-                number, service, self.store, self.run_record, self.now
+                number,
+                service,
+                self.store,
+                self.run_record,
+                self.now,
+                self.refused,
             )
             self.upstreams.append(await upstream.start())
         # Separate calls could return the same port, as none is bound yet.
@@ -157,6 +166,15 @@
                 instances=numbers, link_fault=link_fault, seconds=seconds
             ):
                 await self._disrupt_store_links(numbers, link_fault, seconds)
+            case CutOffInstances(
+                instances=numbers, keeps_open=keeps_open, seconds=seconds
+            ):
+                await asyncio.gather(
+                    *(
+                        self._cut_off(number, keeps_open, seconds)
+                        for number in numbers
+                    )
+                )
             case Publish(count=count):
                 for _ in range(count):
                     self.operator.publish()
@@ -207,6 +225,21 @@
         for number in numbers:
             self.instances[number].link.apply(LinkFault.NONE)
 
+    async def _cut_off(
+        self, number: int, keeps_open: bool, seconds: float
+    ) -> None:
+        start = self.now()
+        source = self.instances[number].source
+        self.refused[source] += 1
+        if not keeps_open:
+            for upstream in self.upstreams:
+                upstream.link.abort_from(source)
+        await asyncio.sleep(seconds)
+        self.refused -= Counter((source,))
+        self.run_record.upstream_cuts.append(
+            UpstreamCut(number, start, self.now())
+        )
+
     async def _disturb_upstream(self, fault: Fault) -> None:
         start = self.now()
         match fault:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from standins.slot_server import REQUEST_ID, SlotServer
 from standins.store import StandInStore
@@ -115,7 +115,10 @@
 
 
 class Upstream:
-    """A position in a service, served by successive servers behind a link."""
+    """A position in a service, served by successive servers behind a link.
+
+    ``refused`` are the IP addresses whose connections the link resets.
+    """
 
     def __init__(
         self,
@@ -124,7 +127,9 @@
         store: StandInStore,
         run: RunRecord,
         now: Callable[[], float],
+        refused: Collection[str],
     ) -> None:
+        self.refused = refused
         self.number = number
         self.service = service
         self.store = store
@@ -138,7 +143,7 @@
         """Start a server under a new key and register it."""
         self.generation += 1
         await self._serve()
-        self.link = await Link(self.server.address).start()
+        self.link = await Link(self.server.address, self.refused).start()
         self.register()
         return self
 
@@ -182,7 +187,7 @@
         self.server.stop()
         await asyncio.sleep(down_seconds)
         await self._serve()
-        self.link = await Link(self.server.address).start()
+        self.link = await Link(self.server.address, self.refused).start()
         self.register()
 
     async def state_terms(
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -9,6 +9,7 @@
     RunRecord,
     SentRequest,
     Statement,
+    UpstreamCut,
     UpstreamDisturbance,
 )
 
@@ -190,3 +191,46 @@
         stated('limit', 1), times, probe_times=probes
     )
     assert '12 requests in 4 s' in violation
+
+
+def cut_run(status, instance=0, count=20):
+    """Return a run with requests at an instance that has lost upstreams."""
+    requests = [
+        sent_request(
+            request_id=f'r{number}',
+            body=f'r{number}',
+            instance=where,
+            status=answer,
+            sent_at=10 + number / 100,
+        )
+        for where, answer, start in ((instance, status, 0), (1, 200, count))
+        for number in range(start, start + count)
+    ]
+    arrivals = [
+        arrival(request.request_id)
+        for request in requests
+        if request.status == 200
+    ]
+    return RunRecord(
+        requests,
+        arrivals,
+        allowed_services={PATH: {'s2'}},
+        upstream_cuts=[UpstreamCut(0, 5, 15)],
+    )
+
+
+def test_unserved_callers_of_an_instance_without_upstreams_are_reported():
+    (violation,) = find_violations(cut_run(503))
+    assert violation.startswith('20 of 20 requests not served')
+
+
+def test_served_callers_of_an_instance_without_upstreams_are_not_reported():
+    assert not find_violations(cut_run(200))
+
+
+def test_few_failures_at_an_instance_without_upstreams_are_allowed():
+    assert not find_violations(cut_run(503, count=9))
+
+
+def test_failures_elsewhere_are_no_fault_of_the_cut():
+    assert not find_violations(cut_run(503, instance=2))
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -22,6 +22,7 @@
             *planner.schedule(12),
             *planner.schedule_restores(1, 12),
             *planner.schedule_terms(1, 12),
+            *planner.schedule_cuts(1, 12),
         )
     }
     assert drawn_types == set(get_args(Fault))
@@ -35,6 +36,13 @@
     assert planner.schedule(12) == Planner(7, 4, 6).schedule(12)
 
 
+def test_cuts_leave_an_instance_and_the_other_faults_of_a_seed_unchanged():
+    planner = Planner(7, 4, 6)
+    for scheduled in planner.schedule_cuts(20, 12):
+        assert len(scheduled.fault.instances) < 4
+    assert planner.schedule(12) == Planner(7, 4, 6).schedule(12)
+
+
 def test_schedule_is_ordered_and_has_series():
     times = [scheduled.at for scheduled in Planner(7, 4, 6).schedule(60)]
     assert times == sorted(times)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -27,6 +27,12 @@
     assert not verdict.violations
 
 
+def test_run_in_which_instances_lose_all_upstreams_has_no_violations():
+    verdict = asyncio.run(run_seed(3, 12, INSTANCES + 1, cuts=3, faults=False))
+    assert not verdict.violations
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 2
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
