Refuse requests at once while no upstream can be reached

It is known that they can't be served: after half a second of silence one request in 0.1 s is tried, the others are refused with upstreams_unreachable and a Retry-After of 0.1 to 0.4 s, spread so that callers return one after the other. Until then they wait, as a successor usually takes over. The first response ends it.

The new test fails without the check (the request takes until its deadline).

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -252,6 +252,7 @@
             RequestLog(clock, lambda *_, **__: None),
             CrashWatch(clock, UpstreamReach(clock)),
             TermsTable(),
+            UpstreamReach(clock),
         )
         self.dispatcher.refresh_load = self.refresh
         for server in model.servers.values():
--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -42,7 +42,7 @@
     ) -> None:
         """Record that an upstream crashed with these requests in flight."""
         self.reach.failed_at(address)
-        if self.reach.is_silent():
+        if self.reach.silent_since is not None:
             log('crash_not_counted', upstream=address)
             return
         fingerprints = sorted({fingerprint(request) for request in requests})
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -302,6 +302,7 @@
             RequestLog(self.clock),
             self.crash_watch,
             self.catalog.terms,
+            self.reach,
         )
 
     def _create_prober(self) -> Prober:
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from ..limits.shared_retry_budget import SharedRetryBudget
 from ..placement.placer import Ownership, ServicePlacer
 from ..placement.requests import Decision, Placed, PlacementRequest, Refused
+from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import SLOW_THRESHOLD, UpstreamState
 from ..placement.upstream_terms import TermsTable
 from ..protocol.home_feed import UpstreamChange
@@ -21,6 +22,7 @@
     TIMED_OUT,
     UPSTREAM_FAILED,
     not_placed,
+    upstreams_unreachable,
 )
 from .request_context import RequestContext
 from .request_log import RequestLog
@@ -29,6 +31,10 @@
 from .upstream_call import UpstreamClient
 
 _QUEUE_INTERVAL_SECONDS = 0.01
+#: Requests wait this long for upstreams that are silent, or a successor.
+SILENCE_GRACE_SECONDS = 0.5
+#: Then one request in this time is tried, and the others are refused at once.
+SILENCE_TRIAL_INTERVAL_SECONDS = 0.1
 #: An upstream is probed before use if its latest load report is older.
 FRESH_LOAD_SECONDS = 0.03
 #: How often a request chooses again because the chosen upstream is slow.
@@ -60,7 +66,10 @@
         request_log: RequestLog,
         crash_watch: CrashWatch,
         terms_table: TermsTable,
+        reach: UpstreamReach,
     ) -> None:
+        self.reach = reach
+        self.next_trial_at = float()
         self.client = client
         self.failure_domain = failure_domain
         self.bounds = bounds
@@ -153,6 +162,8 @@
         now = self._now()
         self.last_request_at = now
         self.retry_budget(context.service).count_request(now)
+        if self._is_cut_off(now):
+            return upstreams_unreachable(self.random)
         last_result: CallResult | None = None
         while True:
             decision = await self._place(context)
@@ -165,6 +176,16 @@
             if not self._may_retry(context, result):
                 return self._failure_response(context, last_result, None)
 
+    def _is_cut_off(self, now: float) -> bool:
+        """Return whether a request would only wait for silent upstreams."""
+        silent_since = self.reach.silent_since
+        if silent_since is None or now < silent_since + SILENCE_GRACE_SECONDS:
+            return False
+        if now < self.next_trial_at:
+            return True
+        self.next_trial_at = now + SILENCE_TRIAL_INTERVAL_SECONDS
+        return False
+
     async def _place(self, context: RequestContext) -> Decision:
         """Choose an upstream, and choose again if a probe reports it slow."""
         remaining_refusal = self.crash_watch.refused_for(
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -1,6 +1,7 @@
 """Refusals that callers get instead of an upstream's response."""
 
 from datetime import timedelta
+from random import Random
 
 from .responses import Refusal
 
@@ -28,6 +29,8 @@
     'this instance is about to end; the request was not run',
     timedelta(milliseconds=10),
 )
+#: Range of ``Retry-After`` of an instance that reaches no upstream.
+UNREACHABLE_RETRY_SECONDS = (0.1, 0.4)
 #: Sent to a forwarding instance, which then dispatches the request itself.
 CONFIG_BEHIND = Refusal(
     425, 'config_behind', 'the sender has a newer configuration'
@@ -45,3 +48,17 @@
 def not_placed(code: str, retry_after: timedelta) -> Refusal:
     """Return the refusal of a request for which no upstream was chosen."""
     return Refusal(503, code, 'the request was not run', retry_after)
+
+
+def upstreams_unreachable(random: Random) -> Refusal:
+    """Return the refusal of an instance that is cut off from all upstreams.
+
+    Callers return one after the other, as a successor takes over or the first
+    upstream responds.
+    """
+    return Refusal(
+        503,
+        'upstreams_unreachable',
+        'this instance reaches no upstream; the request was not run',
+        timedelta(seconds=random.uniform(*UNREACHABLE_RETRY_SECONDS)),
+    )
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -37,9 +37,10 @@
     """Records the connections of this instance to upstreams, by their keys.
 
     ``connected_at`` is when a new connection last worked, ``heard_at`` when any
-    response last arrived, both in monotonic seconds. ``on_silence`` listeners
-    are called when several upstreams fail and none responds any more, and
-    ``on_end_of_silence`` listeners at the next response.
+    response last arrived, both in monotonic seconds. ``silent_since`` is set
+    while several upstreams have failed and none has responded since; one or two
+    may have crashed, even if there are no others. ``on_silence`` listeners are
+    called when it is set, ``on_end_of_silence`` listeners at the next response.
     """
 
     def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
@@ -49,6 +50,7 @@
         self.failures: dict[str, _Failures] = {}
         self.connected_at = -inf
         self.heard_at = -inf
+        self.silent_since: float | None = None
         self.is_doubt_logged = False
         self.logged_at = -inf
         self.on_silence: list[Callable[[], None]] = []
@@ -65,10 +67,11 @@
     def responded(self, key: str, *, is_new_connection: bool) -> None:
         """Record that an upstream has responded."""
         now = self._now()
-        if self.is_silent():
+        self.heard_at = now
+        if self.silent_since is not None:
+            self.silent_since = None
             for listener in self.on_end_of_silence:
                 listener()
-        self.heard_at = now
         if is_new_connection:
             self.connected_at = now
             self.failures.pop(key, None)
@@ -83,7 +86,11 @@
         now = self._now()
         failures = self.failures.setdefault(key, _Failures(now, now))
         failures.latest_at = now
-        if self.is_silent():
+        if (
+            self.silent_since is None
+            and self._failed_since(self.heard_at) >= MIN_UNREACHED
+        ):
+            self.silent_since = now
             for listener in self.on_silence:
                 listener()
         if not self.is_doubt_logged and self.is_doubtful():
@@ -125,13 +132,6 @@
         enough = max(1, min(MIN_UNREACHED, len(self.addresses)))
         return self._failed_since(self.connected_at) >= enough
 
-    def is_silent(self) -> bool:
-        """Return whether upstreams fail and none has responded meanwhile.
-
-        One or two may have crashed, even if there are no others.
-        """
-        return self._failed_since(self.heard_at) >= MIN_UNREACHED
-
     def _failed_since(self, moment: float) -> int:
         return sum(
             failures.latest_at > moment for failures in self.failures.values()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -100,6 +100,7 @@
             request_log,
             self.crash_watch,
             self.catalog.terms,
+            self.reach,
         )
         self.gateway = Gateway(
             self.catalog,
--- a/tests/entry/test_loss_of_upstreams.py
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -1,6 +1,7 @@
 """Guards against effects of a loss of all upstreams that outlive it."""
 
 import asyncio
+import time
 from datetime import timedelta
 
 import pytest
@@ -104,3 +105,45 @@
         assert len(placer._candidates(placer.now())) == len(system.servers)
 
     run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
+
+
+def test_requests_are_refused_at_once_while_no_upstream_can_be_reached():
+    """They waited for connections until their deadline, up to seconds."""
+
+    async def scenario(system):
+        for server in system.servers:
+            server.cut_off('127.0.0.1')
+        for number in range(12):
+            await system.request(f'before-{number}', deadline_ms=100)
+        await asyncio.sleep(0.5)
+        await system.request('trial', deadline_ms=100)
+        started = time.monotonic()
+        status, headers, body = await system.request('r1')
+        assert time.monotonic() - started < 0.05
+        assert status == 503
+        assert b'upstreams_unreachable' in body
+        assert 0.1 <= float(headers['retry-after']) <= 0.4
+
+    run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
+
+
+def test_first_upstream_that_can_be_reached_again_ends_the_refusals():
+    async def scenario(system):
+        for server in system.servers:
+            server.cut_off('127.0.0.1')
+        for number in range(12):
+            await system.request(f'before-{number}', deadline_ms=100)
+        await asyncio.sleep(0.5)
+        await system.request('trial', deadline_ms=100)
+        assert (await system.request('refused', deadline_ms=100))[0] == 503
+        for server in system.servers:
+            server.refused_sources.clear()
+        async with asyncio.timeout(3):
+            while (await system.request('after'))[0] != 200:
+                await asyncio.sleep(0.01)
+        statuses = [
+            (await system.request(f'after-{number}'))[0] for number in range(9)
+        ]
+        assert set(statuses) == {200}
+
+    run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
--- a/tests/placement/test_upstream_reach.py
+++ b/tests/placement/test_upstream_reach.py
@@ -43,7 +43,7 @@
     assert not one.reach.is_doubtful()
     one.fail('i-2')
     assert one.reach.is_doubtful()
-    assert one.reach.is_silent()
+    assert one.reach.silent_since == 10
     assert one.events == ['upstreams_unreached']
 
 
@@ -70,7 +70,7 @@
         one.wait(0.01)
         one.reach.responded('i-5', is_new_connection=False)
     assert one.reach.is_doubtful()
-    assert not one.reach.is_silent()
+    assert one.reach.silent_since is None
 
 
 def test_loss_of_a_part_of_the_upstreams_is_noticed():
