--- a/tests/entry/test_cut_off_home.py
+++ b/tests/entry/test_cut_off_home.py
@@ -70,3 +70,33 @@
             server.stop()
 
     run_instances(tmp_path, scenario, count=3)
+
+
+def most_in(times, seconds):
+    """Return the highest number of ``times`` within any ``seconds``."""
+    return max(
+        sum(start <= time < start + seconds for time in times)
+        for start in times
+    )
+
+
+def test_handover_keeps_the_rate_limit_that_an_upstream_states(tmp_path):
+    """Both instances would otherwise spend the whole limit."""
+
+    async def scenario(store, *instances):
+        servers = await add_servers(store, 6)
+        limited = servers[0]
+        limited.terms = ('Server-Limit: 2',)
+        home = await find_home(instances)
+        await send_steadily(home, 3, width=4)
+        told_at = len(limited.arrival_times) // 2
+        for server in (*servers, *store.first_servers):
+            server.cut_off(home.source)
+        await send_steadily(home, 4, width=4)
+        assert await find_home(instances) is not home
+        # One and a half times the limit, and five.
+        assert most_in(limited.arrival_times[told_at:], 4) <= 1.5 * 2 * 4 + 5
+        for server in servers:
+            server.stop()
+
+    run_instances(tmp_path, scenario, count=3)
