Count upstreams as silent only while they are tried

Found by reading: a member that was asked to try upstreams while all were down kept them as silent for good. If it dispatched later, it would have refused all requests but one in 0.1 s until the first response. A request whose time is up is no longer forwarded to a successor, so that it stays known as not run.

--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -68,8 +68,6 @@
         terms_table: TermsTable,
         reach: UpstreamReach,
     ) -> None:
-        self.reach = reach
-        self.next_trial_at = float()
         self.client = client
         self.failure_domain = failure_domain
         self.bounds = bounds
@@ -87,6 +85,8 @@
         self.owns: Ownership | None = None
         self.is_exclusive = True
         self.terms_table = terms_table
+        self.reach = reach
+        self.next_trial_at = float()
 
     def set_ownership(self, owns: Ownership) -> None:
         """Dispatch to the upstreams of the failure domains that ``owns``."""
@@ -178,8 +178,7 @@
 
     def _is_cut_off(self, now: float) -> bool:
         """Return whether a request would only wait for silent upstreams."""
-        silent_since = self.reach.silent_since
-        if silent_since is None or now < silent_since + SILENCE_GRACE_SECONDS:
+        if self.reach.silent_seconds() < SILENCE_GRACE_SECONDS:
             return False
         if now < self.next_trial_at:
             return True
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -212,7 +212,9 @@
 
         It has replaced this one while the request waited here.
         """
-        if context.send_count or context.may_have_run or not self._successor():
+        is_unsent = not context.send_count and not context.may_have_run
+        has_time = self._now() < context.deadline
+        if not (is_unsent and has_time and self._successor()):
             return refusal
         if HOP_HEADER in context.outgoing_request.message.headers:
             return DISPATCHER_REPLACED
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -117,6 +117,15 @@
         """Return the unreached upstreams if this instance may be cut off."""
         return self.unreached() if self.is_doubtful() else ()
 
+    def silent_seconds(self) -> float:
+        """Return for how long upstreams have failed and none has responded.
+
+        It is zero if none was tried lately, as they may be back.
+        """
+        if self.silent_since is None or not self.unreached():
+            return 0
+        return self._now() - self.silent_since
+
     def is_doubtful(self) -> bool:
         """Return whether this instance may be cut off from upstreams.
 
--- a/tests/placement/test_upstream_reach.py
+++ b/tests/placement/test_upstream_reach.py
@@ -98,6 +98,16 @@
     assert not one.reach.unreached()
 
 
+def test_silence_does_not_outlast_the_attempts():
+    """Otherwise a member that tried them while they were down would refuse."""
+    one = Reach()
+    one.fail('i-0', 'i-1', 'i-2')
+    one.wait(1)
+    assert one.reach.silent_seconds() == 1
+    one.wait(FAILURE_MEMORY_SECONDS)
+    assert not one.reach.silent_seconds()
+
+
 def test_removed_upstream_is_no_evidence():
     one = Reach()
     one.fail('i-0', 'i-1')
