Try upstreams that still may be tried when a member was cut off

Trace: n1 to n3 were cut off, n0 was not and had just started; it was asked to try what others had not reached: upstreams that had been replaced or state a rate limit, which it does not try. So it counted as cut off, and as each later attempt used the same upstreams, it stayed so until the cuts had ended.

The home now picks among the upstreams that may be tried at that moment, the ones in question first.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -207,7 +207,7 @@
             self.elector,
             self.clock,
             self.dispatcher.random,
-            self.reach_queries.ask,
+            self.reach_queries,
         ):
             self.home_tasks.spawn(task)
         self.update_role()
--- a/src/crocusproxy/entry/home_tasks.py
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -6,12 +6,13 @@
 from ..clock import Clock
 from ..membership.domain_home_planner import DomainHomePlanner
 from ..membership.home_elector import HomeElector
-from ..membership.reach_judge import AskReach, ReachJudge
+from ..membership.reach_judge import ReachJudge
 from ..platform.members import RosterWriter
 from ..platform.outage import StoreOutage
 from ..platform.store import StoreClient
 from ..platform.watch import ConfigWatch, UpstreamWatch
 from .background_tasks import Run
+from .reach_check import ReachQueries
 
 
 def home_tasks(
@@ -19,7 +20,7 @@
     elector: HomeElector,
     clock: Clock,
     random: Random,
-    ask_reach: AskReach,
+    reach_queries: ReachQueries,
 ) -> Iterator[Run]:
     """Yield the tasks that read the store and appoint the domain homes."""
     catalog = elector.catalog
@@ -27,6 +28,8 @@
     yield ConfigWatch(store, catalog, clock, outage).run
     yield UpstreamWatch(store, catalog, clock, outage).run
     domain_homes = elector.domain_homes
-    judge = ReachJudge(ask_reach, clock, random)
+    judge = ReachJudge(
+        reach_queries.ask, reach_queries.check.find_triable, clock, random
+    )
     yield DomainHomePlanner(elector, catalog, domain_homes, judge).run
     yield RosterWriter(store, elector.member_list, domain_homes).run
--- a/src/crocusproxy/entry/reach_check.py
+++ b/src/crocusproxy/entry/reach_check.py
@@ -70,6 +70,11 @@
             if is_reached
         )
 
+    def find_triable(self) -> tuple[str, ...]:
+        """Return the keys of the upstreams that may be tried now."""
+        entries = self.catalog.upstreams.values()
+        return tuple(entry.key for entry in entries if self._may_try(entry))
+
     def _may_try(self, entry: RegisteredUpstream) -> bool:
         terms = self.catalog.terms.terms(entry)
         now = self.clock.monotonic().total_seconds()
--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -6,7 +6,13 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Iterable,
+    Sequence,
+)
 from itertools import chain, zip_longest
 from math import inf
 from random import Random
@@ -42,11 +48,18 @@
 
     ``cut_off`` is keyed by member name, as are ``compare_at``, the time of the
     next comparison, and ``passed_at``, when a member last reached more than
-    another.
+    another. ``find_triable`` returns the upstreams that may be tried now.
     """
 
-    def __init__(self, ask: AskReach, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        ask: AskReach,
+        find_triable: Callable[[], Collection[str]],
+        clock: Clock,
+        random: Random,
+    ) -> None:
         self.ask = ask
+        self.find_triable = find_triable
         self.clock = clock
         self.random = random
         self.cut_off: dict[str, tuple[Member, Keys]] = {}
@@ -63,7 +76,10 @@
         """Find out whether ``members`` reach what ``suspect`` does not."""
         if self._now() < self.compare_at.get(suspect.name, 0):
             return
-        keys = self._sample(unreached)
+        triable = set(self.find_triable())
+        keys = self._sample([key for key in unreached if key in triable])
+        if not keys:
+            return
         compared = self._compared_members(suspect, members)
         own_result, *reports = await asyncio.gather(
             *(self.ask(member, keys) for member in (suspect, *compared))
@@ -105,11 +121,17 @@
             list(self.cut_off.values()),
             min(len(self.cut_off), MAX_COMPARED_MEMBERS),
         )
+        tried = [self._keys_to_try(evidence) for _, evidence in entries]
         reports = await asyncio.gather(
-            *(self.ask(member, keys) for member, keys in entries)
+            *(
+                self.ask(member, keys)
+                for (member, _), keys in zip(entries, tried, strict=True)
+            )
         )
         self.recheck_at = self._now() + RECHECK_INTERVAL_SECONDS
-        for (member, keys), report in zip(entries, reports, strict=True):
+        for (member, _), keys, report in zip(
+            entries, tried, reports, strict=True
+        ):
             # One that can't be asked is no follower either. It is tried again
             # before it gets a role.
             if report is None or _reaches_more(len(report), 0, len(keys)):
@@ -125,15 +147,10 @@
         """
         if not self.cut_off:
             return set()
-        keys = self._sample(
-            tuple(
-                dict.fromkeys(
-                    chain.from_iterable(
-                        keys for _, keys in self.cut_off.values()
-                    )
-                )
-            )
+        evidence = chain.from_iterable(
+            keys for _, keys in self.cut_off.values()
         )
+        keys = self._keys_to_try(tuple(dict.fromkeys(evidence)))
         earliest = self._now() - PASS_VALIDITY_SECONDS
         asked = tuple(
             member
@@ -145,7 +162,9 @@
         )
         excluded = set()
         for member, report in zip(asked, reports, strict=True):
-            if report is None or not _reaches_more(len(report), 0, len(keys)):
+            if report is None:
+                excluded.add(member.name)
+            elif not _reaches_more(len(report), 0, len(keys)):
                 excluded.add(member.name)
                 self._mark(member, keys)
         return excluded
@@ -187,6 +206,17 @@
             log('member_cut_off', member=member.name)
         self.cut_off[member.name] = (member, keys)
 
+    def _keys_to_try(self, evidence: Sequence[str]) -> Keys:
+        """Return upstreams to try: those of the evidence that still may be.
+
+        Others fill up the number, as the evidence may be gone by now.
+        """
+        triable = self.find_triable()
+        keys = self._sample([key for key in evidence if key in triable])
+        others = [key for key in triable if key not in evidence]
+        missing_count = min(MAX_TRIED_UPSTREAMS - len(keys), len(others))
+        return (*keys, *self.random.sample(others, missing_count))
+
     def _sample(self, keys: Sequence[str]) -> Keys:
         count = min(len(keys), MAX_TRIED_UPSTREAMS)
         return tuple(self.random.sample(list(keys), count))
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import aclosing
+from dataclasses import replace
 from random import Random
 
 from crocusproxy.errors import NotReachableError
@@ -45,6 +46,7 @@
         self.nodes = {}
         self.cuts = set()
         self.lost_upstreams = {}
+        self.generation = 0
         self.query_seconds = 0
         self.upstreams = make_upstreams('ab')
         self.stored_version = 0
@@ -61,11 +63,20 @@
             frozenset((name, other)) for other in self.nodes if other != name
         )
 
+    def replace_upstreams(self):
+        """Start all upstreams under new keys."""
+        self.generation += 1
+        self.upstreams = tuple(
+            replace(entry, key=f'i-{entry.failure_domain}-{self.generation}')
+            for entry in self.upstreams
+        )
+        for node in self.running():
+            if node.elector.is_home:
+                node.read_store()
+
     def lose_upstreams(self, name, keys=None):
         """Cut a node off from upstreams, from all without ``keys``."""
-        if keys is None:
-            keys = {entry.key for entry in self.upstreams}
-        self.lost_upstreams[name] = frozenset(keys)
+        self.lost_upstreams[name] = keys
 
     def add(self, name, failure_domain='a', capacity=1.0):
         node = Node(self, name, failure_domain, capacity)
@@ -163,7 +174,12 @@
     def lead(self):
         self.read_store()
         clock = LoopClock(self.network.loop)
-        judge = ReachJudge(self.ask_reach, clock, Random(self.start_count))
+        judge = ReachJudge(
+            self.ask_reach,
+            lambda: [entry.key for entry in self.network.upstreams],
+            clock,
+            Random(self.start_count),
+        )
         planner = DomainHomePlanner(
             self.elector, self.catalog, self.domain_homes, judge
         )
@@ -173,7 +189,8 @@
     def reached(self):
         """The keys of the upstreams that this node can connect to."""
         lost = self.network.lost_upstreams.get(self.name, frozenset())
-        return {entry.key for entry in self.network.upstreams} - lost
+        keys = {entry.key for entry in self.network.upstreams}
+        return set() if lost is None else keys - lost
 
     def find_unreached(self):
         """Return what a dispatcher with requests would have noticed."""
--- a/tests/membership/test_reach_machine.py
+++ b/tests/membership/test_reach_machine.py
@@ -85,6 +85,13 @@
     def regain_upstreams(self, name):
         self.network.lost_upstreams.pop(name, None)
 
+    @rule()
+    def replace_upstreams(self):
+        async def replace():
+            self.network.replace_upstreams()
+
+        self.loop.run_until_complete(replace())
+
     @precondition(lambda self: len(self.network.running()) > 1)
     @rule(name=names)
     def kill(self, name):
@@ -250,6 +257,24 @@
     run_scenario(scenario)
 
 
+def test_member_that_reaches_the_successors_of_lost_upstreams_may_dispatch():
+    """The upstreams that it could not reach can't be tried any more."""
+
+    async def scenario(network):
+        network.lose_upstreams('a')
+        network.lose_upstreams('b')
+        await asyncio.sleep(1)
+        network.replace_upstreams()
+        network.lost_upstreams.clear()
+        await asyncio.sleep(2)
+        for name in FAILURE_DOMAINS.keys() - {'b'}:
+            network.lose_upstreams(name)
+        await asyncio.sleep(1)
+        assert find_dispatchers(network) == {'b'}
+
+    run_scenario(scenario)
+
+
 def test_successor_in_one_domain_serves_callers_of_all_domains():
     async def scenario(network):
         for name in FAILURE_DOMAINS.keys() - {'e'}:
