Compare all members that may be cut off at the same time

Found by reading: with domain homes, a cut of most instances takes several of them at once. Their comparisons ran one after the other, each up to 0.35 s, so that the last of five domain homes would have been replaced 1.75 s later than the first.

--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -82,10 +82,15 @@
             home.member.name == own_view.member.name
             for home in self.table.assignment.homes
         )
+        own_views = (own_view,) if dispatches else ()
         members = self._available(present)
-        for view in (*views, own_view if dispatches else None):
-            if view is not None and view.unreached:
-                await self.judge.compare(view.member, view.unreached, members)
+        await asyncio.gather(
+            *(
+                self.judge.compare(view.member, view.unreached, members)
+                for view in (*views, *own_views)
+                if view is not None and view.unreached
+            )
+        )
 
     async def _find_lost(
         self, assignment: DomainHomes, present: Sequence[Member]
--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -106,7 +106,7 @@
         )
         if not able:
             return
-        self.passed_at = dict.fromkeys(able, self._now())
+        self.passed_at.update(dict.fromkeys(able, self._now()))
         self._mark(suspect, keys)
         for member, report in zip(compared, reports, strict=True):
             if report is not None and member.name not in able:
--- a/tests/membership/test_reach_machine.py
+++ b/tests/membership/test_reach_machine.py
@@ -233,6 +233,18 @@
     run_scenario(scenario, MIN_SLOTS_TO_SPLIT)
 
 
+def test_domain_homes_that_lose_the_upstreams_at_once_are_replaced_at_once():
+    """One comparison after the other would take longer than callers wait."""
+
+    async def scenario(network):
+        for name in 'abde':
+            network.lose_upstreams(name)
+        await asyncio.sleep(0.5)
+        assert find_dispatchers(network) == {'c', 'f'}
+
+    run_scenario(scenario, MIN_SLOTS_TO_SPLIT)
+
+
 def test_domain_without_upstreams_is_served_by_another_one_until_it_heals():
     async def scenario(network):
         for name in 'def':
