Appoint no domain home that has not been tried

Trace: 80 % of the instances were cut off at 16 s. One candidate after the other was tried, and after four the next by rank was appointed untried; front-slu-oeste-17 became domain home at 19.2 s and reached none of 6 upstreams in a comparison at 21.4 s.

The new test fails without it: seven members without upstreams are appointed.

--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -17,7 +17,8 @@
 #: itself. Failures then count only after this many checks in a row.
 MAX_DOUBTFUL_CHECKS = 6
 _MIN_DOUBTFUL_FAILURES = 2
-#: Members that are tried in place of ones that turn out to be unusable.
+#: How often others are appointed in place of members that turn out to be lost
+#: or cut off, before their failure domains are left to another one.
 MAX_APPOINTMENTS = 4
 
 
@@ -62,14 +63,34 @@
         )
         await self._compare_reach(present, views)
         await self.judge.recheck()
-        assignment = self._assign(present, unusable)
+        self.table.apply(await self._appoint(present, unusable))
+
+    async def _appoint(
+        self, present: Sequence[Member], unusable: set[str]
+    ) -> DomainHomes:
+        """Return an assignment whose new members have been tried."""
         for _ in range(MAX_APPOINTMENTS):
+            assignment = self._assign(present, unusable)
             lost = await self._find_lost(assignment, present)
             if not lost:
-                break
+                return assignment
             unusable |= lost
-            assignment = self._assign(present, unusable)
-        self.table.apply(assignment)
+        domains = {
+            home.failure_domain
+            for home in assignment.homes
+            if home.member.name in lost
+        }
+        present_names = {member.name for member in present}
+        return self._assign(
+            present,
+            unusable
+            | {
+                member.name
+                for member in self._available(present)
+                if member.failure_domain in domains
+                and member.name not in present_names
+            },
+        )
 
     async def _compare_reach(
         self,
@@ -105,7 +126,8 @@
             appointed, await self._query(appointed), max_failures=1
         )
         return lost | await self.judge.exclude_cut_off(
-            member for member in appointed if member.name not in lost
+            [member for member in appointed if member.name not in lost],
+            self._available(present),
         )
 
     async def _query(
--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -140,10 +140,14 @@
                 self.compare_at.clear()
                 log('member_reaches_upstreams', member=member.name)
 
-    async def exclude_cut_off(self, members: Iterable[Member]) -> set[str]:
+    async def exclude_cut_off(
+        self, appointed: Sequence[Member], members: Iterable[Member]
+    ) -> set[str]:
         """Let members try before they dispatch; return those cut off.
 
-        Nobody is asked unless some member is cut off.
+        The best others of their failure domains try at the same time, in case
+        that the appointed ones are cut off. Nobody is asked unless some member
+        is cut off.
         """
         if not self.cut_off:
             return set()
@@ -152,11 +156,12 @@
         )
         keys = self._keys_to_try(tuple(dict.fromkeys(evidence)))
         earliest = self._now() - PASS_VALIDITY_SECONDS
-        asked = tuple(
+        untried = [
             member
-            for member in members
+            for member in appointed
             if self.passed_at.get(member.name, -inf) < earliest
-        )
+        ]
+        asked = self._with_successors(untried, members)
         reports = await asyncio.gather(
             *(self.ask(member, keys) for member in asked)
         )
@@ -164,11 +169,30 @@
         for member, report in zip(asked, reports, strict=True):
             if report is None:
                 excluded.add(member.name)
-            elif not _reaches_more(len(report), 0, len(keys)):
+            elif _reaches_more(len(report), 0, len(keys)):
+                self.passed_at[member.name] = self._now()
+            else:
                 excluded.add(member.name)
                 self._mark(member, keys)
         return excluded
 
+    def _with_successors(
+        self, appointed: Sequence[Member], members: Iterable[Member]
+    ) -> tuple[Member, ...]:
+        """Return members and the best others of their failure domains."""
+        asked = {member.name: member for member in appointed}
+        by_rank = sorted(members, key=lambda member: member.rank)
+        for one in appointed:
+            successors = [
+                member
+                for member in by_rank
+                if member.failure_domain == one.failure_domain
+                and member.name not in self.cut_off
+            ]
+            for member in successors[:MAX_COMPARED_MEMBERS]:
+                asked[member.name] = member
+        return tuple(asked.values())
+
     def _compared_members(
         self, suspect: Member, members: Iterable[Member]
     ) -> tuple[Member, ...]:
--- a/tests/membership/test_reach_machine.py
+++ b/tests/membership/test_reach_machine.py
@@ -30,10 +30,10 @@
 names = st.sampled_from(tuple(FAILURE_DOMAINS))
 
 
-def start_members(network):
+def start_members(network, failure_domains=FAILURE_DOMAINS):
     nodes = [
         network.add(name, failure_domain)
-        for name, failure_domain in FAILURE_DOMAINS.items()
+        for name, failure_domain in failure_domains.items()
     ]
     for node in nodes:
         node.start()
@@ -152,11 +152,11 @@
 TestReachMachine = ReachMachine.TestCase
 
 
-def run_scenario(scenario, slots=2):
+def run_scenario(scenario, slots=2, failure_domains=FAILURE_DOMAINS):
     loop = VirtualLoop()
     network = Network(loop)
     network.upstreams = make_upstreams('ab', slots)
-    start_members(network)
+    start_members(network, failure_domains)
 
     async def run():
         await asyncio.sleep(3)
@@ -245,6 +245,30 @@
     run_scenario(scenario, MIN_SLOTS_TO_SPLIT)
 
 
+def test_member_without_upstreams_is_not_appointed_among_many():
+    """After some attempts, the next one by rank was appointed untried."""
+    failure_domains = {'a0': 'a', 'a1': 'a'} | {
+        f'b{number:02}': 'b' for number in range(30)
+    }
+    lost = {name for name in failure_domains if 'b00' <= name < 'b25'}
+
+    async def scenario(network):
+        appointed = set()
+        for node in network.running():
+            node.domain_homes.on_change.append(
+                lambda assignment: appointed.update(
+                    home.member.name for home in assignment.homes
+                )
+            )
+        for name in lost:
+            network.lose_upstreams(name)
+        await asyncio.sleep(3)
+        assert not appointed & lost
+        assert find_dispatchers(network).isdisjoint(lost)
+
+    run_scenario(scenario, MIN_SLOTS_TO_SPLIT, failure_domains)
+
+
 def test_domain_without_upstreams_is_served_by_another_one_until_it_heals():
     async def scenario(network):
         for name in 'def':
