Share the set-up of scenarios in two pairs of tests

Found by the read-through: two state machine modules played their scenarios with the same lines, and two tests of a loss of upstreams began alike.

--- a/tests/entry/test_loss_of_upstreams.py
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -107,16 +107,21 @@
     run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
 
 
+async def lose_upstreams(system):
+    """Cut the instance off for longer than requests wait, and try once."""
+    for server in system.servers:
+        server.cut_off('127.0.0.1')
+    for number in range(12):
+        await system.request(f'before-{number}', deadline_ms=100)
+    await asyncio.sleep(0.5)
+    await system.request('trial', deadline_ms=100)
+
+
 def test_requests_are_refused_at_once_while_no_upstream_can_be_reached():
     """They waited for connections until their deadline, up to seconds."""
 
     async def scenario(system):
-        for server in system.servers:
-            server.cut_off('127.0.0.1')
-        for number in range(12):
-            await system.request(f'before-{number}', deadline_ms=100)
-        await asyncio.sleep(0.5)
-        await system.request('trial', deadline_ms=100)
+        await lose_upstreams(system)
         started = time.monotonic()
         status, headers, body = await system.request('r1')
         assert time.monotonic() - started < 0.05
@@ -129,12 +134,7 @@
 
 def test_first_upstream_that_can_be_reached_again_ends_the_refusals():
     async def scenario(system):
-        for server in system.servers:
-            server.cut_off('127.0.0.1')
-        for number in range(12):
-            await system.request(f'before-{number}', deadline_ms=100)
-        await asyncio.sleep(0.5)
-        await system.request('trial', deadline_ms=100)
+        await lose_upstreams(system)
         assert (await system.request('refused', deadline_ms=100))[0] == 503
         for server in system.servers:
             server.refused_sources.clear()
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -35,6 +35,22 @@
     )
 
 
+def play(network, scenario):
+    """Run a scenario once the members have settled, and kill them after it."""
+    loop = network.loop
+
+    async def run():
+        await asyncio.sleep(3)
+        await scenario(network)
+
+    loop.run_until_complete(run())
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
+
+
 class Network:
     """Carries calls between nodes unless their link is cut or a node is down.
 
--- a/tests/membership/test_home_elector_machine.py
+++ b/tests/membership/test_home_elector_machine.py
@@ -20,7 +20,7 @@
 from crocusproxy.membership.seeds import HomeSearch
 from standins.virtual_time import VirtualLoop
 
-from .network import Network
+from .network import Network, play
 
 NAMES = ('a', 'b', 'c', 'd')
 FAILURE_DOMAINS = {'a': 'a', 'b': 'a', 'c': 'b', 'd': 'b'}
@@ -167,16 +167,7 @@
     for node in nodes:
         node.elector.member_list.merge(members)
 
-    async def run():
-        await asyncio.sleep(3)
-        await scenario(network)
-
-    loop.run_until_complete(run())
-    for node in network.running():
-        node.kill()
-    loop.run_until_complete(asyncio.sleep(0.1))
-    loop.run_until_complete(loop.shutdown_asyncgens())
-    loop.close()
+    play(network, scenario)
 
 
 def test_successor_takes_over_within_a_second_of_a_killed_home():
--- a/tests/membership/test_reach_machine.py
+++ b/tests/membership/test_reach_machine.py
@@ -21,7 +21,7 @@
 from crocusproxy.protocol.home_feed import DomainHome
 from standins.virtual_time import VirtualLoop
 
-from .network import Network, make_upstreams
+from .network import Network, make_upstreams, play
 
 FAILURE_DOMAINS = {'a': 'a', 'b': 'a', 'c': 'a', 'd': 'b', 'e': 'b', 'f': 'b'}
 #: Time in which a dispatcher without upstreams is replaced, also after a
@@ -158,16 +158,7 @@
     network.upstreams = make_upstreams('ab', slots)
     start_members(network, failure_domains)
 
-    async def run():
-        await asyncio.sleep(3)
-        await scenario(network)
-
-    loop.run_until_complete(run())
-    for node in network.running():
-        node.kill()
-    loop.run_until_complete(asyncio.sleep(0.1))
-    loop.run_until_complete(loop.shutdown_asyncgens())
-    loop.close()
+    play(network, scenario)
 
 
 def test_another_member_dispatches_for_a_home_without_upstreams():
