Read client accounts, warm-up rates and evacuations from the platform

API keys are kept as digests, so that they are in no feed or log. The set of evacuated failure domains reaches all instances with the home's feed. Nothing uses the new fields yet.

--- /dev/null
+++ b/src/crocusproxy/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: authentication by API keys."""
--- /dev/null
+++ b/src/crocusproxy/accounts/keys.py
@@ -0,0 +1,13 @@
+"""Digests of API keys."""
+
+from hashlib import sha256
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which an API key is stored and found.
+
+    >>> key_digest('k')[:12]
+    '8254c329a928'
+    """
+    # Header values may contain bytes that are not valid UTF-8.
+    return sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
--- a/src/crocusproxy/entry/header_names.py
+++ b/src/crocusproxy/entry/header_names.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +28,10 @@
     key of the only upstream that may run a request, ``upstream`` that of the
     upstream that responded. ``rate_limit`` contains the requests per second
     that an upstream takes from all instances together. ``leaving`` marks the
-    responses of an upstream that is about to end.
+    responses of an upstream that is about to end. ``authorization`` contains
+    the API key of a caller, and ``account`` tells upstreams the name of the
+    client account that holds it. ``warm_up`` is how long an upstream stays
+    cold.
     """
 
     request_id: str
@@ -39,5 +43,9 @@
     load: str
     rate_limit: str
     leaving: str
+    authorization: str
+    account: str
+    warm_up: str
     parse_load: Callable[[str], UpstreamLoad | None]
     parse_rate_limit: Callable[[str], float | None]
+    parse_warm_up: Callable[[str], timedelta | None]
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -33,7 +33,9 @@
     of the requests for a service, plus ``budget_slack``. ``shutdown`` is the
     time from SIGTERM until the process is killed. Each upstream may be probed
     ``probes_per_second`` times a second. ``max_validity`` limits the validity
-    of address lists.
+    of address lists. In any ``quota_window`` all instances together may exceed
+    the quota of a client account by the share ``quota_overage`` and by
+    ``quota_slack`` requests.
     """
 
     budget_ratio: float = 0.2
@@ -42,6 +44,9 @@
     shutdown: Duration = timedelta(seconds=6)
     probes_per_second: float = 20
     max_validity: Duration = timedelta(seconds=5)
+    quota_window: Duration = timedelta(seconds=5)
+    quota_overage: float = 0.1
+    quota_slack: float = 20
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -1,6 +1,6 @@
 """The configuration and the upstreams that an instance knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from ..logs import log
@@ -9,6 +9,8 @@
 from ..routes.model import RegisteredUpstream, RouteConfig
 from .store_incarnation import StoreIncarnation
 
+#: Receives all evacuated failure domains.
+EvacuationListener = Callable[[frozenset[str]], None]
 #: Number of removed upstreams whose late reports are still recognized.
 MAX_REMOVED_UPSTREAMS = 10_000
 
@@ -21,18 +23,21 @@
     sequence number, is ignored, also after the upstream was removed. Listeners
     are called after each change. ``store_incarnation`` is that of the store
     from which the state was read. ``terms`` holds what the upstreams have
-    stated. ``revision`` grows with each report and change of terms.
+    stated. ``evacuated`` holds the failure domains whose upstreams get no new
+    requests. ``revision`` grows with each report and change of terms.
     """
 
     def __init__(self) -> None:
         self.config: RouteConfig | None = None
         self.upstreams: dict[str, RegisteredUpstream] = {}
         self.removed_upstreams: dict[str, RegisteredUpstream] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self.is_complete = False
         self.revision = 0
         self.store_incarnation = StoreIncarnation()
         self.terms = TermsTable()
         self.terms.on_change.append(self._note_terms)
+        self.on_evacuation: list[EvacuationListener] = []
         self.on_config: list[Callable[[RouteConfig], None]] = []
         self.on_complete: list[Callable[[], None]] = []
         self.on_upstream: list[Callable[[UpstreamChange], None]] = []
@@ -53,6 +58,22 @@
         for listener in self.on_config:
             listener(config)
 
+    def apply_evacuated(self, failure_domains: Iterable[str]) -> None:
+        """Replace the set of evacuated failure domains."""
+        evacuated = frozenset(failure_domains)
+        previous = self.evacuated
+        if evacuated == previous:
+            return
+        self.evacuated = evacuated
+        self.revision += 1
+        log(
+            'evacuation_changed',
+            evacuated=sorted(evacuated),
+            previous=sorted(previous),
+        )
+        for listener in self.on_evacuation:
+            listener(evacuated)
+
     def apply_list(self, entries: tuple[RegisteredUpstream, ...]) -> None:
         """Apply the full list of upstreams and remove all others."""
         listed_keys = {entry.key for entry in entries}
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -68,6 +68,11 @@
         catalog.on_config.append(
             lambda config: self.publish(FeedMessage(config=config))
         )
+        catalog.on_evacuation.append(
+            lambda domains: self.publish(
+                FeedMessage(evacuated=tuple(sorted(domains)))
+            )
+        )
         catalog.on_complete.append(self._publish_full_state)
         catalog.on_upstream.append(self._add_change)
         catalog.store_incarnation.on_restore.append(
@@ -164,6 +169,7 @@
                 domain_homes=self.domain_homes.assignment,
                 store_incarnation=catalog.store_incarnation.number,
                 terms=catalog.terms.stated(),
+                evacuated=tuple(sorted(catalog.evacuated)),
             )
         return self.state
 
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -294,8 +294,7 @@
         self.catalog.store_incarnation.observe(message.store_incarnation)
         if message.domain_homes is not None:
             self.domain_homes.apply(message.domain_homes)
-        if message.config is not None:
-            self.catalog.apply_config(message.config)
+        self._apply_operator_state(message)
         self._apply_reports(message)
         if message.full:
             entries = tuple(
@@ -308,6 +307,12 @@
         for change in message.changes:
             self.catalog.apply_change(change)
 
+    def _apply_operator_state(self, message: FeedMessage) -> None:
+        if message.config is not None:
+            self.catalog.apply_config(message.config)
+        if message.evacuated is not None:
+            self.catalog.apply_evacuated(message.evacuated)
+
     def _apply_reports(self, message: FeedMessage) -> None:
         now = self.clock.monotonic().total_seconds()
         self.catalog.terms.apply(message.terms, now)
--- a/src/crocusproxy/platform/headers.py
+++ b/src/crocusproxy/platform/headers.py
@@ -1,11 +1,14 @@
 """HTTP headers that this system exchanges with callers and upstreams."""
 
+from datetime import timedelta
 from math import isfinite
 
 from ..entry.header_names import HeaderNames, UpstreamLoad
 
 _REQUIRED_LOAD_FIELDS = 3
 _NORMAL_SERVICE_TIME_PERCENT = 100.0
+#: An hour; a longer warm-up is taken for a malformed value.
+_MAX_WARM_UP_MS = 3_600_000
 
 
 def parse_load(text: str) -> UpstreamLoad | None:
@@ -43,6 +46,21 @@
     return limit if isfinite(limit) and limit >= 0 else None
 
 
+def parse_warm_up(text: str) -> timedelta | None:
+    """Return the remaining warm-up, or None if it is malformed.
+
+    >>> parse_warm_up('1500'), parse_warm_up('-1')
+    (datetime.timedelta(seconds=1, microseconds=500000), None)
+    """
+    try:
+        milliseconds = float(text)
+    except ValueError:
+        return None
+    if not 0 <= milliseconds <= _MAX_WARM_UP_MS:
+        return None
+    return timedelta(milliseconds=milliseconds)
+
+
 HEADER_NAMES = HeaderNames(
     request_id='X-Crocusproxy-Request-Id',
     deadline='X-Crocusproxy-Deadline-Milliseconds',
@@ -57,6 +75,10 @@
     load='X-Crocusproxy-Server-Load',
     rate_limit='Server-Limit',
     leaving='Server-Leaving',
+    authorization='Authorization',
+    account='X-Crocusproxy-Tenant-Name',
+    warm_up='X-Crocusproxy-Warmup-Remaining',
     parse_load=parse_load,
     parse_rate_limit=parse_rate_limit,
+    parse_warm_up=parse_warm_up,
 )
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -23,6 +23,9 @@
 
 CONFIG_TOPIC = 'keyed.op'
 CONFIG_KEY = 'config'
+#: The rest of the key is the name of a failure domain; the record exists while
+#: the failure domain is evacuated.
+EVACUATION_PREFIX = 'evacuate/'
 UPSTREAM_TOPIC = 'keyed.servers'
 #: A longer wait would delay the detection of a silent connection.
 CONFIG_WAIT = timedelta(milliseconds=1500)
@@ -136,7 +139,7 @@
 
 
 class ConfigWatch:
-    """Follows the topic of the operators' configuration."""
+    """Follows the topic of the operators' configuration and evacuations."""
 
     def __init__(
         self,
@@ -159,16 +162,31 @@
         """Follow the topic until cancelled."""
         await self.topic_watch.run()
 
-    def _apply_records(self, records: tuple[KeyedRecord, ...], _: bool) -> None:
+    def _apply_records(
+        self, records: tuple[KeyedRecord, ...], is_listing: bool
+    ) -> None:
         for record in records:
-            if record.key != CONFIG_KEY or not record.content:
-                continue
-            try:
-                config = decode_config(record.content)
-            except (MalformedMessageError, ValueError) as error:
-                log('route_config_unusable', error=str(error))
-            else:
-                self.catalog.apply_config(config)
+            if record.key == CONFIG_KEY and record.content:
+                self._apply_config(record.content)
+        is_evacuated = {
+            record.key.removeprefix(EVACUATION_PREFIX): bool(record.content)
+            for record in records
+            if record.key.startswith(EVACUATION_PREFIX)
+        }
+        previous = frozenset() if is_listing else self.catalog.evacuated
+        self.catalog.apply_evacuated(
+            domain
+            for domain in previous | is_evacuated.keys()
+            if is_evacuated.get(domain, True)
+        )
+
+    def _apply_config(self, document: bytes) -> None:
+        try:
+            config = decode_config(document)
+        except (MalformedMessageError, ValueError) as error:
+            log('route_config_unusable', error=str(error))
+        else:
+            self.catalog.apply_config(config)
 
 
 class UpstreamWatch:
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -15,9 +15,11 @@
 )
 from pydantic.dataclasses import dataclass
 
+from ..accounts.keys import key_digest
 from ..protocol.codec import decode
 from ..routes.model import (
     CallerLimits,
+    ClientAccount,
     RegisteredUpstream,
     Route,
     RouteConfig,
@@ -30,11 +32,14 @@
     extra='ignore',
     defer_build=True,
 )
-_IDEMPOTENT_KIND = 'safe'
+_IDEMPOTENT_KINDS = frozenset(('safe', 'download'))
 _VERSION_RADIX = 16
+#: Visible characters without a space at either end.
+_HEADER_VALUE = r'^[!-~]([ -~]*[!-~])?$'
 _ADDRESS = r'^[0-9.]+:[0-9]+$'
 _Positive = Annotated[StrictInt, Field(gt=0)]
 _NonNegative = Annotated[StrictInt, Field(ge=0)]
+_Amount = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
@@ -82,6 +87,7 @@
     priority: int = 0
     service: str = ''
     traffic_split: tuple[_Split, ...] = ()
+    allow_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
@@ -90,6 +96,21 @@
     health_check_path: str
     # Limit per server for all callers together.
     max_connections: int = 1
+    # Total duration of the warm-up, unlike the field of a server's status.
+    warmup_s: _Amount = 0
+    # Requests per second that a cold server tolerates; 0 is no limit.
+    warmup_per_s: _Amount = 0
+
+
+@dataclass(frozen=True, slots=True, config=_WIRE)
+class _Tenant:
+    name: Annotated[StrictStr, Field(pattern=_HEADER_VALUE)]
+    api_keys: tuple[StrictStr, ...] = ()
+    # Goes before the priority of the route.
+    priority: int | None = None
+    # Quota of all daemons together; 0 is no limit.
+    rate_per_s: _Amount | None = None
+    burst: _Amount | None = None
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
@@ -107,6 +128,8 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
+    # Without it, requests are not authenticated.
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 def decode_config(document: bytes) -> RouteConfig:
@@ -120,18 +143,14 @@
     return RouteConfig(
         int(config.version, _VERSION_RADIX),
         tuple(_to_route(route) for route in config.routes),
-        tuple(
-            ServiceSettings(
-                service.name, service.health_check_path, service.max_connections
-            )
-            for service in config.services
-        ),
+        tuple(_to_service(service) for service in config.services),
         CallerLimits(
             config.limits.max_header_bytes,
             config.limits.max_body_bytes,
             timedelta(milliseconds=config.limits.header_timeout_ms),
             timedelta(milliseconds=config.limits.idle_timeout_ms),
         ),
+        _to_accounts(config.tenants),
     )
 
 
@@ -155,6 +174,33 @@
     )
 
 
+def _to_service(service: _Service) -> ServiceSettings:
+    return ServiceSettings(
+        service.name,
+        service.health_check_path,
+        service.max_connections,
+        timedelta(seconds=service.warmup_s),
+        service.warmup_per_s,
+    )
+
+
+def _to_accounts(
+    tenants: tuple[_Tenant, ...] | None,
+) -> tuple[ClientAccount, ...] | None:
+    if tenants is None:
+        return None
+    return tuple(
+        ClientAccount(
+            tenant.name,
+            tuple(key_digest(key) for key in tenant.api_keys),
+            tenant.priority,
+            tenant.rate_per_s or 0,
+            tenant.burst or 0,
+        )
+        for tenant in tenants
+    )
+
+
 def _to_route(route: _Route) -> Route:
     weighted_services = tuple(
         WeightedService(split.service, split.weight)
@@ -165,10 +211,11 @@
         route.host,
         route.path_prefix,
         # Requests of an unknown kind are never retried.
-        idempotent=route.kind == _IDEMPOTENT_KIND,
+        idempotent=route.kind in _IDEMPOTENT_KINDS,
         timeout=timedelta(milliseconds=route.timeout_ms),
         target_latency=timedelta(milliseconds=route.target_latency_ms),
         attempts=route.attempts,
         priority=route.priority,
         parts=weighted_services or (WeightedService(route.service, 1),),
+        anonymous=route.allow_anonymous,
     )
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -130,6 +130,8 @@
     ``path`` names the members that relayed the feed, the home first. With
     ``full``, ``changes`` hold all upstreams. Without ``domain_homes``, the
     latest ones stay in force. ``store_incarnation`` is -1 if not known.
+    ``evacuated`` holds all evacuated failure domains; without it, the latest
+    set stays in force.
     """
 
     epoch: int = 0
@@ -144,3 +146,4 @@
     store_incarnation: int = -1
     crash_reports: tuple[CrashReport, ...] = ()
     terms: tuple[StatedTerms, ...] = ()
+    evacuated: tuple[str, ...] | None = None
--- a/src/crocusproxy/routes/model.py
+++ b/src/crocusproxy/routes/model.py
@@ -21,7 +21,8 @@
 
     A caller waits at most ``timeout`` for a response, and a response later
     than ``target_latency`` is worth little to it. A request is sent to at most
-    ``attempts`` upstreams. Priority 0 is the most urgent.
+    ``attempts`` upstreams. Priority 0 is the most urgent. With ``anonymous``,
+    a request needs no API key.
     """
 
     name: str
@@ -33,15 +34,39 @@
     attempts: int
     priority: int
     parts: tuple[WeightedService, ...]
+    anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceSettings:
-    """Settings common to all upstreams of a service."""
+    """Settings common to all upstreams of a service.
+
+    An upstream is cold for ``warm_up`` after it has started, and tolerates
+    ``warm_up_rate`` requests per second meanwhile; 0 is no limit.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    warm_up: timedelta = timedelta()
+    warm_up_rate: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """An account whose callers authenticate with API keys.
+
+    ``key_digests`` holds the digests of its keys, so that the keys themselves
+    stay out of feeds and logs. Without ``priority``, that of the route holds.
+    The quota of all instances together is ``rate`` requests per second and
+    bursts of ``burst`` requests; a rate of 0 is no limit.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int | None = None
+    rate: float = 0
+    burst: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,12 +81,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteConfig:
-    """One version of the configuration; a higher version is newer."""
+    """One version of the configuration; a higher version is newer.
+
+    Without ``accounts``, requests are not authenticated.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSettings, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/test_home_elector.py
+++ b/tests/membership/test_home_elector.py
@@ -120,6 +120,19 @@
     run_scenario(scenario)
 
 
+def test_evacuations_reach_followers_and_their_ends_too():
+    async def scenario(nodes):
+        for evacuated in (('d1', 'd2'), ()):
+            nodes[0].catalog.apply_evacuated(evacuated)
+            await wait_until(
+                lambda expected=set(evacuated): all(
+                    node.catalog.evacuated == expected for node in nodes
+                )
+            )
+
+    run_scenario(scenario)
+
+
 def test_next_member_takes_over_from_a_lost_home():
     async def scenario(nodes):
         await nodes[0].kill()
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -136,3 +136,37 @@
         assert catalog.config.version == 3
 
     run_scenario(scenario)
+
+
+def test_evacuation_begins_and_ends_with_its_record():
+    async def scenario(store, clock, catalog, upstream_watch):
+        store.put(CONFIG_TOPIC, 'evacuate/d1', b'{}')
+        store.put(CONFIG_TOPIC, 'evacuate/d2', b'{}')
+        watch = ConfigWatch(
+            upstream_watch.topic_watch.store,
+            catalog,
+            clock,
+            StoreOutage(Random(1)),
+        )
+        await watch.topic_watch.poll()
+        assert catalog.evacuated == {'d1', 'd2'}
+        store.put(CONFIG_TOPIC, 'evacuate/d1', b'')
+        await watch.topic_watch.poll()
+        assert catalog.evacuated == {'d2'}
+
+    run_scenario(scenario)
+
+
+def test_evacuation_that_ended_unnoticed_is_not_kept():
+    async def scenario(store, clock, catalog, upstream_watch):
+        catalog.apply_evacuated(('d1',))
+        watch = ConfigWatch(
+            upstream_watch.topic_watch.store,
+            catalog,
+            clock,
+            StoreOutage(Random(1)),
+        )
+        await watch.topic_watch.poll()
+        assert not catalog.evacuated
+
+    run_scenario(scenario)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from crocusproxy.accounts.keys import key_digest
 from crocusproxy.platform.wire import decode_config, decode_upstream
 from crocusproxy.protocol.codec import MalformedMessageError
-from crocusproxy.routes.model import WeightedService
+from crocusproxy.routes.model import ClientAccount, WeightedService
 
 ENTRY = {
     'Address': '10.128.0.9:8080',
@@ -131,3 +132,50 @@
     document = json.dumps(CONFIG).replace('"safe"', '"other"')
     routes = decode_config(document.encode()).routes
     assert not any(route.idempotent for route in routes)
+
+
+def config_with(**fields):
+    return decode_config(json.dumps({**CONFIG, **fields}).encode())
+
+
+def test_configuration_without_accounts_authenticates_nobody():
+    assert config_with().accounts is None
+
+
+def test_accounts_hold_digests_in_place_of_keys():
+    tenant = {
+        'Name': 'radio',
+        'ApiKeys': ['secret-1', 'secret-2'],
+        'Priority': 2,
+        'RatePerS': 132,
+        'Burst': 40,
+    }
+    (account,) = config_with(Tenants=[tenant]).accounts
+    digests = (key_digest('secret-1'), key_digest('secret-2'))
+    assert account == ClientAccount('radio', digests, 2, 132, 40)
+
+
+def test_account_without_quota_is_not_limited():
+    (account,) = config_with(Tenants=[{'Name': 'radio'}]).accounts
+    assert account == ClientAccount('radio', ())
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'Name': ''},
+        {'Name': 'a\r\nX-Other: b'},
+        {'RatePerS': -1},
+        {'Burst': float('inf')},
+        {'ApiKeys': 'secret'},
+    ],
+)
+def test_malformed_account_is_rejected(fields):
+    with pytest.raises(MalformedMessageError):
+        config_with(Tenants=[{'Name': 'radio', **fields}])
+
+
+def test_downloads_are_idempotent():
+    document = json.dumps(CONFIG).replace('"safe"', '"download"')
+    routes = decode_config(document.encode()).routes
+    assert [route.idempotent for route in routes] == [False, True]
