Authenticate requests by the API keys of client accounts

Customers' client accounts identify themselves with API keys. The gateway looks up the key after the route and before the body, refuses unknown, malformed and repeated keys with 401, and passes the account's name instead of the key on to upstreams. Other instances get the key unchanged and authenticate again. An account's priority goes before that of the route. Without accounts in the configuration nothing changes, except that request_not_handled no longer quotes the input, which could contain a key.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -291,7 +291,9 @@
         # The parser can't continue after invalid input.
         self.is_rejected = True
         refusal = _refusal_for(error)
-        log('request_not_handled', code=refusal.code, error=repr(error))
+        # The parser's message quotes the input, which can contain an API key.
+        error_type = type(error).__name__
+        log('request_not_handled', code=refusal.code, error=error_type)
         request = CallerRequest(
             _PLACEHOLDER_HEAD,
             EMPTY_PAYLOAD,
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -225,7 +225,7 @@
     async def _choose(self, context: RequestContext) -> Decision:
         route = context.route
         placement_request = PlacementRequest(
-            route.priority,
+            context.priority,
             self.timing.expected_service_time(route),
             context.target_at,
             context.deadline,
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -4,10 +4,17 @@
 from dataclasses import replace
 from math import inf
 
+from ..accounts.directory import (
+    AccountDirectory,
+    Authenticated,
+    Identity,
+    Rejected,
+)
 from ..clock import Clock
 from ..membership.catalog import Catalog
 from ..routes.model import (
     CallerLimits,
+    ClientAccount,
     RegisteredUpstream,
     Route,
     RouteConfig,
@@ -25,6 +32,7 @@
     CONFIG_BEHIND,
     DISPATCHER_REPLACED,
     INVALID_DEADLINE,
+    KEY_UNKNOWN,
     NO_ROUTE,
     NO_SPARE_SLOT,
     NOT_READY,
@@ -73,6 +81,7 @@
         self.ends_at = inf
         self.connections: set[CallerConnection] = set()
         self.table: RouteTable | None = None
+        self.directory: AccountDirectory | None = None
         self.in_flight = 0
         catalog.on_config.append(self.apply_config)
         self.start_wait = StartWait(catalog, clock)
@@ -82,6 +91,11 @@
         """Route requests by a new configuration."""
         self.table = RouteTable(config)
         self.limits = config.limits
+        self.directory = None
+        if config.accounts is not None:
+            self.directory = AccountDirectory(
+                config.accounts, self.header_names.authorization
+            )
 
     def has_unsent_bytes(self) -> bool:
         """Return whether a response waits for a caller that reads slowly."""
@@ -112,6 +126,19 @@
         route = self._find_route(request, table)
         if isinstance(route, Refusal):
             return route
+        identity = self._identify(request, route)
+        self.metrics.count_authentication(identity)
+        if isinstance(identity, Rejected):
+            return KEY_UNKNOWN
+        return await self._read_and_serve(request, request_id, route, table)
+
+    async def _read_and_serve(
+        self,
+        request: CallerRequest,
+        request_id: str,
+        route: Route,
+        table: RouteTable,
+    ) -> CallerResponse | Refusal:
         deadline_header = request.message.headers.get(
             self.header_names.deadline
         )
@@ -122,8 +149,12 @@
         body = await self._read_body(request)
         if body is None:
             return BODY_TOO_LARGE
+        # The key may have been removed while the body arrived.
+        identity = self._identify(request, route)
+        if isinstance(identity, Rejected):
+            return KEY_UNKNOWN
         outgoing_request = OutgoingRequest(
-            request_id, request.message, body, route.idempotent
+            request_id, request.message, body, route.idempotent, identity
         )
         return await self._serve(
             self._create_context(
@@ -154,8 +185,17 @@
             received_at,
             received_at + _time_limit(caller_timeout, route),
             received_at + timing.seconds_to_target(route, caller_timeout),
+            account=_account_of(outgoing_request.identity),
         )
 
+    def _identify(
+        self, request: CallerRequest, route: Route
+    ) -> Identity | Rejected | None:
+        """Return who has sent a request, None without client accounts."""
+        if self.directory is None:
+            return None
+        return self.directory.authenticate(request.message.headers, route)
+
     def _find_route(
         self, request: CallerRequest, table: RouteTable
     ) -> Route | Refusal:
@@ -316,6 +356,10 @@
         return refusal.response(headers if request_id else ())
 
 
+def _account_of(identity: Identity | None) -> ClientAccount | None:
+    return identity.account if isinstance(identity, Authenticated) else None
+
+
 def _with_responder(
     response: CallerResponse, responder: RegisteredUpstream | None
 ) -> CallerResponse:
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -117,6 +117,7 @@
             outgoing_request.body,
             remaining,
             headers,
+            outgoing_request.identity,
         )
         message, body = await connection.exchange(
             request_bytes,
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -10,6 +10,12 @@
     Histogram,
 )
 
+from ..accounts.directory import (
+    Anonymous,
+    Authenticated,
+    Identity,
+    Rejected,
+)
 from .call_results import CallResult, outcome_of
 
 _BUCKET_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
@@ -38,6 +44,12 @@
             ('code',),
             registry=registry,
         )
+        self.authentications = Counter(
+            'crocus_entry_authentications',
+            'Requests by the result of their authentication.',
+            ('result',),
+            registry=registry,
+        )
         self.probes = Counter(
             'crocus_entry_probes',
             'Upstreams that were asked for their load.',
@@ -66,6 +78,18 @@
         """Count a refusal."""
         self.refusals.labels(code).inc()
 
+    def count_authentication(
+        self, identity: Identity | Rejected | None
+    ) -> None:
+        """Count a request, unless there are no client accounts."""
+        match identity:
+            case Authenticated():
+                self.authentications.labels('accepted').inc()
+            case Anonymous():
+                self.authentications.labels('anonymous').inc()
+            case Rejected():
+                self.authentications.labels('rejected').inc()
+
     def add_gauges(
         self,
         in_flight: Callable[[], float],
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -12,6 +12,9 @@
     timedelta(milliseconds=100),
 )
 NO_ROUTE = Refusal(404, 'no_route', 'no route covers this host and path')
+KEY_UNKNOWN = Refusal(
+    401, 'key_unknown', 'the request has no key of a client account'
+)
 BODY_TOO_LARGE = Refusal(413, 'body_too_large', 'the body is too large')
 INVALID_DEADLINE = Refusal(400, 'deadline_invalid', 'the deadline is no number')
 TIMED_OUT = Refusal(504, 'timed_out', 'no response arrived in time')
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..routes.model import RegisteredUpstream, Route
+from ..routes.model import ClientAccount, RegisteredUpstream, Route
 from .caller_connection import CallerRequest
 from .upstream_call import OutgoingRequest
 
@@ -17,7 +17,8 @@
     are the keys of the upstreams tried so far, and ``send_count`` is the number
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
-    ``responder`` is the upstream whose response is returned.
+    ``responder`` is the upstream whose response is returned. ``account`` holds
+    the key of the request, None if it has none.
     """
 
     request: CallerRequest
@@ -32,8 +33,21 @@
     may_have_run: bool = False
     send_count: int = 0
     responder: RegisteredUpstream | None = None
+    account: ClientAccount | None = None
 
     @property
     def request_id(self) -> str:
         """Return the request id that the caller has set."""
         return self.outgoing_request.request_id
+
+    @property
+    def account_name(self) -> str:
+        """Return the name of the client account, empty without one."""
+        return '' if self.account is None else self.account.name
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the account, or else that of the route."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
--- a/src/crocusproxy/entry/responses.py
+++ b/src/crocusproxy/entry/responses.py
@@ -12,6 +12,8 @@
 }
 _BODILESS_STATUSES = frozenset((204, 304))
 _ERROR_CONTENT_TYPE = (b'Content-Type', b'application/json')
+_UNAUTHORIZED = 401
+_CHALLENGE = (b'WWW-Authenticate', b'Bearer')
 _MIN_RETRY_AFTER = timedelta(milliseconds=10)
 
 
@@ -68,5 +70,7 @@
         if self.retry_after is not None:
             seconds = max(self.retry_after, _MIN_RETRY_AFTER).total_seconds()
             response_headers.append((b'Retry-After', f'{seconds:.3f}'.encode()))
+        if self.status == _UNAUTHORIZED:
+            response_headers.append(_CHALLENGE)
         body = encode(_ErrorBody(self.code, self.message))
         return CallerResponse(self.status, tuple(response_headers), body, close)
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -5,6 +5,7 @@
 
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
+from ..accounts.directory import Identity
 from ..clock import Clock
 from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import UpstreamState
@@ -25,12 +26,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A caller's request with its complete body."""
+    """A caller's request with its complete body.
+
+    ``identity`` is None if the configuration has no client accounts.
+    """
 
     request_id: str
     message: RawRequestMessage
     body: bytes
     idempotent: bool
+    identity: Identity | None = None
 
 
 class UpstreamClient:
@@ -105,6 +110,7 @@
             outgoing_request.body,
             upstream.key,
             remaining,
+            outgoing_request.identity,
         )
         with recorded_in(self.reach, upstream.key, connection):
             message, body = await connection.exchange(
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -6,6 +6,7 @@
 
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
+from ..accounts.directory import Authenticated, Identity
 from ..protocol.hop_headers import HOP_BY_HOP, listed_in_connection
 from .header_names import HeaderNames
 from .responses import CallerResponse
@@ -27,7 +28,12 @@
 
 
 class UpstreamMessages:
-    """Encodes requests and reads responses with a deployment's headers."""
+    """Encodes requests and reads responses with a deployment's headers.
+
+    With client accounts, upstreams get the name of the account and never the
+    key, and other instances of the system get the key and no name. Without
+    them, the ``identity`` of a request is None, and both headers are copied.
+    """
 
     def __init__(self, header_names: HeaderNames) -> None:
         self.header_names = header_names
@@ -40,6 +46,8 @@
         self.dropped_request_headers = _REPLACED_HEADERS | {
             name.lower().encode() for name in own_headers
         }
+        self.account_header = header_names.account.lower().encode()
+        self.authorization_header = header_names.authorization.lower().encode()
         self.dropped_response_headers = _REPLACED_HEADERS | {
             header_names.load.lower().encode(),
             RESPONDER_HEADER.lower().encode(),
@@ -51,10 +59,18 @@
         body: bytes,
         upstream: str,
         remaining: float,
+        identity: Identity | None = None,
     ) -> bytes:
         """Encode a request; ``remaining`` is the time left in seconds."""
+        dropped_names = self.dropped_request_headers
+        if identity is not None:
+            dropped_names |= {self.account_header, self.authorization_header}
+        copied_headers = _filter_headers(message.raw_headers, dropped_names)
         header = f'{self.header_names.expected_upstream}: {upstream}'
-        return self.forwarded_request(message, body, remaining, header)
+        if isinstance(identity, Authenticated):
+            account = identity.account.name
+            header = f'{header}\r\n{self.header_names.account}: {account}'
+        return self._encode(message, copied_headers, body, remaining, header)
 
     def forwarded_request(
         self,
@@ -62,25 +78,18 @@
         body: bytes,
         remaining: float,
         header: str,
+        identity: Identity | None = None,
     ) -> bytes:
-        """Encode a request with the additional line ``header``."""
-        target = message.path.encode('utf-8', 'surrogateescape')
-        lines = [b'%b %b HTTP/1.1\r\n' % (message.method.encode(), target)]
-        lines.extend(
-            b'%b: %b\r\n' % name_and_value
-            for name_and_value in _filter_headers(
-                message.raw_headers, self.dropped_request_headers
-            )
-        )
-        left_ms = max(int(remaining * 1000), _MIN_DEADLINE_MS)
-        lines.append(
-            f'{self.header_names.deadline}: {left_ms}\r\n{header}\r\n'.encode()
+        """Encode a request to another instance, with the line ``header``."""
+        dropped_names = self.dropped_request_headers
+        kept_names: frozenset[bytes] = frozenset()
+        if identity is not None:
+            dropped_names |= {self.account_header}
+            kept_names = frozenset((self.authorization_header,))
+        copied_headers = _filter_headers(
+            message.raw_headers, dropped_names, kept_names
         )
-        if body or 'Content-Length' in message.headers or message.chunked:
-            lines.append(b'Content-Length: %d\r\n' % len(body))
-        lines.append(b'\r\n')
-        lines.append(body)
-        return b''.join(lines)
+        return self._encode(message, copied_headers, body, remaining, header)
 
     def caller_response(
         self, message: RawResponseMessage, body: bytes
@@ -111,6 +120,29 @@
             and 'Content-Encoding' not in headers
         )
 
+    def _encode(
+        self,
+        message: RawRequestMessage,
+        copied_headers: Iterable[tuple[bytes, bytes]],
+        body: bytes,
+        remaining: float,
+        header: str,
+    ) -> bytes:
+        target = message.path.encode('utf-8', 'surrogateescape')
+        lines = [b'%b %b HTTP/1.1\r\n' % (message.method.encode(), target)]
+        lines.extend(
+            b'%b: %b\r\n' % name_and_value for name_and_value in copied_headers
+        )
+        left_ms = max(int(remaining * 1000), _MIN_DEADLINE_MS)
+        lines.append(
+            f'{self.header_names.deadline}: {left_ms}\r\n{header}\r\n'.encode()
+        )
+        if body or 'Content-Length' in message.headers or message.chunked:
+            lines.append(b'Content-Length: %d\r\n' % len(body))
+        lines.append(b'\r\n')
+        lines.append(body)
+        return b''.join(lines)
+
 
 def parse_retry_after(text: str) -> timedelta | None:
     """Return the requested backoff, None if it is no number of seconds.
@@ -128,9 +160,12 @@
 
 
 def _filter_headers(
-    headers: Iterable[tuple[bytes, bytes]], dropped_names: frozenset[bytes]
+    headers: Iterable[tuple[bytes, bytes]],
+    dropped_names: frozenset[bytes],
+    kept_names: frozenset[bytes] = frozenset(),
 ) -> Iterable[tuple[bytes, bytes]]:
-    connection_headers = listed_in_connection(headers)
+    """Yield the headers to copy; ``kept_names`` are never hop-by-hop."""
+    connection_headers = listed_in_connection(headers) - kept_names
     for name, value in headers:
         lower_name = name.lower()
         if (
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -183,13 +183,16 @@
         method='GET',
         body=b'',
         deadline_ms=1000,
+        headers=(),
     ):
         self.writer.write(
             f'{method} {path} HTTP/1.1\r\n'
             f'Host: {HOST}\r\n'
             f'X-Crocusproxy-Request-Id: {request_id}\r\n'
             f'X-Crocusproxy-Deadline-Milliseconds: {deadline_ms}\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            f'Content-Length: {len(body)}\r\n'.encode()
+            + ''.join(f'{line}\r\n' for line in headers).encode()
+            + b'\r\n'
             + body
         )
 
--- a/tests/entry/test_overflow.py
+++ b/tests/entry/test_overflow.py
@@ -47,13 +47,13 @@
     run_scenario(run, [make_server('i-1', work=work, slots=1)])
 
 
-async def send_many(system, count, path='/safe/x', method='GET'):
+async def send_many(system, count, path='/safe/x', method='GET', **options):
     body = b'x' if method == 'POST' else b''
     tasks = []
     for number in range(count):
         tasks.append(
             asyncio.create_task(
-                system.request(f'r{number}', path, method, body)
+                system.request(f'r{number}', path, method, body, **options)
             )
         )
         # The requests arrive in this order.
