Send no requests to upstreams of evacuated failure domains

Instances knew the set of evacuated failure domains but still used their upstreams. Placement now leaves them out: waiting requests go to other upstreams, overflow or are refused, and a request whose connection is still being opened is placed again. Requests in flight are not cut.

An evacuated failure domain has no home of its own. One other failure domain with enough slots then serves all callers, so that the callers there keep their home. The shutdown of evacuated upstreams counts neither as a crash nor as a loss, and failures before the return to service are forgotten.

--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -24,6 +24,7 @@
     An upstream counts as crashed if its last connection drops while requests
     are in flight there and no new connection can be opened. Several that are
     lost at once, by the evidence in ``reach``, are one loss of this instance.
+    An evacuated upstream may be shut down at any time, which is no crash.
     ``send_report`` sends a report to the other domain homes.
     """
 
@@ -42,7 +43,8 @@
     ) -> None:
         """Record that an upstream crashed with these requests in flight."""
         self.reach.failed_at(address)
-        if self.reach.silent_since is not None:
+        is_lost = self.reach.silent_since is not None
+        if is_lost or self.reach.is_evacuated_address(address):
             log('crash_not_counted', upstream=address)
             return
         fingerprints = sorted({fingerprint(request) for request in requests})
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -91,6 +91,7 @@
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.reach = UpstreamReach(self.clock)
         self.catalog.on_upstream.append(self.reach.apply_change)
+        self.catalog.on_evacuation.append(self.reach.apply_evacuated)
         self.crash_watch = CrashWatch(self.clock, self.reach)
         self.pool = ConnectionPool(
             _CONNECT_TIMEOUT,
@@ -343,6 +344,7 @@
             lambda: self.elector.epoch,
             lambda: sum(placer.limited_count() for placer in placers.values()),
             lambda: len(self.reach.unreached()),
+            lambda: len(self.catalog.evacuated),
         )
 
     async def _open_ports(self) -> None:
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -84,6 +84,7 @@
         self.last_request_at = float()
         self.owns: Ownership | None = None
         self.is_exclusive = True
+        self.evacuated: frozenset[str] = frozenset()
         self.terms_table = terms_table
         self.reach = reach
         self.next_trial_at = float()
@@ -100,6 +101,12 @@
         for placer in self.placers.values():
             placer.set_exclusive(is_exclusive=is_exclusive)
 
+    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Dispatch to no upstreams of these failure domains."""
+        self.evacuated = failure_domains
+        for placer in self.placers.values():
+            placer.apply_evacuated(failure_domains)
+
     def hand_over(self) -> None:
         """Refuse the waiting requests, so that a successor can serve them."""
         for placer in self.placers.values():
@@ -133,6 +140,7 @@
             placer.set_exclusive(is_exclusive=self.is_exclusive)
             if self.owns is not None:
                 placer.set_ownership(self.owns)
+            placer.apply_evacuated(self.evacuated)
             self.placers[service] = placer
         return placer
 
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -43,6 +43,8 @@
     RESPONDER_HEADER,
 )
 
+_NO_UPSTREAM = 'no_upstream'
+
 
 class Gateway:
     """Serves the requests of all callers of this process.
@@ -77,6 +79,7 @@
         catalog.on_config.append(self.apply_config)
         self.start_wait = StartWait(catalog, clock)
         catalog.on_upstream.append(dispatcher.apply_upstream_change)
+        catalog.on_evacuation.append(dispatcher.apply_evacuated)
 
     def apply_config(self, config: RouteConfig) -> None:
         """Route requests by a new configuration."""
@@ -214,13 +217,32 @@
         """
         is_unsent = not context.send_count and not context.may_have_run
         has_time = self._now() < context.deadline
-        if not (is_unsent and has_time and self._successor()):
+        if not (is_unsent and has_time):
             return refusal
+        if not self._successor():
+            return await self._overflow_after_evacuation(context, refusal)
         if HOP_HEADER in context.outgoing_request.message.headers:
             return DISPATCHER_REPLACED
         response = await self._serve_elsewhere(context)
         return refusal if response is None else response
 
+    async def _overflow_after_evacuation(
+        self, context: RequestContext, refusal: Refusal
+    ) -> CallerResponse | Refusal:
+        """Ask another domain home for a request that waited or was forwarded.
+
+        The home assigns the callers of an evacuated failure domain to another
+        one a moment after its upstreams are out of service.
+        """
+        headers = context.outgoing_request.message.headers
+        is_evacuated = bool(self.dispatcher.evacuated)
+        if self.forwarder is None or OVERFLOW_HEADER in headers:
+            return refusal
+        if not (is_evacuated and refusal.code == _NO_UPSTREAM):
+            return refusal
+        response = await self._overflow(self.forwarder, context)
+        return refusal if response is None else response
+
     def _successor(self) -> str:
         return self.forwarder.home_address() if self.forwarder else ''
 
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -74,6 +74,7 @@
         epoch: Callable[[], float],
         limited_upstreams: Callable[[], float],
         unreached_upstreams: Callable[[], float],
+        evacuated_domains: Callable[[], float],
     ) -> None:
         """Register gauges that call these functions at each scrape."""
         registry = self.registry
@@ -107,3 +108,8 @@
             'Upstreams that this instance could not connect to lately.',
             registry=registry,
         ).set_function(unreached_upstreams)
+        Gauge(
+            'crocus_entry_evacuated_domains',
+            'Evacuated failure domains.',
+            registry=registry,
+        ).set_function(evacuated_domains)
--- a/src/crocusproxy/entry/reach_check.py
+++ b/src/crocusproxy/entry/reach_check.py
@@ -55,8 +55,8 @@
     async def reached(self, keys: Iterable[str]) -> frozenset[str]:
         """Try upstreams and return the keys of those that were reached.
 
-        Upstreams that are unknown, leaving, rate-limited or in a backoff that
-        they asked for are not tried.
+        Upstreams that are unknown, leaving, evacuated, rate-limited or in a
+        backoff that they asked for are not tried.
         """
         entries = [
             entry
@@ -76,6 +76,8 @@
         return tuple(entry.key for entry in entries if self._may_try(entry))
 
     def _may_try(self, entry: RegisteredUpstream) -> bool:
+        if entry.failure_domain in self.catalog.evacuated:
+            return False
         terms = self.catalog.terms.terms(entry)
         now = self.clock.monotonic().total_seconds()
         return not (
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -92,9 +92,10 @@
         before_send: Callable[[], None],
     ) -> CallResult:
         remaining = self._remaining(deadline)
-        if upstream.is_removed or remaining <= 0:
+        is_withdrawn = upstream.is_removed or upstream.is_evacuated
+        if is_withdrawn or remaining <= 0:
             return NotRun(
-                'the upstream was removed or the deadline passed',
+                'the upstream left service or the deadline passed',
                 reported_by_upstream=False,
             )
         # The pool reports the tags of lost connections after a crash.
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -66,10 +66,12 @@
             return
         self.evacuated = evacuated
         self.revision += 1
+        known = {entry.failure_domain for entry in self.upstreams.values()}
         log(
             'evacuation_changed',
             evacuated=sorted(evacuated),
             previous=sorted(previous),
+            unknown=sorted(evacuated - known) if self.is_complete else [],
         )
         for listener in self.on_evacuation:
             listener(evacuated)
--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -184,6 +184,7 @@
         self, present: Iterable[Member], unusable: set[str]
     ) -> DomainHomes:
         """Assign domains to members that are not ``unusable``."""
+        evacuated = self.catalog.evacuated
         return assign_domain_homes(
             self.table.assignment,
             [
@@ -192,8 +193,9 @@
                 if member.name not in unusable
             ],
             self.elector.member_list.own.name,
-            count_slots(self.catalog.upstreams.values()),
+            count_slots(self.catalog.upstreams.values(), evacuated),
             self.judge.cut_off,
+            evacuated,
         )
 
     def _available(self, present: Iterable[Member]) -> list[Member]:
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -24,11 +24,17 @@
 SlotsByDomain = Mapping[str, Mapping[str, int]]
 
 
-def count_slots(upstreams: Iterable[RegisteredUpstream]) -> SlotsByDomain:
-    """Count the slots of the upstreams that are not leaving."""
+def count_slots(
+    upstreams: Iterable[RegisteredUpstream],
+    evacuated: Collection[str] = (),
+) -> SlotsByDomain:
+    """Count the slots of the upstreams that are neither leaving nor evacuated.
+
+    ``evacuated`` holds failure domains.
+    """
     slots: dict[str, Counter[str]] = {}
     for upstream in upstreams:
-        if not upstream.leaving:
+        if not upstream.leaving and upstream.failure_domain not in evacuated:
             domain_slots = slots.setdefault(upstream.failure_domain, Counter())
             domain_slots[upstream.service] += upstream.slots
     return slots
@@ -40,6 +46,7 @@
     home_name: str,
     slots: SlotsByDomain,
     cut_off: Collection[str] = (),
+    evacuated: Collection[str] = (),
 ) -> DomainHomes:
     """Return the domain homes, empty if the home should dispatch alone.
 
@@ -49,10 +56,13 @@
     A failure domain with too few slots gets the home of the largest one.
     Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
     If the home should dispatch alone but is cut off, another member does.
+    A failure domain in ``evacuated`` has no slots. While one is evacuated that
+    has a domain home, one other with enough slots is enough for a split, so
+    that the callers there keep their home.
     """
     everyone = tuple(members)
     able = tuple(one for one in everyone if one.name not in cut_off) or everyone
-    split = _split(current, able, home_name, slots)
+    split = _split(current, able, home_name, slots, evacuated)
     if split.homes:
         return split
     domains = {member.failure_domain for member in everyone} | slots.keys()
@@ -97,11 +107,15 @@
     members: tuple[Member, ...],
     home_name: str,
     slots: SlotsByDomain,
+    evacuated: Collection[str],
 ) -> DomainHomes:
     """Return a home for each large failure domain, empty if these are few."""
     candidates = _by_domain(members)
+    is_evacuating = any(
+        home.failure_domain in evacuated for home in current.homes
+    )
     current_homes: dict[str, Member] = {}
-    if not _single_name(current):
+    if is_evacuating or not _single_name(current):
         current_homes = {
             home.failure_domain: home.member for home in current.homes
         }
@@ -110,7 +124,8 @@
         for domain in candidates
         if _has_enough_slots(domain, slots, is_split=domain in current_homes)
     }
-    if len(split_domains) < 2:
+    min_domains = 1 if is_evacuating else 2
+    if len(split_domains) < min_domains:
         return DomainHomes()
     homes = {
         domain: _choose(
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -75,6 +75,7 @@
         self.median_ratio = 1.0
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
+        self.evacuated: frozenset[str] = frozenset()
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -95,6 +96,7 @@
             self.upstreams[entry.key] = state
         state.is_owned = self.owns(entry.failure_domain)
         state.is_exclusive = self.is_exclusive
+        state.is_evacuated = entry.failure_domain in self.evacuated
         warm_up = entry.warm_up.total_seconds()
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
         self.process_queue()
@@ -128,6 +130,21 @@
         self._refuse_unplaceable()
         self.process_queue()
 
+    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Use no upstreams of these failure domains.
+
+        Requests in flight there continue. The failures of upstreams that
+        return to service are forgotten: they may have been restarted.
+        """
+        self.evacuated = failure_domains
+        for state in self.upstreams.values():
+            is_evacuated = state.entry.failure_domain in failure_domains
+            if state.is_evacuated and not is_evacuated:
+                state.forget_failures()
+            state.is_evacuated = is_evacuated
+        self._refuse_unplaceable()
+        self.process_queue()
+
     def refuse_all(self) -> None:
         """Refuse the queued requests, as another instance dispatches now."""
         for queued_request in tuple(self.queue):
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..logs import log
 from ..protocol.home_feed import UpstreamChange
+from ..routes.model import RegisteredUpstream
 
 #: Number of upstreams whose failure since the latest new connection that worked
 #: is unlikely to be their own.
@@ -41,11 +42,15 @@
     while several upstreams have failed and none has responded since; one or two
     may have crashed, even if there are no others. ``on_silence`` listeners are
     called when it is set, ``on_end_of_silence`` listeners at the next response.
+    ``addresses`` holds the upstreams in service: those of ``evacuated`` failure
+    domains may be shut down, which is no loss.
     """
 
     def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
         self.clock = clock
         self.write = write
+        self.entries: dict[str, RegisteredUpstream] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self.addresses: dict[str, str] = {}
         self.failures: dict[str, _Failures] = {}
         self.connected_at = -inf
@@ -59,19 +64,32 @@
     def apply_change(self, change: UpstreamChange) -> None:
         """Apply a change of the list of upstreams."""
         if change.entry is None:
-            self.addresses.pop(change.key, None)
-            self.failures.pop(change.key, None)
+            self.entries.pop(change.key, None)
+            self._forget(change.key)
         else:
-            self.addresses[change.key] = change.entry.address
+            self.entries[change.key] = change.entry
+            self._update_address(change.entry)
+
+    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Replace the set of evacuated failure domains."""
+        self.evacuated = failure_domains
+        for entry in self.entries.values():
+            self._update_address(entry)
+        if not self.failures:
+            self._end_silence()
+
+    def is_evacuated_address(self, address: str) -> bool:
+        """Return whether an evacuated upstream has this address."""
+        return bool(self.evacuated) and any(
+            entry.address == address and entry.failure_domain in self.evacuated
+            for entry in self.entries.values()
+        )
 
     def responded(self, key: str, *, is_new_connection: bool) -> None:
         """Record that an upstream has responded."""
         now = self._now()
         self.heard_at = now
-        if self.silent_since is not None:
-            self.silent_since = None
-            for listener in self.on_end_of_silence:
-                listener()
+        self._end_silence()
         if is_new_connection:
             self.connected_at = now
             self.failures.pop(key, None)
@@ -141,6 +159,22 @@
         enough = max(1, min(MIN_UNREACHED, len(self.addresses)))
         return self._failed_since(self.connected_at) >= enough
 
+    def _update_address(self, entry: RegisteredUpstream) -> None:
+        if entry.failure_domain in self.evacuated:
+            self._forget(entry.key)
+        else:
+            self.addresses[entry.key] = entry.address
+
+    def _forget(self, key: str) -> None:
+        self.addresses.pop(key, None)
+        self.failures.pop(key, None)
+
+    def _end_silence(self) -> None:
+        if self.silent_since is not None:
+            self.silent_since = None
+            for listener in self.on_end_of_silence:
+                listener()
+
     def _failed_since(self, moment: float) -> int:
         return sum(
             failures.latest_at > moment for failures in self.failures.values()
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -44,7 +44,8 @@
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request;
     ``terms`` may ask for a longer time. An upstream that another instance
     dispatches to is not ``is_owned``; one that others may dispatch to as well
-    is not ``is_exclusive``. Times are monotonic seconds.
+    is not ``is_exclusive``. The failure domain of one that ``is_evacuated``
+    gets no new requests. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
@@ -59,6 +60,7 @@
     is_removed: bool = False
     is_owned: bool = True
     is_exclusive: bool = True
+    is_evacuated: bool = False
     observed: ObservedSlowdown = field(default_factory=ObservedSlowdown)
     terms: UpstreamTerms = field(default_factory=UpstreamTerms)
 
@@ -72,6 +74,8 @@
         """Return whether new requests may be sent here."""
         if self.is_removed or self.entry.leaving or self.terms.is_leaving:
             return False
+        if self.is_evacuated:
+            return False
         # A rate limit binds all instances together, so only one may use it.
         return self.is_owned and (self.is_exclusive or self.rate_limit is None)
 
@@ -163,9 +167,13 @@
     def end_backoff(self) -> None:
         """Forget the failures in a row; they were not those of the upstream."""
         if self.consecutive_failures:
-            self.consecutive_failures = 0
-            self.failure_rate = 0
-            self.backoff_until = -inf
+            self.forget_failures()
+
+    def forget_failures(self) -> None:
+        """End the backoff and forget all failures."""
+        self.consecutive_failures = 0
+        self.failure_rate = 0
+        self.backoff_until = -inf
 
     def shed(self, now: float) -> None:
         """Record that the upstream shed a request."""
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -81,6 +81,7 @@
         self.clock = SystemClock()
         self.reach = UpstreamReach(self.clock, self.log)
         self.catalog.on_upstream.append(self.reach.apply_change)
+        self.catalog.on_evacuation.append(self.reach.apply_evacuated)
         self.crash_watch = CrashWatch(self.clock, self.reach)
         self.observer = ResponseObserver(
             HEADER_NAMES, self.clock, self.catalog.terms, self.log
--- a/tests/membership/test_domain_homes.py
+++ b/tests/membership/test_domain_homes.py
@@ -128,3 +128,47 @@
     table.apply(assigned())
     table.apply(assigned())
     assert len(changes) == 1
+
+
+def test_evacuated_failure_domain_has_no_home_of_its_own():
+    """Its home would have no upstreams for the callers there."""
+    split = assigned()
+    remaining = {'b': ENOUGH['b']}
+    evacuating = assign_domain_homes(
+        split, MEMBERS, 'a1', remaining, evacuated=('a',)
+    )
+    assert names(evacuating) == {'a': 'b1', 'b': 'b1'}
+    assert names(assigned(evacuating)) == names(split)
+
+
+def test_callers_stay_while_an_evacuated_failure_domain_is_rebuilt():
+    """They moved to the home and back when its upstreams were gone."""
+    remaining = {'b': {'s': MIN_SLOTS_TO_STAY, 't': MIN_SLOTS_TO_STAY}}
+    assignment = assigned()
+    for _ in range(3):
+        assignment = assign_domain_homes(
+            assignment, MEMBERS, 'a1', remaining, evacuated=('a',)
+        )
+        assert names(assignment) == {'a': 'b1', 'b': 'b1'}
+
+
+def test_evacuation_of_all_failure_domains_leaves_the_home():
+    evacuating = assign_domain_homes(
+        assigned(), MEMBERS, 'a1', {}, evacuated=('a', 'b')
+    )
+    assert evacuating == DomainHomes()
+
+
+def test_evacuation_splits_no_site_that_has_one_home():
+    slots = {'b': ENOUGH['b']}
+    assert DomainHomes() == assign_domain_homes(
+        DomainHomes(), MEMBERS, 'a1', slots, evacuated=('a',)
+    )
+
+
+def test_slots_of_evacuated_upstreams_do_not_count():
+    upstreams = [
+        RegisteredUpstream(domain, 's', '', domain, 2, False, 1, 1)
+        for domain in 'ab'
+    ]
+    assert count_slots(upstreams, {'a'}) == {'b': {'s': 2}}
