Send slow idempotent requests to a second upstream within a limit

Responses were late because single upstreams are slow for some 150 ms, while others had free slots. A request that is older than 95 % of the recent ones of its route is sent to a second upstream if the settings allow a share of extra requests. The first usable response wins, and the connection of the other attempt is closed at once. Off by default.

Run: tests/entry (hedged calls, connections, load, reloading), tests/placement, tests/routes, tests/cli, tests/test_operations.py, tests/test_examples.py, lint.

--- a/src/crocusproxy/entry/call_results.py
+++ b/src/crocusproxy/entry/call_results.py
@@ -35,10 +35,26 @@
     is_timeout: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """The request was cancelled, as another attempt has responded."""
+
+    reason: str = 'another attempt has responded'
+
+
 CallResult = Responded | NotRun | ResponseLost
 
 
-def outcome_of(result: CallResult) -> str:
+def more_informative(
+    previous: CallResult | None, latest: CallResult
+) -> CallResult:
+    """Return the latest result; a NotRun never replaces an earlier result."""
+    if isinstance(latest, NotRun) and previous is not None:
+        return previous
+    return latest
+
+
+def outcome_of(result: CallResult | Superseded) -> str:
     """Return the outcome label of a call for logs and metrics."""
     match result:
         case Responded(is_failure=is_failure):
@@ -47,3 +63,5 @@
             return 'not_run'
         case ResponseLost():
             return 'unknown'
+        case Superseded():
+            return 'cancelled'
--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -85,6 +85,14 @@
             fingerprint(request), self.clock.monotonic()
         )
 
+    def is_suspect(self, request: OutgoingRequest) -> bool:
+        """Return whether equal requests were in flight at a crash."""
+        tracker = self.tracker
+        if not tracker.suspects and not tracker.confirmed_until:
+            return False
+        digest = fingerprint(request)
+        return tracker.is_suspect(digest) or digest in tracker.confirmed_until
+
     def record_response(self, request: OutgoingRequest) -> None:
         """Clear a request that an upstream has answered."""
         tracker = self.tracker
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -270,6 +270,7 @@
         log('settings_reloaded', needs_restart=reload.needs_restart)
         self.settings = reload.settings
         self.store.address = reload.settings.store
+        self.dispatcher.hedged_calls.apply_settings(reload.settings.hedging)
 
     async def find_addresses(self, failure_domain: str) -> AddressList:
         """Return the address for callers of a failure domain."""
@@ -325,6 +326,7 @@
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
         self.dispatcher.refresh_load = self.prober.refresh_load
+        self.dispatcher.hedged_calls.apply_settings(self.settings.hedging)
         self.dispatcher.has_successor = lambda: bool(
             self.role.forwarding_address()
         )
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 
 from ..clock import Clock
@@ -13,8 +14,16 @@
 from ..placement.upstream_terms import TermsTable
 from ..protocol.home_feed import UpstreamChange
 from ..routes.timing import RouteTiming
-from .call_results import CallResult, NotRun, Responded, ResponseLost
+from .call_results import (
+    CallResult,
+    NotRun,
+    Responded,
+    ResponseLost,
+    Superseded,
+    more_informative,
+)
 from .crash_watch import CrashWatch
+from .hedged_call import AttemptSteps, HedgedCalls
 from .metrics import EntryMetrics
 from .refusals import (
     EXPIRED,
@@ -25,7 +34,7 @@
     upstreams_unreachable,
 )
 from .request_context import RequestContext
-from .request_log import RequestLog
+from .request_log import RequestLog, SendSnapshot
 from .responses import CallerResponse, Refusal
 from .settings import Bounds
 from .upstream_call import UpstreamClient
@@ -47,6 +56,8 @@
 
 #: Probes the load of one upstream of a service.
 RefreshLoad = Callable[[str, UpstreamState], Awaitable[None]]
+#: Called for each retry and each hedge, immediately before it is sent.
+Charge = Callable[[RequestContext], None]
 
 
 class Dispatcher:
@@ -87,6 +98,16 @@
         self.terms_table = terms_table
         self.reach = reach
         self.next_trial_at = float()
+        self.charge: Charge = _skip_charge
+        steps = AttemptSteps(
+            self.placer,
+            self.retry_budget,
+            crash_watch.is_suspect,
+            self._placement_request,
+            self._is_slow,
+            self._send,
+        )
+        self.hedged_calls = HedgedCalls(steps, clock, metrics)
 
     def set_ownership(self, owns: Ownership) -> None:
         """Dispatch to the upstreams of the failure domains that ``owns``."""
@@ -169,10 +190,13 @@
             decision = await self._place(context)
             if isinstance(decision, Refused):
                 return self._failure_response(context, last_result, decision)
-            result = await self._send(context, decision)
+            if self.hedged_calls.is_enabled:
+                result = await self.hedged_calls.call(context, decision)
+            else:
+                result = await self._send(context, decision)
             if isinstance(result, Responded) and not result.is_failure:
                 return result.response
-            last_result = _more_informative(last_result, result)
+            last_result = more_informative(last_result, result)
             if not self._may_retry(context, result):
                 return self._failure_response(context, last_result, None)
 
@@ -222,15 +246,18 @@
             raise
         return state.slowdown > SLOW_THRESHOLD
 
-    async def _choose(self, context: RequestContext) -> Decision:
+    def _placement_request(self, context: RequestContext) -> PlacementRequest:
         route = context.route
-        placement_request = PlacementRequest(
+        return PlacementRequest(
             route.priority,
             self.timing.expected_service_time(route),
             context.target_at,
             context.deadline,
             context.tried_keys,
         )
+
+    async def _choose(self, context: RequestContext) -> Decision:
+        placement_request = self._placement_request(context)
         decision: asyncio.Future[Decision] = (
             asyncio.get_running_loop().create_future()
         )
@@ -255,24 +282,19 @@
             upstream.in_flight <= half_of_slots
             and upstream.slowdown <= SLOW_THRESHOLD
         )
-        snapshot = self.request_log.take_snapshot(context, upstream, sent_at)
-
-        def before_send() -> None:  # noqa: WPS430
-            context.send_count += 1
-            if upstream.rate_limit is not None:
-                self.metrics.count_limited_send('request')
-            if not context.route.idempotent:
-                context.request.is_detached = True
-
+        snapshot = self.request_log.take_snapshot(context, placed, sent_at)
         try:  # noqa: WPS501 - also when the caller disconnects
             result = await self.client.call(
                 upstream,
                 context.outgoing_request,
                 context.deadline,
-                before_send,
+                partial(self._before_send, context, upstream),
             )
         except BaseException:
-            self.placer(context.service).release(placed)
+            if context.is_answered:
+                self._supersede(snapshot, placed, is_lightly_loaded)
+            else:
+                self.placer(context.service).release(placed)
             raise
         context.request.is_detached = False
         is_answered = isinstance(result, Responded)
@@ -280,6 +302,7 @@
         now = self._now()
         if (
             is_lightly_loaded
+            and not placed.is_hedge
             and isinstance(result, Responded)
             and not result.is_failure
         ):
@@ -289,6 +312,33 @@
         self.request_log.log_call(snapshot, result, now)
         return result
 
+    def _before_send(
+        self, context: RequestContext, upstream: UpstreamState
+    ) -> None:
+        context.send_count += 1
+        if context.send_count > 1:
+            self.charge(context)
+        if upstream.rate_limit is not None:
+            self.metrics.count_limited_send('request')
+        if not context.route.idempotent:
+            context.request.is_detached = True
+
+    def _supersede(
+        self, snapshot: SendSnapshot, placed: Placed, is_lightly_loaded: bool
+    ) -> None:
+        """Release an attempt that was cancelled for another response.
+
+        The upstream has not failed, and its response would have come later.
+        """
+        context = snapshot.context
+        self.placer(context.service).supersede(placed)
+        now = self._now()
+        seconds = now - snapshot.sent_at
+        if is_lightly_loaded and not placed.is_hedge:
+            self.timing.record_unfinished(context.route, seconds)
+        self.metrics.count_superseded(context.service, seconds)
+        self.request_log.log_call(snapshot, Superseded(), now)
+
     def _record_result(
         self,
         context: RequestContext,
@@ -363,13 +413,8 @@
     return False
 
 
-def _more_informative(
-    previous: CallResult | None, latest: CallResult
-) -> CallResult:
-    """Return the latest result; a NotRun never replaces an earlier result."""
-    if isinstance(latest, NotRun) and previous is not None:
-        return previous
-    return latest
+def _skip_charge(context: RequestContext) -> None:
+    """Charge nothing, as without quotas."""
 
 
 def _release_if_placed(placer: ServicePlacer, decision: Decision) -> None:
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of an entry instance."""
 
 from collections.abc import Callable
+from typing import Literal
 
 from prometheus_client import (
     REGISTRY,
@@ -10,8 +11,12 @@
     Histogram,
 )
 
+from ..placement.hedging import NotSent
 from .call_results import CallResult, outcome_of
 
+#: A hedge is abandoned if the caller disconnects.
+HedgeOutcome = Literal['won', 'lost', 'abandoned']
+
 _BUCKET_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
 
@@ -49,6 +54,24 @@
             ('kind',),
             registry=registry,
         )
+        self.hedges = Counter(
+            'crocus_entry_hedges',
+            'Hedges that were sent, by outcome.',
+            ('service', 'outcome'),
+            registry=registry,
+        )
+        self.hedges_not_sent = Counter(
+            'crocus_entry_hedges_not_sent',
+            'Requests that took long without a hedge, by reason.',
+            ('service', 'reason'),
+            registry=registry,
+        )
+        self.superseded_seconds = Counter(
+            'crocus_entry_superseded_seconds',
+            'Time of attempts that were cancelled for another response.',
+            ('service',),
+            registry=registry,
+        )
         self.registry = registry
 
     def count_call(
@@ -62,6 +85,18 @@
         """Count a request or a probe sent to a rate-limited upstream."""
         self.limited_sends.labels(kind).inc()
 
+    def count_hedge(self, service: str, outcome: HedgeOutcome) -> None:
+        """Count a hedge that was sent."""
+        self.hedges.labels(service, outcome).inc()
+
+    def count_unsent_hedge(self, service: str, reason: NotSent) -> None:
+        """Count a request that took long and has no hedge."""
+        self.hedges_not_sent.labels(service, reason).inc()
+
+    def count_superseded(self, service: str, seconds: float) -> None:
+        """Count the time of an attempt that was cancelled."""
+        self.superseded_seconds.labels(service).inc(seconds)
+
     def count_refusal(self, code: str) -> None:
         """Count a refusal."""
         self.refusals.labels(code).inc()
--- a/src/crocusproxy/entry/reloading.py
+++ b/src/crocusproxy/entry/reloading.py
@@ -16,9 +16,14 @@
 def reload_settings(current: EntrySettings, loaded: EntrySettings) -> Reload:
     """Apply the settings that can change in a running process.
 
-    These are the store, the validity of addresses and its limit. The seeds are
-    used at a start only, so the next one uses those of the file.
+    These are the store, the validity of addresses and its limit, and hedging
+    within the budget in force. The seeds are used at a start only, so the next
+    one uses those of the file.
     """
+    hedging = loaded.hedging
+    if hedging.max_extra_share > current.bounds.budget_ratio:
+        # The budget of the file allows it, but needs a restart.
+        hedging = current.hedging
     bounds = replace(current.bounds, max_validity=loaded.bounds.max_validity)
     settings = replace(
         current,
@@ -26,5 +31,6 @@
         seeds=loaded.seeds,
         validity=loaded.validity,
         bounds=bounds,
+        hedging=hedging,
     )
     return Reload(settings, needs_restart=settings != loaded)
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -17,7 +17,8 @@
     are the keys of the upstreams tried so far, and ``send_count`` is the number
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
-    ``responder`` is the upstream whose response is returned.
+    ``responder`` is the upstream whose response is returned. ``is_answered`` is
+    set once an attempt has a usable response; others in flight are cancelled.
     """
 
     request: CallerRequest
@@ -32,6 +33,7 @@
     may_have_run: bool = False
     send_count: int = 0
     responder: RegisteredUpstream | None = None
+    is_answered: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -10,8 +10,8 @@
 
 from ..clock import Clock
 from ..logs import log
-from ..placement.upstream_state import UpstreamState
-from .call_results import CallResult, Responded, outcome_of
+from ..placement.requests import Placed
+from .call_results import CallResult, Responded, Superseded, outcome_of
 from .request_context import RequestContext
 from .responses import Refusal
 
@@ -34,6 +34,7 @@
     slowdown: float
     reported_at: float
     rate_limit: float | None
+    is_hedge: bool
 
 
 class RequestLog:
@@ -48,9 +49,10 @@
         self.dropped_lines = 0
 
     def take_snapshot(
-        self, context: RequestContext, upstream: UpstreamState, now: float
+        self, context: RequestContext, placed: Placed, now: float
     ) -> SendSnapshot:
         """Return the state of the chosen upstream before a request is sent."""
+        upstream = placed.upstream
         return SendSnapshot(
             context,
             upstream.key,
@@ -59,16 +61,21 @@
             upstream.slowdown,
             upstream.reported_at,
             upstream.rate_limit,
+            placed.is_hedge,
         )
 
     def log_call(
-        self, snapshot: SendSnapshot, result: CallResult, now: float
+        self,
+        snapshot: SendSnapshot,
+        result: CallResult | Superseded,
+        now: float,
     ) -> None:
         """Log one call of an upstream and its state before the call."""
-        is_failure = not isinstance(result, Responded) or result.is_failure
-        if not self._admit(is_failure):
+        if not self._admit(_is_failure(result)):
             return
         context = snapshot.context
+        # Other lines remain as they are without hedging.
+        hedge = {'hedge': True} if snapshot.is_hedge else {}
         self._write(
             'call_ended',
             request_id=context.request_id,
@@ -86,6 +93,7 @@
             target_left_ms=_milliseconds(context.target_at - now),
             outcome=outcome_of(result),
             reason=_reason(result),
+            **hedge,
         )
 
     def log_refusal(self, request_id: str, refusal: Refusal) -> None:
@@ -152,5 +160,14 @@
     return None if seconds == float('inf') else _milliseconds(seconds)
 
 
-def _reason(result: CallResult) -> str:
+def _is_failure(result: CallResult | Superseded) -> bool:
+    match result:
+        case Responded(is_failure=is_failure):
+            return is_failure
+        case Superseded():
+            return False
+    return True
+
+
+def _reason(result: CallResult | Superseded) -> str:
     return '' if isinstance(result, Responded) else str(result.reason)
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -5,7 +5,12 @@
 from ipaddress import IPv4Address, IPv6Address
 from typing import Annotated, Any
 
-from pydantic import BeforeValidator
+from pydantic import (
+    AfterValidator,
+    BeforeValidator,
+    ValidationInfo,
+    field_validator,
+)
 from pydantic.dataclasses import dataclass
 
 from ..durations import Duration
@@ -21,6 +26,13 @@
     return {'host': host, 'port': int(port)}
 
 
+def _check_window(window: timedelta) -> timedelta:
+    if window < _MIN_HEDGING_WINDOW:
+        raise ValueError('1s or more')
+    return window
+
+
+_MIN_HEDGING_WINDOW = timedelta(seconds=1)
 #: Written as ``host:port``.
 Address = Annotated[Listen, BeforeValidator(_split_address)]
 
@@ -49,6 +61,21 @@
     quota_slack: float = 20
 
 
+@dataclass(frozen=True, slots=True, config=STRICT)
+class Hedging:
+    """Limit of hedges, which are second attempts of requests that take long.
+
+    In a ``window`` at most ``max_extra_share`` of the requests for a service
+    may be sent a second time; with 0 none are. Hedges spend the budget of
+    retries as well.
+    """
+
+    max_extra_share: float = 0
+    window: Annotated[Duration, AfterValidator(_check_window)] = timedelta(
+        seconds=10
+    )
+
+
 @dataclass(frozen=True, slots=True, config=STRICT)
 class Capacity:
     """Capacity of the instance; the largest instances are chosen as home.
@@ -72,7 +99,7 @@
     lists control addresses of other instances for a start without the store.
     ``validity`` is how long a caller may use the address list. Connections to
     upstreams and other instances come from the IP address ``source``; without
-    it, the operating system chooses one.
+    it, the operating system chooses one. ``hedging`` is off by default.
     """
 
     instance: InstanceIdentity
@@ -88,3 +115,16 @@
     bounds: Bounds = field(default_factory=Bounds)
     capacity: Capacity = field(default_factory=Capacity)
     validity: Duration = timedelta(seconds=5)
+    hedging: Hedging = field(default_factory=Hedging)
+
+    @field_validator('hedging')
+    @classmethod
+    def check_hedging(cls, hedging: Hedging, info: ValidationInfo) -> Hedging:
+        """Check that hedges fit into the budget of retries."""
+        # Without valid bounds, their own fault is reported.
+        ratio = info.data.get('bounds', Bounds()).budget_ratio
+        if 0 <= hedging.max_extra_share <= ratio:
+            return hedging
+        raise ValueError(
+            f'a max_extra_share from 0 to bounds.budget_ratio ({ratio})'
+        )
--- a/src/crocusproxy/placement/observed_slowdown.py
+++ b/src/crocusproxy/placement/observed_slowdown.py
@@ -17,6 +17,10 @@
 NORMAL_SPREAD = 1.5
 #: Upper limit of the ratio that a single request is recorded with.
 MAX_RATIO = 20.0
+#: Lowest ratio of a request that a hedge at another upstream has overtaken. Its
+#: age is only a lower bound and would hide an upstream whose slow requests are
+#: all hedged, so that several in a row must count as slowness.
+OVERTAKEN_RATIO = 3.5
 
 
 @dataclass(slots=True)
@@ -57,15 +61,23 @@
         The ratio is a sample if the request was answered, or if it ran longer
         than the normal variation explains.
         """
-        running = self.running.pop(ticket)
-        ratio = min(
-            (now - running.started_at) / running.expected_seconds, MAX_RATIO
-        )
+        ratio = self._remove(ticket, now)
         # An unanswered request only gives a lower bound of its duration.
         if answered or ratio > NORMAL_SPREAD:
             self.ratios.append((now, ratio))
         return ratio
 
+    def supersede(self, ticket: int, now: float) -> float:
+        """Remove a request that a hedge has overtaken; return its ratio."""
+        ratio = self._remove(ticket, now)
+        if ratio > NORMAL_SPREAD:
+            self.ratios.append((now, max(ratio, OVERTAKEN_RATIO)))
+        return ratio
+
+    def discard(self, ticket: int) -> None:
+        """Remove a request without a sample."""
+        self.running.pop(ticket)
+
     def slowdown(self, now: float) -> float:
         """Return how many times slower than expected the upstream is.
 
@@ -79,3 +91,8 @@
             return 1
         lowest = min(ratio for _, ratio in self.ratios)
         return max(lowest / NORMAL_SPREAD, 1)
+
+    def _remove(self, ticket: int, now: float) -> float:
+        running = self.running.pop(ticket)
+        ratio = (now - running.started_at) / running.expected_seconds
+        return min(ratio, MAX_RATIO)
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from math import inf
 from random import Random
@@ -179,6 +180,20 @@
         self.process_queue()
         return queued_request
 
+    def place_hedge(self, request: PlacementRequest) -> Placed | None:
+        """Place a hedge on an upstream that is not slow, without queueing."""
+        now = self.now()
+        fast = [
+            state for state in self._candidates(now) if not state.is_slow(now)
+        ]
+        hedge = QueuedRequest(request, now, _ignore_decision)
+        state = self._choose(hedge, fast, now)
+        if state is None:
+            return None
+        return replace(
+            self._start(state, request.service_time, now), is_hedge=True
+        )
+
     def withdraw(self, queued_request: QueuedRequest) -> None:
         """Remove a request from the queue without a decision."""
         if queued_request in self.queue:
@@ -190,14 +205,21 @@
         ratio = placed.upstream.observed.end(
             placed.ticket, now, answered=answered
         )
-        if answered:
+        # Only the faster hedges are answered, so they are left out.
+        if answered and not placed.is_hedge:
             step = RATIO_STEP_SHARE if ratio > 1 else -RATIO_STEP_SHARE
             self.median_ratio *= 1 + step
-        if not self.queue:
-            return
-        if placed.upstream.terms.is_leaving:
-            self._refuse_unplaceable()
-        self.process_queue()
+        self._use_free_slot(placed)
+
+    def supersede(self, placed: Placed) -> None:
+        """Free the slot of a request that another attempt has answered."""
+        observed = placed.upstream.observed
+        if placed.is_hedge:
+            # Its age is short and says little about its upstream.
+            observed.discard(placed.ticket)
+        elif observed.supersede(placed.ticket, self.now()) > 1:
+            self.median_ratio *= 1 + RATIO_STEP_SHARE
+        self._use_free_slot(placed)
 
     def process_queue(self) -> None:
         """Place queued requests, then refuse excess ones.
@@ -222,6 +244,13 @@
         while len(self.queue) > self._queue_limit():
             self._refuse(self.queue[-1], capacity, now)
 
+    def _use_free_slot(self, placed: Placed) -> None:
+        if not self.queue:
+            return
+        if placed.upstream.terms.is_leaving:
+            self._refuse_unplaceable()
+        self.process_queue()
+
     def _has_upstream(self, request: PlacementRequest) -> bool:
         return any(
             state.is_usable and state.key not in request.excluded
@@ -344,6 +373,10 @@
         return self.random.choice(equal) if equal else None
 
 
+def _ignore_decision(decision: Decision) -> None:
+    """Drop a decision; a hedge is never queued."""
+
+
 def _owns_all(failure_domain: str) -> bool:
     """Dispatch to all upstreams, as without domain homes."""
     return True
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Placed:
-    """The request is sent to ``upstream`` and holds a slot until released."""
+    """The request is sent to ``upstream`` and holds a slot until released.
+
+    A hedge is a second attempt of a request whose first one is in flight.
+    """
 
     upstream: UpstreamState
     ticket: int
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusproxy/routes/timing.py
+++ b/src/crocusproxy/routes/timing.py
@@ -64,3 +64,12 @@
             else -SERVICE_TIME_STEP_SHARE
         )
         self.service_time_estimates[route.name] = estimate * (1 + step)
+
+    def record_unfinished(self, route: Route, seconds: float) -> None:
+        """Update the estimate from a request that was cancelled.
+
+        It would have taken longer. Only if it already has taken longer than
+        the estimate is it known on which side of the median it is.
+        """
+        if seconds > self.expected_service_time(route):
+            self.record_duration(route, seconds)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -62,3 +62,13 @@
     result = explain('r9', [write_log(tmp_path)])
     assert result.exit_code == ExitCode.rejected
     assert 'r9' in result.text
+
+
+def test_both_attempts_of_a_hedged_request_are_shown(tmp_path):
+    path = tmp_path / 'n1.log'
+    hedge = line(2, 'call_ended', request_id='r1', upstream='i-2', hedge=True)
+    first = line(2, 'call_ended', request_id='r1', outcome='cancelled')
+    path.write_text(f'{hedge}\n{first}')
+    text = explain('r1', [str(path)]).text
+    assert 'hedge=True' in text
+    assert 'outcome=cancelled' in text
--- a/tests/routes/test_timing.py
+++ b/tests/routes/test_timing.py
@@ -38,3 +38,13 @@
     for number in range(1000):
         timing.record_duration(ROUTE, 0.6 if number % 5 == 0 else 0.06)
     assert 0.05 < timing.expected_service_time(ROUTE) < 0.08
+
+
+def test_cancelled_request_counts_only_if_it_exceeds_the_estimate():
+    """Its duration is unknown, but not that it is above the median."""
+    timing = RouteTiming()
+    before = timing.expected_service_time(ROUTE)
+    timing.record_unfinished(ROUTE, before * 0.9)
+    assert timing.expected_service_time(ROUTE) == before
+    timing.record_unfinished(ROUTE, before * 1.1)
+    assert timing.expected_service_time(ROUTE) > before
