--- a/src/crocusproxy/entry/hedged_call.py
+++ b/src/crocusproxy/entry/hedged_call.py
@@ -69,6 +69,9 @@
         self.is_enabled = settings.max_extra_share > 0
         # They begin empty, so that no window exceeds the larger share.
         self.limits.clear()
+        if not self.is_enabled:
+            # They would be out of date when hedging is switched on again.
+            self.durations.clear()
 
     async def call(self, context: RequestContext, placed: Placed) -> CallResult:
         """Send a request, hedge it if it takes long, and return its result."""
