--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -17,8 +17,10 @@
     are the keys of the upstreams tried so far, and ``send_count`` is the number
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
-    ``responder`` is the upstream whose response is returned. ``account`` holds
-    the key of the request, None if it has none.
+    ``responder`` is the upstream whose response is returned. ``account``
+    is the client account of the request's key, None if it has none.
+    ``is_answered`` is set once an attempt has a usable response; others in
+    flight are cancelled.
     """
 
     request: CallerRequest
@@ -34,6 +36,7 @@
     send_count: int = 0
     responder: RegisteredUpstream | None = None
     account: ClientAccount | None = None
+    is_answered: bool = False
 
     @property
     def request_id(self) -> str:
