Limit requests in flight to the number with the most responses

Upstreams that slow down when nearly full lose a fifth of their capacity when all slots are filled. The relation between requests in flight and duration is learnt for each service, relative to few requests in flight, and the limit follows from it. Trials of other limits run while requests wait. Requests are evaluated a fixed multiple of their expected duration after their start, since short ones end first and made new levels seem fast. The estimated median of durations is compared with the present estimate, as it overshot with many requests in flight.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -41,6 +41,7 @@
 from .metrics import EntryMetrics
 from .overflow import OverflowTargets
 from .own_member import own_member
+from .placement_metrics import PlacementCollector
 from .prober import Prober
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
@@ -344,6 +345,7 @@
             lambda: sum(placer.limited_count() for placer in placers.values()),
             lambda: len(self.reach.unreached()),
         )
+        self.metrics.registry.register(PlacementCollector(placers))
 
     async def _open_ports(self) -> None:
         settings = self.settings
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -13,6 +13,7 @@
 
 from ..clock import Clock
 from ..routes.model import RegisteredUpstream
+from .concurrency import ServiceConcurrency
 from .requests import (
     Decision,
     Placed,
@@ -31,9 +32,6 @@
 #: Queued requests per slot; more could not be served in time.
 QUEUED_PER_SLOT = 2
 MIN_QUEUE_LENGTH = 8
-#: Step of the estimated median ratio of actual to expected duration at each
-#: response, relative to the estimate.
-RATIO_STEP_SHARE = 0.01
 #: Number of queued requests that are considered for the free slots.
 MAX_QUEUE_SCAN = 16
 #: Queued requests per slot from which other domain homes are asked for a slot.
@@ -52,8 +50,8 @@
 class ServicePlacer:
     """The upstreams of one service and the requests that wait for them.
 
-    ``median_ratio`` is the estimated median of the ratio of actual to expected
-    duration over all upstreams.
+    ``released_at`` is when the last request ended, in monotonic seconds;
+    ``service_time`` is that of the latest request, in seconds.
     """
 
     def __init__(
@@ -72,7 +70,9 @@
         self.return_schedule = ReturnSchedule(random)
         self.upstreams: dict[str, UpstreamState] = {}
         self.queue: list[QueuedRequest] = []
-        self.median_ratio = 1.0
+        self.concurrency = ServiceConcurrency(random)
+        self.released_at = -inf
+        self.service_time = inf
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
 
@@ -90,9 +90,13 @@
                 state.is_removed = True
             is_remote = entry.failure_domain != self.failure_domain
             state = UpstreamState(
-                entry, is_remote, terms=self.terms_table.terms(entry)
+                entry,
+                is_remote,
+                self.concurrency.effect(entry.slots),
+                terms=self.terms_table.terms(entry),
             )
             self.upstreams[entry.key] = state
+        state.load_effect = self.concurrency.effect(entry.slots)
         state.is_owned = self.owns(entry.failure_domain)
         state.is_exclusive = self.is_exclusive
         warm_up = entry.warm_up.total_seconds()
@@ -158,7 +162,7 @@
         if self.queue:
             return False
         free = sum(
-            state.entry.slots - state.in_flight
+            min(state.load_effect.limit, state.entry.slots) - state.in_flight
             for state in self._candidates(self.now())
             if state.rate_limit is None
         )
@@ -169,6 +173,7 @@
     ) -> QueuedRequest:
         """Decide now, or queue the request until it has a slot or times out."""
         now = self.now()
+        self.service_time = request.service_time
         queued_request = QueuedRequest(request, now, on_decision)
         if not self._has_upstream(request):
             on_decision(_NO_UPSTREAM)
@@ -187,12 +192,9 @@
     def release(self, placed: Placed, *, answered: bool = False) -> None:
         """Free the slot of an ended request."""
         now = self.now()
-        ratio = placed.upstream.observed.end(
-            placed.ticket, now, answered=answered
-        )
-        if answered:
-            step = RATIO_STEP_SHARE if ratio > 1 else -RATIO_STEP_SHARE
-            self.median_ratio *= 1 + step
+        placed.upstream.observed.end(placed.ticket, now, answered=answered)
+        self.concurrency.end(placed.sample, now, answered=answered)
+        self.released_at = now
         if not self.queue:
             return
         if placed.upstream.terms.is_leaving:
@@ -210,6 +212,7 @@
         self._place_queued(now)
         if not self.queue:
             return
+        self.concurrency.renew_trials(self.upstreams.values(), now)
         capacity = stated_capacity(self.upstreams.values(), now)
         position = 0
         for queued_request in tuple(self.queue):
@@ -257,7 +260,8 @@
                 candidates = [
                     candidate
                     for candidate in candidates
-                    if candidate.has_slot and candidate.may_start(now)
+                    if self._has_room(candidate, now)
+                    and candidate.may_start(now)
                 ]
                 queued_request.on_decision(placed)
 
@@ -300,10 +304,13 @@
         self, state: UpstreamState, service_time: float, now: float
     ) -> Placed:
         # Extra time that all upstreams need is not slowness of this one.
-        expected = self.median_ratio * service_time
-        expected *= max(state.expected_slowdown(now), 1)
+        usual = service_time * max(state.expected_slowdown(now), 1)
+        sample = self.concurrency.start(
+            state.load_effect, state.in_flight + 1, usual, now
+        )
+        expected = self.concurrency.expected_seconds(sample)
         state.terms.count_request(now)
-        return Placed(state, state.observed.start(now, expected))
+        return Placed(state, state.observed.start(now, expected), sample)
 
     def _candidates(self, now: float) -> list[UpstreamState]:
         """Return the upstreams with a free slot that are worth sending to.
@@ -312,13 +319,34 @@
         as long, even after the upstream is fast again. Slow upstreams are
         therefore used only if all are slow.
         """
-        usable = [
+        with_room = [
             state
             for state in self.upstreams.values()
-            if state.is_usable and state.may_start(now)
+            if self._has_room(state, now)
+            and state.is_usable
+            and state.may_start(now)
         ]
-        fast = [state for state in usable if not state.is_slow(now)]
-        return [state for state in fast or usable if state.has_slot]
+        fast = [state for state in with_room if not state.is_slow(now)]
+        if fast or not with_room:
+            return fast
+        is_any_fast = any(
+            state.is_usable and state.may_start(now) and not state.is_slow(now)
+            for state in self.upstreams.values()
+        )
+        return [] if is_any_fast else with_room
+
+    def _has_room(self, state: UpstreamState, now: float) -> bool:
+        """Return whether a slot is free and its use speeds up the service.
+
+        If no request has ended for a service time, a wait for one to end would
+        take longer than the slowdown of a full upstream.
+        """
+        if not state.has_slot:
+            return False
+        if now - self.released_at > self.service_time:
+            return True
+        is_trial = now < self.concurrency.trial_ends_at
+        return state.is_below_limit(is_trial=is_trial)
 
     def _choose(
         self,
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from .concurrency import LoadSample
 from .upstream_state import UpstreamState
 
 #: Ratio of actual to expected service time of the shortest requests.
@@ -36,6 +37,7 @@
 
     upstream: UpstreamState
     ticket: int
+    sample: LoadSample
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -4,6 +4,7 @@
 from math import exp, inf
 
 from ..routes.model import RegisteredUpstream
+from .concurrency import LoadEffect
 from .observed_slowdown import ObservedSlowdown
 from .upstream_terms import UpstreamTerms
 
@@ -14,10 +15,6 @@
 #: Slowdown assumed without a recent report. The dispatcher probes such an
 #: upstream before it sends a request there.
 TYPICAL_SLOWDOWN = 1.2
-#: Share of slots in use at which an upstream counts as nearly full.
-NEARLY_FULL_SHARE = 0.8
-#: Extra service time at a nearly full upstream, relative to the usual one.
-NEARLY_FULL_SLOWDOWN = 0.7
 #: Extra time of a request to another failure domain.
 REMOTE_SECONDS = 0.003
 #: Cost of traffic to another failure domain, relative to the service time.
@@ -44,11 +41,14 @@
     at ``reported_at``. Until ``backoff_until`` the upstream gets no request;
     ``terms`` may ask for a longer time. An upstream that another instance
     dispatches to is not ``is_owned``; one that others may dispatch to as well
-    is not ``is_exclusive``. Times are monotonic seconds.
+    is not ``is_exclusive``. ``trial_offset`` is added to the limit of requests
+    in flight during a trial. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
     is_remote: bool
+    load_effect: LoadEffect
+    trial_offset: int = 0
     warm_up_until: float = -inf
     reported_at: float = -inf
     slowdown: float = TYPICAL_SLOWDOWN
@@ -90,6 +90,13 @@
         """Return whether a slot is free."""
         return len(self.observed.running) < self.entry.slots
 
+    def is_below_limit(self, *, is_trial: bool) -> bool:
+        """Return whether one more request does not lower the throughput."""
+        limit = self.load_effect.limit
+        if is_trial:
+            limit += self.trial_offset
+        return len(self.observed.running) < min(limit, self.entry.slots)
+
     def may_start(self, now: float) -> bool:
         """Return whether no backoff or rate limit forbids a request."""
         terms = self.terms
@@ -129,9 +136,7 @@
             * self.expected_slowdown(now)
             * self.observed.slowdown(now)
         )
-        if self.in_flight + 1 >= NEARLY_FULL_SHARE * self.entry.slots:
-            time *= 1 + NEARLY_FULL_SLOWDOWN
-        return time
+        return time * self.load_effect.ratio(self.in_flight + 1)
 
     def cost(self, service_time: float, now: float) -> float:
         """Return the expected time, weighted for failures and locality."""
