Order requests fairly among accounts when upstreams are short

Accounts are now served in proportion to their usual use within a priority; late requests get only capacity that no request in time needs, unless their kind is served about as seldom as a less urgent one; requests that will meet their target wait beyond the former queue limit; late ones whose turn will not come are refused early, and callers return one after the other. The queue is no longer sorted at each step.

--- /dev/null
+++ b/src/crocusproxy/placement/admission.py
@@ -0,0 +1,72 @@
+"""Which requests may wait, and when refused callers should return.
+
+Follows from the measured rate at which requests are served.
+"""
+
+from math import inf
+from random import Random
+
+from .decayed_rate import DecayedRate
+from .fair_queue import FairQueue
+from .requests import QueuedRequest
+from .stated_capacity import ReturnSchedule
+
+#: Time over which the rate of ended requests is averaged.
+RATE_SECONDS = 0.5
+#: Share of the rate at the usual speed that is assumed at least: before a
+#: burst, fewer requests end than the upstreams can serve.
+MIN_RATE_SHARE = 0.5
+#: Time for which requests must have waited before late ones are given up.
+MIN_BACKLOG_SECONDS = 0.3
+#: Remaining time up to which it can be told that the turn will not come.
+MAX_FORECAST_SECONDS = 1.0
+#: Shortest time between two returning callers.
+MIN_RETURN_INTERVAL_SECONDS = 0.001
+
+
+class Admission:
+    """Forecasts the turn of requests from the rate of ended requests."""
+
+    def __init__(self, queue: FairQueue, random: Random) -> None:
+        self.queue = queue
+        self.ended = DecayedRate(RATE_SECONDS)
+        self.schedule = ReturnSchedule(random, MIN_RETURN_INTERVAL_SECONDS)
+        self.backlog_since = inf
+
+    def watch_backlog(self, now: float) -> None:
+        """Note since when requests have waited without a break."""
+        if not self.queue:
+            self.backlog_since = inf
+        elif self.backlog_since == inf:
+            self.backlog_since = now
+
+    def rate(self, slots: int, service_time: float, now: float) -> float:
+        """Return the requests that are served per second."""
+        usual = max(slots, 1) / service_time
+        return max(self.ended.per_second(now), MIN_RATE_SHARE * usual)
+
+    def is_patient(
+        self, queued_request: QueuedRequest, rate: float, now: float
+    ) -> bool:
+        """Return whether a request will meet its target after its wait."""
+        start = now + self.queue.ahead_of(queued_request) / rate
+        return start <= queued_request.safe_until(self.queue.pace)
+
+    def is_hopeless(self, queued_request: QueuedRequest, now: float) -> bool:
+        """Return whether the turn of a late request will not come."""
+        remaining = queued_request.latest_start - now
+        if remaining > MAX_FORECAST_SECONDS:
+            return False
+        if now - self.backlog_since < MIN_BACKLOG_SECONDS:
+            return False
+        priority = queued_request.request.priority
+        if not self.queue.in_time_count():
+            return False
+        if self.queue.served.is_behind(priority):
+            return False
+        return self.queue.expected_late_starts(priority, remaining, now) < 0
+
+    def return_delay(self, rate: float, now: float) -> float:
+        """Return the seconds after which a refused caller should return."""
+        room_at = now + len(self.queue) / rate
+        return self.schedule.next_return(room_at, rate) - now
--- a/src/crocusproxy/placement/concurrency.py
+++ b/src/crocusproxy/placement/concurrency.py
@@ -40,6 +40,8 @@
 #: Ratio to the expected duration after which a request is evaluated, whether it
 #: has ended or not.
 EVALUATION_RATIO = 2.5
+#: Upper limit of the expected durations under load, relative to the usual ones.
+MAX_PACE = 2.0
 TRIAL_SECONDS = 0.5
 #: Share of upstreams that exceed the limit during a trial.
 HIGHER_TRIAL_SHARE = 0.05
@@ -209,6 +211,17 @@
         ratio = sample.effect.relative_ratio(sample.in_flight)
         return self.median_ratio * ratio * sample.usual_seconds
 
+    def pace(self) -> float:
+        """Return the ratio of actual to usual durations at the limit.
+
+        It is at least 1, and bounded, as it may be of a short slow phase.
+        """
+        ratios = [
+            one.relative_ratio(one.limit) for one in self.effects.values()
+        ]
+        ratio = self.median_ratio * max(ratios, default=1)
+        return min(max(ratio, 1), MAX_PACE)
+
     def start(
         self,
         effect: LoadEffect,
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -13,14 +13,19 @@
 
 from ..clock import Clock
 from ..routes.model import RegisteredUpstream
+from .account_usage import AccountUsage
+from .admission import Admission
 from .concurrency import ServiceConcurrency
+from .fair_queue import FairQueue
 from .requests import (
     Decision,
     Placed,
     PlacementRequest,
     QueuedRequest,
     Refused,
+    Standing,
 )
+from .served_shares import ServedShares
 from .stated_capacity import (
     ReturnSchedule,
     StatedCapacity,
@@ -29,8 +34,10 @@
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
 
-#: Queued requests per slot; more could not be served in time.
+#: Queued requests per slot, apart from those that can wait for longer.
 QUEUED_PER_SLOT = 2
+#: Queued requests per slot, including those.
+MAX_QUEUED_PER_SLOT = 10
 MIN_QUEUE_LENGTH = 8
 #: Number of queued requests that are considered for the free slots.
 MAX_QUEUE_SCAN = 16
@@ -38,13 +45,16 @@
 MAX_QUEUED_SHARE = 0.1
 #: Share of free slots above which requests of other domain homes are accepted.
 MIN_SPARE_SHARE = 0.1
+#: Time for which a count of the slots is used.
+SLOT_COUNT_SECONDS = 0.05
+#: Time between checks of a long queue against the upstreams' rate limits.
+LIMIT_CHECK_SECONDS = 0.01
 #: Costs that differ by less than this share of the service time are equal.
 EQUAL_COST_SHARE = 0.05
 #: Returns whether this instance dispatches to a failure domain's upstreams.
 Ownership = Callable[[str], bool]
 
 _NO_UPSTREAM = Refused('no_upstream', timedelta(milliseconds=200))
-_OVERLOADED = Refused('overloaded', timedelta(milliseconds=100))
 
 
 class ServicePlacer:
@@ -69,7 +79,13 @@
         self.terms_table = terms_table or TermsTable()
         self.return_schedule = ReturnSchedule(random)
         self.upstreams: dict[str, UpstreamState] = {}
-        self.queue: list[QueuedRequest] = []
+        self.usage = AccountUsage()
+        self.served = ServedShares()
+        self.queue = FairQueue(self.usage, self.served)
+        self.admission = Admission(self.queue, random)
+        self.slot_count = 0
+        self.slots_counted_at = -inf
+        self.limits_checked_at = -inf
         self.concurrency = ServiceConcurrency(random)
         self.released_at = -inf
         self.service_time = inf
@@ -101,6 +117,7 @@
         state.is_exclusive = self.is_exclusive
         warm_up = entry.warm_up.total_seconds()
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
+        self.slots_counted_at = -inf
         self.process_queue()
 
     def remove(self, key: str) -> None:
@@ -108,6 +125,7 @@
         state = self.upstreams.pop(key, None)
         if state is not None:
             state.is_removed = True
+            self.slots_counted_at = -inf
             self._refuse_unplaceable()
 
     def set_ownership(self, owns: Ownership) -> None:
@@ -118,6 +136,7 @@
         self.owns = owns
         for state in self.upstreams.values():
             state.is_owned = owns(state.entry.failure_domain)
+        self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -129,6 +148,7 @@
         self.is_exclusive = is_exclusive
         for state in self.upstreams.values():
             state.is_exclusive = is_exclusive
+        self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -174,14 +194,14 @@
         """Decide now, or queue the request until it has a slot or times out."""
         now = self.now()
         self.service_time = request.service_time
+        self.usage.count(request.account, request.service_time, now)
         queued_request = QueuedRequest(request, now, on_decision)
         if not self._has_upstream(request):
             on_decision(_NO_UPSTREAM)
             return queued_request
         if not self.queue and self._place_now(queued_request, now):
             return queued_request
-        self.queue.append(queued_request)
-        self.process_queue()
+        self._enqueue(queued_request, now)
         return queued_request
 
     def withdraw(self, queued_request: QueuedRequest) -> None:
@@ -195,6 +215,7 @@
         placed.upstream.observed.end(placed.ticket, now, answered=answered)
         self.concurrency.end(placed.sample, now, answered=answered)
         self.released_at = now
+        self.admission.ended.count(now)
         if not self.queue:
             return
         if placed.upstream.terms.is_leaving:
@@ -205,25 +226,78 @@
         """Place queued requests, then refuse excess ones.
 
         Requests that cannot start in time are refused, and the last ones in
-        rank if the queue is longer than its limit.
+        the order if the queue is longer than its limit.
         """
         now = self.now()
-        self.queue.sort(key=lambda queued_request: queued_request.rank(now))
+        self._apply_time(now)
         self._place_queued(now)
-        if not self.queue:
-            return
-        self.concurrency.renew_trials(self.upstreams.values(), now)
+        self.admission.watch_backlog(now)
+        if self.queue:
+            self.concurrency.renew_trials(self.upstreams.values(), now)
+            self._refuse_excess(now)
+
+    def _enqueue(self, queued_request: QueuedRequest, now: float) -> None:
+        """Add a request to the queue; its decision may follow at once."""
+        had_long_queue = len(self.queue) > MAX_QUEUE_SCAN
+        self.queue.push(queued_request, now)
+        if queued_request.standing is Standing.IN_TIME:
+            rate = self._rate(queued_request, now)
+            if self.admission.is_patient(queued_request, rate, now):
+                self.queue.set_patient(queued_request)
+        if now >= queued_request.latest_start:
+            self._refuse(queued_request, now)
+        elif queued_request.standing is Standing.LATE:
+            self._refuse_if_hopeless(queued_request, now)
+        if had_long_queue:
+            # Those before it have not found a slot either.
+            self._refuse_excess(now)
+        else:
+            self.process_queue()
+
+    def _apply_time(self, now: float) -> None:
+        self.queue.pace = self.concurrency.pace()
+        changes = self.queue.advance(now)
+        for expired in changes.expired:
+            self._refuse(expired, now)
+        for late in changes.late:
+            self._refuse_if_hopeless(late, now)
+
+    def _refuse_if_hopeless(
+        self, queued_request: QueuedRequest, now: float
+    ) -> None:
+        if self.admission.is_hopeless(queued_request, now):
+            self._refuse(queued_request, now)
+
+    def _refuse_excess(self, now: float) -> None:
+        """Refuse what the upstreams' limits or the queue have no room for."""
         capacity = stated_capacity(self.upstreams.values(), now)
+        if capacity.is_limited(now):
+            self._refuse_limited(capacity, now)
+        slots = self._slots()
+        limit = max(QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
+        longest = max(MAX_QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
+        while len(self.queue) > min(
+            max(limit, self.queue.patient_count), longest
+        ):
+            self._refuse(self.queue.last(), now)
+
+    def _refuse_limited(self, capacity: StatedCapacity, now: float) -> None:
+        """Refuse requests that the limits permit too late."""
+        is_checked = now - self.limits_checked_at < LIMIT_CHECK_SECONDS
+        if is_checked and len(self.queue) > MAX_QUEUE_SCAN:
+            return
+        self.limits_checked_at = now
         position = 0
         for queued_request in tuple(self.queue):
-            request = queued_request.request
-            start = capacity.start_of(position)
-            if start + request.service_time >= request.deadline:
-                self._refuse(queued_request, capacity, now)
+            if capacity.start_of(position) >= queued_request.latest_start:
+                self._refuse(queued_request, now)
             else:
                 position += 1
-        while len(self.queue) > self._queue_limit():
-            self._refuse(self.queue[-1], capacity, now)
+
+    def _rate(self, queued_request: QueuedRequest, now: float) -> float:
+        """Return the requests per second that the upstreams serve."""
+        service_time = queued_request.service_time
+        return self.admission.rate(self._slots(), service_time, now)
 
     def _has_upstream(self, request: PlacementRequest) -> bool:
         return any(
@@ -236,34 +310,49 @@
         state = self._choose(queued_request, self._candidates(now), now)
         if state is None:
             return False
-        queued_request.on_decision(
-            self._start(state, queued_request.request.service_time, now)
-        )
+        self._decide_placed(queued_request, state, now)
         return True
 
     def _place_queued(self, now: float) -> None:
         """Place queued requests while there are free slots.
 
-        Only the first ``MAX_QUEUE_SCAN`` requests are considered, so that the
-        cost of a call does not grow with the queue.
+        At most ``MAX_QUEUE_SCAN`` requests are passed over, so that the cost of
+        a call does not grow with the queue.
         """
-        candidates = self._candidates(now)
-        for queued_request in tuple(self.queue[:MAX_QUEUE_SCAN]):
-            if not candidates:
+        candidates = self._candidates(now) if self.queue else []
+        passed_over: list[QueuedRequest] = []
+        while candidates and len(passed_over) < MAX_QUEUE_SCAN:
+            queued_request = self.queue.take(now)
+            if queued_request is None:
                 break
             state = self._choose(queued_request, candidates, now)
-            if state is not None:
-                self.queue.remove(queued_request)
-                placed = self._start(
-                    state, queued_request.request.service_time, now
-                )
-                candidates = [
-                    candidate
-                    for candidate in candidates
-                    if self._has_room(candidate, now)
-                    and candidate.may_start(now)
-                ]
-                queued_request.on_decision(placed)
+            if state is None:
+                passed_over.append(queued_request)
+            else:
+                self._decide_placed(queued_request, state, now)
+                candidates = self._with_room(candidates, now)
+        for queued_request in reversed(passed_over):
+            self.queue.give_back(queued_request, now)
+
+    def _with_room(
+        self, candidates: list[UpstreamState], now: float
+    ) -> list[UpstreamState]:
+        return [
+            state
+            for state in candidates
+            if self._has_room(state, now) and state.may_start(now)
+        ]
+
+    def _decide_placed(
+        self, queued_request: QueuedRequest, state: UpstreamState, now: float
+    ) -> None:
+        request = queued_request.request
+        self.served.count(request.priority, now, is_placed=True)
+        if queued_request.standing is Standing.LATE:
+            self.queue.count_late_start(request.priority, now)
+        queued_request.on_decision(
+            self._start(state, request.service_time, now)
+        )
 
     def _refuse_unplaceable(self) -> None:
         """Refuse the queued requests that no upstream is left for."""
@@ -272,33 +361,34 @@
                 self.queue.remove(queued_request)
                 queued_request.on_decision(_NO_UPSTREAM)
 
-    def _refuse(
-        self,
-        queued_request: QueuedRequest,
-        capacity: StatedCapacity,
-        now: float,
-    ) -> None:
+    def _refuse(self, queued_request: QueuedRequest, now: float) -> None:
         self.queue.remove(queued_request)
-        if not capacity.is_limited(now):
-            queued_request.on_decision(_OVERLOADED)
-            return
-        returns_at = self.return_schedule.next_return(
-            capacity.start_of(len(self.queue)), capacity.rate
-        )
-        queued_request.on_decision(
-            Refused('upstreams_limited', timedelta(seconds=returns_at - now))
-        )
+        priority = queued_request.request.priority
+        self.served.count(priority, now, is_placed=False)
+        capacity = stated_capacity(self.upstreams.values(), now)
+        if capacity.is_limited(now):
+            code = 'upstreams_limited'
+            returns_at = self.return_schedule.next_return(
+                capacity.start_of(len(self.queue)), capacity.rate
+            )
+            delay = returns_at - now
+        else:
+            code = 'overloaded'
+            rate = self._rate(queued_request, now)
+            delay = self.admission.return_delay(rate, now)
+        queued_request.on_decision(Refused(code, timedelta(seconds=delay)))
 
     def _slots(self) -> int:
         """Return the slots of the upstreams that do not limit their rate."""
-        return sum(
-            state.entry.slots
-            for state in self.upstreams.values()
-            if state.is_usable and state.rate_limit is None
-        )
-
-    def _queue_limit(self) -> int:
-        return max(QUEUED_PER_SLOT * self._slots(), MIN_QUEUE_LENGTH)
+        now = self.now()
+        if now - self.slots_counted_at >= SLOT_COUNT_SECONDS:
+            self.slots_counted_at = now
+            self.slot_count = sum(
+                state.entry.slots
+                for state in self.upstreams.values()
+                if state.is_usable and state.rate_limit is None
+            )
+        return self.slot_count
 
     def _start(
         self, state: UpstreamState, service_time: float, now: float
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import IntEnum
 
 from .concurrency import LoadSample
 from .upstream_state import UpstreamState
@@ -12,6 +13,7 @@
 #: Ratio of actual to expected service time that few requests exceed, even on a
 #: nearly full upstream.
 SAFE_SERVICE_TIME_RATIO = 1.7
+MIN_CHECK_INTERVAL_SECONDS = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +23,8 @@
     ``service_time`` is the expected duration at an upstream of the usual
     speed, in seconds. The response must arrive by ``deadline`` and should
     arrive by ``target_at``, both in monotonic seconds. ``excluded`` holds the
-    keys of upstreams that have been tried.
+    keys of upstreams that have been tried. ``account`` is empty for requests
+    without a client account, which are treated as those of one account.
     """
 
     priority: int
@@ -29,6 +32,7 @@
     target_at: float
     deadline: float
     excluded: frozenset[str] = frozenset()
+    account: str = ''
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -51,13 +55,48 @@
 Decision = Placed | Refused
 
 
+class Standing(IntEnum):
+    """Whether a request will meet its target if it starts now."""
+
+    IN_TIME = 0
+    AT_RISK = 1
+    LATE = 2
+
+
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
-    """A queued request; ``on_decision`` is called once, with the decision."""
+    """A queued request; ``on_decision`` is called once, with the decision.
+
+    The other fields belong to the queue; ``sequence`` is the order of arrival.
+    """
 
     request: PlacementRequest
     queued_at: float
     on_decision: Callable[[Decision], None]
+    sequence: int = 0
+    standing: Standing = Standing.IN_TIME
+    is_queued: bool = False
+    is_patient: bool = False
+
+    @property
+    def account(self) -> str:
+        """Return the client account."""
+        return self.request.account
+
+    @property
+    def service_time(self) -> float:
+        """Return the expected duration at the usual speed, in seconds."""
+        return self.request.service_time
+
+    @property
+    def order_key(self) -> tuple[float, int]:
+        """Return the sort key among the requests of an account."""
+        return self.request.target_at, self.sequence
+
+    @property
+    def latest_start(self) -> float:
+        """Return when the request can no longer meet its deadline."""
+        return self.request.deadline - self.request.service_time
 
     def can_meet_target(self, now: float) -> bool:
         """Return whether the request can still meet its target."""
@@ -81,18 +120,42 @@
         end = now + state.expected_time(request.service_time, now)
         return end <= latest_end
 
-    def rank(self, now: float) -> tuple[bool, int, bool, float]:
-        """Return the sort key of the queue.
+    def safe_until(self, pace: float) -> float:
+        """Return until when a start will probably meet the target.
 
-        Requests that cannot meet their target come last: a late response is
-        worth little to its caller and would make others late. Within a
-        priority, requests that will probably meet their target come before
-        those that may miss it.
+        ``pace`` is the ratio of actual to expected durations at present.
         """
         request = self.request
-        may_miss_target = (
-            now + SAFE_SERVICE_TIME_RATIO * request.service_time
-            > request.target_at
-        )
-        is_late = not self.can_meet_target(now)
-        return is_late, request.priority, may_miss_target, request.target_at
+        longest = SAFE_SERVICE_TIME_RATIO * pace * request.service_time
+        return request.target_at - longest
+
+    def possible_until(self, pace: float) -> float:
+        """Return until when a start can meet the target."""
+        request = self.request
+        shortest = MIN_SERVICE_TIME_RATIO * pace * request.service_time
+        return request.target_at - shortest
+
+    def standing_at(self, now: float, pace: float) -> Standing:
+        """Return the standing of the request.
+
+        A late response is worth little to its caller, and would make others
+        late.
+        """
+        if now > self.possible_until(pace):
+            return Standing.LATE
+        if now > self.safe_until(pace):
+            return Standing.AT_RISK
+        return Standing.IN_TIME
+
+    def next_change(self, now: float, pace: float) -> float:
+        """Return when the standing changes next, or the time runs out."""
+        match self.standing:
+            case Standing.IN_TIME:
+                change = self.safe_until(pace)
+            case Standing.AT_RISK:
+                change = self.possible_until(pace)
+            case _:
+                change = self.latest_start
+        # The pace may have become lower, so the time may be past.
+        change = max(change, now + MIN_CHECK_INTERVAL_SECONDS)
+        return min(change, self.latest_start)
--- a/src/crocusproxy/placement/stated_capacity.py
+++ b/src/crocusproxy/placement/stated_capacity.py
@@ -62,8 +62,11 @@
 class ReturnSchedule:
     """Divides the times at which refused callers should return."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(
+        self, random: Random, min_interval: float = MIN_RETURN_INTERVAL_SECONDS
+    ) -> None:
         self.random = random
+        self.min_interval = min_interval
         self.latest = -inf
 
     def next_return(self, earliest: float, rate: float) -> float:
@@ -71,7 +74,7 @@
 
         Callers return ``rate`` per second, from ``earliest`` on.
         """
-        interval = max(1 / rate, MIN_RETURN_INTERVAL_SECONDS)
+        interval = max(1 / rate, self.min_interval)
         self.latest = max(self.latest, earliest) + interval
         if self.latest > earliest + MAX_RETURN_SPREAD_SECONDS:
             # More callers than there will be room for.
