Merge fair queueing and learnt concurrency limits

The order of the queue and its refusals, and the limit of requests in flight per upstream, decide together with hedging: a hedge is no sample of the load effect, and an attempt that a hedge has overtaken is one.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -41,6 +41,7 @@
 from .metrics import EntryMetrics
 from .overflow import OverflowTargets
 from .own_member import own_member
+from .placement_metrics import PlacementCollector
 from .prober import Prober
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
@@ -348,6 +349,7 @@
             lambda: len(self.reach.unreached()),
             lambda: len(self.catalog.evacuated),
         )
+        self.metrics.registry.register(PlacementCollector(placers))
 
     async def _open_ports(self) -> None:
         settings = self.settings
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -262,6 +262,7 @@
             context.target_at,
             context.deadline,
             context.tried_keys,
+            context.account_name,
         )
 
     async def _choose(self, context: RequestContext) -> Decision:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -14,13 +14,19 @@
 
 from ..clock import Clock
 from ..routes.model import RegisteredUpstream
+from .account_usage import AccountUsage
+from .admission import Admission
+from .concurrency import ServiceConcurrency
+from .fair_queue import FairQueue
 from .requests import (
     Decision,
     Placed,
     PlacementRequest,
     QueuedRequest,
     Refused,
+    Standing,
 )
+from .served_shares import ServedShares
 from .stated_capacity import (
     ReturnSchedule,
     StatedCapacity,
@@ -29,32 +35,34 @@
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
 
-#: Queued requests per slot; more could not be served in time.
+#: Queued requests per slot, apart from those that can wait for longer.
 QUEUED_PER_SLOT = 2
+#: Queued requests per slot, including those.
+MAX_QUEUED_PER_SLOT = 10
 MIN_QUEUE_LENGTH = 8
-#: Step of the estimated median ratio of actual to expected duration at each
-#: response, relative to the estimate.
-RATIO_STEP_SHARE = 0.01
 #: Number of queued requests that are considered for the free slots.
 MAX_QUEUE_SCAN = 16
 #: Queued requests per slot from which other domain homes are asked for a slot.
 MAX_QUEUED_SHARE = 0.1
 #: Share of free slots above which requests of other domain homes are accepted.
 MIN_SPARE_SHARE = 0.1
+#: Time for which a count of the slots is used.
+SLOT_COUNT_SECONDS = 0.05
+#: Time between checks of a long queue against the upstreams' rate limits.
+LIMIT_CHECK_SECONDS = 0.01
 #: Costs that differ by less than this share of the service time are equal.
 EQUAL_COST_SHARE = 0.05
 #: Returns whether this instance dispatches to a failure domain's upstreams.
 Ownership = Callable[[str], bool]
 
 _NO_UPSTREAM = Refused('no_upstream', timedelta(milliseconds=200))
-_OVERLOADED = Refused('overloaded', timedelta(milliseconds=100))
 
 
 class ServicePlacer:
     """The upstreams of one service and the requests that wait for them.
 
-    ``median_ratio`` is the estimated median of the ratio of actual to expected
-    duration over all upstreams.
+    ``released_at`` is when the last request ended, in monotonic seconds;
+    ``service_time`` is that of the latest request, in seconds.
     """
 
     def __init__(
@@ -72,8 +80,16 @@
         self.terms_table = terms_table or TermsTable()
         self.return_schedule = ReturnSchedule(random)
         self.upstreams: dict[str, UpstreamState] = {}
-        self.queue: list[QueuedRequest] = []
-        self.median_ratio = 1.0
+        self.usage = AccountUsage()
+        self.served = ServedShares()
+        self.queue = FairQueue(self.usage, self.served)
+        self.admission = Admission(self.queue, random)
+        self.slot_count = 0
+        self.slots_counted_at = -inf
+        self.limits_checked_at = -inf
+        self.concurrency = ServiceConcurrency(random)
+        self.released_at = -inf
+        self.service_time = inf
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
         self.evacuated: frozenset[str] = frozenset()
@@ -92,14 +108,19 @@
                 state.is_removed = True
             is_remote = entry.failure_domain != self.failure_domain
             state = UpstreamState(
-                entry, is_remote, terms=self.terms_table.terms(entry)
+                entry,
+                is_remote,
+                self.concurrency.effect(entry.slots),
+                terms=self.terms_table.terms(entry),
             )
             self.upstreams[entry.key] = state
+        state.load_effect = self.concurrency.effect(entry.slots)
         state.is_owned = self.owns(entry.failure_domain)
         state.is_exclusive = self.is_exclusive
         state.is_evacuated = entry.failure_domain in self.evacuated
         warm_up = entry.warm_up.total_seconds()
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
+        self.slots_counted_at = -inf
         self.process_queue()
 
     def remove(self, key: str) -> None:
@@ -107,6 +128,7 @@
         state = self.upstreams.pop(key, None)
         if state is not None:
             state.is_removed = True
+            self.slots_counted_at = -inf
             self._refuse_unplaceable()
 
     def set_ownership(self, owns: Ownership) -> None:
@@ -117,6 +139,7 @@
         self.owns = owns
         for state in self.upstreams.values():
             state.is_owned = owns(state.entry.failure_domain)
+        self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -128,6 +151,7 @@
         self.is_exclusive = is_exclusive
         for state in self.upstreams.values():
             state.is_exclusive = is_exclusive
+        self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -143,6 +167,7 @@
             if state.is_evacuated and not is_evacuated:
                 state.forget_failures()
             state.is_evacuated = is_evacuated
+        self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -176,7 +201,7 @@
         if self.queue:
             return False
         free = sum(
-            state.entry.slots - state.in_flight
+            min(state.load_effect.limit, state.entry.slots) - state.in_flight
             for state in self._candidates(self.now())
             if state.rate_limit is None
         )
@@ -187,14 +212,15 @@
     ) -> QueuedRequest:
         """Decide now, or queue the request until it has a slot or times out."""
         now = self.now()
+        self.service_time = request.service_time
+        self.usage.count(request.account, request.service_time, now)
         queued_request = QueuedRequest(request, now, on_decision)
         if not self._has_upstream(request):
             on_decision(_NO_UPSTREAM)
             return queued_request
         if not self.queue and self._place_now(queued_request, now):
             return queued_request
-        self.queue.append(queued_request)
-        self.process_queue()
+        self._enqueue(queued_request, now)
         return queued_request
 
     def place_hedge(self, request: PlacementRequest) -> Placed | None:
@@ -219,49 +245,105 @@
     def release(self, placed: Placed, *, answered: bool = False) -> None:
         """Free the slot of an ended request."""
         now = self.now()
-        ratio = placed.upstream.observed.end(
-            placed.ticket, now, answered=answered
-        )
+        observed = placed.upstream.observed
+        observed.end(placed.ticket, now, answered=answered)
         # Only the faster hedges are answered, so they are left out.
-        if answered and not placed.is_hedge:
-            step = RATIO_STEP_SHARE if ratio > 1 else -RATIO_STEP_SHARE
-            self.median_ratio *= 1 + step
-        self._use_free_slot(placed)
+        is_sample = answered and not placed.is_hedge
+        self._end(placed, now, is_sample=is_sample)
 
     def supersede(self, placed: Placed) -> None:
         """Free the slot of a request that another attempt has answered."""
+        now = self.now()
         observed = placed.upstream.observed
         if placed.is_hedge:
             # Its age is short and says little about its upstream.
             observed.discard(placed.ticket)
-        elif observed.supersede(placed.ticket, self.now()) > 1:
-            self.median_ratio *= 1 + RATIO_STEP_SHARE
-        self._use_free_slot(placed)
+        else:
+            observed.supersede(placed.ticket, now)
+        # The first attempt has taken longer than most, so its age is a sample.
+        self._end(placed, now, is_sample=not placed.is_hedge)
 
     def process_queue(self) -> None:
         """Place queued requests, then refuse excess ones.
 
         Requests that cannot start in time are refused, and the last ones in
-        rank if the queue is longer than its limit.
+        the order if the queue is longer than its limit.
         """
         now = self.now()
-        self.queue.sort(key=lambda queued_request: queued_request.rank(now))
+        self._apply_time(now)
         self._place_queued(now)
-        if not self.queue:
-            return
+        self.admission.watch_backlog(now)
+        if self.queue:
+            self.concurrency.renew_trials(self.upstreams.values(), now)
+            self._refuse_excess(now)
+
+    def _enqueue(self, queued_request: QueuedRequest, now: float) -> None:
+        """Add a request to the queue; its decision may follow at once."""
+        had_long_queue = len(self.queue) > MAX_QUEUE_SCAN
+        self.queue.push(queued_request, now)
+        if queued_request.standing is Standing.IN_TIME:
+            rate = self._rate(queued_request, now)
+            if self.admission.is_patient(queued_request, rate, now):
+                self.queue.set_patient(queued_request)
+        if now >= queued_request.latest_start:
+            self._refuse(queued_request, now)
+        elif queued_request.standing is Standing.LATE:
+            self._refuse_if_hopeless(queued_request, now)
+        if had_long_queue:
+            # Those before it have not found a slot either.
+            self._refuse_excess(now)
+        else:
+            self.process_queue()
+
+    def _apply_time(self, now: float) -> None:
+        self.queue.pace = self.concurrency.pace()
+        changes = self.queue.advance(now)
+        for expired in changes.expired:
+            self._refuse(expired, now)
+        for late in changes.late:
+            self._refuse_if_hopeless(late, now)
+
+    def _refuse_if_hopeless(
+        self, queued_request: QueuedRequest, now: float
+    ) -> None:
+        if self.admission.is_hopeless(queued_request, now):
+            self._refuse(queued_request, now)
+
+    def _refuse_excess(self, now: float) -> None:
+        """Refuse what the upstreams' limits or the queue have no room for."""
         capacity = stated_capacity(self.upstreams.values(), now)
+        if capacity.is_limited(now):
+            self._refuse_limited(capacity, now)
+        slots = self._slots()
+        limit = max(QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
+        longest = max(MAX_QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
+        while len(self.queue) > min(
+            max(limit, self.queue.patient_count), longest
+        ):
+            self._refuse(self.queue.last(), now)
+
+    def _refuse_limited(self, capacity: StatedCapacity, now: float) -> None:
+        """Refuse requests that the limits permit too late."""
+        is_checked = now - self.limits_checked_at < LIMIT_CHECK_SECONDS
+        if is_checked and len(self.queue) > MAX_QUEUE_SCAN:
+            return
+        self.limits_checked_at = now
         position = 0
         for queued_request in tuple(self.queue):
-            request = queued_request.request
-            start = capacity.start_of(position)
-            if start + request.service_time >= request.deadline:
-                self._refuse(queued_request, capacity, now)
+            if capacity.start_of(position) >= queued_request.latest_start:
+                self._refuse(queued_request, now)
             else:
                 position += 1
-        while len(self.queue) > self._queue_limit():
-            self._refuse(self.queue[-1], capacity, now)
 
-    def _use_free_slot(self, placed: Placed) -> None:
+    def _rate(self, queued_request: QueuedRequest, now: float) -> float:
+        """Return the requests per second that the upstreams serve."""
+        service_time = queued_request.service_time
+        return self.admission.rate(self._slots(), service_time, now)
+
+    def _end(self, placed: Placed, now: float, *, is_sample: bool) -> None:
+        self.concurrency.end(placed.sample, now, answered=is_sample)
+        self.released_at = now
+        self.admission.ended.count(now)
         if not self.queue:
             return
         if placed.upstream.terms.is_leaving:
@@ -279,33 +361,49 @@
         state = self._choose(queued_request, self._candidates(now), now)
         if state is None:
             return False
-        queued_request.on_decision(
-            self._start(state, queued_request.request.service_time, now)
-        )
+        self._decide_placed(queued_request, state, now)
         return True
 
     def _place_queued(self, now: float) -> None:
         """Place queued requests while there are free slots.
 
-        Only the first ``MAX_QUEUE_SCAN`` requests are considered, so that the
-        cost of a call does not grow with the queue.
+        At most ``MAX_QUEUE_SCAN`` requests are passed over, so that the cost of
+        a call does not grow with the queue.
         """
-        candidates = self._candidates(now)
-        for queued_request in tuple(self.queue[:MAX_QUEUE_SCAN]):
-            if not candidates:
+        candidates = self._candidates(now) if self.queue else []
+        passed_over: list[QueuedRequest] = []
+        while candidates and len(passed_over) < MAX_QUEUE_SCAN:
+            queued_request = self.queue.take(now)
+            if queued_request is None:
                 break
             state = self._choose(queued_request, candidates, now)
-            if state is not None:
-                self.queue.remove(queued_request)
-                placed = self._start(
-                    state, queued_request.request.service_time, now
-                )
-                candidates = [
-                    candidate
-                    for candidate in candidates
-                    if candidate.has_slot and candidate.may_start(now)
-                ]
-                queued_request.on_decision(placed)
+            if state is None:
+                passed_over.append(queued_request)
+            else:
+                self._decide_placed(queued_request, state, now)
+                candidates = self._with_room(candidates, now)
+        for queued_request in reversed(passed_over):
+            self.queue.give_back(queued_request, now)
+
+    def _with_room(
+        self, candidates: list[UpstreamState], now: float
+    ) -> list[UpstreamState]:
+        return [
+            state
+            for state in candidates
+            if self._has_room(state, now) and state.may_start(now)
+        ]
+
+    def _decide_placed(
+        self, queued_request: QueuedRequest, state: UpstreamState, now: float
+    ) -> None:
+        request = queued_request.request
+        self.served.count(request.priority, now, is_placed=True)
+        if queued_request.standing is Standing.LATE:
+            self.queue.count_late_start(request.priority, now)
+        queued_request.on_decision(
+            self._start(state, request.service_time, now)
+        )
 
     def _refuse_unplaceable(self) -> None:
         """Refuse the queued requests that no upstream is left for."""
@@ -314,42 +412,46 @@
                 self.queue.remove(queued_request)
                 queued_request.on_decision(_NO_UPSTREAM)
 
-    def _refuse(
-        self,
-        queued_request: QueuedRequest,
-        capacity: StatedCapacity,
-        now: float,
-    ) -> None:
+    def _refuse(self, queued_request: QueuedRequest, now: float) -> None:
         self.queue.remove(queued_request)
-        if not capacity.is_limited(now):
-            queued_request.on_decision(_OVERLOADED)
-            return
-        returns_at = self.return_schedule.next_return(
-            capacity.start_of(len(self.queue)), capacity.rate
-        )
-        queued_request.on_decision(
-            Refused('upstreams_limited', timedelta(seconds=returns_at - now))
-        )
+        priority = queued_request.request.priority
+        self.served.count(priority, now, is_placed=False)
+        capacity = stated_capacity(self.upstreams.values(), now)
+        if capacity.is_limited(now):
+            code = 'upstreams_limited'
+            returns_at = self.return_schedule.next_return(
+                capacity.start_of(len(self.queue)), capacity.rate
+            )
+            delay = returns_at - now
+        else:
+            code = 'overloaded'
+            rate = self._rate(queued_request, now)
+            delay = self.admission.return_delay(rate, now)
+        queued_request.on_decision(Refused(code, timedelta(seconds=delay)))
 
     def _slots(self) -> int:
         """Return the slots of the upstreams that do not limit their rate."""
-        return sum(
-            state.entry.slots
-            for state in self.upstreams.values()
-            if state.is_usable and state.rate_limit is None
-        )
-
-    def _queue_limit(self) -> int:
-        return max(QUEUED_PER_SLOT * self._slots(), MIN_QUEUE_LENGTH)
+        now = self.now()
+        if now - self.slots_counted_at >= SLOT_COUNT_SECONDS:
+            self.slots_counted_at = now
+            self.slot_count = sum(
+                state.entry.slots
+                for state in self.upstreams.values()
+                if state.is_usable and state.rate_limit is None
+            )
+        return self.slot_count
 
     def _start(
         self, state: UpstreamState, service_time: float, now: float
     ) -> Placed:
         # Extra time that all upstreams need is not slowness of this one.
-        expected = self.median_ratio * service_time
-        expected *= max(state.expected_slowdown(now), 1)
+        usual = service_time * max(state.expected_slowdown(now), 1)
+        sample = self.concurrency.start(
+            state.load_effect, state.in_flight + 1, usual, now
+        )
+        expected = self.concurrency.expected_seconds(sample)
         state.terms.count_request(now)
-        return Placed(state, state.observed.start(now, expected))
+        return Placed(state, state.observed.start(now, expected), sample)
 
     def _candidates(self, now: float) -> list[UpstreamState]:
         """Return the upstreams with a free slot that are worth sending to.
@@ -358,13 +460,34 @@
         as long, even after the upstream is fast again. Slow upstreams are
         therefore used only if all are slow.
         """
-        usable = [
+        with_room = [
             state
             for state in self.upstreams.values()
-            if state.is_usable and state.may_start(now)
+            if self._has_room(state, now)
+            and state.is_usable
+            and state.may_start(now)
         ]
-        fast = [state for state in usable if not state.is_slow(now)]
-        return [state for state in fast or usable if state.has_slot]
+        fast = [state for state in with_room if not state.is_slow(now)]
+        if fast or not with_room:
+            return fast
+        is_any_fast = any(
+            state.is_usable and state.may_start(now) and not state.is_slow(now)
+            for state in self.upstreams.values()
+        )
+        return [] if is_any_fast else with_room
+
+    def _has_room(self, state: UpstreamState, now: float) -> bool:
+        """Return whether a slot is free and its use speeds up the service.
+
+        If no request has ended for a service time, a wait for one to end would
+        take longer than the slowdown of a full upstream.
+        """
+        if not state.has_slot:
+            return False
+        if now - self.released_at > self.service_time:
+            return True
+        is_trial = now < self.concurrency.trial_ends_at
+        return state.is_below_limit(is_trial=is_trial)
 
     def _choose(
         self,
--- a/tests/entry/test_hedged_call.py
+++ b/tests/entry/test_hedged_call.py
@@ -7,6 +7,7 @@
 
 from crocusproxy.entry.crash_watch import fingerprint
 from crocusproxy.entry.settings import Hedging
+from crocusproxy.placement.requests import PlacementRequest, QueuedRequest
 from crocusproxy.protocol.home_feed import CrashReport
 
 from .hedging import FAILED, LOST, NOT_RUN, OK, SERVICE, System, make_route
@@ -150,13 +151,23 @@
         """Retries have used the budget up."""
 
 
+def queue_request(system):
+    """Let a request wait that no upstream may serve."""
+    placer = system.placer
+    now = placer.now()
+    request = PlacementRequest(
+        1, 0.1, now + 10, now + 10, frozenset(placer.upstreams)
+    )
+    placer.queue.push(QueuedRequest(request, now, print), now)
+
+
 @pytest.mark.parametrize(
     ('reason', 'route', 'change'),
     [
         ('attempts', make_route(attempts=1), None),
         ('too_late', make_route(target=0.25), None),
         ('slots', make_route(), lambda one: hold_slots(one, 14)),
-        ('queue', make_route(), lambda one: one.placer.queue.append(None)),
+        ('queue', make_route(), queue_request),
         ('slots', make_route(), limit_rates),
         ('no_upstream', make_route(), slow_down),
         ('budget', make_route(), spend_budget),
@@ -170,7 +181,8 @@
         if change is not None:
             change(system)
         await asyncio.sleep(0.2)
-        system.placer.queue.clear()
+        for queued_request in tuple(system.placer.queue):
+            system.placer.withdraw(queued_request)
         await task
 
     async def refresh(service, state):
