Search all members for one that reaches upstreams

What callers saw: when 12 of 15 instances lost their connections to all upstreams at once, every request was refused for as long as that lasted, although three instances could have served them.

Cause: the home compared a member that was cut off with the eight best others only, to bound the cost of a comparison. If these were cut off too, it marked nobody and compared the same eight again half a second later. The bound on the cost of a round was also a bound on which members could be found. With domain homes, only direct followers of the home were ever considered: four of each failure domain.

Change: a search continues with other members in each check of 0.2 s (8, 16, 48, then 96) and ends when some reach more or all known members have been asked. A round waits 0.05 s, so members that hang or time out delay no others; late responses count in the next round. A member that was found is preferred to untried ones and appointed in the same check. Members that had been cut off before are asked last, and must also reach what they could not. Only one search at a time has large rounds. A pause after a fruitless search bounds its queries to 128 a second.

Why it works: every member is asked before any is asked again, in at most six rounds at 312 members. Large rounds follow only if all before found nobody, and their order is random, so few of their members reach an upstream at once.

The same cause elsewhere: - domain_home_planner: the best members were queried again in each check while they were frozen, and without any left the planner failed with a ValueError in each check. Lost candidates are remembered for 5 s, and the home itself and proven members are never excluded. Mended, with tests. - reach_judge.recheck drew 8 of those cut off at random, so some could wait long; now in turn. - election_pace: members queried the same 24 (or four) in each round of an election. A third of them are others in each round now. - seeds.fetch_members queried seeds one after the other; now concurrently. - rival_homes already rotates; election.py only decides on views it is given; seeds.find_home asks all seeds; overflow draws among the few domain homes and leaves out those that declined; the store client tries the relays whose last failure is oldest; platform/relay.py chooses nobody.

--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from ..protocol.home_feed import DomainHomes, Member, MemberView
 from .catalog import Catalog
@@ -20,6 +20,12 @@
 #: How often others are appointed in place of members that turn out to be lost
 #: or cut off, before their failure domains are left to another one.
 MAX_APPOINTMENTS = 4
+#: As many while a member is known that reaches upstreams and can be used at
+#: once in place of one that does not.
+MAX_APPOINTMENTS_WITH_PROVEN = 2
+#: Others are tried first for this time. The best members would otherwise be
+#: queried again in each check while they are frozen, and no others.
+LOST_MEMORY_SECONDS = 5.0
 
 
 class DomainHomePlanner:
@@ -27,7 +33,8 @@
 
     ``failed_queries`` counts the failed queries in a row by member name,
     ``doubtful_checks`` the checks in a row in which most queries failed.
-    ``judge`` knows the members that are cut off from upstreams.
+    ``judge`` knows the members that are cut off from upstreams. Members that
+    were to be appointed but did not respond are in ``lost_until``.
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         self.table = table
         self.failed_queries: Counter[str] = Counter()
         self.doubtful_checks = 0
+        self.lost_until: dict[Member, float] = {}
 
     async def run(self) -> None:
         """Check the domain homes periodically, until cancelled."""
@@ -69,7 +77,12 @@
         self, present: Sequence[Member], unusable: set[str]
     ) -> DomainHomes:
         """Return an assignment whose new members have been tried."""
-        for _ in range(MAX_APPOINTMENTS):
+        unusable = unusable | self._lately_lost(present)
+        for _ in range(
+            MAX_APPOINTMENTS_WITH_PROVEN
+            if self.judge.proven()
+            else MAX_APPOINTMENTS
+        ):
             assignment = self._assign(present, unusable)
             lost = await self._find_lost(assignment, present)
             if not lost:
@@ -80,17 +93,32 @@
             for home in assignment.homes
             if home.member.name in lost
         }
-        present_names = {member.name for member in present}
-        return self._assign(
-            present,
-            unusable
-            | {
-                member.name
-                for member in self._available(present)
-                if member.failure_domain in domains
-                and member.name not in present_names
-            },
-        )
+        return self._assign(present, unusable | self._untried(present, domains))
+
+    def _untried(
+        self, present: Iterable[Member], domains: Collection[str]
+    ) -> set[str]:
+        """Return the members of failure domains that nothing is known of."""
+        known_names = {member.name for member in present}
+        known_names.add(self.elector.member_list.own.name)
+        known_names.update(self.judge.proven())
+        return {
+            member.name
+            for member in self._available(present)
+            if member.failure_domain in domains
+            and member.name not in known_names
+        }
+
+    def _lately_lost(self, present: Iterable[Member]) -> set[str]:
+        """Return the members that were lost when they were to be appointed."""
+        now = self.elector.clock.monotonic().total_seconds()
+        self.lost_until = {
+            member: until
+            for member, until in self.lost_until.items()
+            if until > now
+        }
+        lost_names = {member.name for member in self.lost_until}
+        return lost_names.difference(member.name for member in present)
 
     async def _compare_reach(
         self,
@@ -104,13 +132,15 @@
             for home in self.table.assignment.homes
         )
         own_views = (own_view,) if dispatches else ()
-        members = self._available(present)
-        await asyncio.gather(
-            *(
-                self.judge.compare(view.member, view.unreached, members)
-                for view in (*views, *own_views)
-                if view is not None and view.unreached
-            )
+        suspects = {
+            view.member: view.unreached
+            for view in (*views, *own_views)
+            if view is not None and view.unreached
+        }
+        await self.judge.compare_all(
+            suspects,
+            self._available(present),
+            self.elector.member_list.all(),
         )
 
     async def _find_lost(
@@ -125,10 +155,24 @@
         lost = self._find_unusable(
             appointed, await self._query(appointed), max_failures=1
         )
-        return lost | await self.judge.exclude_cut_off(
+        lost_before = lost | self._lately_lost(present)
+        excluded = await self.judge.exclude_cut_off(
             [member for member in appointed if member.name not in lost],
-            self._available(present),
+            [
+                member
+                for member in self._available(present)
+                if member.name not in lost_before
+            ],
         )
+        self._remember_lost(lost | excluded.difference(self.judge.cut_off))
+        return lost | excluded
+
+    def _remember_lost(self, names: Collection[str]) -> None:
+        until = self.elector.clock.monotonic().total_seconds()
+        until += LOST_MEMORY_SECONDS
+        for member in self.elector.member_list.all():
+            if member.name in names:
+                self.lost_until[member] = until
 
     async def _query(
         self, members: Sequence[Member]
@@ -194,11 +238,17 @@
             self.elector.member_list.own.name,
             count_slots(self.catalog.upstreams.values()),
             self.judge.cut_off,
+            self.judge.proven(),
         )
 
     def _available(self, present: Iterable[Member]) -> list[Member]:
-        """Return this member, its followers and present domain homes."""
+        """Return this member, its followers and present domain homes.
+
+        Others follow a domain home; they are used once they have shown that
+        they reach upstreams.
+        """
         member_list = self.elector.member_list
         names = {member_list.own.name, *self.elector.server.followers}
         names.update(member.name for member in present)
+        names.update(self.judge.proven())
         return [member for member in member_list.all() if member.name in names]
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -40,6 +40,7 @@
     home_name: str,
     slots: SlotsByDomain,
     cut_off: Collection[str] = (),
+    proven: Collection[str] = (),
 ) -> DomainHomes:
     """Return the domain homes, empty if the home should dispatch alone.
 
@@ -49,14 +50,16 @@
     A failure domain with too few slots gets the home of the largest one.
     Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
     If the home should dispatch alone but is cut off, another member does.
+    Members in ``proven`` have just reached upstreams; they are preferred to
+    others, which would have to be tried first.
     """
     everyone = tuple(members)
     able = tuple(one for one in everyone if one.name not in cut_off) or everyone
-    split = _split(current, able, home_name, slots)
+    split = _split(current, able, home_name, slots, proven)
     if split.homes:
         return split
     domains = {member.failure_domain for member in everyone} | slots.keys()
-    return _single(current, able, home_name, domains)
+    return _single(current, able, home_name, domains, proven)
 
 
 def _single(
@@ -64,6 +67,7 @@
     members: tuple[Member, ...],
     home_name: str,
     domains: Iterable[str],
+    proven: Collection[str],
 ) -> DomainHomes:
     """Return one member for all failure domains, empty if it is the home.
 
@@ -74,7 +78,9 @@
     home = by_name.get(home_name)
     present = by_name.get(_single_name(current), home)
     if present is None:
-        present = min(members, key=lambda member: member.rank)
+        present = min(
+            members, key=lambda member: (member.name not in proven, member.rank)
+        )
     if home is not None and home.capacity >= (
         MIN_CAPACITY_GAIN * present.capacity
     ):
@@ -97,6 +103,7 @@
     members: tuple[Member, ...],
     home_name: str,
     slots: SlotsByDomain,
+    proven: Collection[str],
 ) -> DomainHomes:
     """Return a home for each large failure domain, empty if these are few."""
     candidates = _by_domain(members)
@@ -114,7 +121,7 @@
         return DomainHomes()
     homes = {
         domain: _choose(
-            candidates[domain], current_homes.get(domain), home_name
+            candidates[domain], current_homes.get(domain), home_name, proven
         )
         for domain in sorted(split_domains)
     }
@@ -147,10 +154,18 @@
 
 
 def _choose(
-    members: list[Member], current: Member | None, home_name: str
+    members: list[Member],
+    current: Member | None,
+    home_name: str,
+    proven: Collection[str],
 ) -> Member:
     best = min(
-        members, key=lambda member: (member.name == home_name, member.rank)
+        members,
+        key=lambda member: (
+            member.name not in proven,
+            member.name == home_name,
+            member.rank,
+        ),
     )
     for member in members:
         if current is not None and member.name == current.name:
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -162,12 +162,14 @@
 
     async def _run_election(self) -> ElectionResult:
         started = self.clock.monotonic()
+        round_number = -1
         while True:
+            round_number += 1
             own = self.member_list.own
             others = self.member_list.others()
             elapsed = self.clock.monotonic() - started
             views = await self._query_views(
-                queried_members(own, others, elapsed)
+                queried_members(own, others, elapsed, round_number)
             )
             election = elect(
                 own,
--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -6,29 +6,34 @@
 """
 
 import asyncio
-from collections.abc import (
-    Awaitable,
-    Callable,
-    Collection,
-    Iterable,
-    Sequence,
-)
-from itertools import chain, zip_longest
-from math import inf
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from itertools import chain
 from random import Random
 
 from ..clock import Clock
 from ..logs import log
 from ..protocol.home_feed import Member
+from .reach_search import (
+    AskReach,
+    Keys,
+    ReachSearch,
+    best_counts,
+    reaches_more,
+    search_order,
+)
 
 #: Upstreams that each member of a comparison tries.
 MAX_TRIED_UPSTREAMS = 6
-#: Members that are compared with one that may be cut off.
-MAX_COMPARED_MEMBERS = 8
-#: Share of the upstreams by which another member must reach more.
-MIN_GAIN_SHARE = 0.5
-#: Pause after a comparison in which no member reached more.
+#: Members that are cut off and try again at once, and possible successors that
+#: try together with an appointed member.
+MAX_RETRYING_MEMBERS = 8
+#: Pause after a search in which no member reached more.
 COMPARE_INTERVAL_SECONDS = 0.5
+#: The pause is longer after a long search, so that upstreams that are down
+#: cause no more queries a second than this on average.
+MAX_FRUITLESS_QUERIES_PER_SECOND = 128
+#: A search without a further round for this time belongs to an earlier doubt.
+SEARCH_VALIDITY_SECONDS = 2.0
 #: Interval at which members that are cut off try again.
 RECHECK_INTERVAL_SECONDS = 1.0
 #: A member that has just reached upstreams need not try again.
@@ -36,19 +41,18 @@
 #: Members of one failure domain that must all be cut off for it to count as cut
 #: off as a whole.
 MIN_DOMAIN_SAMPLE = 3
-
-Keys = tuple[str, ...]
-#: Lets a member try upstreams and returns the keys of those that it reached,
-#: None if the member can't be asked.
-AskReach = Callable[[Member, Keys], Awaitable[frozenset[str] | None]]
+#: Members in a log line about a search, those that reached most.
+MAX_LOGGED_MEMBERS = 16
 
 
 class ReachJudge:
     """Keeps the members that are cut off, with the upstreams they can't reach.
 
     ``cut_off`` is keyed by member name, as are ``compare_at``, the time of the
-    next comparison, and ``passed_at``, when a member last reached more than
-    another. ``find_triable`` returns the upstreams that may be tried now.
+    next comparison, ``passed_at``, when a member last reached upstreams, and
+    ``searches``, the comparisons under way, with the times of their latest
+    rounds in ``searched_at``. ``find_triable`` returns the upstreams that may
+    be tried now.
     """
 
     def __init__(
@@ -65,62 +69,58 @@
         self.cut_off: dict[str, tuple[Member, Keys]] = {}
         self.compare_at: dict[str, float] = {}
         self.passed_at: dict[str, float] = {}
+        self.searches: dict[str, ReachSearch] = {}
+        self.searched_at: dict[str, float] = {}
         self.recheck_at = float()
 
-    async def compare(
+    def proven(self) -> frozenset[str]:
+        """Return the names of the members that have just reached upstreams."""
+        earliest = self._now() - PASS_VALIDITY_SECONDS
+        return frozenset(
+            name
+            for name, passed_at in self.passed_at.items()
+            if passed_at >= earliest
+        )
+
+    async def compare_all(
         self,
-        suspect: Member,
-        unreached: Sequence[str],
-        members: Iterable[Member],
+        suspects: Mapping[Member, Sequence[str]],
+        followers: Collection[Member],
+        members: Collection[Member],
     ) -> None:
-        """Find out whether ``members`` reach what ``suspect`` does not."""
-        if self._now() < self.compare_at.get(suspect.name, 0):
-            return
-        triable = set(self.find_triable())
-        keys = self._sample([key for key in unreached if key in triable])
-        if not keys:
-            return
-        compared = self._compared_members(suspect, members)
-        own_result, *reports = await asyncio.gather(
-            *(self.ask(member, keys) for member in (suspect, *compared))
-        )
-        self.compare_at[suspect.name] = self._now() + COMPARE_INTERVAL_SECONDS
-        if own_result is None:
-            # A member that can't be asked is replaced as a lost one.
-            return
-        able = {
-            member.name
-            for member, report in zip(compared, reports, strict=True)
-            if report is not None
-            and _reaches_more(len(report), len(own_result), len(keys))
-        }
-        log(
-            'upstream_reach_compared',
-            member=suspect.name,
-            tried=len(keys),
-            reached=len(own_result),
-            reached_by={
-                member.name: None if report is None else len(report)
-                for member, report in zip(compared, reports, strict=True)
-            },
+        """Find out whether ``members`` reach what suspects do not.
+
+        ``suspects`` have the upstreams that they can't reach. Each call asks
+        further members, ``followers`` of this one first; only one search at a
+        time has large rounds.
+        """
+        self._end_old_searches()
+        for suspect, unreached in suspects.items():
+            self._begin_search(suspect, unreached, followers, members)
+        active = [
+            self.searches[suspect.name]
+            for suspect in suspects
+            if suspect.name in self.searches
+        ]
+        await asyncio.gather(
+            *(
+                search.run_round(self.proven(), may_grow=search is active[0])
+                for search in active
+            )
         )
-        if not able:
-            return
-        self.passed_at.update(dict.fromkeys(able, self._now()))
-        self._mark(suspect, keys)
-        for member, report in zip(compared, reports, strict=True):
-            if report is not None and member.name not in able:
-                self._mark(member, keys)
-        self._mark_domain(suspect, compared, members, keys)
+        for search in active:
+            self.searched_at[search.suspect.name] = self._now()
+            self._conclude(search, followers)
 
     async def recheck(self) -> None:
         """Let members that were cut off try again, from time to time."""
-        if not self.cut_off or self._now() < self.recheck_at:
+        if not self.cut_off or self._now() < self.recheck_at or self.searches:
             return
-        entries = self.random.sample(
-            list(self.cut_off.values()),
-            min(len(self.cut_off), MAX_COMPARED_MEMBERS),
-        )
+        entries = list(self.cut_off.values())[:MAX_RETRYING_MEMBERS]
+        for member, evidence in entries:
+            # The next ones are others, until all have tried again.
+            self.cut_off.pop(member.name)
+            self.cut_off[member.name] = (member, evidence)
         tried = [self._keys_to_try(evidence) for _, evidence in entries]
         reports = await asyncio.gather(
             *(
@@ -134,7 +134,7 @@
         ):
             # One that can't be asked is no follower either. It is tried again
             # before it gets a role.
-            if report is None or _reaches_more(len(report), 0, len(keys)):
+            if report is None or reaches_more(len(report), 0, len(keys)):
                 self.cut_off.pop(member.name, None)
                 # It may be able to replace one that still is cut off.
                 self.compare_at.clear()
@@ -155,12 +155,8 @@
             keys for _, keys in self.cut_off.values()
         )
         keys = self._keys_to_try(tuple(dict.fromkeys(evidence)))
-        earliest = self._now() - PASS_VALIDITY_SECONDS
-        untried = [
-            member
-            for member in appointed
-            if self.passed_at.get(member.name, -inf) < earliest
-        ]
+        proven = self.proven()
+        untried = [member for member in appointed if member.name not in proven]
         asked = self._with_successors(untried, members)
         reports = await asyncio.gather(
             *(self.ask(member, keys) for member in asked)
@@ -169,13 +165,86 @@
         for member, report in zip(asked, reports, strict=True):
             if report is None:
                 excluded.add(member.name)
-            elif _reaches_more(len(report), 0, len(keys)):
+            elif reaches_more(len(report), 0, len(keys)):
                 self.passed_at[member.name] = self._now()
             else:
                 excluded.add(member.name)
                 self._mark(member, keys)
         return excluded
 
+    def _end_old_searches(self) -> None:
+        earliest = self._now() - SEARCH_VALIDITY_SECONDS
+        for name, search in tuple(self.searches.items()):
+            if self.searched_at[name] < earliest:
+                search.cancel()
+                self.searches.pop(name)
+
+    def _begin_search(
+        self,
+        suspect: Member,
+        unreached: Sequence[str],
+        followers: Iterable[Member],
+        members: Iterable[Member],
+    ) -> None:
+        now = self._now()
+        is_due = now >= self.compare_at.get(suspect.name, 0)
+        if suspect.name in self.searches or not is_due:
+            return
+        triable = set(self.find_triable())
+        keys = self._sample([key for key in unreached if key in triable])
+        if not keys:
+            return
+        evidence = {
+            name: tuple(triable.intersection(past_keys))
+            for name, (_, past_keys) in self.cut_off.items()
+        }
+        order = search_order(
+            suspect, followers, members, self.cut_off, self.random
+        )
+        self.searches[suspect.name] = ReachSearch(
+            suspect, keys, order, evidence, self.ask
+        )
+        self.searched_at[suspect.name] = now
+
+    def _conclude(
+        self, search: ReachSearch, followers: Collection[Member]
+    ) -> None:
+        """Mark the members that a search has shown to be cut off."""
+        able = search.able()
+        if not (able or search.is_unaskable or search.is_exhausted):
+            return
+        suspect = search.suspect
+        self.searches.pop(suspect.name)
+        search.cancel()
+        pause = max(
+            COMPARE_INTERVAL_SECONDS,
+            len(search.asked) / MAX_FRUITLESS_QUERIES_PER_SECOND,
+        )
+        self.compare_at[suspect.name] = self._now() + pause
+        own_result = search.own_result()
+        if own_result is None:
+            # A member that can't be asked is replaced as a lost one.
+            return
+        log(
+            'upstream_reach_compared',
+            member=suspect.name,
+            tried=len(search.keys),
+            reached=len(own_result),
+            asked=len(search.asked),
+            reached_by=best_counts(search.reports(), MAX_LOGGED_MEMBERS),
+        )
+        if not able:
+            return
+        for member in able:
+            self.passed_at[member.name] = self._now()
+            self.cut_off.pop(member.name, None)
+        self._mark(suspect, search.keys)
+        for member in search.unable():
+            self._mark(member, search.keys)
+        self._mark_domain(
+            suspect, search.asked.values(), followers, search.keys
+        )
+
     def _with_successors(
         self, appointed: Sequence[Member], members: Iterable[Member]
     ) -> tuple[Member, ...]:
@@ -189,25 +258,10 @@
                 if member.failure_domain == one.failure_domain
                 and member.name not in self.cut_off
             ]
-            for member in successors[:MAX_COMPARED_MEMBERS]:
+            for member in successors[:MAX_RETRYING_MEMBERS]:
                 asked[member.name] = member
         return tuple(asked.values())
 
-    def _compared_members(
-        self, suspect: Member, members: Iterable[Member]
-    ) -> tuple[Member, ...]:
-        """Return the best members of each failure domain in turn.
-
-        The suspect's domain is first: a successor there is preferred.
-        """
-        by_domain: dict[str, list[Member]] = {suspect.failure_domain: []}
-        for member in sorted(members, key=lambda one: one.rank):
-            if member.name != suspect.name and member.name not in self.cut_off:
-                by_domain.setdefault(member.failure_domain, []).append(member)
-        in_turn = chain.from_iterable(zip_longest(*by_domain.values()))
-        compared = [member for member in in_turn if member is not None]
-        return tuple(compared[:MAX_COMPARED_MEMBERS])
-
     def _mark_domain(
         self,
         suspect: Member,
@@ -247,7 +301,3 @@
 
     def _now(self) -> float:
         return self.clock.monotonic().total_seconds()
-
-
-def _reaches_more(count: int, other_count: int, tried_count: int) -> bool:
-    return count - other_count >= max(1, MIN_GAIN_SHARE * tried_count)
--- a/src/crocusproxy/membership/seeds.py
+++ b/src/crocusproxy/membership/seeds.py
@@ -57,11 +57,13 @@
 
     async def fetch_members(self, addresses: Iterable[str]) -> None:
         """Merge the member lists of the instances at ``addresses``."""
-        for address in addresses:
-            try:
-                self.member_list.merge(await self.client.members(address))
-            except (NotReachableError, MalformedMessageError) as error:
-                log('seed_not_reached', address=address, error=str(error))
+        await asyncio.gather(*map(self._fetch_from, addresses))
+
+    async def _fetch_from(self, address: str) -> None:
+        try:
+            self.member_list.merge(await self.client.members(address))
+        except (NotReachableError, MalformedMessageError) as error:
+            log('seed_not_reached', address=address, error=str(error))
 
     async def _query_home(self, address: str, *, may_wait: bool) -> HomeSearch:
         own = self.member_list.own
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -55,13 +55,16 @@
     """Carries calls between nodes unless their link is cut or a node is down.
 
     A killed process resets its connections; one behind a cut link is silent.
+    Frozen nodes respond to no calls, while feeds stay open.
     """
 
     def __init__(self, loop):
         self.loop = loop
         self.nodes = {}
         self.cuts = set()
+        self.frozen = set()
         self.lost_upstreams = {}
+        self.connect_seconds = 0
         self.generation = 0
         self.query_seconds = 0
         self.upstreams = make_upstreams('ab')
@@ -108,7 +111,7 @@
     async def connect(self, source, name, timeout_seconds):
         """Return the node ``name`` if ``source`` can reach it."""
         await asyncio.sleep(DELAY_SECONDS)
-        if self.is_cut(source, name):
+        if self.is_cut(source, name) or name in self.frozen:
             await asyncio.sleep(timeout_seconds)
             raise NotReachableError(f'{name}: no response')
         node = self.nodes[name]
@@ -214,13 +217,18 @@
         return tuple(sorted(keys - self.reached))
 
     async def ask_reach(self, member, keys):
-        """Ask a member as over its internal port, this one included."""
+        """Ask a member as over its internal port, this one included.
+
+        One that reaches none responds after its attempts have timed out.
+        """
         try:
             node = await self.network.connect(
                 self.name, member.name, REQUEST_TIMEOUT_SECONDS
             )
         except NotReachableError:
             return None
+        if not node.reached:
+            await asyncio.sleep(self.network.connect_seconds)
         return frozenset(node.reached.intersection(keys))
 
     def stop_leading(self):
--- a/tests/membership/test_election_pace.py
+++ b/tests/membership/test_election_pace.py
@@ -46,8 +46,8 @@
     return [one for one in SITE if one != own]
 
 
-def queried_by(own, elapsed=NOW):
-    return queried_members(own, others_of(own), elapsed)
+def queried_by(own, elapsed=NOW, round_number=0):
+    return queried_members(own, others_of(own), elapsed, round_number)
 
 
 def test_members_that_should_not_lead_send_few_queries():
@@ -72,6 +72,20 @@
     assert len(queried_by(SMALL[39], later)) == MAX_QUERIED_MEMBERS
 
 
+def test_queries_reach_every_member_in_time_even_if_all_best_ones_are_lost():
+    """The same members were queried until a second home took over."""
+    later = MAX_DEFERENCE + timedelta(milliseconds=1)
+    own = SMALL[39]
+    queried = set()
+    for number in range(len(SITE)):
+        queried.update(queried_by(own, later, number))
+    assert queried == set(others_of(own))
+    queried = set()
+    for number in range(len(SITE)):
+        queried.update(queried_by(own, NOW, number))
+    assert queried >= {one for one in others_of(own) if one.name[0] == 'a'}
+
+
 def test_members_of_a_small_site_query_all_others():
     site = SITE[:15]
     for own in site:
