Give failure domains homes although a service has few slots

Why: a failure domain got a home of its own only with 32 slots of every service, so one small service kept a whole site at one home, and at three failure domains two thirds of its requests crossed them.

Change: services with too few slots in some failure domain are shared. One domain home dispatches them for all failure domains; the others are split as before. A split needs two failure domains with enough slots of the same services, at least two and half of all. Where all services could be split before, the assignment is the same. Both limits keep their hysteresis, also for the set of shared services and for the home that dispatches them.

Domain homes and followers forward requests of a shared service at once to the home that dispatches it, and never forward one again. The service chosen by the traffic split is named in Crocus-Service, as a second choice would change the shares. Shared services do not overflow. A domain home that can't reach the dispatching one does as followers do: it dispatches to all upstreams but those with a rate limit. Beside domain homes of an older build, which split every service, the home with the shared ones uses no upstream with a rate limit either.

HomeForwarder, Dispatcher.has_successor and DispatchRole take the service now; the tests that call them pass it, with the same assertions.

Run: make lint; tests/membership, tests/entry, tests/platform and tests/test_operations.py pass.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -20,6 +20,7 @@
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
 from ..membership.terms_exchange import TermsExchange
+from ..placement.placer import ServicePlacer
 from ..placement.upstream_reach import UpstreamReach
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
@@ -178,7 +179,9 @@
             self.observer.observe_relayed,
         )
         self.gateway.overflow_targets = OverflowTargets(
-            self.role.other_domain_homes, self.dispatcher.random
+            self.role.other_domain_homes,
+            self.dispatcher.random,
+            self.role.is_shared,
         )
         self._add_gauges()
         await self._open_ports()
@@ -220,17 +223,23 @@
     def update_role(self) -> None:
         """Dispatch to the owned upstreams; probe them if this is a home."""
         is_dispatcher = self.role.is_dispatcher()
-        self.dispatcher.set_ownership(self.role.owns)
-        self.dispatcher.set_exclusive(is_exclusive=is_dispatcher)
+        self.dispatcher.assign_role(self.role, is_exclusive=is_dispatcher)
+        self.dispatcher.hand_over()
         if not is_dispatcher:
             self.probe_tasks.cancel()
-            if self.role.forwarding_address():
-                self.dispatcher.hand_over()
         elif not self.probe_tasks.tasks:
             self.probe_tasks.spawn(
-                partial(self.prober.run, self.dispatcher.placers.values)
+                partial(self.prober.run, self.dispatched_placers)
             )
 
+    def dispatched_placers(self) -> list[ServicePlacer]:
+        """Return the placers of the services that are dispatched here."""
+        return [
+            placer
+            for placer in self.dispatcher.placers.values()
+            if self.role.dispatches(placer.service)
+        ]
+
     async def drain(self) -> None:
         """Serve until callers have had time to switch to other instances."""
         self.gateway.is_draining = True
@@ -325,8 +334,8 @@
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
         self.dispatcher.refresh_load = self.prober.refresh_load
-        self.dispatcher.has_successor = lambda: bool(
-            self.role.forwarding_address()
+        self.dispatcher.has_successor = lambda service: bool(
+            self.role.forwarding_address(service)
         )
         self.reach.on_end_of_silence.append(self.dispatcher.end_backoffs)
         # An instance without a home is not the only one that dispatches.
--- a/src/crocusproxy/entry/dispatch_role.py
+++ b/src/crocusproxy/entry/dispatch_role.py
@@ -27,13 +27,13 @@
         """Return the member that dispatches for callers of a failure domain."""
         return self.table.home_of(failure_domain) or self.find_home()
 
-    def owns(self, failure_domain: str) -> bool:
-        """Return whether to dispatch to the upstreams of a failure domain.
+    def owns(self, service: str, failure_domain: str) -> bool:
+        """Return whether to dispatch a service to a failure domain's upstreams.
 
-        An instance that is no home dispatches only if it can't reach one, and
-        then to all upstreams.
+        An instance that is not the one to dispatch does so only if it can't
+        reach that one, and then to all upstreams.
         """
-        if not self.is_domain_home():
+        if self.is_shared(service) or not self.is_domain_home():
             return True
         domain_home = self.table.home_of(failure_domain)
         assert domain_home is not None
@@ -46,6 +46,28 @@
             home.member.name == name for home in self.table.assignment.homes
         )
 
+    def is_shared(self, service: str) -> bool:
+        """Return whether one domain home has a service in all domains."""
+        return self.table.shared_home(service) is not None
+
+    def dispatches(self, service: str) -> bool:
+        """Return whether this instance is the one to dispatch a service."""
+        shared_home = self.table.shared_home(service)
+        if shared_home is None:
+            return self.is_dispatcher()
+        return shared_home.name == self.find_own().name
+
+    def is_exclusive(self, service: str) -> bool:
+        """Return whether no other home dispatches a service to owned upstreams.
+
+        Domain homes of an older build dispatch shared services as well.
+        """
+        homes = self.table.assignment.homes
+        return self.dispatches(service) and (
+            not self.is_shared(service)
+            or all(home.member.knows_shared for home in homes)
+        )
+
     def is_dispatcher(self) -> bool:
         """Return whether this instance is a domain home or the only home."""
         if self.table.assignment.homes:
@@ -53,12 +75,14 @@
         home = self.find_home()
         return home is not None and home.name == self.find_own().name
 
-    def forwarding_address(self) -> str:
+    def forwarding_address(self, service: str) -> str:
         """Return where to forward requests; empty to dispatch them here."""
         own = self.find_own()
-        if self.is_domain_home():
-            return ''
-        dispatcher = self.dispatcher_of(own.failure_domain)
+        dispatcher = self.table.shared_home(service)
+        if dispatcher is None:
+            if self.is_domain_home():
+                return ''
+            dispatcher = self.dispatcher_of(own.failure_domain)
         if dispatcher is None or dispatcher.name == own.name:
             return ''
         return dispatcher.callers
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..limits.shared_retry_budget import SharedRetryBudget
-from ..placement.placer import Ownership, ServicePlacer
+from ..placement.placer import ServicePlacer
 from ..placement.requests import Decision, Placed, PlacementRequest, Refused
 from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import SLOW_THRESHOLD, UpstreamState
@@ -27,6 +27,7 @@
 from .request_context import RequestContext
 from .request_log import RequestLog
 from .responses import CallerResponse, Refusal
+from .service_role import ServiceRole, apply_role
 from .settings import Bounds
 from .upstream_call import UpstreamClient
 
@@ -52,7 +53,8 @@
 class Dispatcher:
     """Chooses upstreams, sends requests and applies the call results.
 
-    ``has_successor`` returns whether another instance dispatches in its place.
+    ``has_successor`` returns whether another instance dispatches a service in
+    its place.
     """
 
     def __init__(
@@ -77,33 +79,33 @@
         self.request_log = request_log
         self.crash_watch = crash_watch
         self.refresh_load: RefreshLoad = _skip_refresh
-        self.has_successor: Callable[[], bool] = _has_no_successor
+        self.has_successor: Callable[[str], bool] = _has_no_successor
         self.timing = RouteTiming()
         self.placers: dict[str, ServicePlacer] = {}
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
         self.last_request_at = float()
-        self.owns: Ownership | None = None
+        self.role: ServiceRole | None = None
         self.is_exclusive = True
         self.terms_table = terms_table
         self.reach = reach
         self.next_trial_at = float()
 
-    def set_ownership(self, owns: Ownership) -> None:
-        """Dispatch to the upstreams of the failure domains that ``owns``."""
-        self.owns = owns
-        for placer in self.placers.values():
-            placer.set_ownership(owns)
+    def assign_role(self, role: ServiceRole, *, is_exclusive: bool) -> None:
+        """Dispatch the services as ``role`` tells; see ``set_exclusive``."""
+        self.role = role
+        self.set_exclusive(is_exclusive=is_exclusive)
 
     def set_exclusive(self, *, is_exclusive: bool) -> None:
         """Set whether no other instance dispatches to the owned upstreams."""
         self.is_exclusive = is_exclusive
         for placer in self.placers.values():
-            placer.set_exclusive(is_exclusive=is_exclusive)
+            apply_role(placer, self.role, is_exclusive=is_exclusive)
 
     def hand_over(self) -> None:
-        """Refuse the waiting requests, so that a successor can serve them."""
+        """Refuse the waiting requests that a successor can serve."""
         for placer in self.placers.values():
-            placer.refuse_all()
+            if self.has_successor(placer.service):
+                placer.refuse_all()
 
     def end_backoffs(self) -> None:
         """Use upstreams at once whose failures were those of this instance."""
@@ -130,9 +132,7 @@
                 self.random,
                 self.terms_table,
             )
-            placer.set_exclusive(is_exclusive=self.is_exclusive)
-            if self.owns is not None:
-                placer.set_ownership(self.owns)
+            apply_role(placer, self.role, is_exclusive=self.is_exclusive)
             self.placers[service] = placer
         return placer
 
@@ -325,7 +325,7 @@
             attempt_count = len(context.tried_keys) - context.send_count
             return (
                 attempt_count < MAX_CONNECT_FAILURES
-                and not self.has_successor()
+                and not self.has_successor(context.service)
             )
         if not isinstance(result, NotRun) and not context.route.idempotent:
             return False
@@ -358,7 +358,7 @@
     """Keep the latest known load."""
 
 
-def _has_no_successor() -> bool:
+def _has_no_successor(service: str) -> bool:
     """Dispatch alone."""
     return False
 
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -41,6 +41,7 @@
     HOP_HEADER,
     OVERFLOW_HEADER,
     RESPONDER_HEADER,
+    SERVICE_HEADER,
 )
 
 
@@ -214,15 +215,17 @@
         """
         is_unsent = not context.send_count and not context.may_have_run
         has_time = self._now() < context.deadline
-        if not (is_unsent and has_time and self._successor()):
+        if not (is_unsent and has_time and self._successor(context)):
             return refusal
         if HOP_HEADER in context.outgoing_request.message.headers:
             return DISPATCHER_REPLACED
         response = await self._serve_elsewhere(context)
         return refusal if response is None else response
 
-    def _successor(self) -> str:
-        return self.forwarder.home_address() if self.forwarder else ''
+    def _successor(self, context: RequestContext) -> str:
+        if self.forwarder is None:
+            return ''
+        return self.forwarder.home_address(context.service)
 
     async def _serve_elsewhere(
         self, context: RequestContext
@@ -230,11 +233,11 @@
         """Return another home's response, or None if this one dispatches."""
         if self.forwarder is None:
             return None
-        address = self.forwarder.home_address()
+        address = self._successor(context)
         if not address:
             return await self._overflow(self.forwarder, context)
         response = await self._forward(self.forwarder, context)
-        if response is None and self._successor() not in {'', address}:
+        if response is None and self._successor(context) not in {'', address}:
             response = await self._forward(self.forwarder, context)
         return response
 
@@ -247,6 +250,8 @@
                 context.outgoing_request,
                 context.deadline,
                 context.config_version,
+                context.service,
+                is_chosen=len(context.route.parts) > 1,
             ),
         )
 
@@ -328,8 +333,11 @@
 
 
 def _service_of(request: CallerRequest, route: Route) -> str:
-    """Return the service that another domain home has chosen, if any."""
-    service = request.message.headers.get(OVERFLOW_HEADER, '')
+    """Return the service that the forwarding instance has chosen, if any."""
+    headers = request.message.headers
+    service = headers.get(OVERFLOW_HEADER, '')
+    if not service and HOP_HEADER in headers:
+        service = headers.get(SERVICE_HEADER, '')
     is_part = any(part.service == service for part in route.parts)
     return service if is_part else ''
 
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -17,7 +17,12 @@
 from .responses import CallerResponse
 from .upstream_call import OutgoingRequest
 from .upstream_connection import MatchingConnection
-from .upstream_messages import HOP_HEADER, OVERFLOW_HEADER, UpstreamMessages
+from .upstream_messages import (
+    HOP_HEADER,
+    OVERFLOW_HEADER,
+    SERVICE_HEADER,
+    UpstreamMessages,
+)
 
 #: Status with which a home declines a forwarded request: its configuration is
 #: older than that of the forwarding instance, or it has no spare slot.
@@ -29,6 +34,7 @@
 class HomeForwarder:
     """Sends requests to the address that ``home_address`` returns, if any.
 
+    It is called with the service of the request.
     ``on_response`` receives each response of a home.
     """
 
@@ -37,7 +43,7 @@
         pool: ConnectionPool,
         messages: UpstreamMessages,
         clock: Clock,
-        home_address: Callable[[], str],
+        home_address: Callable[[str], str],
         on_response: Callable[[RawResponseMessage], None] | None = None,
     ) -> None:
         self.pool = pool
@@ -51,21 +57,23 @@
         outgoing_request: OutgoingRequest,
         deadline: float,
         config_version: int,
+        service: str,
+        *,
+        is_chosen: bool = False,
     ) -> CallerResponse | NotRun | ResponseLost:
         """Forward a request and return the home's response or the failure.
 
         The response is due at monotonic second ``deadline``. A home with a
         configuration older than ``config_version`` does not run the request.
+        With ``is_chosen``, it must not choose another service of the route.
         """
-        address = self.home_address()
+        address = self.home_address(service)
         if not address:
             return NotRun('no home', reported_by_upstream=False)
-        return await self._send(
-            address,
-            outgoing_request,
-            deadline,
-            f'{HOP_HEADER}: {config_version}',
-        )
+        headers = f'{HOP_HEADER}: {config_version}'
+        if is_chosen:
+            headers = f'{headers}\r\n{SERVICE_HEADER}: {service}'
+        return await self._send(address, outgoing_request, deadline, headers)
 
     async def send_overflow(
         self,
--- a/src/crocusproxy/entry/overflow.py
+++ b/src/crocusproxy/entry/overflow.py
@@ -15,21 +15,33 @@
 DECLINE_BACKOFF_SECONDS = 0.05
 
 
+def _is_split(service: str) -> bool:
+    """Let domain homes have upstreams of each service."""
+    return False
+
+
 class OverflowTargets:
     """The other domain homes, and for which services they declined lately.
 
-    ``others`` returns the domain homes other than this instance.
+    ``others`` returns the domain homes other than this instance. None of them
+    has upstreams of a service that ``is_shared``.
     """
 
     def __init__(
-        self, others: Callable[[], Sequence[Member]], random: Random
+        self,
+        others: Callable[[], Sequence[Member]],
+        random: Random,
+        is_shared: Callable[[str], bool] = _is_split,
     ) -> None:
         self.others = others
         self.random = random
+        self.is_shared = is_shared
         self.declined_until: dict[tuple[str, str], float] = {}
 
     def choose(self, service: str, now: float) -> str:
         """Return the address of a domain home, empty if there is none."""
+        if self.is_shared(service):
+            return ''
         addresses = [
             member.callers
             for member in self.others()
--- a/src/crocusproxy/entry/own_member.py
+++ b/src/crocusproxy/entry/own_member.py
@@ -15,4 +15,5 @@
         f'{settings.callers.host}:{settings.callers.port}',
         round(capacity.cpu_share * capacity.cores, 2),
         round(clock.now().timestamp() * 1000),
+        knows_shared=True,
     )
--- a/src/crocusproxy/entry/upstream_messages.py
+++ b/src/crocusproxy/entry/upstream_messages.py
@@ -18,6 +18,10 @@
 #: Names the service of a request that a domain home sends to another one, since
 #: its own upstreams have no free slot.
 OVERFLOW_HEADER = 'Crocus-Overflow'
+#: Names the service of a forwarded request. If the receiver chose again among
+#: those of the route, it could take one that it does not dispatch, and the
+#: traffic split would not be kept. Older builds do choose again.
+SERVICE_HEADER = 'Crocus-Service'
 #: Names the upstream, and its start, that has responded to a forwarded request,
 #: so that the forwarding instance learns what the upstream has stated.
 RESPONDER_HEADER = 'Crocus-Upstream'
@@ -36,6 +40,7 @@
             header_names.expected_upstream,
             HOP_HEADER,
             OVERFLOW_HEADER,
+            SERVICE_HEADER,
         )
         self.dropped_request_headers = _REPLACED_HEADERS | {
             name.lower().encode() for name in own_headers
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -11,18 +11,11 @@
 from ..logs import log
 from ..protocol.home_feed import DomainHome, DomainHomes, Member
 from ..routes.model import RegisteredUpstream
+from .domain_split import SlotsByDomain, Split, choose_split
 
-#: Slots of each service that a failure domain needs to get a home of its own.
-MIN_SLOTS_TO_SPLIT = 32
-#: A failure domain with fewer slots of a service loses its home. The distance
-#: to ``MIN_SLOTS_TO_SPLIT`` keeps a restart of upstreams from moving callers.
-MIN_SLOTS_TO_STAY = 16
 #: A domain home is replaced by a member with this many times its capacity.
 MIN_CAPACITY_GAIN = 1.2
 
-#: Slots of each service, by failure domain.
-SlotsByDomain = Mapping[str, Mapping[str, int]]
-
 
 def count_slots(upstreams: Iterable[RegisteredUpstream]) -> SlotsByDomain:
     """Count the slots of the upstreams that are not leaving."""
@@ -47,7 +40,8 @@
     ``members`` can be reached and stay. A domain home is kept while it is one
     of them, so that its callers need not move, unless it is ``home_name``.
     That member is chosen last, as it also reads the store and serves the feed.
-    A failure domain with too few slots gets the home of the largest one.
+    A failure domain with too few slots gets the home of the largest one, which
+    also dispatches the services that are not split.
     Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
     If the home should dispatch alone but is cut off, another member does.
     Members in ``proven`` have just reached upstreams; they are preferred to
@@ -107,29 +101,31 @@
 ) -> DomainHomes:
     """Return a home for each large failure domain, empty if these are few."""
     candidates = _by_domain(members)
-    current_homes: dict[str, Member] = {}
-    if not _single_name(current):
-        current_homes = {
-            home.failure_domain: home.member for home in current.homes
-        }
-    split_domains = {
-        domain
-        for domain in candidates
-        if _has_enough_slots(domain, slots, is_split=domain in current_homes)
-    }
-    if len(split_domains) < 2:
+    if _single_name(current):
+        current = DomainHomes()
+    split = choose_split(candidates, slots, current)
+    if split is None:
         return DomainHomes()
+    current_homes = {home.failure_domain: home.member for home in current.homes}
     homes = {
         domain: _choose(
             candidates[domain], current_homes.get(domain), home_name, proven
         )
-        for domain in sorted(split_domains)
+        for domain in split.domains
     }
-    largest = max(sorted(homes), key=lambda domain: sum(slots[domain].values()))
     for domain in candidates.keys() | slots.keys():
-        homes.setdefault(domain, homes[largest])
+        homes.setdefault(domain, homes[split.largest])
+    return _in_order(homes, split)
+
+
+def _in_order(homes: Mapping[str, Member], split: Split) -> DomainHomes:
+    """Return the domain homes, first the one with the shared services."""
+    domains = sorted(homes)
+    if split.shared:
+        domains.sort(key=lambda domain: domain != split.largest)
     return DomainHomes(
-        tuple(DomainHome(domain, homes[domain]) for domain in sorted(homes))
+        tuple(DomainHome(domain, homes[domain]) for domain in domains),
+        split.shared,
     )
 
 
@@ -140,19 +136,6 @@
     return by_domain
 
 
-def _has_enough_slots(
-    domain: str, slots: SlotsByDomain, *, is_split: bool
-) -> bool:
-    services = {
-        service for by_service in slots.values() for service in by_service
-    }
-    minimum = MIN_SLOTS_TO_STAY if is_split else MIN_SLOTS_TO_SPLIT
-    domain_slots = slots.get(domain, {})
-    return bool(services) and all(
-        domain_slots.get(service, 0) >= minimum for service in services
-    )
-
-
 def _choose(
     members: list[Member],
     current: Member | None,
@@ -179,12 +162,14 @@
 class DomainHomeTable:
     """The domain homes that an instance knows.
 
-    ``is_known`` is set once any assignment has arrived. ``on_change`` listeners
-    are called with each new one.
+    ``is_known`` is set once any assignment has arrived. ``shared`` has the
+    services that are not split. ``on_change`` listeners are called with each
+    new assignment.
     """
 
     def __init__(self) -> None:
         self.assignment = DomainHomes()
+        self.shared: frozenset[str] = frozenset()
         self.is_known = False
         self.on_change: list[Callable[[DomainHomes], None]] = []
 
@@ -194,12 +179,14 @@
         if assignment == self.assignment:
             return
         self.assignment = assignment
+        self.shared = frozenset(assignment.shared)
         log(
             'domain_homes_changed',
             homes={
                 home.failure_domain: home.member.name
                 for home in assignment.homes
             },
+            shared=assignment.shared,
         )
         for listener in self.on_change:
             listener(assignment)
@@ -215,6 +202,11 @@
                 return home.member
         return homes[0].member if homes else None
 
+    def shared_home(self, service: str) -> Member | None:
+        """Return the domain home with a shared service, None if it is split."""
+        homes = self.assignment.homes
+        return homes[0].member if homes and service in self.shared else None
+
     def others(self, name: str) -> tuple[Member, ...]:
         """Return the domain homes other than the member ``name``, once each."""
         members = {
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -22,6 +22,7 @@
     and of several the first by name. The choice is the same after a restart of
     all instances, so that callers still have the address of the home.
     ``started_at`` in Unix milliseconds distinguishes the starts of an instance.
+    A build that does not know shared services does not state ``knows_shared``.
     """
 
     name: str
@@ -30,6 +31,7 @@
     callers: str
     capacity: float
     started_at: int
+    knows_shared: bool = False
 
     @property
     def rank(self) -> tuple[float, str]:
@@ -58,9 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DomainHomes:
-    """The domain homes of a site; if there are none, the home dispatches."""
+    """The domain homes of a site; if there are none, the home dispatches.
+
+    The first of ``homes`` dispatches the services in ``shared`` for all failure
+    domains. An older build ignores ``shared`` and splits all services.
+    """
 
     homes: tuple[DomainHome, ...] = ()
+    shared: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry/test_successor.py
+++ b/tests/entry/test_successor.py
@@ -16,9 +16,9 @@
         self.successor = successor
         self.address = ''
         system.gateway.forwarder = HomeForwarder(
-            system.pool, system.messages, system.clock, lambda: self.address
+            system.pool, system.messages, system.clock, lambda _: self.address
         )
-        system.dispatcher.has_successor = lambda: bool(self.address)
+        system.dispatcher.has_successor = lambda _: bool(self.address)
 
     def begin(self):
         self.address = self.successor.address
@@ -95,7 +95,10 @@
         sender = await GatewaySystem().start()
         address = {'home': system.address}
         sender.gateway.forwarder = HomeForwarder(
-            sender.pool, sender.messages, sender.clock, lambda: address['home']
+            sender.pool,
+            sender.messages,
+            sender.clock,
+            lambda _: address['home'],
         )
         busy, waiting = (
             asyncio.create_task(sender.request(request_id, '/once/x', 'POST'))
--- a/tests/entry/test_upstream_terms.py
+++ b/tests/entry/test_upstream_terms.py
@@ -106,7 +106,7 @@
             system.pool,
             system.messages,
             system.clock,
-            lambda: addresses[0],
+            lambda _: addresses[0],
             system.observer.observe_relayed,
         )
         try:
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -8,10 +8,8 @@
 from crocusproxy.errors import NotReachableError
 from crocusproxy.membership.catalog import Catalog
 from crocusproxy.membership.domain_home_planner import DomainHomePlanner
-from crocusproxy.membership.domain_homes import (
-    MIN_SLOTS_TO_SPLIT,
-    DomainHomeTable,
-)
+from crocusproxy.membership.domain_homes import DomainHomeTable
+from crocusproxy.membership.domain_split import MIN_SLOTS_TO_SPLIT
 from crocusproxy.membership.home_elector import HomeElector
 from crocusproxy.membership.member_client import (
     FEED_TIMEOUT_SECONDS,
--- a/tests/membership/test_domain_homes.py
+++ b/tests/membership/test_domain_homes.py
@@ -1,12 +1,14 @@
 """Guards against failure domains without a home, and needless moves."""
 
 from crocusproxy.membership.domain_homes import (
-    MIN_SLOTS_TO_SPLIT,
-    MIN_SLOTS_TO_STAY,
     DomainHomeTable,
     assign_domain_homes,
     count_slots,
 )
+from crocusproxy.membership.domain_split import (
+    MIN_SLOTS_TO_SPLIT,
+    MIN_SLOTS_TO_STAY,
+)
 from crocusproxy.protocol.home_feed import DomainHome, DomainHomes, Member
 from crocusproxy.routes.model import RegisteredUpstream
 
--- a/tests/membership/test_reach_machine.py
+++ b/tests/membership/test_reach_machine.py
@@ -17,7 +17,7 @@
     rule,
 )
 
-from crocusproxy.membership.domain_homes import MIN_SLOTS_TO_SPLIT
+from crocusproxy.membership.domain_split import MIN_SLOTS_TO_SPLIT
 from crocusproxy.protocol.home_feed import DomainHome
 from standins.virtual_time import VirtualLoop
 
--- a/tests/membership/test_reach_search.py
+++ b/tests/membership/test_reach_search.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from crocusproxy.membership.domain_home_planner import CHECK_INTERVAL_SECONDS
-from crocusproxy.membership.domain_homes import MIN_SLOTS_TO_SPLIT
+from crocusproxy.membership.domain_split import MIN_SLOTS_TO_SPLIT
 from crocusproxy.membership.member_client import REQUEST_TIMEOUT_SECONDS
 from crocusproxy.membership.reach_judge import ReachJudge
 from crocusproxy.protocol.home_feed import Member
