--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -11,18 +11,11 @@
 from ..logs import log
 from ..protocol.home_feed import DomainHome, DomainHomes, Member
 from ..routes.model import RegisteredUpstream
+from .domain_split import MIN_DOMAINS, SlotsByDomain, Split, choose_split
 
-#: Slots of each service that a failure domain needs to get a home of its own.
-MIN_SLOTS_TO_SPLIT = 32
-#: A failure domain with fewer slots of a service loses its home. The distance
-#: to ``MIN_SLOTS_TO_SPLIT`` keeps a restart of upstreams from moving callers.
-MIN_SLOTS_TO_STAY = 16
 #: A domain home is replaced by a member with this many times its capacity.
 MIN_CAPACITY_GAIN = 1.2
 
-#: Slots of each service, by failure domain.
-SlotsByDomain = Mapping[str, Mapping[str, int]]
-
 
 def count_slots(
     upstreams: Iterable[RegisteredUpstream],
@@ -47,26 +40,30 @@
     slots: SlotsByDomain,
     cut_off: Collection[str] = (),
     evacuated: Collection[str] = (),
+    proven: Collection[str] = (),
 ) -> DomainHomes:
     """Return the domain homes, empty if the home should dispatch alone.
 
     ``members`` can be reached and stay. A domain home is kept while it is one
     of them, so that its callers need not move, unless it is ``home_name``.
     That member is chosen last, as it also reads the store and serves the feed.
-    A failure domain with too few slots gets the home of the largest one.
+    A failure domain with too few slots gets the home of the largest one, which
+    also dispatches the services that are not split.
     Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
     If the home should dispatch alone but is cut off, another member does.
     A failure domain in ``evacuated`` has no slots. While one is evacuated that
     has a domain home, one other with enough slots is enough for a split, so
     that the callers there keep their home.
+    Members in ``proven`` have just reached upstreams; they are preferred to
+    others, which would have to be tried first.
     """
     everyone = tuple(members)
     able = tuple(one for one in everyone if one.name not in cut_off) or everyone
-    split = _split(current, able, home_name, slots, evacuated)
+    split = _split(current, able, home_name, slots, evacuated, proven)
     if split.homes:
         return split
     domains = {member.failure_domain for member in everyone} | slots.keys()
-    return _single(current, able, home_name, domains)
+    return _single(current, able, home_name, domains, proven)
 
 
 def _single(
@@ -74,6 +71,7 @@
     members: tuple[Member, ...],
     home_name: str,
     domains: Iterable[str],
+    proven: Collection[str],
 ) -> DomainHomes:
     """Return one member for all failure domains, empty if it is the home.
 
@@ -84,7 +82,9 @@
     home = by_name.get(home_name)
     present = by_name.get(_single_name(current), home)
     if present is None:
-        present = min(members, key=lambda member: member.rank)
+        present = min(
+            members, key=lambda member: (member.name not in proven, member.rank)
+        )
     if home is not None and home.capacity >= (
         MIN_CAPACITY_GAIN * present.capacity
     ):
@@ -108,36 +108,39 @@
     home_name: str,
     slots: SlotsByDomain,
     evacuated: Collection[str],
+    proven: Collection[str],
 ) -> DomainHomes:
     """Return a home for each large failure domain, empty if these are few."""
     candidates = _by_domain(members)
     is_evacuating = any(
         home.failure_domain in evacuated for home in current.homes
     )
-    current_homes: dict[str, Member] = {}
-    if is_evacuating or not _single_name(current):
-        current_homes = {
-            home.failure_domain: home.member for home in current.homes
-        }
-    split_domains = {
-        domain
-        for domain in candidates
-        if _has_enough_slots(domain, slots, is_split=domain in current_homes)
-    }
-    min_domains = 1 if is_evacuating else 2
-    if len(split_domains) < min_domains:
+    if _single_name(current) and not is_evacuating:
+        current = DomainHomes()
+    min_domains = 1 if is_evacuating else MIN_DOMAINS
+    split = choose_split(candidates, slots, current, min_domains)
+    if split is None:
         return DomainHomes()
+    current_homes = {home.failure_domain: home.member for home in current.homes}
     homes = {
         domain: _choose(
-            candidates[domain], current_homes.get(domain), home_name
+            candidates[domain], current_homes.get(domain), home_name, proven
         )
-        for domain in sorted(split_domains)
+        for domain in split.domains
     }
-    largest = max(sorted(homes), key=lambda domain: sum(slots[domain].values()))
     for domain in candidates.keys() | slots.keys():
-        homes.setdefault(domain, homes[largest])
+        homes.setdefault(domain, homes[split.largest])
+    return _in_order(homes, split)
+
+
+def _in_order(homes: Mapping[str, Member], split: Split) -> DomainHomes:
+    """Return the domain homes, first the one with the shared services."""
+    domains = sorted(homes)
+    if split.shared:
+        domains.sort(key=lambda domain: domain != split.largest)
     return DomainHomes(
-        tuple(DomainHome(domain, homes[domain]) for domain in sorted(homes))
+        tuple(DomainHome(domain, homes[domain]) for domain in domains),
+        split.shared,
     )
 
 
@@ -148,24 +151,19 @@
     return by_domain
 
 
-def _has_enough_slots(
-    domain: str, slots: SlotsByDomain, *, is_split: bool
-) -> bool:
-    services = {
-        service for by_service in slots.values() for service in by_service
-    }
-    minimum = MIN_SLOTS_TO_STAY if is_split else MIN_SLOTS_TO_SPLIT
-    domain_slots = slots.get(domain, {})
-    return bool(services) and all(
-        domain_slots.get(service, 0) >= minimum for service in services
-    )
-
-
 def _choose(
-    members: list[Member], current: Member | None, home_name: str
+    members: list[Member],
+    current: Member | None,
+    home_name: str,
+    proven: Collection[str],
 ) -> Member:
     best = min(
-        members, key=lambda member: (member.name == home_name, member.rank)
+        members,
+        key=lambda member: (
+            member.name not in proven,
+            member.name == home_name,
+            member.rank,
+        ),
     )
     for member in members:
         if current is not None and member.name == current.name:
@@ -179,12 +177,14 @@
 class DomainHomeTable:
     """The domain homes that an instance knows.
 
-    ``is_known`` is set once any assignment has arrived. ``on_change`` listeners
-    are called with each new one.
+    ``is_known`` is set once any assignment has arrived. ``shared`` has the
+    services that are not split. ``on_change`` listeners are called with each
+    new assignment.
     """
 
     def __init__(self) -> None:
         self.assignment = DomainHomes()
+        self.shared: frozenset[str] = frozenset()
         self.is_known = False
         self.on_change: list[Callable[[DomainHomes], None]] = []
 
@@ -194,12 +194,14 @@
         if assignment == self.assignment:
             return
         self.assignment = assignment
+        self.shared = frozenset(assignment.shared)
         log(
             'domain_homes_changed',
             homes={
                 home.failure_domain: home.member.name
                 for home in assignment.homes
             },
+            shared=assignment.shared,
         )
         for listener in self.on_change:
             listener(assignment)
@@ -215,6 +217,11 @@
                 return home.member
         return homes[0].member if homes else None
 
+    def shared_home(self, service: str) -> Member | None:
+        """Return the domain home with a shared service, None if it is split."""
+        homes = self.assignment.homes
+        return homes[0].member if homes and service in self.shared else None
+
     def others(self, name: str) -> tuple[Member, ...]:
         """Return the domain homes other than the member ``name``, once each."""
         members = {
--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -152,7 +152,7 @@
         place_in(neighbor, neighbor.servers[0], 'b')
         other = await GatewaySystem().start()
         other.gateway.forwarder = HomeForwarder(
-            other.pool, other.messages, other.clock, lambda: system.address
+            other.pool, other.messages, other.clock, lambda _: system.address
         )
         use_domain_homes(system, neighbor.address)
         evacuate(system, 'a')
