Limit the requests to cold upstreams

Upstreams that warm up after a start crash at rates well above `WarmupPerS`, and placement only assumed that they were slower. A cold upstream now has a limiter beside the stated one. It is cold by its entry, its responses or its start, and for a moment after a failure or an evacuation, until a health response tells. Only the instance that dispatches exclusively uses it; one that takes over sends nothing for a second, as the predecessor may still use the whole rate.

An upstream that turns cold or warm is a notable change of its entry, and a told warm-up travels with the terms. Nothing changes without `WarmupPerS`.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -345,6 +345,7 @@
             lambda: sum(placer.limited_count() for placer in placers.values()),
             lambda: len(self.reach.unreached()),
             lambda: len(self.catalog.evacuated),
+            lambda: sum(placer.cold_count() for placer in placers.values()),
         )
 
     async def _open_ports(self) -> None:
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -219,7 +219,7 @@
         so they would take the place of requests.
         """
         state = placed.upstream
-        if state.rate_limit is not None:
+        if state.is_limited:
             return False
         if self._now() - state.reported_at < FRESH_LOAD_SECONDS:
             return False
@@ -228,7 +228,8 @@
         except asyncio.CancelledError:
             self.placer(service).release(placed)
             raise
-        return state.slowdown > SLOW_THRESHOLD
+        # A cold upstream has a limit that this choice did not respect.
+        return state.is_cold or state.slowdown > SLOW_THRESHOLD
 
     async def _choose(self, context: RequestContext) -> Decision:
         route = context.route
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -42,6 +42,7 @@
     OVERFLOW_HEADER,
     RESPONDER_HEADER,
 )
+from .warm_up_watch import WarmUpWatch
 
 _NO_UPSTREAM = 'no_upstream'
 
@@ -78,6 +79,7 @@
         self.in_flight = 0
         catalog.on_config.append(self.apply_config)
         self.start_wait = StartWait(catalog, clock)
+        self.warm_up_watch = WarmUpWatch(catalog, clock)
         catalog.on_upstream.append(dispatcher.apply_upstream_change)
         catalog.on_evacuation.append(dispatcher.apply_evacuated)
 
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -75,6 +75,7 @@
         limited_upstreams: Callable[[], float],
         unreached_upstreams: Callable[[], float],
         evacuated_domains: Callable[[], float],
+        cold_upstreams: Callable[[], float],
     ) -> None:
         """Register gauges that call these functions at each scrape."""
         registry = self.registry
@@ -113,3 +114,8 @@
             'Evacuated failure domains.',
             registry=registry,
         ).set_function(evacuated_domains)
+        Gauge(
+            'crocus_entry_cold_upstreams',
+            'Cold upstreams with a limited rate.',
+            registry=registry,
+        ).set_function(cold_upstreams)
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -23,6 +23,9 @@
 #: Minimum time between the latest load report or probe of an upstream and the
 #: next probe.
 PROBE_INTERVAL_SECONDS = 0.3
+#: Minimum time between probes of upstreams that may turn cold, even if others
+#: of their responses report the load: only health responses tell a warm-up.
+WARM_UP_PROBE_INTERVAL_SECONDS = 0.5
 #: The minimum while requests are queued and the upstream has a free slot.
 QUEUE_PROBE_INTERVAL_SECONDS = 0.05
 #: Probes stop when no request has arrived for this time.
@@ -61,6 +64,7 @@
         self.reach = reach
         rate = max(probes_per_second * _RATE_SHARE, 0.1)
         self.interval = max(PROBE_INTERVAL_SECONDS, 1 / rate)
+        self.warm_up_interval = max(WARM_UP_PROBE_INTERVAL_SECONDS, 1 / rate)
         self.queue_interval = max(QUEUE_PROBE_INTERVAL_SECONDS, 1 / rate)
         self.health_paths: dict[str, str] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
@@ -94,19 +98,26 @@
         self, placer: ServicePlacer, path: str, now: float
     ) -> None:
         for state in placer.upstreams.values():
-            latest = max(state.reported_at, state.probed_at)
-            interval = self.interval
-            if placer.queue and state.has_slot:
-                interval = self.queue_interval
             if (
                 state.is_usable
                 # A rate limit counts probes too; requests show the load.
                 and state.rate_limit is None
-                and state.may_start(now)
-                and now - latest >= interval
+                and not state.is_backing_off(now)
+                and self._is_stale(placer, state, now)
             ):
                 self._start_probe(state, path)
 
+    def _is_stale(
+        self, placer: ServicePlacer, state: UpstreamState, now: float
+    ) -> bool:
+        if state.terms.warm_up.rate:
+            if now - state.probed_at >= self.warm_up_interval:
+                return True
+        interval = self.interval
+        if placer.queue and state.has_slot and not state.is_cold:
+            interval = self.queue_interval
+        return now - max(state.reported_at, state.probed_at) >= interval
+
     def _start_probe(
         self, state: UpstreamState, path: str
     ) -> 'asyncio.Task[None]':
--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -67,6 +67,7 @@
             return
         self._observe_load(upstream, message)
         self._observe_backoff(upstream, message)
+        self._observe_warm_up(upstream, message, 'response')
         self._observe_terms(
             upstream.key,
             upstream.terms,
@@ -84,6 +85,8 @@
         """
         self._observe_load(upstream, message)
         self._observe_backoff(upstream, message)
+        upstream.terms.warm_up.end_assumption()
+        self._observe_warm_up(upstream, message, 'probe')
         self._observe_terms(
             upstream.key,
             upstream.terms,
@@ -135,6 +138,33 @@
                 'upstream_backoff', upstream=upstream.key, seconds=seconds
             )
 
+    def _observe_warm_up(
+        self,
+        upstream: UpstreamState,
+        message: RawResponseMessage,
+        source: Source,
+    ) -> None:
+        header = self.header_names.warm_up
+        text = message.headers.get(header)
+        if text is None:
+            return
+        remaining = self.header_names.parse_warm_up(text)
+        if remaining is None:
+            self._log_malformed(upstream.key, header, text)
+            return
+        now = self._now()
+        seconds = remaining.total_seconds()
+        warm_up = upstream.terms.warm_up
+        if warm_up.tell(seconds, now):
+            self.terms_table.report_change(upstream.key, now)
+            self._write(
+                'upstream_cold',
+                upstream=upstream.key,
+                seconds=seconds,
+                rate=warm_up.rate,
+                source=source,
+            )
+
     def _observe_terms(
         self,
         key: str,
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -97,8 +97,14 @@
             for listener in self.on_complete:
                 listener()
 
-    def apply_change(self, change: UpstreamChange) -> None:
-        """Apply one change of the list."""
+    def apply_change(
+        self, change: UpstreamChange, *, is_notable: bool = False
+    ) -> None:
+        """Apply one change of the list.
+
+        With ``is_notable``, a home has chosen it among the reports, so that the
+        listeners are called whatever has changed.
+        """
         current = self.upstreams.get(change.key)
         self.revision += 1
         if change.entry is None:
@@ -110,7 +116,12 @@
                 return
             self.upstreams[change.key] = change.entry
             self.removed_upstreams.pop(change.key, None)
-        if _is_notable(current, change.entry):
+        if (
+            is_notable
+            and current != change.entry
+            or _is_notable(current, change.entry)
+            or self._is_notable_warm_up(current, change.entry)
+        ):
             _log_change(current, change)
             for listener in self.on_upstream:
                 listener(change)
@@ -124,6 +135,25 @@
         last_report = (removed.started_at, removed.sequence)
         return (entry.started_at, entry.sequence) <= last_report
 
+    def _is_notable_warm_up(
+        self,
+        before: RegisteredUpstream | None,
+        after: RegisteredUpstream | None,
+    ) -> bool:
+        """Return whether an upstream turned cold or is warm again.
+
+        Followers would otherwise not know the one, and would tell a new member
+        long after the other that the upstream is cold.
+        """
+        if before is None or after is None or self.config is None:
+            return False
+        is_colder = after.warm_up > before.warm_up
+        is_warm_again = not after.warm_up and bool(before.warm_up)
+        return (is_colder or is_warm_again) and any(
+            service.warm_up_rate and service.name == after.service
+            for service in self.config.services
+        )
+
     def _note_terms(self, stated: StatedTerms, is_own: bool) -> None:
         self.revision += 1
 
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -305,7 +305,7 @@
             self.catalog.apply_list(entries)
             return
         for change in message.changes:
-            self.catalog.apply_change(change)
+            self.catalog.apply_change(change, is_notable=True)
 
     def _apply_operator_state(self, message: FeedMessage) -> None:
         if message.config is not None:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -27,6 +27,7 @@
 )
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
+from .warm_up import HANDOVER_SECONDS
 
 #: Queued requests per slot; more could not be served in time.
 QUEUED_PER_SLOT = 2
@@ -76,6 +77,7 @@
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
         self.evacuated: frozenset[str] = frozenset()
+        self.took_over_at = -inf
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -91,13 +93,20 @@
                 state.is_removed = True
             is_remote = entry.failure_domain != self.failure_domain
             state = UpstreamState(
-                entry, is_remote, terms=self.terms_table.terms(entry)
+                entry,
+                is_remote,
+                terms=self.terms_table.terms(entry),
+                now=self.now,
             )
+            state.terms.warm_up.hand_over(self.took_over_at + HANDOVER_SECONDS)
             self.upstreams[entry.key] = state
         state.is_owned = self.owns(entry.failure_domain)
         state.is_exclusive = self.is_exclusive
         state.is_evacuated = entry.failure_domain in self.evacuated
         warm_up = entry.warm_up.total_seconds()
+        if state.terms.warm_up.rate:
+            # The limit replaces the assumption that the upstream is slow.
+            warm_up = 0
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
         self.process_queue()
 
@@ -115,18 +124,25 @@
         """
         self.owns = owns
         for state in self.upstreams.values():
+            was_owned = state.is_owned
             state.is_owned = owns(state.entry.failure_domain)
+            if state.is_owned and not was_owned:
+                self._take_over(state)
         self._refuse_unplaceable()
         self.process_queue()
 
     def set_exclusive(self, *, is_exclusive: bool) -> None:
         """Set whether no other instance dispatches to the owned upstreams.
 
-        Otherwise rate-limited upstreams get no requests from this instance.
+        Otherwise rate-limited and cold upstreams get no requests from this
+        instance.
         """
+        is_taking_over = is_exclusive and not self.is_exclusive
         self.is_exclusive = is_exclusive
         for state in self.upstreams.values():
             state.is_exclusive = is_exclusive
+            if is_taking_over:
+                self._take_over(state)
         self._refuse_unplaceable()
         self.process_queue()
 
@@ -141,6 +157,7 @@
             is_evacuated = state.entry.failure_domain in failure_domains
             if state.is_evacuated and not is_evacuated:
                 state.forget_failures()
+                state.terms.warm_up.assume(self.now())
             state.is_evacuated = is_evacuated
         self._refuse_unplaceable()
         self.process_queue()
@@ -163,11 +180,19 @@
             state.rate_limit is not None for state in self.upstreams.values()
         )
 
+    def cold_count(self) -> int:
+        """Return the number of cold upstreams with a limited rate."""
+        return sum(state.is_cold for state in self.upstreams.values())
+
     def is_short_of_slots(self) -> bool:
         """Return whether requests wait long for a slot, or there is none."""
         if not self.queue:
             # The usual case, for which the slots need not be counted.
-            return not any(state.is_usable for state in self.upstreams.values())
+            return not any(
+                state.is_usable
+                and (not state.is_cold or state.may_start(self.now()))
+                for state in self.upstreams.values()
+            )
         return len(self.queue) >= MAX_QUEUED_SHARE * self._slots()
 
     def has_spare_slots(self) -> bool:
@@ -177,7 +202,7 @@
         free = sum(
             state.entry.slots - state.in_flight
             for state in self._candidates(self.now())
-            if state.rate_limit is None
+            if not state.is_limited
         )
         return free > MIN_SPARE_SHARE * self._slots()
 
@@ -239,6 +264,11 @@
         while len(self.queue) > self._queue_limit():
             self._refuse(self.queue[-1], capacity, now)
 
+    def _take_over(self, state: UpstreamState) -> None:
+        """Begin to dispatch to an upstream of another instance."""
+        self.took_over_at = self.now()
+        state.terms.warm_up.hand_over(self.took_over_at + HANDOVER_SECONDS)
+
     def _has_upstream(self, request: PlacementRequest) -> bool:
         return any(
             state.is_usable and state.key not in request.excluded
@@ -307,7 +337,7 @@
         return sum(
             state.entry.slots
             for state in self.upstreams.values()
-            if state.is_usable and state.rate_limit is None
+            if state.is_usable and not state.is_limited
         )
 
     def _queue_limit(self) -> int:
@@ -327,14 +357,18 @@
 
         A request that starts on a slow upstream holds its slot several times
         as long, even after the upstream is fast again. Slow upstreams are
-        therefore used only if all are slow.
+        therefore used only if all are slow, or now and then if they are cold.
         """
         usable = [
             state
             for state in self.upstreams.values()
             if state.is_usable and state.may_start(now)
         ]
-        fast = [state for state in usable if not state.is_slow(now)]
+        fast = [
+            state
+            for state in usable
+            if not state.is_slow(now) or state.terms.warm_up.is_due(now)
+        ]
         return [state for state in fast or usable if state.has_slot]
 
     def _choose(
--- a/src/crocusproxy/placement/stated_capacity.py
+++ b/src/crocusproxy/placement/stated_capacity.py
@@ -23,11 +23,13 @@
     """The next start that the upstreams permit, and the starts per second.
 
     ``next_start`` is in monotonic seconds. ``rate`` is infinite if an upstream
-    without a limit takes requests from then on.
+    without a limit takes requests from then on. One whose limit ends at
+    ``unlimited_at`` takes any number from then on.
     """
 
     next_start: float
     rate: float
+    unlimited_at: float = inf
 
     def is_limited(self, now: float) -> bool:
         """Return whether no upstream takes any number of requests now."""
@@ -35,28 +37,35 @@
 
     def start_of(self, position: int) -> float:
         """Return the expected start of the request at a queue position."""
-        return self.next_start + position / self.rate
+        return min(self.next_start + position / self.rate, self.unlimited_at)
 
 
 def stated_capacity(
     upstreams: Iterable[UpstreamState], now: float
 ) -> StatedCapacity:
     """Return what the usable upstreams permit together."""
-    next_start = inf
-    rate = float()
-    for state in upstreams:
-        if not state.is_usable:
-            continue
-        start = state.terms.next_request_at(now)
-        limiter = state.terms.limiter
-        if limiter is not None:
-            rate += limiter.rate
-        elif start <= now:
-            return StatedCapacity(now, inf)
-        next_start = min(next_start, start)
-    if next_start == inf:
+    usable = [state for state in upstreams if state.is_usable]
+    if not usable or any(_takes_any_number(state, now) for state in usable):
         return StatedCapacity(now, inf)
-    return StatedCapacity(next_start, rate or inf)
+    rate = sum(state.terms.lowest_rate(now) or 0 for state in usable)
+    return StatedCapacity(
+        min(state.terms.next_request_at(now) for state in usable),
+        rate or inf,
+        min(_unlimited_at(state, now) for state in usable),
+    )
+
+
+def _takes_any_number(state: UpstreamState, now: float) -> bool:
+    is_unlimited = state.terms.lowest_rate(now) is None
+    return is_unlimited and state.terms.next_request_at(now) <= now
+
+
+def _unlimited_at(state: UpstreamState, now: float) -> float:
+    """Return when the warm-up that limits an upstream ends."""
+    terms = state.terms
+    if terms.rate_limit is not None or not terms.warm_up.is_cold(now):
+        return inf
+    return max(terms.next_request_at(now), terms.warm_up.cold_until())
 
 
 class ReturnSchedule:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -1,5 +1,6 @@
 """State of one upstream and the expected cost of its next request."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import exp, inf
 
@@ -30,12 +31,19 @@
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 SHED_BACKOFF_SECONDS = 0.03
+#: Extra cost of a cold upstream with a limited rate, relative to the service
+#: time. It exceeds that of a nearly full one in another failure domain.
+COLD_COST_SHARE = 2.0
 #: Factor of the assumed slowdown during warm-up.
 WARM_UP_SLOWDOWN = 2.0
 _MAX_FAILURE_RATE = 0.95
 _MIN_SLOWDOWN = 0.1
 
 
+def _unknown_time() -> float:
+    return -inf
+
+
 @dataclass(slots=True, eq=False)
 class UpstreamState:
     """Requests in flight and latest signals of one upstream.
@@ -45,7 +53,7 @@
     ``terms`` may ask for a longer time. An upstream that another instance
     dispatches to is not ``is_owned``; one that others may dispatch to as well
     is not ``is_exclusive``. The failure domain of one that ``is_evacuated``
-    gets no new requests. Times are monotonic seconds.
+    gets no new requests. ``now`` returns the time. Times are monotonic seconds.
     """
 
     entry: RegisteredUpstream
@@ -63,6 +71,7 @@
     is_evacuated: bool = False
     observed: ObservedSlowdown = field(default_factory=ObservedSlowdown)
     terms: UpstreamTerms = field(default_factory=UpstreamTerms)
+    now: Callable[[], float] = _unknown_time
 
     @property
     def key(self) -> str:
@@ -77,13 +86,24 @@
         if self.is_evacuated:
             return False
         # A rate limit binds all instances together, so only one may use it.
-        return self.is_owned and (self.is_exclusive or self.rate_limit is None)
+        return self.is_owned and (self.is_exclusive or not self.is_limited)
 
     @property
     def rate_limit(self) -> float | None:
         """Return the stated limit in requests per second, if there is one."""
         return self.terms.rate_limit
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the warm-up limits the rate of requests."""
+        warm_up = self.terms.warm_up
+        return warm_up.rate > 0 and warm_up.is_cold(self.now())
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether a stated limit or the warm-up limits requests."""
+        return self.rate_limit is not None or self.is_cold
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
@@ -94,12 +114,18 @@
         """Return whether a slot is free."""
         return len(self.observed.running) < self.entry.slots
 
+    def is_backing_off(self, now: float) -> bool:
+        """Return whether a backoff forbids requests and probes."""
+        return now < self.backoff_until or now < self.terms.backoff_until
+
     def may_start(self, now: float) -> bool:
         """Return whether no backoff or rate limit forbids a request."""
         terms = self.terms
         if now < self.backoff_until or now < terms.backoff_until:
             return False
-        return terms.limiter is None or terms.limiter.next_at(now) <= now
+        if terms.limiter is not None and terms.limiter.next_at(now) > now:
+            return False
+        return terms.warm_up.next_at(now) <= now
 
     def report(self, slowdown: float, now: float) -> None:
         """Record a reported slowdown."""
@@ -139,10 +165,14 @@
 
     def cost(self, service_time: float, now: float) -> float:
         """Return the expected time, weighted for failures and locality."""
+        if self.terms.warm_up.is_due(now):
+            return 0
         time = self.expected_time(service_time, now)
         time += (
             BUSY_COST_SHARE * service_time * self.in_flight / self.entry.slots
         )
+        if self.terms.warm_up.is_cold(now):
+            time += COLD_COST_SHARE * service_time
         time /= 1 - min(self.failure_rate, _MAX_FAILURE_RATE)
         return (
             time
@@ -156,7 +186,11 @@
         self.failure_rate *= 1 - FAILURE_WEIGHT
 
     def failed(self, now: float) -> None:
-        """Record a failure; the backoff doubles with each consecutive one."""
+        """Record a failure; the backoff doubles with each consecutive one.
+
+        The upstream may be starting again.
+        """
+        self.terms.warm_up.assume(now)
         self.consecutive_failures += 1
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
         backoff = INITIAL_BACKOFF_SECONDS * 2 ** min(
@@ -168,6 +202,7 @@
         """Forget the failures in a row; they were not those of the upstream."""
         if self.consecutive_failures:
             self.forget_failures()
+            self.terms.warm_up.end_assumption()
 
     def forget_failures(self) -> None:
         """End the backoff and forget all failures."""
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -8,12 +8,14 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from datetime import timedelta
 from math import inf
 
-from ..limits.rate_limiter import RateLimiter
+from ..limits.rate_limiter import MIN_RATE_PER_SECOND, RateLimiter
 from ..protocol.home_feed import StatedTerms
 from ..routes.model import RegisteredUpstream
+from .warm_up import WarmUp
 
 #: Incarnations whose terms are kept, also after their entries are removed.
 MAX_INCARNATIONS = 20_000
@@ -25,10 +27,11 @@
 
     ``rate_limit`` is the number of requests per second that the upstream takes
     from all instances together, None without limit; ``limiter`` then permits
-    the requests of this instance. ``is_leaving`` does not end: only another
-    incarnation takes requests again. Until ``backoff_until`` it wants nothing
-    from this instance. ``limit_logged_at`` is when a change of the limit was
-    last logged. Times are monotonic seconds.
+    the requests of this instance. While the upstream is cold, ``warm_up``
+    limits them too, and the lower limit applies. ``is_leaving`` does not end:
+    only another incarnation takes requests again. Until ``backoff_until`` it
+    wants nothing from this instance. ``limit_logged_at`` is when a change of
+    the limit was last logged. Times are monotonic seconds.
     """
 
     rate_limit: float | None = None
@@ -36,6 +39,7 @@
     is_leaving: bool = False
     backoff_until: float = -inf
     limit_logged_at: float = -inf
+    warm_up: WarmUp = field(default_factory=WarmUp)
 
     def apply_rate_limit(self, limit: float | None, now: float) -> None:
         """Apply a stated limit, or the end of one."""
@@ -49,11 +53,18 @@
 
     def next_request_at(self, now: float) -> float:
         """Return when a request is permitted, ``now`` at the earliest."""
-        earliest = max(now, self.backoff_until)
+        earliest = max(self.warm_up.next_at(now), self.backoff_until)
         if self.limiter is None:
             return earliest
         return max(earliest, self.limiter.next_at(now))
 
+    def lowest_rate(self, now: float) -> float | None:
+        """Return the rate that applies, None without limit."""
+        rates = [] if self.limiter is None else [self.limiter.rate]
+        if self.warm_up.is_cold(now):
+            rates.append(max(self.warm_up.rate, MIN_RATE_PER_SECOND))
+        return min(rates, default=None)
+
     def request_backoff(self, seconds: float, now: float) -> None:
         """Apply a requested backoff; it does not shorten an earlier one."""
         self.backoff_until = max(self.backoff_until, now + seconds)
@@ -62,6 +73,8 @@
         """Count a request that is sent."""
         if self.limiter is not None:
             self.limiter.take(now)
+        if self.warm_up.rate:
+            self.warm_up.count_request(now)
 
 
 #: Receives changed terms, and whether this instance has got them from the
@@ -98,9 +111,12 @@
         for stated in stated_terms:
             self._apply_one(stated, now)
 
-    def report_change(self, key: str) -> None:
-        """Call the listeners after a change that an upstream has stated."""
-        self._notify(key, is_own=True)
+    def report_change(self, key: str, now: float = inf) -> None:
+        """Call the listeners after a change that an upstream has stated.
+
+        With ``now``, they get the remaining warm-up too.
+        """
+        self._notify(key, now, is_own=True)
 
     def stated(self) -> tuple[StatedTerms, ...]:
         """Return the terms of the upstreams that have stated some."""
@@ -113,15 +129,16 @@
     def _apply_one(self, stated: StatedTerms, now: float) -> None:
         terms = self.terms_of(stated.key, stated.started_at)
         leaving = terms.is_leaving or stated.leaving
+        is_colder = terms.warm_up.tell(stated.warm_up.total_seconds(), now)
         is_same = (terms.rate_limit, terms.is_leaving) == (
             stated.rate_limit,
             leaving,
         )
-        if is_same:
+        if is_same and not is_colder:
             return
         terms.apply_rate_limit(stated.rate_limit, now)
         terms.is_leaving = leaving
-        self._notify(stated.key, is_own=False)
+        self._notify(stated.key, now, is_own=False)
 
     def _keep(self, key: str, started_at: int, terms: UpstreamTerms) -> None:
         self.incarnations.pop(key, None)
@@ -129,14 +146,23 @@
         while len(self.incarnations) > MAX_INCARNATIONS:
             self.incarnations.pop(next(iter(self.incarnations)))
 
-    def _notify(self, key: str, *, is_own: bool) -> None:
+    def _notify(self, key: str, now: float, *, is_own: bool) -> None:
         incarnation = self.incarnations.get(key)
         if incarnation is None:
             return
-        stated = _stated(key, *incarnation)
+        stated = _stated(key, *incarnation, now)
         for listener in self.on_change:
             listener(stated, is_own)
 
 
-def _stated(key: str, started_at: int, terms: UpstreamTerms) -> StatedTerms:
-    return StatedTerms(key, started_at, terms.rate_limit, terms.is_leaving)
+def _stated(
+    key: str, started_at: int, terms: UpstreamTerms, now: float = inf
+) -> StatedTerms:
+    remaining = max(terms.warm_up.told_until - now, 0)
+    return StatedTerms(
+        key,
+        started_at,
+        terms.rate_limit,
+        terms.is_leaving,
+        timedelta(seconds=remaining),
+    )
--- /dev/null
+++ b/src/crocusproxy/placement/warm_up.py
@@ -0,0 +1,124 @@
+"""Limit of the requests to an upstream that is cold after a start.
+
+A cold upstream fails at rates well above the one that it tolerates. It is cold
+until the latest of the times that its entry, its health responses and its start
+give.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from ..limits.rate_limiter import RateLimiter
+
+#: An instance that begins to dispatch to an upstream sends it nothing for this
+#: time while it is cold: the predecessor may not know yet, and may still use
+#: the whole rate.
+HANDOVER_SECONDS = 1.0
+#: A cold upstream is preferred for one request after this time without any, as
+#: others would otherwise take all of them at low load.
+MAX_COLD_IDLE_SECONDS = 2.0
+#: How long an upstream counts as cold that may have been restarted, until a
+#: health response or its entry shows whether it was.
+ASSUMED_COLD_SECONDS = 2.0
+#: A cold time that ends later than known by less than this is no news.
+NEWS_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class WarmUp:
+    """Warm-up of one incarnation of an upstream.
+
+    ``rate`` is the number of requests per second that it tolerates while it is
+    cold, 0 without limit. It is cold for ``seconds`` from ``listed_at`` on,
+    when it was first listed while this instance was serving. ``told_until`` is
+    the latest end that it has told. Until ``assumed_until`` it may be cold. The
+    limit permits nothing before ``begins_at``. ``sent_at`` is when it last got
+    a request. Times are monotonic seconds.
+    """
+
+    rate: float = 0
+    seconds: float = 0
+    is_listed: bool = False
+    listed_at: float = -inf
+    told_until: float = -inf
+    assumed_until: float = -inf
+    begins_at: float = -inf
+    sent_at: float = -inf
+    limiter: RateLimiter | None = None
+
+    def known_until(self) -> float:
+        """Return when the upstream is no longer cold, but for assumptions."""
+        return max(self.told_until, self.listed_at + self.seconds)
+
+    def cold_until(self) -> float:
+        """Return when the upstream is no longer cold."""
+        return max(self.known_until(), self.assumed_until)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the limit applies."""
+        return self.rate > 0 and now < self.cold_until()
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a cold upstream has got no request for long."""
+        is_idle = now - self.sent_at >= MAX_COLD_IDLE_SECONDS
+        return self.rate > 0 and is_idle and self.is_cold(now)
+
+    def configure(self, rate: float, seconds: float, now: float) -> None:
+        """Apply the settings of the service."""
+        self.rate = rate
+        self.seconds = seconds
+        if self.limiter is not None and rate:
+            self.limiter.change_rate(rate, now)
+
+    def list_first(self, now: float, *, is_serving: bool) -> bool:
+        """Record the first listing; return whether the upstream is cold by it.
+
+        One that is listed before this instance serves may have run for long.
+        """
+        if self.is_listed:
+            return False
+        self.is_listed = True
+        if is_serving:
+            self.listed_at = now
+        return is_serving and self.is_cold(now)
+
+    def tell(self, remaining: float, now: float) -> bool:
+        """Apply a told remaining time; return whether it is news."""
+        until = now + remaining
+        is_news = self.rate > 0 and until > NEWS_SECONDS + max(
+            now, self.known_until()
+        )
+        if remaining:
+            self.told_until = max(self.told_until, until)
+        return is_news
+
+    def assume(self, now: float) -> None:
+        """Take the upstream for cold for a moment: it may have restarted."""
+        self.assumed_until = now + ASSUMED_COLD_SECONDS
+
+    def end_assumption(self) -> None:
+        """Rely on what is known again."""
+        self.assumed_until = -inf
+
+    def hand_over(self, begins_at: float) -> None:
+        """Begin with an empty limiter, as this instance takes over."""
+        self.begins_at = max(self.begins_at, begins_at)
+        self.limiter = None
+
+    def next_at(self, now: float) -> float:
+        """Return when a request is permitted, ``now`` at the earliest."""
+        if not self.rate:
+            return now
+        if not self.is_cold(now):
+            self.limiter = None
+            return now
+        if self.limiter is None:
+            self.limiter = RateLimiter(self.rate, max(now, self.begins_at))
+        next_at = max(self.limiter.next_at(now), self.begins_at)
+        return min(next_at, self.cold_until())
+
+    def count_request(self, now: float) -> None:
+        """Count a request that is sent."""
+        self.sent_at = now
+        if self.limiter is not None:
+            self.limiter.take(now)
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Literal
 
 from ..routes.model import RegisteredUpstream, RouteConfig
@@ -114,13 +115,15 @@
 class StatedTerms:
     """What an incarnation of an upstream has stated for all instances.
 
-    ``rate_limit`` is in requests per second, None without limit.
+    ``rate_limit`` is in requests per second, None without limit. ``warm_up`` is
+    how much longer it is cold, zero if it has not told that just now.
     """
 
     key: str
     started_at: int
     rate_limit: float | None = None
     leaving: bool = False
+    warm_up: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/test_catalog.py
+++ b/tests/membership/test_catalog.py
@@ -1,13 +1,18 @@
 """Guards against stale reports that overwrite newer state."""
 
 from dataclasses import replace
+from datetime import timedelta
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from crocusproxy.membership.catalog import MAX_REMOVED_UPSTREAMS, Catalog
 from crocusproxy.protocol.home_feed import UpstreamChange
-from crocusproxy.routes.model import RegisteredUpstream, RouteConfig
+from crocusproxy.routes.model import (
+    RegisteredUpstream,
+    RouteConfig,
+    ServiceSettings,
+)
 
 ENTRY = RegisteredUpstream(
     'i-1', 's', '10.0.0.1:80', 'a', 2, False, started_at=100, sequence=5
@@ -83,3 +88,39 @@
         catalog.apply_change(UpstreamChange(f'i-{number}'))
     assert len(catalog.removed_upstreams) == MAX_REMOVED_UPSTREAMS
     assert 'i-0' not in catalog.removed_upstreams
+
+
+def warm_up_changes(rate, *seconds):
+    """Return the warm-ups of which the listeners hear, of some reports."""
+    catalog = Catalog()
+    settings = ServiceSettings('s', '/', 1, timedelta(seconds=9), rate)
+    catalog.apply_config(RouteConfig(1, (), (settings,)))
+    received = []
+    catalog.on_upstream.append(received.append)
+    for sequence, remaining in enumerate(seconds):
+        warm_up = timedelta(seconds=remaining)
+        apply_report(catalog, sequence=sequence, warm_up=warm_up)
+    return [change.entry.warm_up.total_seconds() for change in received]
+
+
+def test_upstream_that_turns_cold_is_a_change_but_its_reports_are_none():
+    """The dispatching instance would go on at the full rate."""
+    reports = (0, 0, 9, 7, 5, 3, 9, 1, 0, 0, 4)
+    assert warm_up_changes(2, *reports) == [0, 9, 9, 0, 4]
+
+
+def test_warm_up_of_a_service_without_a_rate_is_no_change():
+    assert warm_up_changes(0, 0, 9, 5, 0, 9) == [0]
+
+
+def test_change_that_the_home_has_chosen_is_passed_on():
+    """A follower has the old remaining time, as it gets no later reports."""
+    catalog = Catalog()
+    apply_report(catalog, warm_up=timedelta(seconds=9))
+    received = []
+    catalog.on_upstream.append(received.append)
+    colder = replace(ENTRY, sequence=8, warm_up=timedelta(seconds=5))
+    for _ in range(2):
+        change = UpstreamChange('i-1', colder)
+        catalog.apply_change(change, is_notable=True)
+    assert len(received) == 1
--- a/tests/membership/test_terms_exchange.py
+++ b/tests/membership/test_terms_exchange.py
@@ -1,6 +1,7 @@
 """Guards against a new home that ignores what upstreams have stated."""
 
 import asyncio
+from datetime import timedelta
 
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
@@ -11,6 +12,7 @@
 from crocusproxy.membership.member_client import MemberClient
 from crocusproxy.membership.member_list import MemberList
 from crocusproxy.membership.terms_exchange import TermsExchange
+from crocusproxy.protocol.codec import decode, encode
 from crocusproxy.protocol.home_feed import FeedMessage, Member, StatedTerms
 
 
@@ -131,6 +133,33 @@
     run_with_home(scenario)
 
 
+def test_warm_up_that_a_domain_home_was_told_reaches_the_others():
+    """The next domain home would begin at the full rate."""
+
+    async def scenario(home, first, second, published):
+        for member in (home, first, second):
+            member.table.terms_of('i-1', 1).warm_up.rate = 2
+        assert first.table.terms_of('i-1', 1).warm_up.tell(9, 0)
+        first.table.report_change('i-1', 0)
+        await asyncio.sleep(0.4)
+        for member in (home, second):
+            warm_up = member.table.terms_of('i-1', 1).warm_up
+            assert 8 < warm_up.told_until <= 9
+        assert len(published) == 1
+
+    run_with_home(scenario)
+
+
+def test_terms_without_the_warm_up_are_those_of_an_older_build():
+    """Instances of both builds run side by side during a replacement."""
+    stated = StatedTerms('i-1', 1, 2, warm_up=timedelta(seconds=9))
+    older = encode(stated).replace(b'"warm_up"', b'"of_a_later_build"')
+    assert decode(StatedTerms, older) == StatedTerms('i-1', 1, 2)
+    assert decode(StatedTerms, b'{"key":"i-1","started_at":1}') == StatedTerms(
+        'i-1', 1
+    )
+
+
 def test_malformed_terms_are_refused():
     async def scenario(home, first, second, published):
         message = FeedMessage(terms=(StatedTerms('i-1', 1, 2),))
