--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -357,6 +357,7 @@
             lambda: sum(placer.limited_count() for placer in placers.values()),
             lambda: len(self.reach.unreached()),
             lambda: len(self.catalog.evacuated),
+            lambda: sum(placer.cold_count() for placer in placers.values()),
         )
         self.metrics.registry.register(PlacementCollector(placers))
 
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -34,6 +34,7 @@
 )
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
+from .warm_up import HANDOVER_SECONDS
 
 #: Queued requests per slot, apart from those that can wait for longer.
 QUEUED_PER_SLOT = 2
@@ -93,6 +94,7 @@
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
         self.evacuated: frozenset[str] = frozenset()
+        self.took_over_at = -inf
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -112,13 +114,18 @@
                 is_remote,
                 self.concurrency.effect(entry.slots),
                 terms=self.terms_table.terms(entry),
+                now=self.now,
             )
+            state.terms.warm_up.hand_over(self.took_over_at + HANDOVER_SECONDS)
             self.upstreams[entry.key] = state
         state.load_effect = self.concurrency.effect(entry.slots)
         state.is_owned = self.owns(entry.failure_domain)
         state.is_exclusive = self.is_exclusive
         state.is_evacuated = entry.failure_domain in self.evacuated
         warm_up = entry.warm_up.total_seconds()
+        if state.terms.warm_up.rate:
+            # The limit replaces the assumption that the upstream is slow.
+            warm_up = 0
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
         self.slots_counted_at = -inf
         self.process_queue()
@@ -138,7 +145,10 @@
         """
         self.owns = owns
         for state in self.upstreams.values():
+            was_owned = state.is_owned
             state.is_owned = owns(state.entry.failure_domain)
+            if state.is_owned and not was_owned:
+                self._take_over(state)
         self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
@@ -146,11 +156,15 @@
     def set_exclusive(self, *, is_exclusive: bool) -> None:
         """Set whether no other instance dispatches to the owned upstreams.
 
-        Otherwise rate-limited upstreams get no requests from this instance.
+        Otherwise rate-limited and cold upstreams get no requests from this
+        instance.
         """
+        is_taking_over = is_exclusive and not self.is_exclusive
         self.is_exclusive = is_exclusive
         for state in self.upstreams.values():
             state.is_exclusive = is_exclusive
+            if is_taking_over:
+                self._take_over(state)
         self.slots_counted_at = -inf
         self._refuse_unplaceable()
         self.process_queue()
@@ -166,6 +180,7 @@
             is_evacuated = state.entry.failure_domain in failure_domains
             if state.is_evacuated and not is_evacuated:
                 state.forget_failures()
+                state.terms.warm_up.assume(self.now())
             state.is_evacuated = is_evacuated
         self.slots_counted_at = -inf
         self._refuse_unplaceable()
@@ -189,11 +204,19 @@
             state.rate_limit is not None for state in self.upstreams.values()
         )
 
+    def cold_count(self) -> int:
+        """Return the number of cold upstreams with a limited rate."""
+        return sum(state.is_cold for state in self.upstreams.values())
+
     def is_short_of_slots(self) -> bool:
         """Return whether requests wait long for a slot, or there is none."""
         if not self.queue:
             # The usual case, for which the slots need not be counted.
-            return not any(state.is_usable for state in self.upstreams.values())
+            return not any(
+                state.is_usable
+                and (not state.is_cold or state.may_start(self.now()))
+                for state in self.upstreams.values()
+            )
         return len(self.queue) >= MAX_QUEUED_SHARE * self._slots()
 
     def has_spare_slots(self) -> bool:
@@ -203,7 +226,7 @@
         free = sum(
             min(state.load_effect.limit, state.entry.slots) - state.in_flight
             for state in self._candidates(self.now())
-            if state.rate_limit is None
+            if not state.is_limited
         )
         return free > MIN_SPARE_SHARE * self._slots()
 
@@ -350,6 +373,11 @@
             self._refuse_unplaceable()
         self.process_queue()
 
+    def _take_over(self, state: UpstreamState) -> None:
+        """Begin to dispatch to an upstream of another instance."""
+        self.took_over_at = self.now()
+        state.terms.warm_up.hand_over(self.took_over_at + HANDOVER_SECONDS)
+
     def _has_upstream(self, request: PlacementRequest) -> bool:
         return any(
             state.is_usable and state.key not in request.excluded
@@ -437,7 +465,7 @@
             self.slot_count = sum(
                 state.entry.slots
                 for state in self.upstreams.values()
-                if state.is_usable and state.rate_limit is None
+                if state.is_usable and not state.is_limited
             )
         return self.slot_count
 
@@ -458,7 +486,7 @@
 
         A request that starts on a slow upstream holds its slot several times
         as long, even after the upstream is fast again. Slow upstreams are
-        therefore used only if all are slow.
+        therefore used only if all are slow, or now and then if they are cold.
         """
         with_room = [
             state
@@ -467,7 +495,11 @@
             and state.is_usable
             and state.may_start(now)
         ]
-        fast = [state for state in with_room if not state.is_slow(now)]
+        fast = [
+            state
+            for state in with_room
+            if not state.is_slow(now) or state.terms.warm_up.is_due(now)
+        ]
         if fast or not with_room:
             return fast
         is_any_fast = any(
