--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -13,6 +13,9 @@
 #: Ratio of actual to expected service time that few requests exceed, even on a
 #: nearly full upstream.
 SAFE_SERVICE_TIME_RATIO = 1.7
+#: The same relative to the present pace. With a larger one, no request counts
+#: as safe where targets are short, and all miss theirs by a little.
+SAFE_PACE_RATIO = 1.35
 MIN_CHECK_INTERVAL_SECONDS = 0.001
 
 
@@ -130,8 +133,8 @@
         ``pace`` is the ratio of actual to expected durations at present.
         """
         request = self.request
-        longest = SAFE_SERVICE_TIME_RATIO * pace * request.service_time
-        return request.target_at - longest
+        ratio = max(SAFE_SERVICE_TIME_RATIO, SAFE_PACE_RATIO * pace)
+        return request.target_at - ratio * request.service_time
 
     def possible_until(self, pace: float) -> float:
         """Return until when a start can meet the target."""
