Limit client accounts to their quotas

Accounts have a rate and a burst over all instances together. The dispatching instance takes a token before placement and rejects a request without one with 429 and a time to return. Without reports each domain home uses its share. Accounts without a rate, and configurations without accounts, take the same path as before.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -12,6 +12,7 @@
 from ..clock import SystemClock
 from ..documents import read_document
 from ..errors import InvalidDocumentError
+from ..limits.account_quota import AccountQuotas, QuotaBounds
 from ..logs import log
 from ..membership.catalog import Catalog
 from ..membership.crash_exchange import CrashExchange
@@ -19,6 +20,7 @@
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
+from ..membership.quota_exchange import QuotaExchange
 from ..membership.terms_exchange import TermsExchange
 from ..placement.upstream_reach import UpstreamReach
 from ..platform.directory import DIRECTORY_API
@@ -42,6 +44,7 @@
 from .overflow import OverflowTargets
 from .own_member import own_member
 from .prober import Prober
+from .quota_gate import QuotaGate
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
 from .reloading import reload_settings
@@ -114,6 +117,7 @@
             self.metrics,
             self.dispatcher.request_log,
         )
+        self.quotas = self._connect_quotas()
         self.listeners = Listeners(
             DIRECTORY_API, self.find_addresses, self.not_ready_reason
         )
@@ -170,6 +174,9 @@
         self.terms_exchange = TermsExchange(
             member_client, self.elector, self.catalog.terms
         )
+        self.quota_exchange = QuotaExchange(
+            member_client, self.member_list, self.quotas, self.clock
+        )
         self.gateway.forwarder = HomeForwarder(
             self.pool,
             self.messages,
@@ -198,6 +205,7 @@
         )
         self.tasks.spawn(self.dispatcher.run_queues)
         self.tasks.spawn(self._close_idle_connections)
+        self.tasks.spawn(self.quota_exchange.run)
         self.reload_signal.connect(self._request_reload)
 
     def start_home_tasks(self) -> None:
@@ -222,6 +230,9 @@
         is_dispatcher = self.role.is_dispatcher()
         self.dispatcher.set_ownership(self.role.owns)
         self.dispatcher.set_exclusive(is_exclusive=is_dispatcher)
+        self.quota_exchange.set_role(
+            is_dispatcher=is_dispatcher, others=self.role.other_domain_homes()
+        )
         if not is_dispatcher:
             self.probe_tasks.cancel()
             if self.role.forwarding_address():
@@ -305,6 +316,27 @@
             self.reach,
         )
 
+    def _connect_quotas(self) -> AccountQuotas:
+        """Let the gateway and the dispatcher apply the accounts' quotas."""
+        bounds = self.settings.bounds
+        quotas = AccountQuotas(
+            QuotaBounds(
+                bounds.quota_window.total_seconds(),
+                bounds.quota_overage,
+                bounds.quota_slack,
+            ),
+            SystemRandom(),
+        )
+        gate = QuotaGate(quotas, self.clock, self.metrics)
+        self.gateway.quota_gate = gate
+        self.dispatcher.charge_resend = gate.charge
+        self.metrics.add_quota_gauge(
+            lambda: quotas.count_indebted(
+                self.clock.monotonic().total_seconds()
+            )
+        )
+        return quotas
+
     def _create_prober(self) -> Prober:
         return Prober(
             self.pool,
@@ -356,6 +388,7 @@
                 *member_routes,
                 *self.crash_exchange.routes(),
                 *self.terms_exchange.routes(),
+                *self.quota_exchange.routes(),
                 *self.reach_check.routes(),
                 *relay.routes(),
             ],
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -53,6 +53,7 @@
     """Chooses upstreams, sends requests and applies the call results.
 
     ``has_successor`` returns whether another instance dispatches in its place.
+    ``charge_resend`` is called for each send of a request that may have run.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.crash_watch = crash_watch
         self.refresh_load: RefreshLoad = _skip_refresh
         self.has_successor: Callable[[], bool] = _has_no_successor
+        self.charge_resend: Callable[[RequestContext], None] = _skip_charge
         self.timing = RouteTiming()
         self.placers: dict[str, ServicePlacer] = {}
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -258,6 +260,8 @@
         snapshot = self.request_log.take_snapshot(context, upstream, sent_at)
 
         def before_send() -> None:  # noqa: WPS430
+            if context.may_have_run:
+                self.charge_resend(context)
             context.send_count += 1
             if upstream.rate_limit is not None:
                 self.metrics.count_limited_send('request')
@@ -358,6 +362,10 @@
     """Keep the latest known load."""
 
 
+def _skip_charge(context: RequestContext) -> None:
+    """Dispatch without quotas."""
+
+
 def _has_no_successor() -> bool:
     """Dispatch alone."""
     return False
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -27,6 +27,7 @@
 from .home_forwarder import HomeForwarder
 from .metrics import EntryMetrics
 from .overflow import OverflowTargets
+from .quota_gate import QuotaGate
 from .refusals import (
     BODY_TOO_LARGE,
     CONFIG_BEHIND,
@@ -76,6 +77,7 @@
         self.request_log = request_log
         self.forwarder: HomeForwarder | None = None
         self.overflow_targets: OverflowTargets | None = None
+        self.quota_gate: QuotaGate | None = None
         self.limits = CallerLimits()
         self.is_draining = False
         self.ends_at = inf
@@ -96,6 +98,8 @@
             self.directory = AccountDirectory(
                 config.accounts, self.header_names.authorization
             )
+        if self.quota_gate is not None:
+            self.quota_gate.apply_accounts(config.accounts)
 
     def has_unsent_bytes(self) -> bool:
         """Return whether a response waits for a caller that reads slowly."""
@@ -238,13 +242,36 @@
     async def _dispatch(
         self, context: RequestContext
     ) -> CallerResponse | Refusal:
-        response = await self.dispatcher.run(context)
+        refusal = self._take_token(context)
+        if refusal is not None:
+            return refusal
+        try:
+            response = await self.dispatcher.run(context)
+        except BaseException:
+            if not context.send_count:
+                self._refund(context)
+            raise
         if isinstance(response, Refusal):
+            self._refund(context)
             return await self._serve_by_successor(context, response)
         if HOP_HEADER in context.outgoing_request.message.headers:
             return _with_responder(response, context.responder)
         return response
 
+    def _take_token(self, context: RequestContext) -> Refusal | None:
+        """Take a token of the account's quota, or return the refusal.
+
+        A domain home that sends a request to another one has taken it.
+        """
+        headers = context.outgoing_request.message.headers
+        if self.quota_gate is None or OVERFLOW_HEADER in headers:
+            return None
+        return self.quota_gate.admit(context)
+
+    def _refund(self, context: RequestContext) -> None:
+        if self.quota_gate is not None:
+            self.quota_gate.refund(context)
+
     async def _serve_by_successor(
         self, context: RequestContext, refusal: Refusal
     ) -> CallerResponse | Refusal:
@@ -272,6 +299,9 @@
             return None
         address = self.forwarder.home_address()
         if not address:
+            refusal = self._take_token(context)
+            if refusal is not None:
+                return refusal
             return await self._overflow(self.forwarder, context)
         response = await self._forward(self.forwarder, context)
         if response is None and self._successor() not in {'', address}:
@@ -317,6 +347,8 @@
             targets.decline(address, service, self._now())
         else:
             self.request_log.log_overflow(context, address)
+            if self.quota_gate is not None:
+                self.quota_gate.settle(context, response)
         return response
 
     async def _await_forward(
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -50,6 +50,12 @@
             ('result',),
             registry=registry,
         )
+        self.quota_decisions = Counter(
+            'crocus_entry_quota_decisions',
+            'Requests of accounts with a quota, by the result.',
+            ('result',),
+            registry=registry,
+        )
         self.probes = Counter(
             'crocus_entry_probes',
             'Upstreams that were asked for their load.',
@@ -90,6 +96,18 @@
             case Rejected():
                 self.authentications.labels('rejected').inc()
 
+    def count_quota_decision(self, result: str) -> None:
+        """Count a request that was admitted or is over its quota."""
+        self.quota_decisions.labels(result).inc()
+
+    def add_quota_gauge(self, indebted_accounts: Callable[[], float]) -> None:
+        """Register the gauge of accounts in debt."""
+        Gauge(
+            'crocus_entry_indebted_accounts',
+            'Client accounts that have taken more tokens than they had.',
+            registry=self.registry,
+        ).set_function(indebted_accounts)
+
     def add_gauges(
         self,
         in_flight: Callable[[], float],
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -48,6 +48,16 @@
 )
 
 
+def over_quota(retry_after: timedelta) -> Refusal:
+    """Return the refusal of a request beyond the quota of its account."""
+    return Refusal(
+        429,
+        'over_quota',
+        'the client account is over its quota; the request was not run',
+        retry_after,
+    )
+
+
 def not_placed(code: str, retry_after: timedelta) -> Refusal:
     """Return the refusal of a request for which no upstream was chosen."""
     return Refusal(503, code, 'the request was not run', retry_after)
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -18,7 +18,8 @@
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
     ``responder`` is the upstream whose response is returned. ``account`` holds
-    the key of the request, None if it has none.
+    the key of the request, None if it has none; ``holds_token`` is set once the
+    request has taken a token of its quota.
     """
 
     request: CallerRequest
@@ -34,6 +35,7 @@
     send_count: int = 0
     responder: RegisteredUpstream | None = None
     account: ClientAccount | None = None
+    holds_token: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -15,11 +15,13 @@
     ReachQuery,
     ReachReport,
 )
+from ..protocol.quotas import QuotaReport
 from .feed_lines import MAX_LINE_BYTES, decode_line
 from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
 
 CRASH_PATH = '/members/crash'
 TERMS_PATH = '/members/terms'
+QUOTA_PATH = '/members/quota'
 REACH_PATH = '/members/reach'
 _OK = 200
 REQUEST_TIMEOUT_SECONDS = 0.35
@@ -61,6 +63,13 @@
         """Send the terms of upstreams to the home at ``address``."""
         await self._call('POST', address, TERMS_PATH, encode(message))
 
+    async def report_quotas(
+        self, address: str, report: QuotaReport
+    ) -> QuotaReport:
+        """Exchange reports with the domain home at ``address``."""
+        body = await self._call('POST', address, QUOTA_PATH, encode(report))
+        return decode(QuotaReport, body)
+
     async def reach(self, address: str, query: ReachQuery) -> ReachReport:
         """Return which upstreams the member at ``address`` can reach."""
         body = await self._call('POST', address, REACH_PATH, encode(query))
--- /dev/null
+++ b/tests/membership/test_quota_exchange.py
@@ -0,0 +1,116 @@
+"""Guards against domain homes that don't learn of each other's tokens."""
+
+import asyncio
+from random import Random
+
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from crocusproxy.clock import SystemClock
+from crocusproxy.limits.account_quota import (
+    AccountQuotas,
+    PartOfQuota,
+    QuotaBounds,
+    SharedQuota,
+    SplitQuota,
+    WholeQuota,
+)
+from crocusproxy.membership.member_client import MemberClient
+from crocusproxy.membership.member_list import MemberList
+from crocusproxy.membership.quota_exchange import QuotaExchange
+from crocusproxy.protocol.home_feed import Member
+from crocusproxy.routes.model import ClientAccount
+
+ACCOUNT = ClientAccount('a', (), None, rate=0.001, burst=10)
+
+
+class ExchangingMember:
+    """A member with the route of the exchange on its internal port."""
+
+    async def start(self, name, session):
+        application = web.Application()
+        self.server = TestServer(application)
+        self.quotas = AccountQuotas(QuotaBounds(5, 0.1, 20), Random(1))
+        self.quotas.apply_accounts([ACCOUNT], 0)
+        member_list = MemberList(Member(name, name, '', '', 1.0, 1))
+        self.exchange = QuotaExchange(
+            MemberClient(session), member_list, self.quotas, SystemClock()
+        )
+        application.add_routes(self.exchange.routes())
+        await self.server.start_server()
+        address = f'{self.server.host}:{self.server.port}'
+        self.member = Member(name, name, address, '', 1.0, 1)
+        return self
+
+    def take(self, count):
+        now = self.exchange.clock.monotonic().total_seconds()
+        for _ in range(count):
+            self.quotas.charge(ACCOUNT, now)
+
+    def tokens(self):
+        return round(self.quotas.buckets['a'].tokens)
+
+
+def run_with_members(scenario):
+    async def run():
+        async with ClientSession() as session:
+            members = [
+                await ExchangingMember().start(name, session) for name in 'ab'
+            ]
+            tasks = [asyncio.create_task(one.exchange.run()) for one in members]
+            for one in members:
+                others = tuple(
+                    other.member for other in members if other is not one
+                )
+                one.exchange.set_role(is_dispatcher=True, others=others)
+            await scenario(*members)
+            for task in tasks:
+                task.cancel()
+            for one in members:
+                await one.server.close()
+
+    asyncio.run(run())
+
+
+def test_domain_homes_subtract_the_tokens_of_each_other():
+    async def scenario(first, second):
+        first.take(3)
+        second.take(4)
+        await asyncio.sleep(0.4)
+        assert first.tokens() == second.tokens() == 3
+        assert first.exchange.reports.unreported('a') == 0
+        assert first.quotas.division == SharedQuota(2)
+
+    run_with_members(scenario)
+
+
+def test_quotas_are_split_while_a_domain_home_is_silent():
+    """Also if it is of an older build, which has no such route."""
+
+    async def scenario(first, second):
+        await second.server.close()
+        await asyncio.sleep(0.8)
+        assert first.quotas.division == SplitQuota(2)
+
+    run_with_members(scenario)
+
+
+def test_only_home_has_the_whole_quota_and_other_instances_a_part():
+    async def scenario(first, second):
+        first.exchange.set_role(is_dispatcher=True, others=())
+        assert first.quotas.division == WholeQuota()
+        first.exchange.member_list.merge([second.member])
+        first.exchange.set_role(is_dispatcher=False, others=())
+        assert first.quotas.division == PartOfQuota(2)
+
+    run_with_members(scenario)
+
+
+def test_malformed_report_is_refused():
+    async def scenario(first, second):
+        client = first.exchange.client
+        address = second.member.internal
+        body = await client._call('POST', address, '/members/quota', b'{}')
+        assert b'sender' in body
+
+    run_with_members(scenario)
