--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -57,7 +57,7 @@
 
 #: Probes the load of one upstream of a service.
 RefreshLoad = Callable[[str, UpstreamState], Awaitable[None]]
-#: Called for each retry and each hedge, immediately before it is sent.
+#: Called immediately before a request is sent again that may have run.
 Charge = Callable[[RequestContext], None]
 
 
@@ -65,7 +65,8 @@
     """Chooses upstreams, sends requests and applies the call results.
 
     ``has_successor`` returns whether another instance dispatches a service in
-    its place.
+    its place. ``charge`` is called for each send of a request that may have run
+    already, or is in flight elsewhere.
     """
 
     def __init__(
@@ -298,7 +299,7 @@
                 upstream,
                 context.outgoing_request,
                 context.deadline,
-                partial(self._before_send, context, upstream),
+                partial(self._before_send, context, placed),
             )
         except BaseException:
             if context.is_answered:
@@ -322,13 +323,11 @@
         self.request_log.log_call(snapshot, result, now)
         return result
 
-    def _before_send(
-        self, context: RequestContext, upstream: UpstreamState
-    ) -> None:
-        context.send_count += 1
-        if context.send_count > 1:
+    def _before_send(self, context: RequestContext, placed: Placed) -> None:
+        if context.may_have_run or placed.is_hedge:
             self.charge(context)
-        if upstream.rate_limit is not None:
+        context.send_count += 1
+        if placed.upstream.rate_limit is not None:
             self.metrics.count_limited_send('request')
         if not context.route.idempotent:
             context.request.is_detached = True
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -18,7 +18,8 @@
     of attempts that sent the request. ``may_have_run`` is set after an attempt
     that sent it, unless the upstream reported that the request did not run.
     ``responder`` is the upstream whose response is returned. ``account``
-    is the client account of the request's key, None if it has none.
+    is the client account of the request's key, None if it has none;
+    ``holds_token`` is set once the request has taken a token of its quota.
     ``is_answered`` is set once an attempt has a usable response; others in
     flight are cancelled.
     """
@@ -36,6 +37,7 @@
     send_count: int = 0
     responder: RegisteredUpstream | None = None
     account: ClientAccount | None = None
+    holds_token: bool = False
     is_answered: bool = False
 
     @property
