--- /dev/null
+++ b/src/crocusproxy/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration of routes before operators publish it."""
--- a/src/crocusproxy/cli/main.py
+++ b/src/crocusproxy/cli/main.py
@@ -12,6 +12,7 @@
 from ..errors import CrocusError
 from . import commands
 from .burn import burn as show_burn
+from .config_check import config_check
 from .exits import WrongInputError, exit_code_for
 from .explain import explain as explain_request
 from .history import history as show_history
@@ -28,6 +29,27 @@
     return decorator
 
 
+class ConfigCommands:
+    """Work on configuration documents of the platform."""
+
+    def __init__(self, settings: str) -> None:
+        self._settings = settings
+
+    @_parse_as_text('file', 'against')
+    def check(self, file: str, against: str = '', json: bool = False) -> None:
+        """Check FILE before it is sent; needs no running system.
+
+        With --settings, that settings file of crocus-entry is checked too.
+        Exit codes: 0 no findings, 1 only warnings, 2 errors.
+
+        Args:
+            file: configuration document of the platform (JSON).
+            against: document of the version in force; shows what differs.
+            json: print JSON.
+        """
+        _run_and_exit(lambda: config_check(file, against, self._settings), json)
+
+
 class Crocusctl:
     """Operate crocusproxy.
 
@@ -41,6 +63,7 @@
       instances        show the instances and the generation each serves
       burn             show burn rates and error budgets of all services
       explain ID FILE  show log lines of a request and of related events
+      config check FILE  check a configuration document of the platform
 
     Exit codes: 0 done, 1 rejected, 2 wrong input, 3 not reachable,
     4 not known yet. With --json a command prints one JSON document.
@@ -48,7 +71,8 @@
     Args:
         config: address (IP:port) of a crocus-config daemon.
         platform: address (IP:port) of the platform.
-        settings: YAML file with the keys config, platform and wait.
+        settings: YAML file with the keys config, platform and wait; for
+            config check, a settings file of crocus-entry.
     """
 
     @_parse_as_text('config', 'platform', 'settings')
@@ -62,6 +86,7 @@
         self._config = config
         self._platform = platform
         self._settings = settings
+        self.config = ConfigCommands(settings)
 
     @_parse_as_text('file')
     def check(self, file: str, json: bool = False) -> None:
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -16,6 +16,7 @@
 from pydantic.dataclasses import dataclass
 
 from ..accounts.keys import key_digest
+from ..adapters import adapter_for
 from ..protocol.codec import decode
 from ..routes.model import (
     CallerLimits,
@@ -154,6 +155,15 @@
     )
 
 
+def validate_config(document: bytes) -> None:
+    """Check the form of a published document.
+
+    Raises:
+        ValidationError: lists all faults, with their paths in the document.
+    """
+    adapter_for(_Config).validate_json(document)
+
+
 def decode_upstream(key: str, document: bytes) -> RegisteredUpstream:
     """Return the upstream that an entry of the store describes.
 
