--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -15,19 +15,6 @@
 EXAMPLE_TEXT = Path(EXAMPLE).read_text()
 
 
-@pytest.fixture
-def crocusctl(monkeypatch, capsys):
-    """Run one command in this process; return its exit code and output."""
-
-    def command(*arguments):
-        monkeypatch.setattr('sys.argv', ['crocusctl', *arguments])
-        with pytest.raises(SystemExit) as caught:
-            main()
-        return caught.value.code, capsys.readouterr().out
-
-    return command
-
-
 def in_thread(command, *arguments):
     """Run a command in a thread, because it has its own event loop."""
     return asyncio.to_thread(command, *arguments)
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -6,7 +6,6 @@
 import pytest
 
 from ..platform.test_wire import CONFIG
-from .test_cli import crocusctl  # noqa: F401 - a fixture
 
 SERVICES = [{'Name': name, 'HealthCheckPath': '/'} for name in ('s1', 's2')]
 TENANT = {'Name': 'radio', 'ApiKeys': ['secret-1'], 'RatePerS': 5, 'Burst': 9}
@@ -14,7 +13,7 @@
 
 
 @pytest.fixture
-def check(crocusctl, tmp_path):  # noqa: F811 - the fixture
+def check(crocusctl, tmp_path):
     """Write documents, check the first one and return code and output."""
 
     def command(*documents, flags=()):
@@ -86,6 +85,6 @@
     assert ('[hedging_above_retry_budget]' in output) == bool(code)
 
 
-def test_an_unreadable_file_is_wrong_input(check, crocusctl):  # noqa: F811
+def test_an_unreadable_file_is_wrong_input(check, crocusctl):
     assert crocusctl('config', 'check', 'missing.json')[0] == 2
     assert check(GOOD, {'Version': '1'})[0] == 2
