Soak client accounts, evacuations, and cold and silent upstreams

The fault soak did not use the new features, so their rules were checked by unit and system tests only. Callers now send keys of several accounts, one of them beyond its quota; configurations rotate keys; failure domains are evacuated; upstreams start cold or become cold, and may ignore what they can't queue. All is off by default. New invariants check keys, account names, quotas, evacuations and the rates of cold upstreams.

--- a/Makefile
+++ b/Makefile
@@ -57,12 +57,18 @@
 	$(BIN)/python -m bench.run --short
 
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
-# of the store, TERMS of upstreams and CUTS of instances in each run.
+# of the store, TERMS of upstreams, CUTS of instances, changes of keys of client
+# ACCOUNTS, EVACUATIONS and COLD upstreams in each run; with HOMES=True, SILENT=True
+# and FAULTS=False also homes of failure domains, upstreams that ignore requests that
+# they have no slot for, and only the faults that are listed here.
 soak: $(STAMP)
 	$(BIN)/python -m soak $(if $(SEED),--seed=$(SEED)) $(if $(RUNS),--runs=$(RUNS)) \
 	  $(if $(TIME),--seconds=$(TIME)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
 	  $(if $(RESTORES),--restores=$(RESTORES)) $(if $(TERMS),--terms=$(TERMS)) \
-	  $(if $(CUTS),--cuts=$(CUTS))
+	  $(if $(CUTS),--cuts=$(CUTS)) $(if $(ACCOUNTS),--accounts=$(ACCOUNTS)) \
+	  $(if $(EVACUATIONS),--evacuations=$(EVACUATIONS)) $(if $(COLD),--cold=$(COLD)) \
+	  $(if $(HOMES),--homes=$(HOMES)) $(if $(SILENT),--silent=$(SILENT)) \
+	  $(if $(FAULTS),--faults=$(FAULTS))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,11 @@
     terms: int = 4,
     cuts: int = 2,
     faults: bool = True,
+    accounts: int = 0,
+    evacuations: int = 0,
+    cold: int = 0,
+    homes: bool = False,
+    silent: bool = False,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -32,13 +37,29 @@
         terms: how often an upstream states terms in its responses.
         cuts: how often instances lose all upstreams.
         faults: whether to inject other faults too.
+        accounts: how often API keys change; without it, nothing needs a key.
+        evacuations: how often a failure domain is evacuated.
+        cold: how often upstreams become cold; each new one is cold then too.
+        homes: whether each failure domain has a home.
+        silent: whether upstreams ignore requests they have no slot for.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
     for next_seed in range(first_seed, first_seed + runs):
         verdict = asyncio.run(
             run_seed(
-                next_seed, seconds, instances, restores, terms, cuts, faults
+                next_seed,
+                seconds,
+                instances,
+                restores,
+                terms,
+                cuts,
+                faults,
+                accounts,
+                evacuations,
+                cold,
+                homes,
+                silent,
             )
         )
         report(verdict)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,9 +8,11 @@
 from standins.slot_server import REQUEST_ID, SIGNATURE
 
 from .invariants import RESPONSE_SLACK_SECONDS
-from .operator import HOST, TIMEOUT_MS, Operator
+from .operator import HOST, MAIN_KEY, TIMEOUT_MS, Operator
 from .records import RunRecord, SentRequest
 
+#: Callers with keys also send this header, which the system must replace.
+ACCOUNT = 'X-Crocusproxy-Tenant-Name'
 DEADLINE_SECONDS = 0.9
 CONNECT_TIMEOUT_SECONDS = 1.0
 ADDRESS_VALIDITY_SECONDS = 1.0
@@ -70,6 +72,7 @@
             path != '/unsafe/',
             self.instances[self.address],
             self.now(),
+            key=self._key(is_check=bool(address)),
         )
         self.run_record.requests.append(request)
         is_abandoned = not address and self.random.random() < ABANDON_SHARE
@@ -97,6 +100,11 @@
             ('/safe/', '/unsafe/', '/unsafe/', '/move/', f'/only{version}/')
         )
 
+    def _key(self, *, is_check: bool) -> str:
+        if is_check and self.operator.features.accounts:
+            return MAIN_KEY
+        return self.operator.random_key(self.random)
+
     async def _connect(self, address: str) -> bool:
         if (
             not address
@@ -138,9 +146,13 @@
         assert self.connection is not None
         reader, writer = self.connection
         method = 'GET' if request.idempotent else 'POST'
-        length = '' if request.idempotent else 'Content-Length: 0\r\n'
+        extra = '' if request.idempotent else 'Content-Length: 0\r\n'
+        if request.key:
+            extra += f'Authorization: Bearer {request.key}\r\n'
+        if self.operator.features.accounts:
+            extra += f'{ACCOUNT}: forged\r\n'
         writer.write(
-            f'{method} {request.path} HTTP/1.1\r\nHost: {HOST}\r\n{length}'
+            f'{method} {request.path} HTTP/1.1\r\nHost: {HOST}\r\n{extra}'
             f'{REQUEST_ID}: {request.request_id}\r\n'
             'X-Crocusproxy-Deadline-Milliseconds: '
             f'{DEADLINE_SECONDS * 1000:.0f}\r\n\r\n'.encode()
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -42,9 +42,11 @@
         run: RunRecord,
         now: Callable[[], float],
         ports: Sequence[int],
+        failure_domain: str = 'a',
     ) -> None:
         self.number = number
         self.name = f'n{number}'
+        self.failure_domain = failure_domain
         self.processes = processes
         self.link = Link(store)
         self.run_record = run
@@ -66,7 +68,10 @@
 
     def write_settings(self) -> None:
         settings = {
-            'instance': {'name': self.name, 'failure_domain': 'a'},
+            'instance': {
+                'name': self.name,
+                'failure_domain': self.failure_domain,
+            },
             **self.addresses,
             'store': self.link.address,
             'seeds': self.seeds,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -5,11 +5,20 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-
+from math import inf
+
+from .account_invariants import (
+    exceeded_quotas,
+    unauthorized_runs,
+    wrong_accounts,
+    wrong_rejections,
+)
+from .placement_invariants import cold_bursts, evacuated_arrivals
 from .records import InstanceDisturbance, RunRecord, SentRequest, Statement
 
 #: Statuses that guarantee that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+UNAUTHORIZED = 401
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 5
 BUDGET_WINDOW_SECONDS = 10.0
@@ -52,6 +61,12 @@
         _requests_after_leaving,
         _unserved_in_cuts,
         _requests_in_backoff,
+        unauthorized_runs,
+        wrong_accounts,
+        wrong_rejections,
+        exceeded_quotas,
+        evacuated_arrivals,
+        cold_bursts,
     )
     return [*run.violations, *(line for check in checks for line in check(run))]
 
@@ -188,6 +203,7 @@
         request.sent_at
         for request in run.requests
         if service in run.allowed_services.get(request.path, ())
+        and request.status != UNAUTHORIZED
     ]
     return max(
         sum(
@@ -326,6 +342,7 @@
         request
         for request in run.requests
         if request.outcome != 'left'
+        and _may_expect_service(run, request)
         and not _is_excused(
             run, request.sent_at - HANDOVER_SECONDS, request.ended_at
         )
@@ -346,6 +363,14 @@
         )
 
 
+def _may_expect_service(run: RunRecord, request: SentRequest) -> bool:
+    """Return whether the request has a key that stays valid and no quota."""
+    period = run.keys.get(request.key)
+    is_limited = period is not None and period.account in run.quotas
+    is_permanent = period is not None and period.added_at == -inf
+    return not run.keys or (is_permanent and not is_limited)
+
+
 def _has_able_instance(run: RunRecord, request: SentRequest) -> bool:
     """Return whether an instance had upstreams and was not being stopped."""
     unable_instances = {
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,11 +2,14 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import Literal
+from typing import Literal, get_args
 
 from .link import LinkFault
 
+FAILURE_DOMAINS = ('a', 'b')
 StoreFault = Literal['refuse', 'slow', 'lose_answers', 'forget']
+#: An upstream becomes cold, or all upstreams of its service restart cold.
+Chill = Literal['become', 'restart', 'restart_service']
 Terms = Literal['limit', 'leave', 'backoff']
 ResponseFault = Literal['mute', 'error', 'extra', 'unsigned']
 
@@ -137,6 +140,22 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class ChillUpstream:
+    """An upstream must warm up, in traffic or after a restart."""
+
+    upstream: int
+    mode: Chill
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuate:
+    """The operator evacuates a failure domain for ``seconds``."""
+
+    failure_domain: str
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Publish:
     """The operator publishes ``count`` configurations in quick succession."""
@@ -159,10 +178,28 @@
     | CorruptResponses
     | SlowUpstream
     | StateTerms
+    | ChillUpstream
+    | Evacuate
     | Publish
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Features:
+    """What a run uses besides faults.
+
+    Client accounts; two failure domains, with slots for a home each if
+    ``homes``; upstreams that are cold after a start; and upstreams that never
+    respond to requests that they have no slot for.
+    """
+
+    accounts: bool = False
+    domains: bool = False
+    homes: bool = False
+    cold: bool = False
+    silent: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ScheduledFault:
     """A fault injected ``at`` seconds after the start of the load."""
@@ -182,6 +219,7 @@
         self.restore_random = Random(f'restores-{seed}')
         self.terms_random = Random(f'terms-{seed}')
         self.cuts_random = Random(f'cuts-{seed}')
+        self.features_random = Random(f'features-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -267,6 +305,24 @@
             )
         )
 
+    def schedule_features(
+        self, publications: int, evacuations: int, chills: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return changes of configuration, evacuations and cold upstreams."""
+        random = self.features_random
+        faults: list[Fault] = [Publish(1) for _ in range(publications)]
+        for _ in range(evacuations):
+            domain = random.choice(FAILURE_DOMAINS)
+            faults.append(Evacuate(domain, round(random.uniform(7, 10), 2)))
+        for _ in range(chills):
+            upstream = random.randrange(self.upstream_count)
+            mode = random.choice(get_args(Chill))
+            faults.append(ChillUpstream(upstream, mode))
+        return tuple(
+            ScheduledFault(round(random.uniform(0.5, seconds), 2), fault)
+            for fault in faults
+        )
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/records.py
+++ b/soak/records.py
@@ -27,13 +27,17 @@
     status: int = 0
     body: str = ''
     is_signed: bool = False
+    #: The API key that the request contained, if any.
+    key: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A request received by an upstream; ``has_run`` if processing began.
 
-    ``upstream`` is the key of the server.
+    ``upstream`` is the key of the server, ``account`` the name that the request
+    contained. ``leaks_key`` if it also contained an API key, and
+    ``is_misdirected`` if the server responded with status 421.
     """
 
     request_id: str
@@ -42,6 +46,9 @@
     arrived_at: float
     has_run: bool
     upstream: str = ''
+    account: str = ''
+    leaks_key: bool = False
+    is_misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +102,55 @@
     ended_at: float = inf
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDisturbance:
+    """A period in which instances could not rely on the store."""
+
+    start: float
+    end: float
+    is_restore: bool = False
+
+
+@dataclass(slots=True)
+class KeyPeriod:
+    """When configurations with an API key were written; -inf for always."""
+
+    account: str
+    added_at: float = -inf
+    removed_at: float = inf
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Quota of a client account in requests per second and in requests."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True)
+class Evacuation:
+    """A period in which a failure domain was listed as evacuated."""
+
+    failure_domain: str
+    start: float
+    end: float = inf
+
+
+@dataclass(slots=True)
+class ColdPeriod:
+    """A period in which a server tolerated ``rate`` requests per second.
+
+    ``told_at`` is the time at which instances could know of it.
+    """
+
+    upstream: str
+    rate: float
+    start: float
+    end: float
+    told_at: float | None = None
+
+
 @dataclass(slots=True)
 class RunRecord:
     """The observations of a run against which the invariants are checked."""
@@ -113,6 +169,16 @@
     upstream_cuts: list[UpstreamCut] = field(default_factory=list)
     observer_delays: list[ObserverDelay] = field(default_factory=list)
     instance_count: int = 2
+    store_disturbances: list[StoreDisturbance] = field(default_factory=list)
+    #: API keys of all configurations; without any, no request needs one.
+    keys: dict[str, KeyPeriod] = field(default_factory=dict)
+    #: Quotas by the name of the client account.
+    quotas: dict[str, Quota] = field(default_factory=dict)
+    anonymous_paths: set[str] = field(default_factory=set)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    #: Failure domains by the key of the server.
+    failure_domains: dict[str, str] = field(default_factory=dict)
+    cold_periods: list[ColdPeriod] = field(default_factory=list)
     #: Services to which any configuration routed a path, by path.
     allowed_services: dict[str, set[str]] = field(default_factory=dict)
     #: Unexpected exits, forbidden log lines and failed recovery checks.
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 
 from .instances import Instance
 from .invariants import find_violations
-from .plan import Planner
+from .plan import Features, Planner
 from .records import RunRecord
 from .testbed import SERVICES, UPSTREAMS_PER_SERVICE, Testbed
 
@@ -43,15 +43,26 @@
     terms: int = 0,
     cuts: int = 0,
     faults: bool = True,
+    accounts: int = 0,
+    evacuations: int = 0,
+    cold: int = 0,
+    homes: bool = False,
+    silent: bool = False,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
     Besides, the store is restored from a copy ``restores`` times, upstreams
     state ``terms`` terms in their responses, and instances lose all upstreams
-    ``cuts`` times. Without ``faults``, there are no others.
+    ``cuts`` times. Without ``faults``, there are no others. With client
+    accounts, their keys change ``accounts`` times; failure domains are
+    evacuated ``evacuations`` times, and upstreams become cold ``cold`` times.
+    See ``Features`` for ``homes`` and ``silent``.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    testbed = Testbed(folder, instances, seed)
+    features = Features(
+        bool(accounts), bool(evacuations) or homes, homes, bool(cold), silent
+    )
+    testbed = Testbed(folder, instances, seed, features)
     planner = Planner(seed, instances, len(SERVICES) * UPSTREAMS_PER_SERVICE)
     schedule = sorted(
         (
@@ -59,6 +70,7 @@
             *planner.schedule_restores(restores, seconds),
             *planner.schedule_terms(terms, seconds),
             *planner.schedule_cuts(cuts, seconds),
+            *planner.schedule_features(accounts, evacuations, cold, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -14,13 +14,17 @@
 from .link import LinkFault
 from .operator import Operator
 from .plan import (
+    FAILURE_DOMAINS,
+    ChillUpstream,
     CorruptResponses,
     CrashUpstream,
     CutOffInstances,
     DegradeStore,
     DisruptStoreLinks,
     DisruptUpstreamLink,
+    Evacuate,
     Fault,
+    Features,
     Kill,
     Pause,
     Publish,
@@ -32,13 +36,22 @@
     StoreFault,
     Terminate,
 )
-from .records import ObserverDelay, RunRecord, UpstreamCut, UpstreamDisturbance
+from .records import (
+    ObserverDelay,
+    RunRecord,
+    StoreDisturbance,
+    UpstreamCut,
+    UpstreamDisturbance,
+)
 from .upstreams import NORMAL_PERCENT, SLOW_PERCENT, Upstream
 from .upstreams import TOPIC as UPSTREAM_TOPIC
 
 SERVICES = ('s1', 's2')
 UPSTREAMS_PER_SERVICE = 3
 CALLER_COUNT = 8
+#: Quotas and limits of cold upstreams are reached with more load only.
+CALLER_COUNT_WITH_LIMITS = 16
+RESTART_SECONDS = 0.2
 DRAIN_SECONDS = 2.0
 STORE_DELAY_SECONDS = 0.3
 PUBLISH_INTERVAL_SECONDS = 0.15
@@ -52,11 +65,16 @@
 class Testbed:
     """Runs store, upstreams and callers here, and instances as processes."""
 
-    def __init__(self, folder: Path, instances: int, seed: int) -> None:
+    def __init__(
+        self, folder: Path, instances: int, seed: int, features: Features
+    ) -> None:
         self.run_record = RunRecord(instance_count=instances)
         self.started_at = time.monotonic()
         self.store = StandInStore()
-        self.operator = Operator(self.store, self.run_record)
+        self.features = features
+        self.operator = Operator(
+            self.store, self.run_record, features, self.now
+        )
         self.processes = Processes(folder)
         self.instance_count = instances
         self.random = Random(seed)
@@ -66,6 +84,8 @@
         self.upstreams: list[Upstream] = []
         self.callers: list[Caller] = []
         self.tasks: list[asyncio.Task[None]] = []
+        #: Leaves one failure domain in service.
+        self.evacuation_lock = asyncio.Lock()
 
     def now(self) -> float:
         """Return the seconds since the start of the run."""
@@ -84,6 +104,8 @@
                 self.run_record,
                 self.now,
                 self.refused,
+                self.features,
+                self._failure_domain(number // len(SERVICES)),
             )
             self.upstreams.append(await upstream.start())
         # Separate calls could return the same port, as none is bound yet.
@@ -96,6 +118,7 @@
                 self.run_record,
                 self.now,
                 ports[number :: self.instance_count],
+                self._failure_domain(number),
             )
             self.instances.append(instance)
         seeds = tuple(
@@ -104,9 +127,18 @@
         for instance in self.instances:
             await instance.start(seeds)
         self.callers = [
-            self.new_caller(f'c{number}') for number in range(CALLER_COUNT)
+            self.new_caller(f'c{number}')
+            for number in range(
+                CALLER_COUNT_WITH_LIMITS
+                if self.features.accounts or self.features.cold
+                else CALLER_COUNT
+            )
         ]
 
+    def _failure_domain(self, number: int) -> str:
+        domains = FAILURE_DOMAINS if self.features.domains else ('a',)
+        return domains[number % len(domains)]
+
     def new_caller(self, name: str) -> Caller:
         return Caller(
             name,
@@ -122,6 +154,8 @@
         )
 
     def start_load(self) -> None:
+        for upstream in self.upstreams:
+            upstream.has_traffic = True
         self.tasks = [
             asyncio.create_task(caller.run()) for caller in self.callers
         ]
@@ -193,11 +227,24 @@
                 for _ in range(count):
                     self.operator.publish()
                     await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
+            case Evacuate(failure_domain=domain, seconds=seconds):
+                async with self.evacuation_lock:
+                    evacuation = self.operator.evacuate(domain)
+                    await asyncio.sleep(seconds)
+                    self.operator.end_evacuation(evacuation)
             case _:
                 await self._disturb_upstream(fault)
 
+    def _record_store_disturbance(
+        self, start: float, *, is_restore: bool = False
+    ) -> None:
+        self.run_record.store_disturbances.append(
+            StoreDisturbance(start, self.now(), is_restore)
+        )
+
     async def _degrade_store(self, mode: StoreFault, seconds: float) -> None:
         store = self.store
+        start = self.now()
         match mode:
             case 'refuse':
                 store.is_unavailable = True
@@ -211,9 +258,11 @@
         await asyncio.sleep(seconds)
         store.is_unavailable = store.drop_append_responses = False
         store.delay = 0.0
+        self._record_store_disturbance(start)
 
     async def _restore_store(self, copy_age: float, seconds: float) -> None:
         """Lose the latest writes; operator and upstreams write theirs again."""
+        start = self.now()
         copy = self.store.copy()
         await asyncio.sleep(copy_age)
         self.store.is_unavailable = True
@@ -221,7 +270,8 @@
         self.store.restore(copy)
         self.store.is_unavailable = False
         await asyncio.sleep(REWRITE_SECONDS)
-        self.operator.publish()
+        self.operator.write_again()
+        self._record_store_disturbance(start, is_restore=True)
         current_keys = set()
         for upstream in self.upstreams:
             upstream.register_again()
@@ -233,11 +283,13 @@
     async def _disrupt_store_links(
         self, numbers: tuple[int, ...], link_fault: LinkFault, seconds: float
     ) -> None:
+        start = self.now()
         for number in numbers:
             self.instances[number].link.apply(link_fault)
         await asyncio.sleep(seconds)
         for number in numbers:
             self.instances[number].link.apply(LinkFault.NONE)
+        self._record_store_disturbance(start)
 
     async def _cut_off(
         self, number: int, keeps_open: bool, seconds: float
@@ -271,6 +323,21 @@
             ):
                 await self.upstreams[number].state_terms(terms, figure, seconds)
                 return
+            case ChillUpstream(upstream=number, mode='become'):
+                self.upstreams[number].become_cold()
+                return
+            case ChillUpstream(upstream=number, mode=mode):
+                step = len(SERVICES) if mode == 'restart_service' else None
+                await asyncio.gather(
+                    *(
+                        upstream.crash(RESTART_SECONDS)
+                        for upstream in (
+                            self.upstreams[number % step :: step]
+                            if step
+                            else self.upstreams[number : number + 1]
+                        )
+                    )
+                )
             case ReplaceUpstream(upstream=number):
                 await self.upstreams[number].replace(DRAIN_SECONDS)
             case CorruptResponses(upstream=number, mode=mode, seconds=seconds):
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -4,17 +4,23 @@
 import json
 import time
 from collections.abc import Callable, Collection
+from math import inf
 
 from standins.slot_server import REQUEST_ID, SlotServer
 from standins.store import StandInStore
 
 from .link import Link
-from .plan import ResponseFault, Terms
-from .records import Arrival, RunRecord, Statement
+from .operator import WARM_UP_RATE, WARM_UP_SECONDS
+from .plan import Features, ResponseFault, Terms
+from .records import Arrival, ColdPeriod, RunRecord, Statement
 
 TOPIC = 'keyed.servers'
 WORK_SECONDS = 0.02
 SLOTS = 2
+#: Enough for a home in each failure domain.
+SLOTS_WITH_HOMES = 32
+WARM_UP_REMAINING = 'X-Crocusproxy-Warmup-Remaining'
+ACCOUNT = 'X-Crocusproxy-Tenant-Name'
 #: Service time of a slow upstream in percent of the normal one.
 SLOW_PERCENT = 500
 NORMAL_PERCENT = 100
@@ -24,9 +30,19 @@
     """A slot server that records each arrival and whether it ran."""
 
     def __init__(
-        self, key: str, service: str, run: RunRecord, now: Callable[[], float]
+        self,
+        key: str,
+        service: str,
+        run: RunRecord,
+        now: Callable[[], float],
+        features: Features,
     ) -> None:
-        super().__init__(key, SLOTS, WORK_SECONDS)
+        self.all_slots = SLOTS_WITH_HOMES if features.homes else SLOTS
+        super().__init__(key, self.all_slots, WORK_SECONDS)
+        self.is_silent = features.silent
+        self.silenced: set[asyncio.StreamWriter] = set()
+        self.cold_until = -inf
+        self.cold_period: ColdPeriod | None = None
         self.service = service
         self.run_record = run
         self.now = now
@@ -41,32 +57,91 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    def become_cold(self, *, is_start: bool) -> None:
+        """Be cold from now on; instances know at once of a start only."""
+        start = self.now()
+        self.cold_until = start + WARM_UP_SECONDS
+        self.cold_period = ColdPeriod(
+            self.key,
+            WARM_UP_RATE,
+            start,
+            self.cold_until,
+            start if is_start else None,
+        )
+        self.run_record.cold_periods.append(self.cold_period)
+
+    @property
+    def warm_up_remaining_ms(self) -> int:
+        return round(max(self.cold_until - self.now(), 0) * 1000)
+
     async def answer(self, head, reader, writer):
+        if writer in self.silenced or self._is_overfull():
+            await self._ignore(head, reader, writer)
+            return
         runs_before = len(self.runs)
         if head.startswith('GET /health '):
             times = self.run_record.probe_times.setdefault(self.key, [])
             times.append(self.now())
             await super().answer(head, reader, writer)
+            if self.cold_period is not None:
+                if self.cold_period.told_at is None:
+                    self.cold_period.told_at = self.now()
             return
         arrived_at = self.now()
-        request_id = head.split(f'{REQUEST_ID}: ')[1].split('\r\n')[0]
-        path = head.split(' ')[1]
         response_task = asyncio.ensure_future(
             super().answer(head, reader, writer)
         )
         # The request starts or is refused before the first timed wait.
         await asyncio.sleep(0)
+        request_id = _header(head, REQUEST_ID)
         has_run = request_id in self.runs[runs_before:]
-        self.run_record.arrivals.append(
-            Arrival(
-                request_id, path, self.service, arrived_at, has_run, self.key
-            )
-        )
+        self._record_arrival(head, arrived_at, has_run)
         await response_task
         statement = self.statement
         if statement is not None and statement.told_at is None:
             statement.told_at = self.now()
 
+    def response(self, request_id, body, health=False, status='200 OK'):
+        response = super().response(request_id, body, health, status)
+        if not health or not self.warm_up_remaining_ms:
+            return response
+        remaining = f'{WARM_UP_REMAINING}: {self.warm_up_remaining_ms}'
+        return response.replace(
+            b'\r\n\r\n', f'\r\n{remaining}\r\n\r\n'.encode(), 1
+        )
+
+    def _is_overfull(self) -> bool:
+        return (
+            self.is_silent
+            and self.statement is None
+            and self.running >= self.slots
+        )
+
+    async def _ignore(self, head, reader, writer) -> None:
+        """Read a request without responding, now and later."""
+        self.silenced.add(writer)
+        await reader.readexactly(int(_header(head, 'Content-Length') or 0))
+        if not head.startswith('GET /health '):
+            self._record_arrival(head, self.now(), has_run=False)
+
+    def _record_arrival(
+        self, head: str, arrived_at: float, has_run: bool
+    ) -> None:
+        expected_key = _header(head, 'X-Crocusproxy-Expected-Instance')
+        self.run_record.arrivals.append(
+            Arrival(
+                _header(head, REQUEST_ID),
+                head.split(' ')[1],
+                self.service,
+                arrived_at,
+                has_run,
+                self.key,
+                _header(head, ACCOUNT),
+                leaks_key='key-of-' in head,
+                is_misdirected=expected_key not in {'', self.key},
+            )
+        )
+
     def state(self, terms: Terms, figure: float) -> Statement:
         """State only these terms from now on; a backoff with each refusal."""
         self.end_statement(self.statement)
@@ -89,7 +164,7 @@
         statement.ended_at = self.now()
         self.statement = None
         self.terms = ()
-        self.slots = SLOTS
+        self.slots = self.all_slots
 
     def faulty_response(self, request_id: str) -> bytes | None:
         valid_response = self.response(request_id, request_id.encode())
@@ -106,6 +181,14 @@
         return None
 
 
+def _header(head: str, name: str) -> str:
+    """Return the values of a header, empty without any."""
+    lines = (line.partition(': ') for line in head.split('\r\n'))
+    return ','.join(
+        text for key, _, text in lines if key.lower() == name.lower()
+    )
+
+
 class Upstream:
     """A position in a service, served by successive servers behind a link.
 
@@ -120,7 +203,11 @@
         run: RunRecord,
         now: Callable[[], float],
         refused: Collection[str],
+        features: Features,
+        failure_domain: str,
     ) -> None:
+        self.features = features
+        self.failure_domain = failure_domain
         self.refused = refused
         self.number = number
         self.service = service
@@ -130,6 +217,8 @@
         self.generation = 0
         self.sequence = 0
         self.state = ''
+        #: Servers that start from now on are cold at first.
+        self.has_traffic = False
 
     async def start(self) -> 'Upstream':
         """Start a server under a new key and register it."""
@@ -142,9 +231,12 @@
     async def _serve(self) -> None:
         key = f'i-{self.number}-{self.generation}'
         self.server = RecordingServer(
-            key, self.service, self.run_record, self.now
+            key, self.service, self.run_record, self.now, self.features
         )
+        self.run_record.failure_domains[key] = self.failure_domain
         await self.server.start()
+        if self.features.cold and self.has_traffic:
+            self.server.become_cold(is_start=True)
         self.started_at_ms = round(time.time() * 1000)
         self.sequence = 0
 
@@ -156,13 +248,13 @@
             'ServerInfo': {
                 'Service': self.service,
                 'Version': 'v1',
-                'Zone': 'a',
-                'Slots': SLOTS,
+                'Zone': self.failure_domain,
+                'Slots': self.server.all_slots,
             },
             'Status': {
                 'State': state,
                 'Sequence': self.sequence,
-                'WarmupRemainingMs': 0,
+                'WarmupRemainingMs': self.server.warm_up_remaining_ms,
             },
             'born': self.started_at_ms,
         }
@@ -182,6 +274,10 @@
         self.link = await Link(self.server.address, self.refused).start()
         self.register()
 
+    def become_cold(self) -> None:
+        """Warm up in traffic, which only health responses tell."""
+        self.server.become_cold(is_start=False)
+
     async def state_terms(
         self, terms: Terms, figure: float, seconds: float
     ) -> None:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -33,6 +33,24 @@
     assert verdict.outcomes['answered 200'] > verdict.request_count / 2
 
 
+def test_run_with_client_accounts_evacuations_and_cold_upstreams():
+    verdict = asyncio.run(
+        run_seed(
+            4,
+            SECONDS,
+            INSTANCES,
+            faults=False,
+            accounts=4,
+            evacuations=1,
+            cold=3,
+            silent=True,
+        )
+    )
+    assert not verdict.violations
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 5
+    assert verdict.outcomes['answered 401']
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
