Move the forwarding of requests out of the gateway

The second is now RequestServer in request_server.py. Ran tests/entry; the tests only follow the moved attributes.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -180,14 +180,14 @@
         self.quota_exchange = QuotaExchange(
             member_client, self.member_list, self.quotas, self.clock
         )
-        self.gateway.forwarder = HomeForwarder(
+        self.gateway.request_server.forwarder = HomeForwarder(
             self.pool,
             self.messages,
             self.clock,
             self.role.forwarding_address,
             self.observer.observe_relayed,
         )
-        self.gateway.overflow_targets = OverflowTargets(
+        self.gateway.request_server.overflow_targets = OverflowTargets(
             self.role.other_domain_homes,
             self.dispatcher.random,
             self.role.is_shared,
@@ -340,7 +340,7 @@
             SystemRandom(),
         )
         gate = QuotaGate(quotas, self.clock, self.metrics)
-        self.gateway.quota_gate = gate
+        self.gateway.request_server.quota_gate = gate
         self.dispatcher.charge = gate.charge
         self.metrics.add_quota_gauge(
             lambda: quotas.count_indebted(
--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -151,7 +151,7 @@
     async def scenario(system, neighbor):
         place_in(neighbor, neighbor.servers[0], 'b')
         other = await GatewaySystem().start()
-        other.gateway.forwarder = HomeForwarder(
+        other.gateway.request_server.forwarder = HomeForwarder(
             other.pool, other.messages, other.clock, lambda _: system.address
         )
         use_domain_homes(system, neighbor.address)
--- a/tests/entry/test_home_forwarder.py
+++ b/tests/entry/test_home_forwarder.py
@@ -8,7 +8,7 @@
 
 
 async def set_home(system, home_address):
-    system.gateway.forwarder = HomeForwarder(
+    system.gateway.request_server.forwarder = HomeForwarder(
         system.pool, system.messages, system.clock, lambda _: home_address
     )
 
--- a/tests/entry/test_overflow.py
+++ b/tests/entry/test_overflow.py
@@ -19,10 +19,10 @@
 
 def use_domain_homes(system, *addresses):
     """Let the gateway of ``system`` ask the gateways at ``addresses``."""
-    system.gateway.forwarder = HomeForwarder(
+    system.gateway.request_server.forwarder = HomeForwarder(
         system.pool, system.messages, system.clock, lambda _: ''
     )
-    system.gateway.overflow_targets = OverflowTargets(
+    system.gateway.request_server.overflow_targets = OverflowTargets(
         lambda: [member(address) for address in addresses], Random(1)
     )
 
--- a/tests/entry/test_quotas.py
+++ b/tests/entry/test_quotas.py
@@ -28,7 +28,7 @@
     gate = QuotaGate(
         system.quotas, system.clock, system.gateway.metrics, system.log
     )
-    system.gateway.quota_gate = gate
+    system.gateway.request_server.quota_gate = gate
     system.dispatcher.charge = gate.charge
     now = system.clock.monotonic().total_seconds()
     system.quotas.apply_division(WholeQuota(), now)
--- a/tests/entry/test_shared_services.py
+++ b/tests/entry/test_shared_services.py
@@ -68,13 +68,13 @@
         role = DispatchRole(self.table, lambda: None, lambda: self.own)
         self.role = role
         gateway = self.system.gateway
-        gateway.forwarder = HomeForwarder(
+        gateway.request_server.forwarder = HomeForwarder(
             self.system.pool,
             self.system.messages,
             self.system.clock,
             role.forwarding_address,
         )
-        gateway.overflow_targets = OverflowTargets(
+        gateway.request_server.overflow_targets = OverflowTargets(
             role.other_domain_homes, Random(1), role.is_shared
         )
         self.system.dispatcher.has_successor = lambda service: bool(
--- a/tests/entry/test_successor.py
+++ b/tests/entry/test_successor.py
@@ -15,7 +15,7 @@
         self.system = system
         self.successor = successor
         self.address = ''
-        system.gateway.forwarder = HomeForwarder(
+        system.gateway.request_server.forwarder = HomeForwarder(
             system.pool, system.messages, system.clock, lambda _: self.address
         )
         system.dispatcher.has_successor = lambda _: bool(self.address)
@@ -94,7 +94,7 @@
     async def scenario(system, takeover):
         sender = await GatewaySystem().start()
         address = {'home': system.address}
-        sender.gateway.forwarder = HomeForwarder(
+        sender.gateway.request_server.forwarder = HomeForwarder(
             sender.pool,
             sender.messages,
             sender.clock,
--- a/tests/entry/test_upstream_terms.py
+++ b/tests/entry/test_upstream_terms.py
@@ -102,7 +102,7 @@
     async def run_with_home(system):
         home = await GatewaySystem().start(home_servers)
         addresses = [home.address]
-        system.gateway.forwarder = HomeForwarder(
+        system.gateway.request_server.forwarder = HomeForwarder(
             system.pool,
             system.messages,
             system.clock,
