--- a/bench/placement.py
+++ b/bench/placement.py
@@ -254,7 +254,7 @@
             TermsTable(),
             UpstreamReach(clock),
         )
-        self.dispatcher.refresh_load = self.refresh
+        self.dispatcher.selector.refresh_load = self.refresh
         for server in model.servers.values():
             entry = RegisteredUpstream(
                 server.key,
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -36,6 +36,7 @@
 from .crash_watch import CrashWatch
 from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
+from .draining import drain_callers
 from .gateway import Gateway
 from .home_forwarder import HomeForwarder
 from .home_tasks import home_tasks
@@ -68,14 +69,6 @@
 _BACKLOG = 512
 #: The process exits this long before the platform would kill it.
 _KILL_MARGIN = timedelta(milliseconds=300)
-#: Share of the shutdown time during which every request is accepted; afterwards
-#: only requests whose deadline is before the end of the process.
-_ACCEPT_ALL_SHARE = 0.4
-#: Time between the last possible deadline and the kill by the platform.
-_LAST_RESPONSE_MARGIN_SECONDS = 0.5
-#: Share of the shutdown time after which new connections are refused.
-_STOP_LISTENING_SHARE = 0.7
-_IN_FLIGHT_CHECK_SECONDS = 0.02
 
 
 class EntryDaemon:
@@ -148,69 +141,11 @@
             lambda: self.elector.server.follower_addresses(),
             self.catalog.store_incarnation,
         )
-        member_client = MemberClient(self.session)
-        self.elector = HomeElector(
-            member_client,
-            self.catalog,
-            self.member_list,
-            self.clock,
-            self.start_home_tasks,
-            self.stop_home_tasks,
-            self.domain_homes,
-            self.reach.unreached_if_doubtful,
-        )
-        self.reach_check = ReachCheck(
-            self.pool,
-            self.catalog,
-            HEADER_NAMES,
-            self.clock,
-            self.metrics,
-            self.reach,
-        )
-        self.reach_queries = ReachQueries(
-            member_client, self.settings.instance.name, self.reach_check
-        )
-        self.crash_exchange = CrashExchange(
-            member_client, self.elector, self.crash_watch.apply_report
-        )
-        self.crash_watch.send_report = self.crash_exchange.send
-        self.terms_exchange = TermsExchange(
-            member_client, self.elector, self.catalog.terms
-        )
-        self.quota_exchange = QuotaExchange(
-            member_client, self.member_list, self.quotas, self.clock
-        )
-        self.gateway.request_server.forwarder = HomeForwarder(
-            self.pool,
-            self.messages,
-            self.clock,
-            self.role.forwarding_address,
-            self.observer.observe_relayed,
-        )
-        self.gateway.request_server.overflow_targets = OverflowTargets(
-            self.role.other_domain_homes,
-            self.dispatcher.random,
-            self.role.is_shared,
-        )
+        self._connect_members(MemberClient(self.session))
+        self._connect_request_server()
         self._add_gauges()
         await self._open_ports()
-        registration = MemberRegistration(
-            self.store, self.member_list, self.domain_homes
-        )
-        control = self.settings.control
-        self.tasks.spawn(
-            partial(
-                join,
-                registration,
-                self.elector,
-                self.settings.seeds,
-                f'{control.host}:{control.port}',
-                self.clock,
-            )
-        )
-        self.tasks.spawn(self.dispatcher.run_queues)
-        self.tasks.spawn(self._close_idle_connections)
-        self.tasks.spawn(self.quota_exchange.run)
+        self._start_tasks()
         self.reload_signal.connect(self._request_reload)
 
     def start_home_tasks(self) -> None:
@@ -257,20 +192,9 @@
         """Serve until callers have had time to switch to other instances."""
         self.gateway.is_draining = True
         self.elector.leave()
-        shutdown_seconds = self.settings.bounds.shutdown.total_seconds()
-        now = self.clock.monotonic().total_seconds()
-        ends_at = now + shutdown_seconds - _LAST_RESPONSE_MARGIN_SECONDS
-        await asyncio.sleep(shutdown_seconds * _ACCEPT_ALL_SHARE)
-        self.gateway.ends_at = ends_at
-        await asyncio.sleep(
-            shutdown_seconds * (_STOP_LISTENING_SHARE - _ACCEPT_ALL_SHARE)
+        await drain_callers(
+            self.gateway, self.server, self.clock, self.settings.bounds.shutdown
         )
-        self.server.close()
-        for connection in tuple(self.gateway.connections):
-            connection.close_if_idle()
-        log('port_closed', in_flight=self.gateway.in_flight)
-        while self.gateway.in_flight or self.gateway.has_unsent_bytes():
-            await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
 
     async def stop(self) -> None:
         """Close everything that was opened."""
@@ -349,6 +273,75 @@
         )
         return quotas
 
+    def _connect_members(self, member_client: MemberClient) -> None:
+        """Create the components that exchange messages with other members."""
+        self.elector = HomeElector(
+            member_client,
+            self.catalog,
+            self.member_list,
+            self.clock,
+            self.start_home_tasks,
+            self.stop_home_tasks,
+            self.domain_homes,
+            self.reach.unreached_if_doubtful,
+        )
+        self.reach_check = ReachCheck(
+            self.pool,
+            self.catalog,
+            HEADER_NAMES,
+            self.clock,
+            self.metrics,
+            self.reach,
+        )
+        self.reach_queries = ReachQueries(
+            member_client, self.settings.instance.name, self.reach_check
+        )
+        self.crash_exchange = CrashExchange(
+            member_client, self.elector, self.crash_watch.apply_report
+        )
+        self.crash_watch.send_report = self.crash_exchange.send
+        self.terms_exchange = TermsExchange(
+            member_client, self.elector, self.catalog.terms
+        )
+        self.quota_exchange = QuotaExchange(
+            member_client, self.member_list, self.quotas, self.clock
+        )
+
+    def _connect_request_server(self) -> None:
+        """Let requests be forwarded to the instances that dispatch them."""
+        request_server = self.gateway.request_server
+        request_server.forwarder = HomeForwarder(
+            self.pool,
+            self.messages,
+            self.clock,
+            self.role.forwarding_address,
+            self.observer.observe_relayed,
+        )
+        request_server.overflow_targets = OverflowTargets(
+            self.role.other_domain_homes,
+            self.dispatcher.random,
+            self.role.is_shared,
+        )
+
+    def _start_tasks(self) -> None:
+        registration = MemberRegistration(
+            self.store, self.member_list, self.domain_homes
+        )
+        control = self.settings.control
+        self.tasks.spawn(
+            partial(
+                join,
+                registration,
+                self.elector,
+                self.settings.seeds,
+                f'{control.host}:{control.port}',
+                self.clock,
+            )
+        )
+        self.tasks.spawn(self.dispatcher.run_queues)
+        self.tasks.spawn(self._close_idle_connections)
+        self.tasks.spawn(self.quota_exchange.run)
+
     def _create_prober(self) -> Prober:
         return Prober(
             self.pool,
@@ -368,7 +361,7 @@
         self.application.on_start.append(self.start)
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
-        self.dispatcher.refresh_load = self.prober.refresh_load
+        self.dispatcher.selector.refresh_load = self.prober.refresh_load
         self.dispatcher.hedged_calls.apply_settings(self.settings.hedging)
         self.dispatcher.has_successor = lambda service: bool(
             self.role.forwarding_address(service)
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -1,14 +1,14 @@
 """Dispatch of requests to upstreams, with retries where they are safe."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
 from ..clock import Clock
 from ..limits.shared_retry_budget import SharedRetryBudget
 from ..placement.placer import ServicePlacer
-from ..placement.requests import Decision, Placed, PlacementRequest, Refused
+from ..placement.requests import Placed, Refused
 from ..placement.upstream_reach import UpstreamReach
 from ..placement.upstream_state import SLOW_THRESHOLD, UpstreamState
 from ..placement.upstream_terms import TermsTable
@@ -38,31 +38,23 @@
 from .responses import CallerResponse, Refusal
 from .service_role import ServiceRole, apply_role
 from .settings import Bounds
+from .silence_breaker import SilenceBreaker
 from .upstream_call import UpstreamClient
+from .upstream_selector import UpstreamSelector
 
 _QUEUE_INTERVAL_SECONDS = 0.01
-#: Requests wait this long for upstreams that are silent, or a successor.
-SILENCE_GRACE_SECONDS = 0.5
-#: Then one request in this time is tried, and the others are refused at once.
-SILENCE_TRIAL_INTERVAL_SECONDS = 0.1
-#: An upstream is probed before use if its latest load report is older.
-FRESH_LOAD_SECONDS = 0.03
-#: How often a request chooses again because the chosen upstream is slow.
-MAX_RESELECTIONS = 5
 #: A request is refused after this many attempts that sent nothing. They spend
 #: no retry budget, as a failed connect puts no load on upstreams.
 MAX_CONNECT_FAILURES = 4
 #: Weight of an error response in the moving average of the failure rate.
 ERROR_WEIGHT = 0.1
 
-#: Probes the load of one upstream of a service.
-RefreshLoad = Callable[[str, UpstreamState], Awaitable[None]]
 #: Called immediately before a request is sent again that may have run.
 Charge = Callable[[RequestContext], None]
 
 
 class Dispatcher:
-    """Chooses upstreams, sends requests and applies the call results.
+    """Sends requests to upstreams and applies the call results.
 
     ``has_successor`` returns whether another instance dispatches a service in
     its place. ``charge`` is called for each send of a request that may have run
@@ -90,7 +82,6 @@
         self.metrics = metrics
         self.request_log = request_log
         self.crash_watch = crash_watch
-        self.refresh_load: RefreshLoad = _skip_refresh
         self.has_successor: Callable[[str], bool] = _has_no_successor
         self.timing = RouteTiming()
         self.placers: dict[str, ServicePlacer] = {}
@@ -100,15 +91,17 @@
         self.is_exclusive = True
         self.evacuated: frozenset[str] = frozenset()
         self.terms_table = terms_table
-        self.reach = reach
-        self.next_trial_at = float()
+        self.silence_breaker = SilenceBreaker(reach)
         self.charge: Charge = _skip_charge
+        self.selector = UpstreamSelector(
+            self.placer, self.timing, clock, crash_watch
+        )
         steps = AttemptSteps(
             self.placer,
             self.retry_budget,
             crash_watch.is_suspect,
-            self._placement_request,
-            self._is_slow,
+            self.selector.placement_request,
+            self.selector.is_slow,
             self._send,
         )
         self.hedged_calls = HedgedCalls(steps, clock, metrics)
@@ -192,11 +185,11 @@
         now = self._now()
         self.last_request_at = now
         self.retry_budget(context.service).count_request(now)
-        if self._is_cut_off(now):
+        if self.silence_breaker.refuses(now):
             return upstreams_unreachable(self.random)
         last_result: CallResult | None = None
         while True:
-            decision = await self._place(context)
+            decision = await self.selector.select(context)
             if isinstance(decision, Refused):
                 return self._failure_response(context, last_result, decision)
             if self.hedged_calls.is_enabled:
@@ -209,90 +202,13 @@
             if not self._may_retry(context, result):
                 return self._failure_response(context, last_result, None)
 
-    def _is_cut_off(self, now: float) -> bool:
-        """Return whether a request would only wait for silent upstreams."""
-        if self.reach.silent_seconds() < SILENCE_GRACE_SECONDS:
-            return False
-        if now < self.next_trial_at:
-            return True
-        self.next_trial_at = now + SILENCE_TRIAL_INTERVAL_SECONDS
-        return False
-
-    async def _place(self, context: RequestContext) -> Decision:
-        """Choose an upstream, and choose again if a probe reports it slow."""
-        remaining_refusal = self.crash_watch.refused_for(
-            context.outgoing_request
-        )
-        if remaining_refusal:
-            return Refused('request_suspected', remaining_refusal)
-        placer = self.placer(context.service)
-        decision = await self._choose(context)
-        for _ in range(MAX_RESELECTIONS):
-            if isinstance(decision, Refused):
-                break
-            if not await self._is_slow(context.service, decision):
-                break
-            placer.release(decision)
-            decision = await self._choose(context)
-        return decision
-
-    async def _is_slow(self, service: str, placed: Placed) -> bool:
-        """Probe an upstream and return whether it is slow.
-
-        With a fresh load report, return False without a probe, as the choice
-        already took that report into account. A rate limit counts probes too,
-        so they would take the place of requests.
-        """
-        state = placed.upstream
-        if state.is_limited:
-            return False
-        if self._now() - state.reported_at < FRESH_LOAD_SECONDS:
-            return False
-        try:
-            await self.refresh_load(service, state)
-        except asyncio.CancelledError:
-            self.placer(service).release(placed)
-            raise
-        # A cold upstream has a limit that this choice did not respect.
-        return state.is_cold or state.slowdown > SLOW_THRESHOLD
-
-    def _placement_request(self, context: RequestContext) -> PlacementRequest:
-        route = context.route
-        return PlacementRequest(
-            context.priority,
-            self.timing.expected_service_time(route),
-            context.target_at,
-            context.deadline,
-            context.tried_keys,
-            context.account_name,
-        )
-
-    async def _choose(self, context: RequestContext) -> Decision:
-        placement_request = self._placement_request(context)
-        decision: asyncio.Future[Decision] = (
-            asyncio.get_running_loop().create_future()
-        )
-        placer = self.placer(context.service)
-        pending_request = placer.place(placement_request, decision.set_result)
-        try:
-            return await asyncio.shield(decision)
-        except asyncio.CancelledError:
-            placer.withdraw(pending_request)
-            if decision.done():
-                _release_if_placed(placer, decision.result())
-            raise
-
     async def _send(
         self, context: RequestContext, placed: Placed
     ) -> CallResult:
         upstream = placed.upstream
         context.tried_keys |= {upstream.key}
         sent_at = self._now()
-        half_of_slots = max(upstream.entry.slots / 2, 1)
-        is_lightly_loaded = (
-            upstream.in_flight <= half_of_slots
-            and upstream.slowdown <= SLOW_THRESHOLD
-        )
+        is_lightly_loaded = _is_lightly_loaded(upstream)
         snapshot = self.request_log.take_snapshot(context, placed, sent_at)
         try:  # noqa: WPS501 - also when the caller disconnects
             result = await self.client.call(
@@ -413,8 +329,13 @@
         return self.clock.monotonic().total_seconds()
 
 
-async def _skip_refresh(service: str, state: UpstreamState) -> None:
-    """Keep the latest known load."""
+def _is_lightly_loaded(upstream: UpstreamState) -> bool:
+    """Return whether requests take their usual time at an upstream."""
+    half_of_slots = max(upstream.entry.slots / 2, 1)
+    return (
+        upstream.in_flight <= half_of_slots
+        and upstream.slowdown <= SLOW_THRESHOLD
+    )
 
 
 def _has_no_successor(service: str) -> bool:
@@ -424,8 +345,3 @@
 
 def _skip_charge(context: RequestContext) -> None:
     """Charge nothing, as without quotas."""
-
-
-def _release_if_placed(placer: ServicePlacer, decision: Decision) -> None:
-    if isinstance(decision, Placed):
-        placer.release(decision)
--- /dev/null
+++ b/src/crocusproxy/entry/draining.py
@@ -0,0 +1,43 @@
+"""Shutdown of an instance without a loss of requests."""
+
+import asyncio
+from datetime import timedelta
+
+from ..clock import Clock
+from ..logs import log
+from .gateway import Gateway
+
+#: Share of the shutdown time during which every request is accepted; afterwards
+#: only requests whose deadline is before the end of the process.
+_ACCEPT_ALL_SHARE = 0.4
+#: Time between the last possible deadline and the kill by the platform.
+_LAST_RESPONSE_MARGIN_SECONDS = 0.5
+#: Share of the shutdown time after which new connections are refused.
+_STOP_LISTENING_SHARE = 0.7
+_IN_FLIGHT_CHECK_SECONDS = 0.02
+
+
+async def drain_callers(
+    gateway: Gateway,
+    server: asyncio.AbstractServer,
+    clock: Clock,
+    shutdown: timedelta,
+) -> None:
+    """Close the port of ``server`` and return once all responses are sent.
+
+    The process is killed ``shutdown`` after this call.
+    """
+    shutdown_seconds = shutdown.total_seconds()
+    now = clock.monotonic().total_seconds()
+    ends_at = now + shutdown_seconds - _LAST_RESPONSE_MARGIN_SECONDS
+    await asyncio.sleep(shutdown_seconds * _ACCEPT_ALL_SHARE)
+    gateway.ends_at = ends_at
+    await asyncio.sleep(
+        shutdown_seconds * (_STOP_LISTENING_SHARE - _ACCEPT_ALL_SHARE)
+    )
+    server.close()
+    for connection in tuple(gateway.connections):
+        connection.close_if_idle()
+    log('port_closed', in_flight=gateway.in_flight)
+    while gateway.in_flight or gateway.has_unsent_bytes():
+        await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
--- a/tests/entry/hedging.py
+++ b/tests/entry/hedging.py
@@ -86,7 +86,7 @@
             TermsTable(),
             reach,
         )
-        self.dispatcher.refresh_load = self.refresh
+        self.dispatcher.selector.refresh_load = self.refresh
         self.hedged_calls = self.dispatcher.hedged_calls
         self.hedged_calls.apply_settings(Hedging(self.share))
         for number in range(self.upstreams):
--- a/tests/entry/test_hedged_call.py
+++ b/tests/entry/test_hedged_call.py
@@ -97,7 +97,7 @@
         await asyncio.sleep(0.01 if not system.sent else 0.2)
 
     system = System(script=[(0.3, OK)])
-    system.dispatcher.refresh_load = refresh
+    system.dispatcher.selector.refresh_load = refresh
     system.serve()
     assert len(system.sent) == 1
     assert system.unsent('ended') == 1
@@ -189,7 +189,7 @@
         """Keep the reported load."""
 
     system = System(script=[(0.4, OK)])
-    system.dispatcher.refresh_load = refresh
+    system.dispatcher.selector.refresh_load = refresh
     system.prepare(route)
     system.run(scenario())
     assert len(system.sent) == 1
--- a/tests/entry/test_prober.py
+++ b/tests/entry/test_prober.py
@@ -23,7 +23,7 @@
         system.reach,
     )
     prober.apply_config(system.catalog.config)
-    system.dispatcher.refresh_load = prober.refresh_load
+    system.dispatcher.selector.refresh_load = prober.refresh_load
     return prober
 
 
