Reword unclear names and comments of limits, checks and entry

Names such as _NONE for a duration of zero, constants without unit and docstrings that only the author understands stopped a new reader. The labels of quota decisions are typed.

--- a/src/crocusproxy/checks/limits.py
+++ b/src/crocusproxy/checks/limits.py
@@ -7,7 +7,7 @@
 from ..routes.model import CallerLimits, Route, RouteConfig, ServiceSettings
 from .findings import Finding, error, warning
 
-_NONE = timedelta()
+_ZERO = timedelta()
 
 
 def limit_findings(config: RouteConfig) -> Iterator[Finding]:
@@ -22,8 +22,8 @@
 
 def _route_range_findings(index: int, route: Route) -> Iterator[Finding]:
     for name, is_positive in (
-        ('timeout', route.timeout > _NONE),
-        ('target_latency', route.target_latency > _NONE),
+        ('timeout', route.timeout > _ZERO),
+        ('target_latency', route.target_latency > _ZERO),
         ('attempts', route.attempts > 0),
     ):
         if not is_positive:
@@ -43,7 +43,7 @@
 
 def _latency_findings(index: int, route: Route) -> Iterator[Finding]:
     target, timeout = route.target_latency, route.timeout
-    if min(target, timeout) <= _NONE:
+    if min(target, timeout) <= _ZERO:
         return
     if target > timeout:
         yield warning(
@@ -68,7 +68,7 @@
 def _warm_up_findings(
     index: int, service: ServiceSettings
 ) -> Iterator[Finding]:
-    has_duration = service.warm_up > _NONE
+    has_duration = service.warm_up > _ZERO
     has_rate = service.warm_up_rate > 0
     if has_rate and not has_duration:
         yield warning(
@@ -93,8 +93,8 @@
     for name, is_positive in (
         ('header_bytes', limits.header_bytes > 0),
         ('body_bytes', limits.body_bytes > 0),
-        ('header_timeout', limits.header_timeout > _NONE),
-        ('idle_timeout', limits.idle_timeout > _NONE),
+        ('header_timeout', limits.header_timeout > _ZERO),
+        ('idle_timeout', limits.idle_timeout > _ZERO),
     ):
         if not is_positive:
             yield _not_positive('limits', name)
--- a/src/crocusproxy/checks/matching.py
+++ b/src/crocusproxy/checks/matching.py
@@ -44,7 +44,7 @@
 
 
 def _unmatchable(index: int, route: Route) -> Finding:
-    if _same_host_is_found(route):
+    if _has_no_port(route.host):
         return error(
             'prefix_never_matches',
             f'prefix {route.prefix!r} never matches: '
@@ -62,8 +62,8 @@
     )
 
 
-def _same_host_is_found(route: Route) -> bool:
-    name, separator, port = route.host.rpartition(':')
+def _has_no_port(host: str) -> bool:
+    name, separator, port = host.rpartition(':')
     return not (name and separator and port.isdigit())
 
 
--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -24,7 +24,7 @@
     An upstream counts as crashed if its last connection drops while requests
     are in flight there and no new connection can be opened. Several that are
     lost at once, by the evidence in ``reach``, are one loss of this instance.
-    An evacuated upstream may be shut down at any time, which is no crash.
+    An evacuated upstream may be shut down at any time; that is not a crash.
     ``send_report`` sends a report to the other domain homes.
     """
 
--- a/src/crocusproxy/entry/hedged_call.py
+++ b/src/crocusproxy/entry/hedged_call.py
@@ -88,7 +88,10 @@
     async def send_first(
         self, context: RequestContext, placed: Placed
     ) -> CallResult:
-        """Send a request and record its duration, or its age if overtaken."""
+        """Send a request and record how long it takes.
+
+        If the hedge responds first, this is the time until then.
+        """
         started_at = self.now()
         try:
             result = await self.steps.send(context, placed)
@@ -132,7 +135,8 @@
     """One request and its hedge.
 
     ``hedge`` is set once the hedge has taken its slot and its budgets. Without
-    a usable response, the two attempts end as two that follow each other.
+    a usable response, the results are combined as those of an attempt and its
+    retry.
     """
 
     def __init__(
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -32,9 +32,9 @@
 
 
 class HomeForwarder:
-    """Sends requests to the address that ``home_address`` returns, if any.
+    """Sends requests to the instance that dispatches their service.
 
-    It is called with the service of the request.
+    ``home_address`` returns its address for a service, empty if there is none.
     ``on_response`` receives each response of a home.
     """
 
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -22,6 +22,7 @@
 
 #: A hedge is abandoned if the caller disconnects.
 HedgeOutcome = Literal['won', 'lost', 'abandoned']
+QuotaResult = Literal['admitted', 'over_quota']
 
 _BUCKET_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
@@ -131,7 +132,7 @@
             case Rejected():
                 self.authentications.labels('rejected').inc()
 
-    def count_quota_decision(self, result: str) -> None:
+    def count_quota_decision(self, result: QuotaResult) -> None:
         """Count a request that was admitted or is over its quota."""
         self.quota_decisions.labels(result).inc()
 
--- a/src/crocusproxy/entry/overflow.py
+++ b/src/crocusproxy/entry/overflow.py
@@ -1,8 +1,8 @@
 """Choice of the domain home that is asked for a slot.
 
-Answers a load that is larger in one failure domain than its upstreams can
-serve, while those of other failure domains have free slots: callers that move,
-or upstreams that are lost or slow in one failure domain.
+Overflow is used when the load of one failure domain exceeds the capacity of its
+upstreams while others have free slots, for example because callers have moved
+or upstreams of one failure domain are lost or slow.
 """
 
 from collections.abc import Callable, Sequence
@@ -16,7 +16,7 @@
 
 
 def _is_split(service: str) -> bool:
-    """Let domain homes have upstreams of each service."""
+    """Treat no service as shared."""
     return False
 
 
--- a/src/crocusproxy/entry/prober.py
+++ b/src/crocusproxy/entry/prober.py
@@ -23,8 +23,8 @@
 #: Minimum time between the latest load report or probe of an upstream and the
 #: next probe.
 PROBE_INTERVAL_SECONDS = 0.3
-#: Minimum time between probes of upstreams that may turn cold, even if others
-#: of their responses report the load: only health responses tell a warm-up.
+#: Minimum time between probes of upstreams that may become cold, even if other
+#: responses report the load, as only health responses state a warm-up.
 WARM_UP_PROBE_INTERVAL_SECONDS = 0.5
 #: The minimum while requests are queued and the upstream has a free slot.
 QUEUE_PROBE_INTERVAL_SECONDS = 0.05
--- a/src/crocusproxy/entry/quota_gate.py
+++ b/src/crocusproxy/entry/quota_gate.py
@@ -12,8 +12,8 @@
 from .request_context import RequestContext
 from .responses import CallerResponse, Refusal
 
-#: Accounts that are logged in one second.
-MAX_LOGGED_ACCOUNTS = 100
+#: Each account is logged at most once a second.
+MAX_LOGGED_ACCOUNTS_PER_SECOND = 100
 #: Statuses of another domain home that mean that a request has not run.
 _NOT_RUN_STATUSES = frozenset((429, 503))
 
@@ -75,9 +75,10 @@
     def settle(
         self, context: RequestContext, response: CallerResponse | Refusal
     ) -> None:
-        """Return the token if the response says that the request did not run.
+        """Return the token if another domain home has not run the request.
 
-        Upstreams' responses never have such a status here.
+        These statuses are refusals of the home itself, since no instance
+        passes on an upstream's response with one of them.
         """
         is_refusal = isinstance(response, Refusal)
         if is_refusal or response.status in _NOT_RUN_STATUSES:
@@ -90,7 +91,7 @@
             self.logged_accounts.clear()
         if (
             account.name not in self.logged_accounts
-            and len(self.logged_accounts) < MAX_LOGGED_ACCOUNTS
+            and len(self.logged_accounts) < MAX_LOGGED_ACCOUNTS_PER_SECOND
         ):
             self.logged_accounts.add(account.name)
             self._write(
--- a/src/crocusproxy/entry/service_role.py
+++ b/src/crocusproxy/entry/service_role.py
@@ -1,4 +1,4 @@
-"""The part of an instance in dispatching one service."""
+"""Which upstreams of a service an instance dispatches to."""
 
 from functools import partial
 from typing import Protocol
--- a/src/crocusproxy/limits/account_quota.py
+++ b/src/crocusproxy/limits/account_quota.py
@@ -21,7 +21,7 @@
 #: A rejected caller of an instance without a home returns within this time,
 #: since there is a home again by then.
 MAX_PART_WAIT_SECONDS = 1.0
-#: Fewest buckets at which those of removed accounts are deleted.
+#: With fewer buckets, those of removed accounts are kept.
 MIN_BUCKETS_TO_PRUNE = 1000
 _ROUNDING_ERROR = 1e-9
 
@@ -51,14 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedQuota:
-    """So many domain homes dispatch and report their tokens to each other."""
+    """``homes`` domain homes dispatch and report taken tokens to each other."""
 
     homes: int
 
 
 @dataclass(frozen=True, slots=True)
 class SplitQuota:
-    """So many domain homes dispatch, and not all of them get reports."""
+    """``homes`` domain homes dispatch, and not all of them get reports."""
 
     homes: int
 
@@ -89,7 +89,7 @@
 class Bucket:
     """Tokens of one account at monotonic second ``updated_at``.
 
-    The latest rejected caller should return at ``returns_at``.
+    The latest rejected caller was told to return at second ``returns_at``.
     """
 
     tokens: float
@@ -217,7 +217,7 @@
         """Return a bucket as if it had existed since the start."""
         start = self._start_tokens(account)
         if isinstance(self.division, PartOfQuota):
-            # Parts of a token would otherwise be lost in each of the parts.
+            # Rounding down would lose the fraction of a token at each instance.
             start_tokens = int(start * self._share() + self.random.random())
             return Bucket(start_tokens, now)
         return Bucket(start * self.start_share, self.started_at)
@@ -249,9 +249,9 @@
             if self.unreported(account.name) <= 0:
                 # One token is always free, whatever the size of its share.
                 return 0
-            debt = UNREPORTED_SHARE * self.bounds.excess(account)
+            permitted_debt = UNREPORTED_SHARE * self.bounds.excess(account)
             reserve = self._reserve(account.name, bucket, homes)
-            if reserve + debt / homes < 1:
+            if reserve + permitted_debt / homes < 1:
                 return REPORT_WAIT_SECONDS
         return 0
 
@@ -275,7 +275,7 @@
         bucket.returns_at = max(bucket.returns_at + interval, earliest)
         latest = earliest + self.bounds.window
         if bucket.returns_at > latest:
-            # More callers than there will be tokens for.
+            # There are more callers than tokens within the window.
             bucket.returns_at = self.random.uniform(earliest, latest)
         return OverQuota(timedelta(seconds=bucket.returns_at - now))
 
@@ -324,9 +324,9 @@
 
 
 def _none_unreported(name: str) -> float:
-    """Report to nobody."""
+    """Treat all tokens as reported, as without other domain homes."""
     return 0
 
 
 def _skip_take(name: str, count: int) -> None:
-    """Report to nobody."""
+    """Report to nobody, as without other domain homes."""
--- a/src/crocusproxy/limits/rate_limiter.py
+++ b/src/crocusproxy/limits/rate_limiter.py
@@ -13,7 +13,7 @@
     """Permits ``rate`` requests per second, and short bursts.
 
     Times are monotonic seconds. The bucket begins empty, since the upstream
-    has had requests without a limit until ``now``, which may be to come.
+    has had requests without a limit until ``now``, which may be in the future.
     """
 
     def __init__(self, rate: float, now: float) -> None:
--- a/src/crocusproxy/platform/document_check.py
+++ b/src/crocusproxy/platform/document_check.py
@@ -1,7 +1,4 @@
-"""Reads a configuration document of the platform and locates findings in it.
-
-Knows which field of the document each field of the configuration comes from.
-"""
+"""Reading of a configuration document, and location of findings in it."""
 
 import json
 import math
@@ -45,8 +42,8 @@
 }
 _SPLIT = 'TrafficSplit'
 _HEXADECIMAL = re.compile('[0-9a-fA-F]+')
-#: Above every useful number of the document, and below those of which the
-#: standard library makes no duration.
+#: No useful number is larger. Durations of the standard library end at about
+#: 8.6e13 seconds.
 MAX_NUMBER = 1e12
 
 
@@ -75,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnreadableDocument:
-    """A document that instances reject as a whole."""
+    """A document that instances ignore, since they cannot read it."""
 
     findings: tuple[LocatedFinding, ...]
 
--- a/src/crocusproxy/platform/document_lines.py
+++ b/src/crocusproxy/platform/document_lines.py
@@ -36,7 +36,7 @@
         return bisect_right(self.newlines, self._offsets(steps)[0]) + 1
 
     def _offsets(self, steps: Steps) -> tuple[int, int]:
-        """Return the offset of the value, and how many steps lead to it."""
+        """Return the offset of the innermost value found, and its depth."""
         offset = self._skip_blanks(0)
         for count, step in enumerate(steps):
             children = self._children(offset)
--- a/src/crocusproxy/platform/headers.py
+++ b/src/crocusproxy/platform/headers.py
@@ -7,7 +7,7 @@
 
 _REQUIRED_LOAD_FIELDS = 3
 _NORMAL_SERVICE_TIME_PERCENT = 100.0
-#: An hour; a longer warm-up is taken for a malformed value.
+#: One hour; a longer warm-up is treated as malformed.
 _MAX_WARM_UP_MS = 3_600_000
 
 
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -35,7 +35,7 @@
 )
 _IDEMPOTENT_KINDS = frozenset(('safe', 'download'))
 _VERSION_RADIX = 16
-#: Visible characters without a space at either end.
+#: Printable ASCII characters without a space at either end.
 _HEADER_VALUE = r'^[!-~]([ -~]*[!-~])?$'
 _ADDRESS = r'^[0-9.]+:[0-9]+$'
 _Positive = Annotated[StrictInt, Field(gt=0)]
@@ -107,7 +107,7 @@
 class _Tenant:
     name: Annotated[StrictStr, Field(pattern=_HEADER_VALUE)]
     api_keys: tuple[StrictStr, ...] = ()
-    # Goes before the priority of the route.
+    # Takes precedence over the priority of the route.
     priority: int | None = None
     # Quota of all daemons together; 0 is no limit.
     rate_per_s: _Amount | None = None
