Split the placer into modules by job

The states of the upstreams, the choice among them, the refusals and the count of the slots are now modules of their own; behaviour is unchanged. Two tests follow the new place of candidates().

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -418,7 +418,7 @@
 def set_constants(tune: str) -> None:
     """Set constants of ``src/crocusproxy``.
 
-    An example of ``tune`` is ``placement.placer.QUEUED_PER_SLOT=9``.
+    An example of ``tune`` is ``placement.refusals.QUEUED_PER_SLOT=9``.
     """
     for name, setting in (part.split('=') for part in tune.split(',') if part):
         module, _, constant = name.rpartition('.')
--- a/src/crocusproxy/placement/admission.py
+++ b/src/crocusproxy/placement/admission.py
@@ -9,6 +9,7 @@
 from .decayed_rate import DecayedRate
 from .fair_queue import FairQueue
 from .requests import QueuedRequest
+from .slot_counter import SlotCounter
 from .stated_capacity import ReturnSchedule
 
 #: Time over which the rate of ended requests is averaged.
@@ -27,8 +28,11 @@
 class Admission:
     """Forecasts the turn of requests from the rate of ended requests."""
 
-    def __init__(self, queue: FairQueue, random: Random) -> None:
+    def __init__(
+        self, queue: FairQueue, slots: SlotCounter, random: Random
+    ) -> None:
         self.queue = queue
+        self.slots = slots
         self.ended = DecayedRate(RATE_SECONDS)
         self.schedule = ReturnSchedule(random, MIN_RETURN_INTERVAL_SECONDS)
         self.backlog_since = inf
@@ -40,15 +44,14 @@
         elif self.backlog_since == inf:
             self.backlog_since = now
 
-    def rate(self, slots: int, service_time: float, now: float) -> float:
+    def rate(self, service_time: float, now: float) -> float:
         """Return the requests that are served per second."""
-        usual = max(slots, 1) / service_time
+        usual = max(self.slots.count(now), 1) / service_time
         return max(self.ended.per_second(now), MIN_RATE_SHARE * usual)
 
-    def is_patient(
-        self, queued_request: QueuedRequest, rate: float, now: float
-    ) -> bool:
+    def is_patient(self, queued_request: QueuedRequest, now: float) -> bool:
         """Return whether a request will meet its target after its wait."""
+        rate = self.rate(queued_request.service_time, now)
         start = now + self.queue.ahead_of(queued_request) / rate
         return start <= queued_request.safe_until(self.queue.pace)
 
@@ -66,7 +69,8 @@
             return False
         return self.queue.expected_late_starts(priority, remaining, now) < 0
 
-    def return_delay(self, rate: float, now: float) -> float:
+    def return_delay(self, service_time: float, now: float) -> float:
         """Return the seconds after which a refused caller should return."""
+        rate = self.rate(service_time, now)
         room_at = now + len(self.queue) / rate
         return self.schedule.next_return(room_at, rate) - now
--- a/tests/entry/test_loss_of_upstreams.py
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -102,7 +102,9 @@
         async with asyncio.timeout(3):
             while (await system.request('after'))[0] != 200:
                 await asyncio.sleep(0.01)
-        assert len(placer._candidates(placer.now())) == len(system.servers)
+        assert len(placer.choice.candidates(placer.now())) == len(
+            system.servers
+        )
 
     run_scenario(scenario, [make_server(f'i-{number}') for number in range(4)])
 
--- a/tests/entry/test_upstream_terms.py
+++ b/tests/entry/test_upstream_terms.py
@@ -72,7 +72,7 @@
         state = placer.upstreams['i-1']
         now = placer.now()
         state.failed(now)
-        candidates = placer._candidates(now + 25)
+        candidates = placer.choice.candidates(now + 25)
         assert state not in candidates
         assert len(candidates) == 1
 
@@ -88,7 +88,7 @@
         server.terms = ('Retry-After: 30',)
         await prober._probe(state, '/health')
         placer = system.dispatcher.placer('s')
-        assert not placer._candidates(placer.now() + 25)
+        assert not placer.choice.candidates(placer.now() + 25)
         status, headers, _ = await system.request('r1')
         assert status == 503
         assert 20 < float(headers['retry-after']) <= 45
