Use what the deployment tolerates of cold upstreams

The cause is a limit at the plain WarmupPerS, while WarmupOverage and WarmupSlack permit more than twice as much. The overage and half of the slack are used now; the rule's test holds with a change of home.

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -10,6 +10,7 @@
 )
 from ..clock import Clock
 from ..membership.catalog import Catalog
+from ..placement.warm_up import WarmUpTolerance
 from ..routes.model import (
     CallerLimits,
     ClientAccount,
@@ -76,7 +77,14 @@
         self.in_flight = 0
         catalog.on_config.append(self.apply_config)
         self.start_wait = StartWait(catalog, clock)
-        self.warm_up_watch = WarmUpWatch(catalog, clock)
+        bounds = dispatcher.bounds
+        self.warm_up_watch = WarmUpWatch(
+            catalog,
+            clock,
+            tolerance=WarmUpTolerance(
+                bounds.warm_up_overage, bounds.warm_up_slack
+            ),
+        )
         catalog.on_upstream.append(dispatcher.apply_upstream_change)
         catalog.on_evacuation.append(dispatcher.apply_evacuated)
 
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -47,7 +47,9 @@
     ``probes_per_second`` times a second. ``max_validity`` limits the validity
     of address lists. In any ``quota_window`` all instances together may exceed
     the quota of a client account by the share ``quota_overage`` and by
-    ``quota_slack`` requests.
+    ``quota_slack`` requests. In any second, all instances together may send a
+    cold upstream ``warm_up_overage`` times the rate that it tolerates, and
+    ``warm_up_slack`` requests.
     """
 
     budget_ratio: float = 0.2
@@ -59,6 +61,8 @@
     quota_window: Duration = timedelta(seconds=5)
     quota_overage: float = 0.1
     quota_slack: float = 20
+    warm_up_overage: float = 1
+    warm_up_slack: float = 0
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
--- a/src/crocusproxy/entry/warm_up_watch.py
+++ b/src/crocusproxy/entry/warm_up_watch.py
@@ -5,7 +5,7 @@
 from ..clock import Clock
 from ..logs import log
 from ..membership.catalog import Catalog
-from ..placement.warm_up import WarmUp
+from ..placement.warm_up import WarmUp, WarmUpTolerance
 from ..protocol.home_feed import UpstreamChange
 from ..routes.model import RegisteredUpstream, RouteConfig, ServiceSettings
 
@@ -21,10 +21,12 @@
         catalog: Catalog,
         clock: Clock,
         write: Callable[..., None] = log,
+        tolerance: WarmUpTolerance = WarmUpTolerance(),
     ) -> None:
         self.catalog = catalog
         self.clock = clock
         self.write = write
+        self.tolerance = tolerance
         self.services: dict[str, ServiceSettings] = {}
         catalog.on_config.append(self.apply_config)
         catalog.on_upstream.append(self.apply_change)
@@ -73,7 +75,9 @@
         settings = self.services.get(entry.service)
         if settings is not None:
             seconds = settings.warm_up.total_seconds()
-            warm_up.configure(settings.warm_up_rate, seconds, self._now())
+            rate = self.tolerance.limit(settings.warm_up_rate)
+            burst = self.tolerance.burst()
+            warm_up.configure(rate, seconds, self._now(), burst)
         elif warm_up.rate:
             warm_up.configure(0, 0, self._now())
         return warm_up
--- a/src/crocusproxy/limits/rate_limiter.py
+++ b/src/crocusproxy/limits/rate_limiter.py
@@ -14,10 +14,15 @@
 
     Times are monotonic seconds. The bucket begins empty, since the upstream
     has had requests without a limit until ``now``, which may be in the future.
+    ``burst`` is the number of tokens that are kept, None for
+    ``BURST_SECONDS`` of the rate.
     """
 
-    def __init__(self, rate: float, now: float) -> None:
+    def __init__(
+        self, rate: float, now: float, burst: float | None = None
+    ) -> None:
         self.rate = max(rate, MIN_RATE_PER_SECOND)
+        self.burst = burst
         self.tokens = float()
         self.updated_at = now
 
@@ -43,4 +48,6 @@
         self.updated_at = max(now, self.updated_at)
 
     def _burst(self) -> float:
+        if self.burst is not None:
+            return self.burst
         return max(1, BURST_SECONDS * self.rate)
--- a/src/crocusproxy/placement/warm_up.py
+++ b/src/crocusproxy/placement/warm_up.py
@@ -24,12 +24,38 @@
 NEWS_SECONDS = 0.5
 
 
+#: Share of the slack that is used for bursts; the rest is for requests sent
+#: before this instance knew that the upstream was cold.
+BURST_SLACK_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUpTolerance:
+    """What the deployment permits beyond the rate that a service states.
+
+    In any second a cold upstream may get ``overage`` times that rate and
+    ``slack`` requests, from all instances together.
+    """
+
+    overage: float = 1
+    slack: float = 0
+
+    def limit(self, rate: float) -> float:
+        """Return the rate to use, in requests per second."""
+        return self.overage * rate
+
+    def burst(self) -> float | None:
+        """Return the tokens to keep, None for those of a plain rate limit."""
+        return max(1, BURST_SLACK_SHARE * self.slack) if self.slack else None
+
+
 @dataclass(slots=True)
 class WarmUp:
     """Warm-up of one incarnation of an upstream.
 
     ``rate`` is the number of requests per second that it tolerates while it is
-    cold, 0 without limit. It is cold for ``seconds`` from ``listed_at`` on,
+    cold, 0 without limit, and ``burst`` that of a burst.
+    It is cold for ``seconds`` from ``listed_at`` on,
     when it was first listed while this instance was serving. ``told_until`` is
     the latest end that it has told. Until ``assumed_until`` it may be cold. The
     limit permits nothing before ``begins_at``. ``sent_at`` is when it last got
@@ -38,6 +64,7 @@
 
     rate: float = 0
     seconds: float = 0
+    burst: float | None = None
     is_listed: bool = False
     listed_at: float = -inf
     told_until: float = -inf
@@ -63,11 +90,19 @@
         is_idle = now - self.sent_at >= MAX_COLD_IDLE_SECONDS
         return self.rate > 0 and is_idle and self.is_cold(now)
 
-    def configure(self, rate: float, seconds: float, now: float) -> None:
+    def configure(
+        self,
+        rate: float,
+        seconds: float,
+        now: float,
+        burst: float | None = None,
+    ) -> None:
         """Apply the settings of the service."""
         self.rate = rate
         self.seconds = seconds
+        self.burst = burst
         if self.limiter is not None and rate:
+            self.limiter.burst = burst
             self.limiter.change_rate(rate, now)
 
     def list_first(self, now: float, *, is_serving: bool) -> bool:
@@ -113,7 +148,8 @@
             self.limiter = None
             return now
         if self.limiter is None:
-            self.limiter = RateLimiter(self.rate, max(now, self.begins_at))
+            begins_at = max(now, self.begins_at)
+            self.limiter = RateLimiter(self.rate, begins_at, self.burst)
         next_at = max(self.limiter.next_at(now), self.begins_at)
         return min(next_at, self.cold_until())
 
--- a/tests/placement/test_warm_up.py
+++ b/tests/placement/test_warm_up.py
@@ -9,6 +9,7 @@
 from crocusproxy.placement.warm_up import (
     HANDOVER_SECONDS,
     MAX_COLD_IDLE_SECONDS,
+    WarmUpTolerance,
 )
 
 from .test_placer import placed_key
@@ -300,3 +301,33 @@
     for times in arrivals.cold.values():
         assert most_in_a_second(times) <= 1.5 * 20 + 8
         assert times[-1] > 4
+
+
+def test_change_of_home_keeps_the_limit_with_all_that_is_tolerated():
+    """The bound leaves no room for the bursts of two instances."""
+    tolerance = WarmUpTolerance(overage=1.5, slack=8)
+    clock = ManualClock()
+    arrivals = Arrivals(clock)
+    first, second = (
+        make_instance(
+            entry('0'),
+            rate=RATE,
+            clock=clock,
+            on_placed=arrivals.record,
+            tolerance=tolerance,
+        )
+        for _ in range(2)
+    )
+    second.placer.set_exclusive(is_exclusive=False)
+    for instance in (first, second):
+        instance.register(
+            *(entry(str(number), slots=50) for number in range(1, 4))
+        )
+    random = Random(8)
+    play([first], 2, 1000, random)
+    second.placer.set_exclusive(is_exclusive=True)
+    play([first, second], 1, 1000, random)
+    first.placer.set_exclusive(is_exclusive=False)
+    play([second], 2, 1000, random)
+    for times in arrivals.cold.values():
+        assert RATE + 1 < most_in_a_second(times) <= 1.5 * RATE + 8
--- a/tests/placement/warming.py
+++ b/tests/placement/warming.py
@@ -8,6 +8,7 @@
 from crocusproxy.membership.catalog import Catalog
 from crocusproxy.placement.placer import ServicePlacer
 from crocusproxy.placement.requests import Placed, PlacementRequest, Refused
+from crocusproxy.placement.warm_up import WarmUpTolerance
 from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.routes.model import (
     RegisteredUpstream,
@@ -42,12 +43,19 @@
 class Instance:
     """One instance with its own catalog, terms and placer."""
 
-    def __init__(self, clock, rate, domain='a', on_placed=None):
+    def __init__(
+        self,
+        clock,
+        rate,
+        domain='a',
+        on_placed=None,
+        tolerance=WarmUpTolerance(),
+    ):
         self.clock = clock
         self.on_placed = on_placed or (lambda placed: None)
         self.catalog = Catalog()
         self.log_lines = []
-        self.watch = WarmUpWatch(self.catalog, clock, self.log)
+        self.watch = WarmUpWatch(self.catalog, clock, self.log, tolerance)
         self.placer = ServicePlacer(
             's', domain, clock, Random(1), self.catalog.terms
         )
