Use plainer names and comments in placement and membership

A reader had to guess what a patient or hopeless request, a told warm-up, LEAD, ENOUGH and count_all are. The names are now timely, will_expire, stated, MIN_SHARE_LEAD, SUFFICIENT_SHARE and total_slots; unclear comments are reworded. Ran make lint and the tests of placement, membership, evacuation and operations.

--- a/src/crocusproxy/entry/response_observer.py
+++ b/src/crocusproxy/entry/response_observer.py
@@ -155,7 +155,7 @@
         now = self._now()
         seconds = remaining.total_seconds()
         warm_up = upstream.terms.warm_up
-        if warm_up.tell(seconds, now):
+        if warm_up.apply_stated(seconds, now):
             self.terms_table.report_change(upstream.key, now)
             self._write(
                 'upstream_cold',
--- a/src/crocusproxy/entry/warm_up_watch.py
+++ b/src/crocusproxy/entry/warm_up_watch.py
@@ -58,7 +58,7 @@
         is_cold_start = warm_up.list_first(
             now, is_serving=self.catalog.is_complete
         )
-        is_news = warm_up.tell(entry.warm_up.total_seconds(), now)
+        is_news = warm_up.apply_stated(entry.warm_up.total_seconds(), now)
         if is_cold_start or is_news:
             self.write(
                 'upstream_cold',
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -142,8 +142,8 @@
     ) -> bool:
         """Return whether an upstream turned cold or is warm again.
 
-        Followers would otherwise not know the one, and would tell a new member
-        long after the other that the upstream is cold.
+        Followers would otherwise miss that it is cold, or still report it as
+        cold to new members when it is warm.
         """
         if before is None or after is None or self.config is None:
             return False
--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -17,10 +17,10 @@
 #: itself. Failures then count only after this many checks in a row.
 MAX_DOUBTFUL_CHECKS = 6
 _MIN_DOUBTFUL_FAILURES = 2
-#: How often others are appointed in place of members that turn out to be lost
-#: or cut off, before their failure domains are left to another one.
+#: Attempts per check to appoint members that are neither lost nor cut off.
+#: After these, the failure domains go to members that are known to work.
 MAX_APPOINTMENTS = 4
-#: As many while a member is known that reaches upstreams and can be used at
+#: The same while a member is known that reaches upstreams and can be used at
 #: once in place of one that does not.
 MAX_APPOINTMENTS_WITH_PROVEN = 2
 #: Others are tried first for this time. The best members would otherwise be
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -44,9 +44,10 @@
 ) -> DomainHomes:
     """Return the domain homes, empty if the home should dispatch alone.
 
-    ``members`` can be reached and stay. A domain home is kept while it is one
-    of them, so that its callers need not move, unless it is ``home_name``.
-    That member is chosen last, as it also reads the store and serves the feed.
+    ``members`` are those that can be reached and do not leave. A domain home is
+    kept while it is one of them, so that its callers need not move, unless it
+    is ``home_name``. That member is chosen last, as it also reads
+    the store and serves the feed.
     A failure domain with too few slots gets the home of the largest one, which
     also dispatches the services that are not split.
     Members in ``cut_off`` reach no upstreams; they dispatch only if all are.
@@ -157,6 +158,7 @@
     home_name: str,
     proven: Collection[str],
 ) -> Member:
+    """Return the home for the failure domain of ``members``."""
     best = min(
         members,
         key=lambda member: (
--- a/src/crocusproxy/membership/domain_split.py
+++ b/src/crocusproxy/membership/domain_split.py
@@ -93,7 +93,7 @@
     if len(domains) < min_domains:
         return None
     return Split(
-        tuple(domains), max(domains, key=lambda one: count_all(slots, one))
+        tuple(domains), max(domains, key=lambda one: total_slots(slots, one))
     )
 
 
@@ -111,7 +111,7 @@
     present = own_homes(current)
     ranked = sorted(
         candidates,
-        key=lambda one: (one not in present, -count_all(slots, one), one),
+        key=lambda one: (one not in present, -total_slots(slots, one), one),
     )
     enough = _enough_services(ranked, services, slots, current, present)
     needed = max(MIN_SPLIT_SERVICES, MIN_SPLIT_SHARE * len(services))
@@ -167,16 +167,16 @@
     domains: Iterable[str], slots: SlotsByDomain, current: DomainHomes
 ) -> str:
     """Return the domain with most slots, the present one if it has nearly."""
-    largest = max(sorted(domains), key=lambda one: count_all(slots, one))
+    largest = max(sorted(domains), key=lambda one: total_slots(slots, one))
     if not current.shared:
         return largest
     present = current.homes[0].member.failure_domain
     if present not in domains:
         return largest
-    gain = count_all(slots, largest) / max(count_all(slots, present), 1)
+    gain = total_slots(slots, largest) / max(total_slots(slots, present), 1)
     return largest if gain >= MIN_SLOTS_GAIN else present
 
 
-def count_all(slots: SlotsByDomain, domain: str) -> int:
+def total_slots(slots: SlotsByDomain, domain: str) -> int:
     """Return the slots of all services in a failure domain."""
     return sum(slots.get(domain, {}).values())
--- a/src/crocusproxy/membership/election_pace.py
+++ b/src/crocusproxy/membership/election_pace.py
@@ -11,13 +11,13 @@
 from ..protocol.home_feed import Member
 
 MAX_QUERIED_MEMBERS = 24
-#: Of these, members that are others in each round. All of the best ones may be
+#: Of these, members that change with each round. All of the best ones may be
 #: lost, and only one of the others may know the home.
 ROTATED_MEMBERS = 8
 #: Members with the best ranks; one of them should lead.
 CANDIDATES = 16
 #: Members of its own failure domain that any other member queries, besides one
-#: of the candidates. The last one is another in each round.
+#: of the candidates. The last one changes with each round.
 QUERIED_IN_DOMAIN = 3
 #: How long the others leave the election to the candidates.
 MAX_DEFERENCE = timedelta(seconds=3)
--- a/src/crocusproxy/membership/reach_judge.py
+++ b/src/crocusproxy/membership/reach_judge.py
@@ -32,7 +32,7 @@
 #: The pause is longer after a long search, so that upstreams that are down
 #: cause no more queries a second than this on average.
 MAX_FRUITLESS_QUERIES_PER_SECOND = 128
-#: A search without a further round for this time belongs to an earlier doubt.
+#: A search that has had no round for this time is ended as outdated.
 SEARCH_VALIDITY_SECONDS = 2.0
 #: Interval at which members that are cut off try again.
 RECHECK_INTERVAL_SECONDS = 1.0
--- a/src/crocusproxy/placement/account_usage.py
+++ b/src/crocusproxy/placement/account_usage.py
@@ -1,13 +1,13 @@
 """How much capacity client accounts usually use, as a weight for fair queueing.
 
 An account that sends more than usual has a weight below its present load, so
-that it waits for its excess itself.
+that its own requests wait rather than those of others.
 """
 
 from dataclasses import dataclass
 from math import exp
 
-#: Time in which the usual use adapts; longer than a burst of one account.
+#: Averaging time of the usual use; longer than the burst of an account.
 USUAL_SECONDS = 300.0
 #: Time over which the present use is averaged.
 CURRENT_SECONDS = 2.0
@@ -18,6 +18,7 @@
 MIN_AGE_SECONDS = 0.5
 #: Accounts that are remembered for each service.
 MAX_ACCOUNTS = 100_000
+#: Slots; keeps divisions by the weight of an unknown account finite.
 _MIN_WEIGHT = 1e-6
 
 
--- a/src/crocusproxy/placement/admission.py
+++ b/src/crocusproxy/placement/admission.py
@@ -1,6 +1,6 @@
 """Which requests may wait, and when refused callers should return.
 
-Follows from the measured rate at which requests are served.
+Both are derived from the measured rate at which requests are served.
 """
 
 from math import inf
@@ -17,9 +17,9 @@
 #: Share of the rate at the usual speed that is assumed at least: before a
 #: burst, fewer requests end than the upstreams can serve.
 MIN_RATE_SHARE = 0.5
-#: Time for which requests must have waited before late ones are given up.
+#: Time for which requests must have waited before late ones are refused.
 MIN_BACKLOG_SECONDS = 0.3
-#: Remaining time up to which it can be told that the turn will not come.
+#: Longest remaining time for which the number of starts is forecast.
 MAX_FORECAST_SECONDS = 1.0
 #: Shortest time between two returning callers.
 MIN_RETURN_INTERVAL_SECONDS = 0.001
@@ -49,14 +49,14 @@
         usual = max(self.slots.count(now), 1) / service_time
         return max(self.ended.per_second(now), MIN_RATE_SHARE * usual)
 
-    def is_patient(self, queued_request: QueuedRequest, now: float) -> bool:
+    def is_timely(self, queued_request: QueuedRequest, now: float) -> bool:
         """Return whether a request will meet its target after its wait."""
         rate = self.rate(queued_request.service_time, now)
         start = now + self.queue.ahead_of(queued_request) / rate
         return start <= queued_request.safe_until(self.queue.pace)
 
-    def is_hopeless(self, queued_request: QueuedRequest, now: float) -> bool:
-        """Return whether the turn of a late request will not come."""
+    def will_expire(self, queued_request: QueuedRequest, now: float) -> bool:
+        """Return whether a late request will probably expire in the queue."""
         remaining = queued_request.latest_start - now
         if remaining > MAX_FORECAST_SECONDS:
             return False
--- a/src/crocusproxy/placement/fair_queue.py
+++ b/src/crocusproxy/placement/fair_queue.py
@@ -1,7 +1,7 @@
 """Order of the requests that wait for a slot.
 
 Requests in time come first, by priority, and are served fairly among accounts.
-Late ones get capacity that no request in time needs, unless their kind is
+Late ones get capacity that no request in time needs, unless their priority is
 served less often than a less urgent one.
 """
 
@@ -16,6 +16,7 @@
 from .requests import QueuedRequest, Standing
 from .served_shares import ServedShares
 
+#: Time over which the rate of started late requests is averaged.
 LATE_RATE_SECONDS = 1.0
 
 
@@ -49,7 +50,7 @@
 
     The cost of adding or taking a request grows with the logarithm of the
     number of requests and accounts. ``pace`` is the ratio of actual to expected
-    durations; ``patient_count`` the number of requests that are expected to
+    durations, ``timely_count`` the number of requests that are expected to
     meet their target although they wait for long.
     """
 
@@ -58,7 +59,7 @@
         self.served = served
         self.pace = 1.0
         self.length = 0
-        self.patient_count = 0
+        self.timely_count = 0
         self.priorities: dict[int, PriorityLevels] = {}
         self.timers: list[tuple[float, int, QueuedRequest]] = []
         self.sequence = count()
@@ -108,7 +109,7 @@
         self._level(queued_request).give_back(queued_request, weight)
         queued_request.is_queued = True
         self.length += 1
-        self.patient_count += queued_request.is_patient
+        self.timely_count += queued_request.is_timely
 
     def advance(self, now: float) -> QueueChanges:
         """Apply the passing of time; expired requests remain in the queue."""
@@ -130,10 +131,10 @@
         assert isinstance(queued_request, QueuedRequest)
         return queued_request
 
-    def set_patient(self, queued_request: QueuedRequest) -> None:
+    def set_timely(self, queued_request: QueuedRequest) -> None:
         """Mark a request in time whose turn is expected to come in time."""
-        queued_request.is_patient = True
-        self.patient_count += 1
+        queued_request.is_timely = True
+        self.timely_count += 1
 
     def ahead_of(self, queued_request: QueuedRequest) -> float:
         """Return about how many requests are served before one in time."""
@@ -214,14 +215,14 @@
         self, queued_request: QueuedRequest, standing: Standing, now: float
     ) -> None:
         queued_request.standing = standing
-        self.patient_count -= queued_request.is_patient
-        queued_request.is_patient = False
+        self.timely_count -= queued_request.is_timely
+        queued_request.is_timely = False
         self._enter(queued_request, now)
 
     def _left(self, queued_request: QueuedRequest) -> None:
         queued_request.is_queued = False
         self.length -= 1
-        self.patient_count -= queued_request.is_patient
+        self.timely_count -= queued_request.is_timely
 
     def _set_timer(self, queued_request: QueuedRequest, now: float) -> None:
         next_change = queued_request.next_change(now, self.pace)
--- a/src/crocusproxy/placement/hedging.py
+++ b/src/crocusproxy/placement/hedging.py
@@ -11,10 +11,10 @@
 
 from ddsketch import DDSketch
 
-#: Share of the durations of a route that a request exceeds before its hedge.
+#: Quantile of the durations of a route at which a request is hedged.
 HEDGE_QUANTILE = 0.95
 MEDIAN_QUANTILE = 0.5
-#: Durations from which the quantiles of a route are known.
+#: Number of durations from which the quantiles of a route are known.
 MIN_SAMPLES = 100
 RELATIVE_ACCURACY = 0.01
 #: Age at which a sketch is replaced; the one before is used for as long again.
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -235,12 +235,12 @@
         had_long_queue = len(self.queue) > MAX_QUEUE_SCAN
         self.queue.push(queued_request, now)
         if queued_request.standing is Standing.IN_TIME:
-            if self.admission.is_patient(queued_request, now):
-                self.queue.set_patient(queued_request)
+            if self.admission.is_timely(queued_request, now):
+                self.queue.set_timely(queued_request)
         if now >= queued_request.latest_start:
             self.refusals.refuse(queued_request, now)
         elif queued_request.standing is Standing.LATE:
-            self.refusals.refuse_if_hopeless(queued_request, now)
+            self.refusals.refuse_if_expiring(queued_request, now)
         if had_long_queue:
             # Those before it have not found a slot either.
             self.refusals.refuse_excess(now)
@@ -259,7 +259,7 @@
         for expired in changes.expired:
             self.refusals.refuse(expired, now)
         for late in changes.late:
-            self.refusals.refuse_if_hopeless(late, now)
+            self.refusals.refuse_if_expiring(late, now)
 
     def _end(self, placed: Placed, now: float, *, is_sample: bool) -> None:
         self.concurrency.end(placed.sample, now, answered=is_sample)
--- a/src/crocusproxy/placement/refusals.py
+++ b/src/crocusproxy/placement/refusals.py
@@ -70,15 +70,15 @@
         limit = max(QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
         longest = max(MAX_QUEUED_PER_SLOT * slots, MIN_QUEUE_LENGTH)
         while len(self.queue) > min(
-            max(limit, self.queue.patient_count), longest
+            max(limit, self.queue.timely_count), longest
         ):
             self.refuse(self.queue.last(), now)
 
-    def refuse_if_hopeless(
+    def refuse_if_expiring(
         self, queued_request: QueuedRequest, now: float
     ) -> None:
         """Refuse a late request that would expire in the queue."""
-        if self.admission.is_hopeless(queued_request, now):
+        if self.admission.will_expire(queued_request, now):
             self.refuse(queued_request, now)
 
     def refuse_unplaceable(self) -> None:
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -74,7 +74,8 @@
 class QueuedRequest:
     """A queued request; ``on_decision`` is called once, with the decision.
 
-    The other fields belong to the queue; ``sequence`` is the order of arrival.
+    The other fields belong to the queue: ``sequence`` is the order of arrival;
+    one that ``is_timely`` is expected to start in time for its target.
     """
 
     request: PlacementRequest
@@ -83,7 +84,7 @@
     sequence: int = 0
     standing: Standing = Standing.IN_TIME
     is_queued: bool = False
-    is_patient: bool = False
+    is_timely: bool = False
 
     @property
     def account(self) -> str:
--- a/src/crocusproxy/placement/served_shares.py
+++ b/src/crocusproxy/placement/served_shares.py
@@ -6,11 +6,12 @@
 SHARE_SECONDS = 5.0
 #: Decisions from which a share is known.
 MIN_DECISIONS = 10
-#: Lead that a more urgent kind should have. Its callers have less time to try
-#: again, and more of its late responses miss their deadline.
-LEAD = 0.1
-#: Share from which a kind is never behind, as it loses hardly anything.
-ENOUGH = 0.95
+#: Difference by which the share of a more urgent priority should be higher. Its
+#: callers have less time to try again, and more of its late responses miss
+#: their deadline.
+MIN_SHARE_LEAD = 0.1
+#: Share from which a priority is never behind, as few of its requests are lost.
+SUFFICIENT_SHARE = 0.95
 
 
 class ServedShares:
@@ -39,11 +40,11 @@
     def is_behind(self, priority: int) -> bool:
         """Return whether less urgent requests are served about as often."""
         own = self.share(priority)
-        if own is None or own >= ENOUGH:
+        if own is None or own >= SUFFICIENT_SHARE:
             return False
         others = [
             self.share(other) for other in self.decided if other > priority
         ]
-        return own < LEAD + max(
+        return own < MIN_SHARE_LEAD + max(
             (share for share in others if share is not None), default=-1
         )
--- a/src/crocusproxy/placement/upstream_set.py
+++ b/src/crocusproxy/placement/upstream_set.py
@@ -105,7 +105,7 @@
             is_evacuated = state.entry.failure_domain in failure_domains
             if state.is_evacuated and not is_evacuated:
                 state.forget_failures()
-                state.terms.warm_up.assume(self.now())
+                state.terms.warm_up.assume_cold(self.now())
             state.is_evacuated = is_evacuated
 
     def end_backoffs(self) -> None:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -196,7 +196,7 @@
 
         The upstream may be starting again.
         """
-        self.terms.warm_up.assume(now)
+        self.terms.warm_up.assume_cold(now)
         self.consecutive_failures += 1
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
         backoff = INITIAL_BACKOFF_SECONDS * 2 ** min(
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -1,7 +1,7 @@
 """What upstreams have asked for in their responses.
 
-A rate limit and a leaving bind all instances; a backoff binds only the instance
-that got the response which asked for it.
+A rate limit and the announcement of leaving bind all instances; a backoff binds
+only the instance that got the response which asked for it.
 
 Terms belong to an incarnation of an upstream and outlive its entry in the list
 of upstreams, as an entry can expire and come back while its upstream lives on.
@@ -129,12 +129,14 @@
     def _apply_one(self, stated: StatedTerms, now: float) -> None:
         terms = self.terms_of(stated.key, stated.started_at)
         leaving = terms.is_leaving or stated.leaving
-        is_colder = terms.warm_up.tell(stated.warm_up.total_seconds(), now)
+        is_extended = terms.warm_up.apply_stated(
+            stated.warm_up.total_seconds(), now
+        )
         is_same = (terms.rate_limit, terms.is_leaving) == (
             stated.rate_limit,
             leaving,
         )
-        if is_same and not is_colder:
+        if is_same and not is_extended:
             return
         terms.apply_rate_limit(stated.rate_limit, now)
         terms.is_leaving = leaving
@@ -158,7 +160,7 @@
 def _stated(
     key: str, started_at: int, terms: UpstreamTerms, now: float = inf
 ) -> StatedTerms:
-    remaining = max(terms.warm_up.told_until - now, 0)
+    remaining = max(terms.warm_up.stated_until - now, 0)
     return StatedTerms(
         key,
         started_at,
--- a/src/crocusproxy/placement/warm_up.py
+++ b/src/crocusproxy/placement/warm_up.py
@@ -20,8 +20,8 @@
 #: How long an upstream counts as cold that may have been restarted, until a
 #: health response or its entry shows whether it was.
 ASSUMED_COLD_SECONDS = 2.0
-#: A cold time that ends later than known by less than this is no news.
-NEWS_SECONDS = 0.5
+#: Shortest extension of a cold time that is passed on to other instances.
+MIN_EXTENSION_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -30,25 +30,25 @@
 
     ``rate`` is the number of requests per second that it tolerates while it is
     cold, 0 without limit. It is cold for ``seconds`` from ``listed_at`` on,
-    when it was first listed while this instance was serving. ``told_until`` is
-    the latest end that it has told. Until ``assumed_until`` it may be cold. The
-    limit permits nothing before ``begins_at``. ``sent_at`` is when it last got
-    a request. Times are monotonic seconds.
+    when it was first listed while this instance was serving. ``stated_until``
+    is the latest end that it has stated. Until ``assumed_until`` it may be
+    cold. The limit permits nothing before ``begins_at``. ``sent_at`` is when
+    it last got a request. Times are monotonic seconds.
     """
 
     rate: float = 0
     seconds: float = 0
     is_listed: bool = False
     listed_at: float = -inf
-    told_until: float = -inf
+    stated_until: float = -inf
     assumed_until: float = -inf
     begins_at: float = -inf
     sent_at: float = -inf
     limiter: RateLimiter | None = None
 
     def known_until(self) -> float:
-        """Return when the upstream is no longer cold, but for assumptions."""
-        return max(self.told_until, self.listed_at + self.seconds)
+        """Return when the cold time ends, apart from an assumed one."""
+        return max(self.stated_until, self.listed_at + self.seconds)
 
     def cold_until(self) -> float:
         """Return when the upstream is no longer cold."""
@@ -82,26 +82,26 @@
             self.listed_at = now
         return is_serving and self.is_cold(now)
 
-    def tell(self, remaining: float, now: float) -> bool:
-        """Apply a told remaining time; return whether it is news."""
+    def apply_stated(self, remaining: float, now: float) -> bool:
+        """Apply a remaining time; return whether it extends the known one."""
         until = now + remaining
-        is_news = self.rate > 0 and until > NEWS_SECONDS + max(
+        is_extended = self.rate > 0 and until > MIN_EXTENSION_SECONDS + max(
             now, self.known_until()
         )
         if remaining:
-            self.told_until = max(self.told_until, until)
-        return is_news
+            self.stated_until = max(self.stated_until, until)
+        return is_extended
 
-    def assume(self, now: float) -> None:
-        """Take the upstream for cold for a moment: it may have restarted."""
+    def assume_cold(self, now: float) -> None:
+        """Treat the upstream as cold for now, as it may have restarted."""
         self.assumed_until = now + ASSUMED_COLD_SECONDS
 
     def end_assumption(self) -> None:
-        """Rely on what is known again."""
+        """End the cold time that was only assumed."""
         self.assumed_until = -inf
 
     def hand_over(self, begins_at: float) -> None:
-        """Begin with an empty limiter, as this instance takes over."""
+        """Restart the limiter at ``begins_at``, as this instance takes over."""
         self.begins_at = max(self.begins_at, begins_at)
         self.limiter = None
 
--- a/tests/membership/test_terms_exchange.py
+++ b/tests/membership/test_terms_exchange.py
@@ -139,12 +139,12 @@
     async def scenario(home, first, second, published):
         for member in (home, first, second):
             member.table.terms_of('i-1', 1).warm_up.rate = 2
-        assert first.table.terms_of('i-1', 1).warm_up.tell(9, 0)
+        assert first.table.terms_of('i-1', 1).warm_up.apply_stated(9, 0)
         first.table.report_change('i-1', 0)
         await asyncio.sleep(0.4)
         for member in (home, second):
             warm_up = member.table.terms_of('i-1', 1).warm_up
-            assert 8 < warm_up.told_until <= 9
+            assert 8 < warm_up.stated_until <= 9
         assert len(published) == 1
 
     run_with_home(scenario)
