Take cold upstreams with a limited rate for slow again

The cause is not the limit: with a limited rate, an upstream in warm-up no longer counted as slow, so requests were sent to it that it could only answer late.

--- a/src/crocusproxy/placement/upstream_set.py
+++ b/src/crocusproxy/placement/upstream_set.py
@@ -58,9 +58,6 @@
         state.is_exclusive = self.is_exclusive
         state.is_evacuated = entry.failure_domain in self.evacuated
         warm_up = entry.warm_up.total_seconds()
-        if state.terms.warm_up.rate:
-            # The limit replaces the assumption that the upstream is slow.
-            warm_up = 0
         state.warm_up_until = self.now() + warm_up if warm_up else -inf
 
     def remove(self, key: str) -> None:
--- a/tests/placement/test_warm_up.py
+++ b/tests/placement/test_warm_up.py
@@ -331,3 +331,12 @@
     play([second], 2, 1000, random)
     for times in arrivals.cold.values():
         assert RATE + 1 < most_in_a_second(times) <= 1.5 * RATE + 8
+
+
+def test_cold_upstream_counts_as_slow_until_it_reports_its_speed():
+    """Requests that it could only answer late would be sent to it."""
+    instance = make_instance(entry('1'), rate=RATE)
+    instance.register(entry('2', warm_up=WARM_UP_SECONDS))
+    now = instance.placer.now()
+    assert instance.state('2').is_slow(now)
+    assert not instance.state('1').is_slow(now)
