--- a/tests/entry/test_shared_services.py
+++ b/tests/entry/test_shared_services.py
@@ -166,7 +166,8 @@
         assert first.runs('s') and second.runs('s')
         placers = second.system.dispatcher.placers
         assert not second.system.dispatcher.retry_budgets.keys() & {'s'}
-        assert not placers['s'].is_exclusive and placers['t'].is_exclusive
+        assert not placers['s'].upstream_set.is_exclusive
+        assert placers['t'].upstream_set.is_exclusive
 
     play(scenario, Instance('a', 2, 0.1), Instance('b', 2, 0.1))
 
