Compute the stated capacity once for the refusals of one check

Each refusal of an excess request looked at all upstreams of the service again, on the path that runs when there is most load. The capacity is the same for all refusals of a check, as a refusal takes no token.

--- a/src/crocusproxy/placement/refusals.py
+++ b/src/crocusproxy/placement/refusals.py
@@ -72,7 +72,7 @@
         while len(self.queue) > min(
             max(limit, self.queue.timely_count), longest
         ):
-            self.refuse(self.queue.last(), now)
+            self._refuse(self.queue.last(), capacity, now)
 
     def refuse_if_expiring(
         self, queued_request: QueuedRequest, now: float
@@ -90,10 +90,18 @@
 
     def refuse(self, queued_request: QueuedRequest, now: float) -> None:
         """Refuse a queued request, with the time at which to return."""
+        capacity = stated_capacity(self.upstreams.values(), now)
+        self._refuse(queued_request, capacity, now)
+
+    def _refuse(
+        self,
+        queued_request: QueuedRequest,
+        capacity: StatedCapacity,
+        now: float,
+    ) -> None:
         self.queue.remove(queued_request)
         priority = queued_request.request.priority
         self.queue.served.count(priority, now, is_placed=False)
-        capacity = stated_capacity(self.upstreams.values(), now)
         if capacity.is_limited(now):
             code = 'upstreams_limited'
             returns_at = self.return_schedule.next_return(
@@ -116,6 +124,6 @@
         position = 0
         for queued_request in tuple(self.queue):
             if capacity.start_of(position) >= queued_request.latest_start:
-                self.refuse(queued_request, now)
+                self._refuse(queued_request, capacity, now)
             else:
                 position += 1
