--- a/tests/placement/test_warm_up.py
+++ b/tests/placement/test_warm_up.py
@@ -274,16 +274,17 @@
     assert not instance.placer.has_spare_slots()
 
 
-def test_change_of_home_during_a_replacement_keeps_the_limit():
-    """For a second, both instances dispatch to the same cold upstreams."""
+def arrivals_over_a_change_of_home(rate, **options):
+    """Return the times of cold arrivals; for a second, two homes dispatch."""
     clock = ManualClock()
     arrivals = Arrivals(clock)
     first, second = (
         make_instance(
             entry('0'),
-            rate=20,
+            rate=rate,
             clock=clock,
             on_placed=arrivals.record,
+            **options,
         )
         for _ in range(2)
     )
@@ -298,7 +299,11 @@
     play([first, second], 1, 1000, random)
     first.placer.set_exclusive(is_exclusive=False)
     play([second], 2, 1000, random)
-    for times in arrivals.cold.values():
+    return arrivals.cold.values()
+
+
+def test_change_of_home_during_a_replacement_keeps_the_limit():
+    for times in arrivals_over_a_change_of_home(rate=20):
         assert most_in_a_second(times) <= 1.5 * 20 + 8
         assert times[-1] > 4
 
@@ -306,30 +311,7 @@
 def test_change_of_home_keeps_the_limit_with_all_that_is_tolerated():
     """The bound leaves no room for the bursts of two instances."""
     tolerance = WarmUpTolerance(overage=1.5, slack=8)
-    clock = ManualClock()
-    arrivals = Arrivals(clock)
-    first, second = (
-        make_instance(
-            entry('0'),
-            rate=RATE,
-            clock=clock,
-            on_placed=arrivals.record,
-            tolerance=tolerance,
-        )
-        for _ in range(2)
-    )
-    second.placer.set_exclusive(is_exclusive=False)
-    for instance in (first, second):
-        instance.register(
-            *(entry(str(number), slots=50) for number in range(1, 4))
-        )
-    random = Random(8)
-    play([first], 2, 1000, random)
-    second.placer.set_exclusive(is_exclusive=True)
-    play([first, second], 1, 1000, random)
-    first.placer.set_exclusive(is_exclusive=False)
-    play([second], 2, 1000, random)
-    for times in arrivals.cold.values():
+    for times in arrivals_over_a_change_of_home(RATE, tolerance=tolerance):
         assert RATE + 1 < most_in_a_second(times) <= 1.5 * RATE + 8
 
 
