Do less work for each request and each start of an upstream

Found while reading the whole change again. A request with an API key was authenticated twice; the second look-up is needed only if the configuration has changed while the body arrived. Each choice computed exponentials for each upstream that change only with responses. Each start of an upstream was logged twice, as upstream_changed and upstream_cold, on every instance.

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -106,11 +106,9 @@
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
         self.in_flight += 1
-        request_id = request.message.headers.get(
-            self.header_names.request_id, ''
-        )
+        request_id = self._request_id(request)
         try:  # noqa: WPS501 - also when the caller disconnects
-            response = await self._respond(request, request_id)
+            response = await self._respond(request)
         finally:
             self.in_flight -= 1
         if isinstance(response, Refusal):
@@ -120,7 +118,7 @@
         return response
 
     async def _respond(
-        self, request: CallerRequest, request_id: str
+        self, request: CallerRequest
     ) -> CallerResponse | Refusal:
         table = await self._wait_for_table()
         if isinstance(table, Refusal):
@@ -132,12 +130,12 @@
         self.metrics.count_authentication(identity)
         if isinstance(identity, Rejected):
             return KEY_UNKNOWN
-        return await self._read_and_serve(request, request_id, route, table)
+        return await self._read_and_serve(request, identity, route, table)
 
     async def _read_and_serve(
         self,
         request: CallerRequest,
-        request_id: str,
+        identity: Identity | None,
         route: Route,
         table: RouteTable,
     ) -> CallerResponse | Refusal:
@@ -148,15 +146,22 @@
             caller_timeout = _parse_timeout(deadline_header)
         except ValueError:
             return INVALID_DEADLINE
+        directory = self.directory
         body = await self._read_body(request)
         if body is None:
             return BODY_TOO_LARGE
-        # The key may have been removed while the body arrived.
-        identity = self._identify(request, route)
-        if isinstance(identity, Rejected):
-            return KEY_UNKNOWN
+        if self.directory is not directory:
+            # The key may have been removed while the body arrived.
+            current_identity = self._identify(request, route)
+            if isinstance(current_identity, Rejected):
+                return KEY_UNKNOWN
+            identity = current_identity
         outgoing_request = OutgoingRequest(
-            request_id, request.message, body, route.idempotent, identity
+            self._request_id(request),
+            request.message,
+            body,
+            route.idempotent,
+            identity,
         )
         context = self._create_context(
             request, outgoing_request, route, table, caller_timeout
@@ -165,6 +170,9 @@
             return SHUTTING_DOWN
         return await self.request_server.serve(context)
 
+    def _request_id(self, request: CallerRequest) -> str:
+        return request.message.headers.get(self.header_names.request_id, '')
+
     async def _wait_for_table(self) -> RouteTable | Refusal:
         await self.start_wait.wait()
         return NOT_READY if self.table is None else self.table
--- a/src/crocusproxy/entry/warm_up_watch.py
+++ b/src/crocusproxy/entry/warm_up_watch.py
@@ -57,17 +57,14 @@
             return
         warm_up = self._configure(entry)
         now = self._now()
-        is_cold_start = warm_up.list_first(
-            now, is_serving=self.catalog.is_complete
-        )
-        is_news = warm_up.apply_stated(entry.warm_up.total_seconds(), now)
-        if is_cold_start or is_news:
+        warm_up.list_first(now, is_serving=self.catalog.is_complete)
+        if warm_up.apply_stated(entry.warm_up.total_seconds(), now):
             self.write(
                 'upstream_cold',
                 upstream=entry.key,
                 seconds=round(warm_up.known_until() - now, 2),
                 rate=warm_up.rate,
-                source='entry' if is_news else 'start',
+                source='entry',
             )
 
     def _configure(self, entry: RegisteredUpstream) -> WarmUp:
--- a/src/crocusproxy/placement/concurrency.py
+++ b/src/crocusproxy/placement/concurrency.py
@@ -91,20 +91,18 @@
         )
         self.share_sum = float()
         self.balance = float()
-        self.limit = self._best_limit()
+        self._evaluate_levels()
 
     def level(self, in_flight: int) -> LoadLevel:
         """Return the level of a number of requests in flight."""
-        number = ceil(in_flight * len(self.levels) / self.slots)
-        return self.levels[min(max(number, 1), len(self.levels)) - 1]
+        return self.levels[self._index(in_flight)]
 
     def ratio(self, in_flight: int) -> float:
         """Return the duration relative to that with few requests in flight.
 
         ``in_flight`` includes the request itself.
         """
-        log_ratio = self.level(in_flight).log_ratio - self.levels[0].log_ratio
-        return max(exp(log_ratio), 1)
+        return self.ratios[self._index(in_flight)]
 
     def relative_ratio(self, in_flight: int) -> float:
         """Return the duration relative to that of all recent requests."""
@@ -125,6 +123,18 @@
         step = LOG_RATIO_STEP if level.is_known else INITIAL_LOG_RATIO_STEP
         level.log_ratio += sign * step * (1 - level.share / self.share_sum)
         level.response_count += 1
+        self._evaluate_levels()
+
+    def _index(self, in_flight: int) -> int:
+        number = ceil(in_flight * len(self.levels) / self.slots)
+        return min(max(number, 1), len(self.levels)) - 1
+
+    def _evaluate_levels(self) -> None:
+        """Compute what each choice among upstreams asks for."""
+        first = self.levels[0].log_ratio
+        self.ratios = tuple(
+            max(exp(level.log_ratio - first), 1) for level in self.levels
+        )
         self.limit = self._best_limit()
 
     def _initial_level(self, in_flight: int) -> LoadLevel:
--- a/src/crocusproxy/placement/warm_up.py
+++ b/src/crocusproxy/placement/warm_up.py
@@ -103,17 +103,14 @@
             self.limiter.burst = burst
             self.limiter.change_rate(rate, now)
 
-    def list_first(self, now: float, *, is_serving: bool) -> bool:
-        """Record the first listing; return whether the upstream is cold by it.
+    def list_first(self, now: float, *, is_serving: bool) -> None:
+        """Record the first listing.
 
         One that is listed before this instance serves may have run for long.
         """
-        if self.is_listed:
-            return False
-        self.is_listed = True
-        if is_serving:
+        if is_serving and not self.is_listed:
             self.listed_at = now
-        return is_serving and self.is_cold(now)
+        self.is_listed = True
 
     def apply_stated(self, remaining: float, now: float) -> bool:
         """Apply a remaining time; return whether it extends the known one."""
