--- a/src/crocusproxy/placement/observed_slowdown.py
+++ b/src/crocusproxy/placement/observed_slowdown.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 
 #: Consecutive slow requests after which an upstream counts as slow. A single
 #: slow request is not enough: the speed of a healthy upstream also varies
@@ -40,7 +41,8 @@
     """Compares the durations of requests with the expected ones.
 
     ``ratios`` holds the end and the ratio of actual to expected duration of
-    the latest samples. Times are monotonic seconds.
+    the latest samples, and ``level`` is the slowdown that they show until
+    ``level_until``. Times are monotonic seconds.
     """
 
     last_ticket: int = 0
@@ -48,6 +50,8 @@
     ratios: deque[tuple[float, float]] = field(
         default_factory=lambda: deque(maxlen=REQUIRED_SAMPLES)
     )
+    level: float = 1
+    level_until: float = -inf
 
     def start(self, now: float, expected_seconds: float) -> int:
         """Record a sent request; return its ticket, to be passed to ``end``."""
@@ -64,15 +68,14 @@
         ratio = self._remove(ticket, now)
         # An unanswered request only gives a lower bound of its duration.
         if answered or ratio > NORMAL_SPREAD:
-            self.ratios.append((now, ratio))
+            self._add(now, ratio)
         return ratio
 
-    def supersede(self, ticket: int, now: float) -> float:
-        """Remove a request that a hedge has overtaken; return its ratio."""
+    def supersede(self, ticket: int, now: float) -> None:
+        """Remove a request that a hedge has overtaken."""
         ratio = self._remove(ticket, now)
         if ratio > NORMAL_SPREAD:
-            self.ratios.append((now, max(ratio, OVERTAKEN_RATIO)))
-        return ratio
+            self._add(now, max(ratio, OVERTAKEN_RATIO))
 
     def discard(self, ticket: int) -> None:
         """Remove a request without a sample."""
@@ -84,13 +87,16 @@
         This is the lowest ratio of the samples, divided by the normal spread;
         1 if the samples are too few or too old.
         """
-        if (
-            len(self.ratios) < REQUIRED_SAMPLES
-            or self.ratios[0][0] < now - SAMPLE_LIFETIME_SECONDS
-        ):
-            return 1
-        lowest = min(ratio for _, ratio in self.ratios)
-        return max(lowest / NORMAL_SPREAD, 1)
+        return self.level if now <= self.level_until else 1
+
+    def _add(self, now: float, ratio: float) -> None:
+        """Add a sample; each choice of an upstream asks for the result."""
+        self.ratios.append((now, ratio))
+        if len(self.ratios) < REQUIRED_SAMPLES:
+            return
+        lowest = min(one for _, one in self.ratios)
+        self.level = max(lowest / NORMAL_SPREAD, 1)
+        self.level_until = self.ratios[0][0] + SAMPLE_LIFETIME_SECONDS
 
     def _remove(self, ticket: int, now: float) -> float:
         running = self.running.pop(ticket)
