--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -12,7 +12,6 @@
 from ..clock import SystemClock
 from ..documents import read_document
 from ..errors import InvalidDocumentError
-from ..limits.account_quota import AccountQuotas, QuotaBounds
 from ..logs import log
 from ..membership.catalog import Catalog
 from ..membership.crash_exchange import CrashExchange
@@ -47,7 +46,7 @@
 from .own_member import own_member
 from .placement_metrics import PlacementCollector
 from .prober import Prober
-from .quota_gate import QuotaGate
+from .quota_connection import connect_quotas
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
 from .reloading import reload_settings
@@ -113,7 +112,13 @@
             self.metrics,
             self.dispatcher.request_log,
         )
-        self.quotas = self._connect_quotas()
+        self.quotas = connect_quotas(
+            self.settings.bounds,
+            self.clock,
+            self.metrics,
+            self.gateway.request_server,
+            self.dispatcher,
+        )
         self.listeners = Listeners(
             DIRECTORY_API, self.find_addresses, self.not_ready_reason
         )
@@ -252,27 +257,6 @@
             self.reach,
         )
 
-    def _connect_quotas(self) -> AccountQuotas:
-        """Let the gateway and the dispatcher apply the accounts' quotas."""
-        bounds = self.settings.bounds
-        quotas = AccountQuotas(
-            QuotaBounds(
-                bounds.quota_window.total_seconds(),
-                bounds.quota_overage,
-                bounds.quota_slack,
-            ),
-            SystemRandom(),
-        )
-        gate = QuotaGate(quotas, self.clock, self.metrics)
-        self.gateway.request_server.quota_gate = gate
-        self.dispatcher.charge = gate.charge
-        self.metrics.add_quota_gauge(
-            lambda: quotas.count_indebted(
-                self.clock.monotonic().total_seconds()
-            )
-        )
-        return quotas
-
     def _connect_members(self, member_client: MemberClient) -> None:
         """Create the components that exchange messages with other members."""
         self.elector = HomeElector(
