--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -359,14 +359,22 @@
     def _add_gauges(self) -> None:
         placers = self.dispatcher.placers
         self.metrics.add_gauges(
-            lambda: self.gateway.in_flight,
-            lambda: sum(len(placer.queue) for placer in placers.values()),
-            lambda: self.catalog.config.version if self.catalog.config else 0,
-            lambda: self.elector.epoch,
-            lambda: sum(placer.limited_count() for placer in placers.values()),
-            lambda: len(self.reach.unreached()),
-            lambda: len(self.catalog.evacuated),
-            lambda: sum(placer.cold_count() for placer in placers.values()),
+            in_flight=lambda: self.gateway.in_flight,
+            queued=lambda: sum(
+                len(placer.queue) for placer in placers.values()
+            ),
+            config_version=lambda: (
+                self.catalog.config.version if self.catalog.config else 0
+            ),
+            epoch=lambda: self.elector.epoch,
+            limited_upstreams=lambda: sum(
+                placer.limited_count() for placer in placers.values()
+            ),
+            unreached_upstreams=lambda: len(self.reach.unreached()),
+            evacuated_domains=lambda: len(self.catalog.evacuated),
+            cold_upstreams=lambda: sum(
+                placer.cold_count() for placer in placers.values()
+            ),
         )
         self.metrics.registry.register(PlacementCollector(placers))
 
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -146,6 +146,7 @@
 
     def add_gauges(
         self,
+        *,
         in_flight: Callable[[], float],
         queued: Callable[[], float],
         config_version: Callable[[], float],
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -123,7 +123,7 @@
     """What an incarnation of an upstream has stated for all instances.
 
     ``rate_limit`` is in requests per second, None without limit. ``warm_up`` is
-    how much longer it is cold, zero if it has not told that just now.
+    how much longer it is cold, zero if it has not stated that just now.
     """
 
     key: str
