--- a/tests/membership/test_reach_search.py
+++ b/tests/membership/test_reach_search.py
@@ -126,7 +126,7 @@
 
 @pytest.mark.parametrize('count', [3, 15, 100, MAX_MEMBERS])
 def test_each_other_member_is_asked_once_before_any_is_asked_again(count):
-    """The suspect tries again in each round, to be compared with its members."""
+    """The suspect itself tries again in each round, for the comparison."""
     site = Site(count)
     site.run(2)
     suspect, *others = (member.name for member in site.members)
