--- a/src/crocusproxy/entry/start_wait.py
+++ b/src/crocusproxy/entry/start_wait.py
@@ -6,16 +6,16 @@
 from ..clock import Clock
 from ..membership.catalog import Catalog
 
-#: An instance usually has its configuration and upstreams by then.
-MAX_START_WAIT = timedelta(milliseconds=250)
+#: Longest wait after the start. After a loss of all instances, an election and
+#: a read of the store take most of it.
+MAX_START_WAIT = timedelta(seconds=1)
 
 
 class StartWait:
     """Delays requests until configuration and upstreams have been received.
 
     After a loss of all instances, callers reconnect within milliseconds after
-    the port opens. The instance then usually needs one more read of the store,
-    and a refusal would use up the callers' attempts.
+    the port opens, with their last attempt, which a refusal would use up.
     """
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
