Elect a home without waiting for members that do not respond

After a loss of all instances the best member waited 350 ms, the time-out of a query, for members that had no power yet, before it led. A member now ends a round of queries 50 ms after the last response once half of the queried members and all with a better rank have responded: if there is a home, any follower names it. Without the condition on better ranks, five members led at once on a site with overloaded members (test_one_member_leads_after_a_loss_of_all).

--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -38,6 +38,10 @@
 MAX_ELECTION_WAIT = timedelta(seconds=1)
 #: Interval at which a home queries one member that does not follow it.
 CHECK_INTERVAL_SECONDS = 1.0
+#: Once this share of the queried members has responded, the others have
+#: ``LATE_VIEW_SECONDS`` after each response.
+QUORUM_SHARE = 0.5
+LATE_VIEW_SECONDS = 0.05
 #: After this many failures in a row of a domain home, the home is followed.
 _MAX_SOURCE_FAILURES = 5
 
@@ -191,18 +195,33 @@
             await asyncio.sleep(pause.total_seconds())
 
     async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
-        """Return the views of responding members; stop at the first home."""
-        tasks = [
-            asyncio.create_task(self.query_view(member)) for member in members
-        ]
+        """Return the views of responding members; stop at the first home.
+
+        Members without power do not respond at all. Those with a worse rank
+        are not waited for once enough others have responded: any follower of a
+        home names it.
+        """
+        queries = {
+            asyncio.create_task(self.query_view(member)): member
+            for member in members
+        }
+        needed = QUORUM_SHARE * len(queries)
+        pending = set(queries)
         views: list[MemberView] = []
-        for next_view in asyncio.as_completed(tasks):
-            view = await next_view
-            if view is not None:
-                views.append(view)
-            if view is not None and view.state == 'home':
+        while pending and not _includes_home(views):
+            has_quorum = len(views) >= needed and not any(
+                queries[task].rank < self.member_list.own.rank
+                for task in pending
+            )
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=LATE_VIEW_SECONDS if has_quorum else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
                 break
-        for task in tasks:
+            views.extend(filter(None, (task.result() for task in done)))
+        for task in pending:
             task.cancel()
         return views
 
@@ -361,3 +380,7 @@
                     epoch=rival.epoch,
                 )
                 return
+
+
+def _includes_home(views: Iterable[MemberView]) -> bool:
+    return any(view.state == 'home' for view in views)
--- a/tests/membership/test_election_pace.py
+++ b/tests/membership/test_election_pace.py
@@ -166,3 +166,25 @@
 def test_few_members_lead_while_all_large_ones_are_slow_to_start():
     late = {one.name: 0.9 + 0.01 * n for n, one in enumerate(LARGE)}
     assert len(play_loss_of_all(late)) <= 3
+
+
+def test_best_member_leads_without_waiting_for_members_without_power():
+    """Requests were refused for the time-out of a query after a loss of all."""
+    loop = VirtualLoop()
+    network = Network(loop)
+    for one in SITE:
+        network.add(one.name, one.failure_domain, one.capacity)
+    for one in SMALL[:3]:
+        network.isolate(one.name)
+
+    async def scenario():
+        for node in network.nodes.values():
+            node.start(SITE)
+        await asyncio.sleep(0.15)
+        assert network.nodes[LARGE[0].name].elector.is_home
+        await asyncio.sleep(3)
+
+    loop.run_until_complete(scenario())
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
