Report no taken tokens while no account has a quota

The domain homes posted reports to each other every 100 ms on sites without quotas too, although new features must only take effect where a configuration asks for them. Reports begin with the first configuration that has a quota. The new test fails without the change.

--- a/src/crocusproxy/limits/account_quota.py
+++ b/src/crocusproxy/limits/account_quota.py
@@ -108,7 +108,8 @@
 
     ``unreported`` returns the tokens of an account that this instance has taken
     and that some domain home does not know of, and ``on_take`` receives the
-    account and the number of tokens, negative for a refund.
+    account and the number of tokens, negative for a refund. ``has_limits`` is
+    whether some account has a quota.
     """
 
     def __init__(self, bounds: QuotaBounds, random: Random) -> None:
@@ -116,6 +117,7 @@
         self.random = random
         self.division: Division = PartOfQuota(1)
         self.accounts: dict[str, ClientAccount] = {}
+        self.has_limits = False
         self.buckets: dict[str, Bucket] = {}
         self.part_buckets: dict[str, Bucket] = {}
         self.started_at = float()
@@ -129,6 +131,9 @@
     ) -> None:
         """Use the quotas of a new configuration from now on."""
         self.accounts = {account.name: account for account in accounts}
+        self.has_limits = any(
+            account.rate for account in self.accounts.values()
+        )
         limit = max(2 * len(self.accounts), MIN_BUCKETS_TO_PRUNE)
         if len(self.buckets) > limit:
             # No window contains both earlier requests and later ones.
--- a/src/crocusproxy/membership/quota_exchange.py
+++ b/src/crocusproxy/membership/quota_exchange.py
@@ -26,7 +26,10 @@
 
 
 class QuotaExchange:
-    """Reports taken tokens and divides the quotas among the instances."""
+    """Reports taken tokens and divides the quotas among the instances.
+
+    Nothing is reported while no account has a quota.
+    """
 
     def __init__(
         self,
@@ -40,6 +43,7 @@
         self.quotas = quotas
         self.clock = clock
         self.is_dispatcher = False
+        self.had_limits = False
         self.reports = QuotaReports(member_list.own, self._apply_takes)
         self.posting: dict[str, asyncio.Task[None]] = {}
         quotas.unreported = self.reports.unreported
@@ -59,6 +63,9 @@
 
     def update_division(self) -> None:
         """Divide the quotas by the role and by the reports so far."""
+        if self.quotas.has_limits and not self.had_limits:
+            self.reports.restart(self._now())
+        self.had_limits = self.quotas.has_limits
         division = self._division()
         was_split = isinstance(self.quotas.division, SplitQuota)
         match division:
@@ -73,20 +80,24 @@
         while True:
             await asyncio.sleep(INTERVAL_SECONDS)
             self.update_division()
-            for name, peer in self.reports.peers.items():
-                if name not in self.posting:
-                    self._post(name, peer.address)
+            if self.had_limits:
+                self._post_reports()
 
     def _division(self) -> Division:
         if not self.is_dispatcher:
             return PartOfQuota(len(self.member_list.members))
         homes = len(self.reports.peers) + 1
-        if homes == 1:
+        if homes == 1 or not self.had_limits:
             return WholeQuota()
         if self.reports.is_split(self._now()):
             return SplitQuota(homes)
         return SharedQuota(homes)
 
+    def _post_reports(self) -> None:
+        for name, peer in self.reports.peers.items():
+            if name not in self.posting:
+                self._post(name, peer.address)
+
     def _post(self, name: str, address: str) -> None:
         task = asyncio.create_task(self._report(name, address))
         self.posting[name] = task
--- a/src/crocusproxy/membership/quota_reports.py
+++ b/src/crocusproxy/membership/quota_reports.py
@@ -70,6 +70,12 @@
                     now,
                 )
 
+    def restart(self, now: float) -> None:
+        """Expect reports of all domain homes from now on."""
+        for peer in self.peers.values():
+            peer.heard_at = now
+            peer.confirmed_at = now
+
     def record(self, account: str, count: int) -> None:
         """Record tokens that this instance has taken."""
         for peer in self.peers.values():
--- a/tests/membership/test_quota_exchange.py
+++ b/tests/membership/test_quota_exchange.py
@@ -114,3 +114,22 @@
         assert b'sender' in body
 
     run_with_members(scenario)
+
+
+def test_nothing_is_reported_while_no_account_has_a_quota():
+    """Reports took more bytes between failure domains than all requests."""
+
+    async def scenario(first, second):
+        for one in (first, second):
+            one.quotas.apply_accounts([], 0)
+        sequence = first.exchange.reports.peers['b'].sequence
+        await asyncio.sleep(0.8)
+        assert first.exchange.reports.peers['b'].sequence == sequence
+        for one in (first, second):
+            one.quotas.apply_accounts([ACCOUNT], 0)
+            one.exchange.update_division()
+        assert first.quotas.division == SharedQuota(2)
+        await asyncio.sleep(0.4)
+        assert first.exchange.reports.peers['b'].sequence > sequence
+
+    run_with_members(scenario)
