Leave lost failure domains out of the election of a home

After a loss of the failure domain of the home, the directory named lost domain homes for longer than the allowed 6 s if the 16 election candidates were all in that failure domain: the others waited 3 s for the candidates and 0.1 s for each larger member, also for the lost ones. A member now counts another failure domain as lost when three of its members that were queried are silent, none has responded, and members elsewhere have.

--- a/src/crocusproxy/membership/election_pace.py
+++ b/src/crocusproxy/membership/election_pace.py
@@ -28,6 +28,44 @@
 DELAY_PER_LARGER_MEMBER = timedelta(milliseconds=100)
 #: Delay before leading, for each other member with a better rank.
 DELAY_PER_MEMBER = timedelta(milliseconds=2)
+#: Queried members of a failure domain that must all be silent for it to count
+#: as lost. With the candidates lost, the election took up to 10 s before.
+MIN_SILENT_MEMBERS = 3
+
+
+class DomainResponses:
+    """Which members have responded in an election, by failure domain.
+
+    A member can't query all others in time, so it concludes from some members
+    of a failure domain that it has been lost as a whole. It never concludes
+    this of its own failure domain, and only while others respond: after a
+    loss of all, members also are silent because they are overloaded.
+    """
+
+    def __init__(self, own_domain: str) -> None:
+        self.own_domain = own_domain
+        self.responding_domains: set[str] = set()
+        self.silent: dict[str, set[str]] = {}
+
+    def record(self, member: Member, *, has_responded: bool) -> None:
+        """Record the result of a query."""
+        if has_responded:
+            self.responding_domains.add(member.failure_domain)
+            return
+        silent = self.silent.setdefault(member.failure_domain, set())
+        silent.add(member.name)
+
+    def lost_domains(self) -> frozenset[str]:
+        """Return the failure domains of which several members are silent."""
+        if not self.responding_domains:
+            return frozenset()
+        return frozenset(
+            domain
+            for domain, names in self.silent.items()
+            if domain not in self.responding_domains
+            and domain != self.own_domain
+            and len(names) >= MIN_SILENT_MEMBERS
+        )
 
 
 def queried_members(
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -1,7 +1,7 @@
 """Attaches this instance to a home or makes it the home."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from contextlib import aclosing
 from datetime import timedelta
 
@@ -22,6 +22,7 @@
 from .election import Attach, ElectionResult, Lead, elect
 from .election_pace import (
     MAX_DEFERENCE,
+    DomainResponses,
     lead_delay,
     queried_members,
     query_interval,
@@ -167,13 +168,18 @@
     async def _run_election(self) -> ElectionResult:
         started = self.clock.monotonic()
         round_number = -1
+        own = self.member_list.own
+        responses = DomainResponses(own.failure_domain)
+        lost_domains: frozenset[str] = frozenset()
         while True:
             round_number += 1
-            own = self.member_list.own
-            others = self.member_list.others()
+            if responses.lost_domains() != lost_domains:
+                lost_domains = responses.lost_domains()
+                log('election_domains_lost', domains=sorted(lost_domains))
+            others = self._electable(lost_domains)
             elapsed = self.clock.monotonic() - started
             views = await self._query_views(
-                queried_members(own, others, elapsed, round_number)
+                queried_members(own, others, elapsed, round_number), responses
             )
             election = elect(
                 own,
@@ -194,7 +200,17 @@
                     pause = min(pause, remaining)
             await asyncio.sleep(pause.total_seconds())
 
-    async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
+    def _electable(self, lost_domains: Collection[str]) -> tuple[Member, ...]:
+        """Return the other members that are in no lost failure domain."""
+        return tuple(
+            member
+            for member in self.member_list.others()
+            if member.failure_domain not in lost_domains
+        )
+
+    async def _query_views(
+        self, members: Iterable[Member], responses: DomainResponses
+    ) -> list[MemberView]:
         """Return the views of responding members; stop at the first home.
 
         Members without power do not respond at all. Those with a worse rank
@@ -202,7 +218,9 @@
         home names it.
         """
         queries = {
-            asyncio.create_task(self.query_view(member)): member
+            asyncio.create_task(
+                self._query_candidate(member, responses)
+            ): member
             for member in members
         }
         needed = QUORUM_SHARE * len(queries)
@@ -225,6 +243,13 @@
             task.cancel()
         return views
 
+    async def _query_candidate(
+        self, member: Member, responses: DomainResponses
+    ) -> MemberView | None:
+        view = await self.query_view(member)
+        responses.record(member, has_responded=view is not None)
+        return view
+
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
         source: Member | None = self._first_source(member)
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from random import Random
 
+from crocusproxy.entry.dispatch_role import DispatchRole
 from crocusproxy.errors import NotReachableError
 from crocusproxy.membership.catalog import Catalog
 from crocusproxy.membership.domain_home_planner import DomainHomePlanner
@@ -53,7 +54,9 @@
     """Carries calls between nodes unless their link is cut or a node is down.
 
     A killed process resets its connections; one behind a cut link is silent.
-    Frozen nodes respond to no calls, while feeds stay open.
+    Frozen nodes respond to no calls, while feeds stay open. Nodes without power
+    are silent, and others notice only by timeouts. While the store is
+    unavailable, a home that starts to lead reads nothing from it.
     """
 
     def __init__(self, loop):
@@ -61,6 +64,8 @@
         self.nodes = {}
         self.cuts = set()
         self.frozen = set()
+        self.powerless = set()
+        self.store_is_available = True
         self.lost_upstreams = {}
         self.connect_seconds = 0
         self.generation = 0
@@ -80,6 +85,11 @@
             frozenset((name, other)) for other in self.nodes if other != name
         )
 
+    def cut_power(self, name):
+        """Silence a node for good; its task stays, but calls nobody."""
+        self.isolate(name)
+        self.powerless.add(name)
+
     def replace_upstreams(self):
         """Start all upstreams under new keys."""
         self.generation += 1
@@ -109,6 +119,8 @@
     async def connect(self, source, name, timeout_seconds):
         """Return the node ``name`` if ``source`` can reach it."""
         await asyncio.sleep(DELAY_SECONDS)
+        if source in self.powerless:
+            await asyncio.Event().wait()
         if self.is_cut(source, name) or name in self.frozen:
             await asyncio.sleep(timeout_seconds)
             raise NotReachableError(f'{name}: no response')
@@ -233,10 +245,21 @@
         self.planner_task.cancel()
 
     def read_store(self):
+        if not self.network.store_is_available:
+            return
         config = RouteConfig(self.network.stored_version, (), ())
         self.catalog.apply_config(config)
         self.catalog.apply_list(self.network.upstreams)
 
+    def resolve(self, failure_domain):
+        """Return the member that the directory names to callers."""
+        role = DispatchRole(
+            self.domain_homes,
+            lambda: self.elector.home,
+            lambda: self.elector.member_list.own,
+        )
+        return role.dispatcher_of(failure_domain)
+
     def kill(self):
         self.task.cancel()
         self.task = None
@@ -278,6 +301,9 @@
             return
         async with aclosing(server.messages(own)) as messages:
             async for message in messages:
+                if self.name in self.network.powerless:
+                    # The sender goes on writing for as long as TCP retries.
+                    await asyncio.Event().wait()
                 if self.network.is_cut(self.name, member.name):
                     await asyncio.sleep(FEED_TIMEOUT_SECONDS)
                     raise NotReachableError(f'{member.name}: silent')
--- a/tests/membership/test_election_pace.py
+++ b/tests/membership/test_election_pace.py
@@ -13,6 +13,7 @@
     MAX_DEFERENCE,
     MAX_QUERIED_MEMBERS,
     QUERIED_IN_DOMAIN,
+    DomainResponses,
     lead_delay,
     queried_members,
 )
@@ -188,3 +189,16 @@
     for node in network.running():
         node.kill()
     loop.run_until_complete(asyncio.sleep(0.1))
+
+
+def test_silent_members_of_other_domains_only_count_as_a_lost_domain():
+    """After a loss of all, overloaded members would all lead at once."""
+    silent = [one for one in LARGE if one.failure_domain == 'a']
+    responses = DomainResponses('b')
+    for one in silent:
+        responses.record(one, has_responded=False)
+    assert not responses.lost_domains()
+    responses.record(SMALL[-1], has_responded=True)
+    assert responses.lost_domains() == {'a'}
+    responses.own_domain = 'a'
+    assert not responses.lost_domains()
