Replace lost domain homes before the list of upstreams is complete

A home that has no complete list of upstreams yet, because the store is unavailable, checked no domain homes. It took them over from a seed, and its directory named the lost ones until the store came back. It now puts the first remaining domain home in the place of a lost one, or dispatches alone if none remains.

--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -10,6 +10,7 @@
     DomainHomeTable,
     assign_domain_homes,
     count_slots,
+    replace_lost,
 )
 from .home_elector import HomeElector
 from .reach_judge import ReachJudge
@@ -66,9 +67,11 @@
             await self.check()
 
     async def check(self) -> None:
-        """Query the domain homes once and update the assignment."""
-        if not self.catalog.is_complete:
-            return
+        """Query the domain homes once and update the assignment.
+
+        Without a complete list of upstreams, which needs the store, lost
+        domain homes are still replaced: callers would be sent to them.
+        """
         present = self.table.others(self.elector.member_list.own.name)
         views = await self._query(present)
         unusable = (
@@ -76,6 +79,11 @@
             if await self._is_doubtful(present, views)
             else self._find_unusable(present, views, MAX_FAILED_QUERIES)
         )
+        if not self.catalog.is_complete:
+            # Unchanged ones are not applied: those in the store may follow.
+            if unusable:
+                self.table.apply(replace_lost(self.table.assignment, unusable))
+            return
         await self._compare_reach(present, views)
         await self.judge.recheck()
         self.table.apply(await self._appoint(present, unusable))
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -67,6 +67,30 @@
     return _single(current, able, home_name, domains, proven)
 
 
+def replace_lost(current: DomainHomes, lost: Collection[str]) -> DomainHomes:
+    """Return the domain homes with the first one left in place of lost ones.
+
+    It is empty, so that the home dispatches alone, if none is left. ``lost``
+    are names of members.
+    """
+    remaining = [
+        home.member for home in current.homes if home.member.name not in lost
+    ]
+    if len(remaining) == len(current.homes):
+        return current
+    if not remaining:
+        return DomainHomes()
+    return DomainHomes(
+        tuple(
+            DomainHome(home.failure_domain, remaining[0])
+            if home.member.name in lost
+            else home
+            for home in current.homes
+        ),
+        current.shared,
+    )
+
+
 def _single(
     current: DomainHomes,
     members: tuple[Member, ...],
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -171,3 +171,28 @@
     """It waited for six failed checks although its followers responded."""
     seconds = play_loss(start_site(MEMBERS), 'all_homes', cut_power)
     assert seconds <= LIMIT_SECONDS - 2
+
+
+def test_home_without_a_list_of_upstreams_replaces_lost_domain_homes():
+    """It named them until the store, which has the list, came back."""
+    seconds = []
+
+    async def scenario(network):
+        home, *others = LOSSES['all_homes'](network)
+        network.store_is_available = False
+        network.cut_power(home.name)
+        joining = network.add('new', 'a')
+        seed = network.nodes['c04']
+        joining.start(seeds=(seed.name,))
+        while not joining.domain_homes.is_known:
+            await asyncio.sleep(0.001)
+        gone = [node for node in network.running() if node is not joining]
+        await cut_power(network, gone)
+        seconds.append(
+            await seconds_named(network, {node.name for node in gone})
+        )
+        assert joining.elector.is_home
+        assert not joining.catalog.is_complete
+
+    play(start_site(MEMBERS), scenario)
+    assert seconds[0] <= LIMIT_SECONDS
