--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -1,7 +1,7 @@
 """Attaches this instance to a home or makes it the home."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from contextlib import aclosing
 from datetime import timedelta
 
@@ -22,6 +22,7 @@
 from .election import Attach, ElectionResult, Lead, elect
 from .election_pace import (
     MAX_DEFERENCE,
+    DomainResponses,
     lead_delay,
     queried_members,
     query_interval,
@@ -44,6 +45,9 @@
 LATE_VIEW_SECONDS = 0.05
 #: After this many failures in a row of a domain home, the home is followed.
 _MAX_SOURCE_FAILURES = 5
+#: The same after this time if it can't be reached. Five time-outs took 4 s, in
+#: which the directory went on naming the lost domain home.
+_MAX_UNREACHABLE_SOURCE = timedelta(seconds=1)
 
 
 class HomeElector:
@@ -51,8 +55,9 @@
 
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
-    name of a domain home whose feed was lost, and ``source_failures`` the
-    number of feeds in a row that did not begin. ``find_unreached`` returns the
+    name of a domain home whose feed was lost, ``source_failures`` the number of
+    feeds in a row that did not begin, and ``source_tried_at`` the time of the
+    first of these attempts. ``find_unreached`` returns the
     upstreams that this instance can't connect to, if it may be cut off.
     """
 
@@ -92,6 +97,7 @@
         self.lost_home_name = ''
         self.avoided_source = ''
         self.source_failures = 0
+        self.source_tried_at = timedelta()
         self.on_crash_report: list[Callable[[CrashReport], None]] = []
         self.domain_homes.on_change.append(self._clear_avoided_source)
 
@@ -167,13 +173,18 @@
     async def _run_election(self) -> ElectionResult:
         started = self.clock.monotonic()
         round_number = -1
+        own = self.member_list.own
+        responses = DomainResponses(own.failure_domain)
+        lost_domains: frozenset[str] = frozenset()
         while True:
             round_number += 1
-            own = self.member_list.own
-            others = self.member_list.others()
+            if responses.lost_domains() != lost_domains:
+                lost_domains = responses.lost_domains()
+                log('election_domains_lost', domains=sorted(lost_domains))
+            others = self._electable(lost_domains)
             elapsed = self.clock.monotonic() - started
             views = await self._query_views(
-                queried_members(own, others, elapsed, round_number)
+                queried_members(own, others, elapsed, round_number), responses
             )
             election = elect(
                 own,
@@ -194,7 +205,17 @@
                     pause = min(pause, remaining)
             await asyncio.sleep(pause.total_seconds())
 
-    async def _query_views(self, members: Iterable[Member]) -> list[MemberView]:
+    def _electable(self, lost_domains: Collection[str]) -> tuple[Member, ...]:
+        """Return the other members that are in no lost failure domain."""
+        return tuple(
+            member
+            for member in self.member_list.others()
+            if member.failure_domain not in lost_domains
+        )
+
+    async def _query_views(
+        self, members: Iterable[Member], responses: DomainResponses
+    ) -> list[MemberView]:
         """Return the views of responding members; stop at the first home.
 
         Members without power do not respond at all. Those with a worse rank
@@ -202,7 +223,9 @@
         home names it.
         """
         queries = {
-            asyncio.create_task(self.query_view(member)): member
+            asyncio.create_task(
+                self._query_candidate(member, responses)
+            ): member
             for member in members
         }
         needed = QUORUM_SHARE * len(queries)
@@ -225,8 +248,18 @@
             task.cancel()
         return views
 
+    async def _query_candidate(
+        self, member: Member, responses: DomainResponses
+    ) -> MemberView | None:
+        view = await self.query_view(member)
+        responses.record(member, has_responded=view is not None)
+        return view
+
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
+        is_unreachable = False
+        if not self.source_failures:
+            self.source_tried_at = self.clock.monotonic()
         source: Member | None = self._first_source(member)
         while source is not None:
             followed = source
@@ -234,11 +267,12 @@
                 source = await self._read_feed(followed)
             except (NotReachableError, MalformedMessageError) as error:
                 reason = str(error)
+                is_unreachable = True
                 source = None
             source = source or self._source_after_loss(followed)
         if self.home is None:
             # The member declined or failed before its first message.
-            self._note_source_failure(followed)
+            self._note_source_failure(followed, is_unreachable=is_unreachable)
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             return
         self.source_failures = 0
@@ -282,10 +316,15 @@
             return member
         return first_source(own, member, domain_home)
 
-    def _note_source_failure(self, source: Member) -> None:
+    def _note_source_failure(
+        self, source: Member, *, is_unreachable: bool
+    ) -> None:
         """Avoid a domain home that does not become able to serve a feed."""
         self.source_failures += 1
-        if self.source_failures >= _MAX_SOURCE_FAILURES:
+        tried_for = self.clock.monotonic() - self.source_tried_at
+        if self.source_failures >= _MAX_SOURCE_FAILURES or (
+            is_unreachable and tried_for >= _MAX_UNREACHABLE_SOURCE
+        ):
             self.source_failures = 0
             self.avoided_source = source.name
 
