Read from the store what an older home drops from the configuration

A home of the production build passes on only the fields of the configuration that it knows. An instance of this build that follows it had no client accounts, and forwarded requests without checking their keys. It kept the incomplete version when it became home itself, since the store had no higher one: no key was checked until the next version.

A configuration states the schema by which it was read, which older builds drop as well. Of two with the same version, the one with the higher schema is newer. An instance that gets one with a lower schema reads the store before it applies it. If the store does not respond, the accounts, anonymous routes and warm-ups of the version before hold until it does. The cost is one listing of the operators' topic for each instance and version, while the home is of an older build.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -23,6 +23,7 @@
 from ..membership.terms_exchange import TermsExchange
 from ..placement.placer import ServicePlacer
 from ..placement.upstream_reach import UpstreamReach
+from ..platform.config_completion import ConfigCompletion
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
@@ -146,6 +147,9 @@
             lambda: self.elector.server.follower_addresses(),
             self.catalog.store_incarnation,
         )
+        self.config_completion = ConfigCompletion(
+            self.store, self.catalog, self.dispatcher.random
+        )
         self._connect_members(MemberClient(self.session))
         self._connect_request_server()
         self._add_gauges()
@@ -325,6 +329,7 @@
         self.tasks.spawn(self.dispatcher.run_queues)
         self.tasks.spawn(self._close_idle_connections)
         self.tasks.spawn(self.quota_exchange.run)
+        self.tasks.spawn(self.config_completion.run)
 
     def _create_prober(self) -> Prober:
         return Prober(
@@ -376,6 +381,7 @@
                 placer.cold_count() for placer in placers.values()
             ),
         )
+        self.metrics.add_completion_gauge(self.config_completion.is_incomplete)
         self.metrics.registry.register(PlacementCollector(placers))
 
     async def _open_ports(self) -> None:
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -136,6 +136,14 @@
         """Count a request that was admitted or is over its quota."""
         self.quota_decisions.labels(result).inc()
 
+    def add_completion_gauge(self, is_incomplete: Callable[[], float]) -> None:
+        """Register the gauge of configurations passed on by older builds."""
+        Gauge(
+            'crocus_entry_config_incomplete',
+            'Whether the configuration lacks fields that older builds drop.',
+            registry=self.registry,
+        ).set_function(is_incomplete)
+
     def add_quota_gauge(self, indebted_accounts: Callable[[], float]) -> None:
         """Register the gauge of accounts in debt."""
         Gauge(
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -25,6 +25,7 @@
     from which the state was read. ``terms`` holds what the upstreams have
     stated. ``evacuated`` holds the failure domains whose upstreams get no new
     requests. ``revision`` grows with each report and change of terms.
+    ``complete_config`` receives configurations that older builds passed on.
     """
 
     def __init__(self) -> None:
@@ -37,16 +38,34 @@
         self.store_incarnation = StoreIncarnation()
         self.terms = TermsTable()
         self.terms.on_change.append(self._note_terms)
+        self.complete_config: Callable[[RouteConfig], None] | None = None
         self.on_evacuation: list[EvacuationListener] = []
         self.on_config: list[Callable[[RouteConfig], None]] = []
         self.on_complete: list[Callable[[], None]] = []
         self.on_upstream: list[Callable[[UpstreamChange], None]] = []
 
+    def receive_config(self, config: RouteConfig) -> None:
+        """Apply a configuration that another instance has passed on.
+
+        An older build has dropped fields of it, so that it would end the
+        authentication here. It is applied once ``complete_config`` has read it.
+        """
+        config = config.with_known_schema()
+        if not self._is_newer(config):
+            return
+        if config.is_complete or self.complete_config is None:
+            self.apply_config(config)
+        else:
+            self.complete_config(config)
+
     def apply_config(self, config: RouteConfig) -> None:
-        """Apply a configuration if it is newer than the one in force."""
-        current = self.config
-        if current is not None and config.version <= current.version:
+        """Apply a configuration if it is newer than the one in force.
+
+        One of the same version is newer if fewer fields of it were dropped.
+        """
+        if not self._is_newer(config):
             return
+        current = self.config
         self.config = config
         self.revision += 1
         log(
@@ -135,6 +154,13 @@
         last_report = (removed.started_at, removed.sequence)
         return (entry.started_at, entry.sequence) <= last_report
 
+    def _is_newer(self, config: RouteConfig) -> bool:
+        current = self.config
+        return current is None or (config.version, config.schema) > (
+            current.version,
+            current.schema,
+        )
+
     def _is_notable_warm_up(
         self,
         before: RegisteredUpstream | None,
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -311,7 +311,7 @@
 
     def _apply_operator_state(self, message: FeedMessage) -> None:
         if message.config is not None:
-            self.catalog.apply_config(message.config)
+            self.catalog.receive_config(message.config)
         if message.evacuated is not None:
             self.catalog.apply_evacuated(message.evacuated)
 
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -19,6 +19,7 @@
 from ..adapters import adapter_for
 from ..protocol.codec import decode
 from ..routes.model import (
+    CONFIG_SCHEMA,
     CallerLimits,
     ClientAccount,
     RegisteredUpstream,
@@ -152,6 +153,7 @@
             timedelta(milliseconds=config.limits.idle_timeout_ms),
         ),
         _to_accounts(config.tenants),
+        CONFIG_SCHEMA,
     )
 
 
--- a/src/crocusproxy/routes/model.py
+++ b/src/crocusproxy/routes/model.py
@@ -3,9 +3,14 @@
 The home feed encodes these classes, so their field names are part of it.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+#: Number of the schema by which this build reads the configuration. It grows
+#: when a build reads further fields: 1 since client accounts, anonymous routes
+#: and the warm-up of services.
+CONFIG_SCHEMA = 1
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -83,7 +88,9 @@
 class RouteConfig:
     """One version of the configuration; a higher version is newer.
 
-    Without ``accounts``, requests are not authenticated.
+    Without ``accounts``, requests are not authenticated. ``schema`` is that of
+    the oldest build that has passed on the configuration, as each build drops
+    the fields that it does not know. Builds before client accounts state none.
     """
 
     version: int
@@ -91,6 +98,46 @@
     services: tuple[ServiceSettings, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
     accounts: tuple[ClientAccount, ...] | None = None
+    schema: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no field that this build knows has been dropped."""
+        return self.schema >= CONFIG_SCHEMA
+
+    def with_known_schema(self) -> 'RouteConfig':
+        """Return the configuration as this build passes it on."""
+        return replace(self, schema=min(self.schema, CONFIG_SCHEMA))
+
+    def fill_from(self, previous: 'RouteConfig | None') -> 'RouteConfig':
+        """Return the configuration with the latest known dropped fields.
+
+        Routes and services take them from those with the same name.
+        """
+        if previous is None:
+            return self
+        routes = {route.name: route for route in previous.routes}
+        services = {service.name: service for service in previous.services}
+        return replace(
+            self,
+            accounts=previous.accounts,
+            routes=tuple(
+                replace(route, anonymous=routes[route.name].anonymous)
+                if route.name in routes
+                else route
+                for route in self.routes
+            ),
+            services=tuple(
+                replace(
+                    service,
+                    warm_up=services[service.name].warm_up,
+                    warm_up_rate=services[service.name].warm_up_rate,
+                )
+                if service.name in services
+                else service
+                for service in self.services
+            ),
+        )
 
 
 @dataclass(frozen=True, slots=True)
