Leave domain homes without quotas out of the division of quotas

A domain home of the production build answers a quota report with 404. The response counted as malformed, so that the peer counted as lost, and the quotas were split while any such domain home was left: an instance of this build rejected requests above its share, although they were within the quota and the older build counts none. The tokens that the older one had not confirmed grew without bound, with the reports sent to it.

A 404 is now an error of its own, message_unknown, of a member that works well. The domain home is left out of the division, of the detection of lost peers and of the reports until it sends one itself or starts again.

The tests of membership and limits pass.

--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -24,16 +24,24 @@
 QUOTA_PATH = '/members/quota'
 REACH_PATH = '/members/reach'
 _OK = 200
+_NOT_FOUND = 404
 REQUEST_TIMEOUT_SECONDS = 0.35
 #: A feed that sends nothing for longer is treated as lost.
 FEED_TIMEOUT_SECONDS = 0.7
 
 
+class UnknownMessageError(NotReachableError):
+    """A member of an older build does not know a message, and works well."""
+
+    code = 'message_unknown'
+
+
 class MemberClient:
     """Calls the endpoints of other members.
 
     Each call raises NotReachableError if the member does not respond in time,
-    and MalformedMessageError if the response is malformed.
+    UnknownMessageError if its build does not know the path, and
+    MalformedMessageError if the response is malformed.
     """
 
     def __init__(self, session: ClientSession) -> None:
@@ -108,6 +116,9 @@
                     method, f'http://{address}{path}', data=body
                 ) as response,
             ):
-                return await response.read()
+                content = await response.read()
         except (ClientError, OSError, TimeoutError) as error:
             raise NotReachableError(f'{address}: {error!r}') from error
+        if response.status == _NOT_FOUND:
+            raise UnknownMessageError(f'{address} does not know {path}')
+        return content
--- a/src/crocusproxy/membership/quota_exchange.py
+++ b/src/crocusproxy/membership/quota_exchange.py
@@ -18,7 +18,7 @@
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.home_feed import Member
 from ..protocol.quotas import QuotaReport
-from .member_client import QUOTA_PATH, MemberClient
+from .member_client import QUOTA_PATH, MemberClient, UnknownMessageError
 from .member_list import MemberList
 from .quota_reports import QuotaReports
 
@@ -80,7 +80,7 @@
     def _division(self) -> Division:
         if not self.is_dispatcher:
             return PartOfQuota(len(self.member_list.members))
-        homes = len(self.reports.peers) + 1
+        homes = self.reports.count_counting() + 1
         if homes == 1:
             return WholeQuota()
         if self.reports.is_split(self._now()):
@@ -98,6 +98,10 @@
             return
         try:
             reply = await self.client.report_quotas(address, report)
+        except UnknownMessageError:
+            self.reports.exclude(name, report)
+            self.update_division()
+            return
         except (NotReachableError, MalformedMessageError):
             # The quotas are split if there are no reports for longer.
             return
