Move the fair level of a queue to limits

Cause: both programs are to use one order of waiting requests, and crocusproxy.placement cannot be imported by the daemons' packages only for this class. Change: placement/fair_level.py is limits/fair_level.py. FairLevel is generic over the type of its requests, so that placement/fair_queue.py needs no type check of what it takes. The order is unchanged.

--- a/src/crocusproxy/placement/fair_level.py
+++ b/src/crocusproxy/limits/fair_level.py
@@ -1,11 +1,11 @@
-"""Start-time fair queueing among accounts, within one level of the queue."""
+"""Start-time fair queueing among accounts, within one level of a queue."""
 
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush, heapreplace
 from itertools import count
-from typing import Protocol
+from typing import Generic, Protocol, TypeAlias, TypeVar
 
 #: Outdated entries of the heap of backlogs that are kept for each account.
 MAX_OUTDATED_PER_ACCOUNT = 8
@@ -29,10 +29,11 @@
 
 
 OrderKey = tuple[float, int]
+Item = TypeVar('Item', bound=FairItem)
 
 
 @dataclass(slots=True)
-class Backlog:
+class Backlog(Generic[Item]):
     """The requests of one account, by sort key.
 
     ``start`` is the virtual time at which its next request is due.
@@ -41,7 +42,7 @@
     account: str
     weight: float
     start: float
-    requests: list[tuple[OrderKey, FairItem]] = field(default_factory=list)
+    requests: list[tuple[OrderKey, Item]] = field(default_factory=list)
 
     @property
     def excess(self) -> float:
@@ -49,7 +50,10 @@
         return len(self.requests) / self.weight
 
 
-class FairLevel:
+BacklogHeap: TypeAlias = list[tuple[float, int, Backlog[Item]]]
+
+
+class FairLevel(Generic[Item]):
     """Requests of several accounts, served in proportion to their weights.
 
     The cost of an operation grows with the logarithm of the number of accounts.
@@ -58,25 +62,25 @@
     """
 
     def __init__(self) -> None:
-        self.backlogs: dict[str, Backlog] = {}
+        self.backlogs: dict[str, Backlog[Item]] = {}
         self.virtual_time = float()
         self.weight_sum = float()
         self.length = 0
-        self.by_start: list[tuple[float, int, Backlog]] = []
-        self.by_excess: list[tuple[float, int, Backlog]] = []
+        self.by_start: BacklogHeap[Item] = []
+        self.by_excess: BacklogHeap[Item] = []
         self.sequence = count()
 
     def __len__(self) -> int:
         """Return the number of requests."""
         return self.length
 
-    def __iter__(self) -> Iterator[FairItem]:
+    def __iter__(self) -> Iterator[Item]:
         """Iterate over the requests, by account."""
         for backlog in self.backlogs.values():
             for _, request in backlog.requests:
                 yield request
 
-    def push(self, request: FairItem, weight: float) -> None:
+    def push(self, request: Item, weight: float) -> None:
         """Add a request of an account with a weight."""
         backlog = self.backlogs.get(request.account)
         if backlog is None:
@@ -91,7 +95,7 @@
         )
         self._limit_outdated()
 
-    def take(self) -> FairItem | None:
+    def take(self) -> Item | None:
         """Remove the next request and charge it to its account."""
         while self.by_start:
             start, _, backlog = heappop(self.by_start)
@@ -108,7 +112,7 @@
             return request
         return None
 
-    def give_back(self, request: FairItem, weight: float) -> None:
+    def give_back(self, request: Item, weight: float) -> None:
         """Return a request that was taken, with its charge."""
         backlog = self.backlogs.get(request.account)
         self.push(request, weight)
@@ -116,7 +120,7 @@
             backlog.start -= request.service_time / backlog.weight
             self._push_start(backlog)
 
-    def remove(self, request: FairItem) -> None:
+    def remove(self, request: Item) -> None:
         """Remove a request."""
         backlog = self.backlogs[request.account]
         index = bisect_left(backlog.requests, (request.order_key,))
@@ -125,7 +129,7 @@
         if not backlog.requests:
             self._drop(backlog)
 
-    def last(self) -> FairItem:
+    def last(self) -> Item:
         """Return the last request of the account with the largest excess."""
         while True:
             negative_excess, _, backlog = self.by_excess[0]
@@ -146,14 +150,14 @@
         fair = len(backlog.requests) * self.weight_sum / backlog.weight
         return min(self.length, fair)
 
-    def _is_current(self, backlog: Backlog) -> bool:
+    def _is_current(self, backlog: Backlog[Item]) -> bool:
         return self.backlogs.get(backlog.account) is backlog
 
-    def _push_start(self, backlog: Backlog) -> None:
+    def _push_start(self, backlog: Backlog[Item]) -> None:
         entry = (backlog.start, next(self.sequence), backlog)
         heappush(self.by_start, entry)
 
-    def _drop(self, backlog: Backlog) -> None:
+    def _drop(self, backlog: Backlog[Item]) -> None:
         self.backlogs.pop(backlog.account)
         self.weight_sum -= backlog.weight
         if not self.backlogs:
--- a/src/crocusproxy/placement/fair_queue.py
+++ b/src/crocusproxy/placement/fair_queue.py
@@ -10,9 +10,9 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from ..limits.fair_level import FairLevel
 from .account_usage import AccountUsage
 from .decayed_rate import DecayedRate
-from .fair_level import FairLevel
 from .requests import QueuedRequest, Standing
 from .served_shares import ServedShares
 
@@ -32,7 +32,7 @@
 class PriorityLevels:
     """The levels of one priority, by standing."""
 
-    levels: dict[Standing, FairLevel] = field(
+    levels: dict[Standing, FairLevel[QueuedRequest]] = field(
         default_factory=lambda: {standing: FairLevel() for standing in Standing}
     )
     late_rate: DecayedRate = field(
@@ -71,7 +71,7 @@
     def __iter__(self) -> Iterator[QueuedRequest]:
         """Iterate over the requests by level; accounts are not interleaved."""
         for level in self._order():
-            yield from level  # type: ignore[misc]
+            yield from level
 
     def __contains__(self, queued_request: QueuedRequest) -> bool:
         """Return whether a request waits here."""
@@ -96,7 +96,7 @@
         for level in self._order():
             while level:
                 queued_request = level.take()
-                assert isinstance(queued_request, QueuedRequest)
+                assert queued_request is not None
                 if self._keeps_standing(queued_request, now):
                     self._left(queued_request)
                     return queued_request
@@ -127,9 +127,7 @@
     def last(self) -> QueuedRequest:
         """Return the request that is served last."""
         levels = [level for level in self._order() if level]
-        queued_request = levels[-1].last()
-        assert isinstance(queued_request, QueuedRequest)
-        return queued_request
+        return levels[-1].last()
 
     def set_timely(self, queued_request: QueuedRequest) -> None:
         """Mark a request in time whose turn is expected to come in time."""
@@ -188,10 +186,10 @@
                 changes.late.append(queued_request)
         self._set_timer(queued_request, now)
 
-    def _order(self) -> list[FairLevel]:
+    def _order(self) -> list[FairLevel[QueuedRequest]]:
         """Return the levels in the order in which they are served."""
-        first: list[FairLevel] = []
-        late: list[FairLevel] = []
+        first: list[FairLevel[QueuedRequest]] = []
+        late: list[FairLevel[QueuedRequest]] = []
         for priority in sorted(self.priorities):
             levels = self.priorities[priority].levels
             first.append(levels[Standing.IN_TIME])
@@ -200,7 +198,7 @@
             (first if is_behind else late).append(levels[Standing.LATE])
         return first + late
 
-    def _level(self, queued_request: QueuedRequest) -> FairLevel:
+    def _level(self, queued_request: QueuedRequest) -> FairLevel[QueuedRequest]:
         priority = queued_request.request.priority
         return self.priorities[priority].levels[queued_request.standing]
 
