Use the fair level in the daemons' queue

Cause: crocus-proxy and bench/crocus_policy.py had a queue of their own, limits/queue.py, beside the fair level of the placement. It could also refuse a queued request with caller_over_limit: a request that was taken, found only upstreams that it had tried, and was pushed again counted as a new one. Each such attempt counted as a pop in the rate that Retry-After is derived from. Change: limits/caller_queue.py replaces it on FairLevel, with the caller as the account, equal weights, one priority and a charge of one per request. The length bounds, codes, Retry-After and expiry are those of DeadlineQueue. A request that cannot be served is given back: no refusal, charge or pop. FairLevel gets tolerated_excess as data. Without it (placement) its decisions are the same as before. With it, an account is charged only while it queues over twice the mean of the others, and the first sort key among those due is next. Tests: the five of tests/limits/test_queue.py are in test_caller_queue.py, with `.item` of the popped entry and otherwise unchanged.

--- a/bench/crocus_policy.py
+++ b/bench/crocus_policy.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from crocusproxy.config.model import Service, Upstream
-from crocusproxy.limits.queue import DeadlineQueue
+from crocusproxy.limits.caller_queue import CallerQueue
 from crocusproxy.limits.retry_budget import RetryBudget
 from crocusproxy.routing.balancer import Balancer
 from crocusproxy.routing.crash import Crash
@@ -58,7 +58,7 @@
             run,
             random,
         )
-        self.queue: DeadlineQueue[Request] = DeadlineQueue(
+        self.queue: CallerQueue[Request] = CallerQueue(
             crocus.service.queue, crocus.service.queue
         )
         self.budget = RetryBudget(crocus.service.retry_share)
@@ -225,11 +225,11 @@
     def process_queue(self) -> None:
         now = self.run.monotonic()
         while self.queue and self.balancer.has_room():
-            request = self.queue.pop(now)
-            if request is None:
+            entry = self.queue.pop(now)
+            if entry is None:
                 break
-            if not self.try_dispatch(request):
-                self.place(request)
+            if not self.try_dispatch(entry.item):
+                self.queue.give_back(entry)
                 break
         for request in self.queue.expired(now):
             self.run.failed(request)
--- a/src/crocusproxy/limits/fair_level.py
+++ b/src/crocusproxy/limits/fair_level.py
@@ -44,6 +44,11 @@
     start: float
     requests: list[tuple[OrderKey, Item]] = field(default_factory=list)
 
+    @property
+    def first_key(self) -> OrderKey:
+        """Return the sort key of the next request."""
+        return self.requests[0][0]
+
     @property
     def excess(self) -> float:
         """Return the number of requests relative to the usual use."""
@@ -51,6 +56,7 @@
 
 
 BacklogHeap: TypeAlias = list[tuple[float, int, Backlog[Item]]]
+DueHeap: TypeAlias = list[tuple[OrderKey, int, Backlog[Item]]]
 
 
 class FairLevel(Generic[Item]):
@@ -59,15 +65,26 @@
     The cost of an operation grows with the logarithm of the number of accounts.
     Heap entries become outdated when a backlog changes; they are dropped once
     they come first.
+
+    Without ``tolerated_excess``, each request is charged to its account, and
+    the virtual time is that of the latest one. With it, an account is charged
+    only while its backlog beyond one request is more than this number of times
+    the mean backlog of the others. The virtual time then passes by one round
+    when each account has been served once, and of the accounts that are due,
+    the one with the first sort key is next. Without a tolerance, random
+    differences among accounts with equal loads make the unlucky ones wait for
+    several rounds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tolerated_excess: float | None = None) -> None:
+        self.tolerated_excess = tolerated_excess
         self.backlogs: dict[str, Backlog[Item]] = {}
         self.virtual_time = float()
         self.weight_sum = float()
         self.length = 0
         self.by_start: BacklogHeap[Item] = []
         self.by_excess: BacklogHeap[Item] = []
+        self.due: DueHeap[Item] = []
         self.sequence = count()
 
     def __len__(self) -> int:
@@ -88,6 +105,8 @@
             self.backlogs[request.account] = backlog
             self.weight_sum += weight
             self._push_start(backlog)
+        elif request.order_key < backlog.first_key:
+            self._first_changes(backlog)
         insort(backlog.requests, (request.order_key, request))
         self.length += 1
         heappush(
@@ -97,27 +116,34 @@
 
     def take(self) -> Item | None:
         """Remove the next request and charge it to its account."""
-        while self.by_start:
-            start, _, backlog = heappop(self.by_start)
-            if not self._is_current(backlog) or start != backlog.start:
-                continue
-            self.virtual_time = max(self.virtual_time, start)
-            _, request = backlog.requests.pop(0)
-            self.length -= 1
-            backlog.start += request.service_time / backlog.weight
-            if backlog.requests:
-                self._push_start(backlog)
-            else:
-                self._drop(backlog)
-            return request
-        return None
+        backlog = self._next_backlog()
+        if backlog is None:
+            return None
+        request = backlog.requests[0][1]
+        charge = self._charge(backlog, request)
+        self._pass_time(request.service_time, self.weight_sum)
+        backlog.requests.pop(0)
+        self.length -= 1
+        backlog.start += charge
+        if backlog.requests:
+            self._push_start(backlog)
+        else:
+            self._drop(backlog)
+        return request
 
     def give_back(self, request: Item, weight: float) -> None:
-        """Return a request that was taken, with its charge."""
+        """Return a request that was taken, with its charge.
+
+        With ``tolerated_excess``, it must be the one that was taken last.
+        """
         backlog = self.backlogs.get(request.account)
+        former_weight_sum = self.weight_sum
+        if backlog is None:
+            former_weight_sum += weight
+        self._pass_time(-request.service_time, former_weight_sum)
         self.push(request, weight)
         if backlog is not None:
-            backlog.start -= request.service_time / backlog.weight
+            backlog.start -= self._charge(backlog, request)
             self._push_start(backlog)
 
     def remove(self, request: Item) -> None:
@@ -128,6 +154,8 @@
         self.length -= 1
         if not backlog.requests:
             self._drop(backlog)
+        elif not index:
+            self._first_changes(backlog)
 
     def last(self) -> Item:
         """Return the last request of the account with the largest excess."""
@@ -141,6 +169,11 @@
             else:
                 heappop(self.by_excess)
 
+    def count_of(self, account: str) -> int:
+        """Return the number of requests of an account."""
+        backlog = self.backlogs.get(account)
+        return 0 if backlog is None else len(backlog.requests)
+
     def ahead_of(self, account: str) -> float:
         """Return how many requests will be served before one more of it."""
         backlog = self.backlogs.get(account)
@@ -153,6 +186,64 @@
     def _is_current(self, backlog: Backlog[Item]) -> bool:
         return self.backlogs.get(backlog.account) is backlog
 
+    def _charge(self, backlog: Backlog[Item], request: Item) -> float:
+        """Return the charge of a request that is in the backlog."""
+        if self.tolerated_excess is not None:
+            queued = len(backlog.requests)
+            others = len(self.backlogs) - 1
+            mean = (self.length - queued) / others if others else 0
+            if queued - 1 <= self.tolerated_excess * mean:
+                return 0
+        return request.service_time / backlog.weight
+
+    def _pass_time(self, service_time: float, weight_sum: float) -> None:
+        if self.tolerated_excess is not None:
+            self.virtual_time += service_time / weight_sum
+
+    def _next_backlog(self) -> Backlog[Item] | None:
+        """Return the backlog that is served next, after dropping its entry."""
+        while self.by_start or self.due:
+            if self.tolerated_excess is not None:
+                backlog = self._next_due()
+                if backlog is not None:
+                    return backlog
+            backlog = self._next_by_start()
+            if backlog is None:
+                return None
+            self.virtual_time = max(self.virtual_time, backlog.start)
+            if self.tolerated_excess is None:
+                return backlog
+            self._push_start(backlog)
+        return None
+
+    def _next_by_start(self) -> Backlog[Item] | None:
+        while self.by_start:
+            start, _, backlog = heappop(self.by_start)
+            if self._is_current(backlog) and start == backlog.start:
+                return backlog
+        return None
+
+    def _next_due(self) -> Backlog[Item] | None:
+        """Return the backlog with the first sort key among those due."""
+        while self.by_start and self.by_start[0][0] <= self.virtual_time:
+            backlog = heappop(self.by_start)[2]
+            if self._is_current(backlog):
+                entry = (backlog.first_key, next(self.sequence), backlog)
+                heappush(self.due, entry)
+        while self.due:
+            key, _, backlog = heappop(self.due)
+            if self._is_current(backlog) and key == backlog.first_key:
+                if backlog.start <= self.virtual_time:
+                    return backlog
+                # An outdated entry, or a rounding error of a time given back.
+                self._push_start(backlog)
+        return None
+
+    def _first_changes(self, backlog: Backlog[Item]) -> None:
+        """Enter a backlog again whose next request is another one."""
+        if self.tolerated_excess is not None:
+            self._push_start(backlog)
+
     def _push_start(self, backlog: Backlog[Item]) -> None:
         entry = (backlog.start, next(self.sequence), backlog)
         heappush(self.by_start, entry)
@@ -163,6 +254,7 @@
         if not self.backlogs:
             self.weight_sum = 0
             self.by_start.clear()
+            self.due.clear()
             self.by_excess.clear()
 
     def _limit_outdated(self) -> None:
@@ -173,7 +265,8 @@
                 for backlog in self.backlogs.values()
             ]
             heapify(self.by_excess)
-        if len(self.by_start) > limit:
+        if len(self.by_start) + len(self.due) > limit:
+            self.due.clear()
             self.by_start = [
                 (backlog.start, next(self.sequence), backlog)
                 for backlog in self.backlogs.values()
--- a/src/crocusproxy/proxy/service.py
+++ b/src/crocusproxy/proxy/service.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..config.model import Service, Upstream
-from ..limits.queue import DeadlineQueue
+from ..limits.caller_queue import CallerQueue, QueueEntry
 from ..limits.refusal import Refuse
 from ..limits.retry_budget import RetryBudget
 from ..measurement.planning import KnownLoad
@@ -63,18 +63,11 @@
 
 
 class _QueuedRequest:
-    __slots__ = ('deadline', 'future', 'info', 'caller')
+    __slots__ = ('future', 'info')
 
-    def __init__(
-        self,
-        info: RequestInfo,
-        caller: str,
-        deadline: timedelta,
-    ) -> None:
+    def __init__(self, info: RequestInfo) -> None:
         loop = asyncio.get_running_loop()
         self.info = info
-        self.caller = caller
-        self.deadline = deadline
         self.future: asyncio.Future[Assignment | Refuse] = loop.create_future()
 
     def resolve(self, decision: Assignment | Refuse) -> None:
@@ -103,7 +96,7 @@
         self.service = service
         self.balancer = balancer
         self.clock = clock
-        self.queue: DeadlineQueue[_QueuedRequest] = DeadlineQueue(
+        self.queue: CallerQueue[_QueuedRequest] = CallerQueue(
             service.queue, queued_per_caller
         )
         self.budget = RetryBudget(service.retry_share)
@@ -190,7 +183,7 @@
                 return Assignment(self, choice.upstream, now, info.fingerprint)
             if isinstance(choice, Refuse):
                 return choice
-        queued = _QueuedRequest(info, caller, deadline)
+        queued = _QueuedRequest(info)
         refusal = self.queue.push(queued, caller, deadline, now)
         if refusal is not None:
             return refusal
@@ -244,13 +237,16 @@
 
     def _dispatch_next(self, now: timedelta) -> bool:
         """Process one queued request; return False if none can proceed."""
-        queued = self.queue.pop(now)
-        if queued is None:
+        entry = self.queue.pop(now)
+        if entry is None:
             return False
         # The future is done if the request was cancelled or refused.
-        return queued.future.done() or self._assign(queued, now)
+        return entry.item.future.done() or self._assign(entry, now)
 
-    def _assign(self, queued: _QueuedRequest, now: timedelta) -> bool:
+    def _assign(
+        self, entry: QueueEntry[_QueuedRequest], now: timedelta
+    ) -> bool:
+        queued = entry.item
         choice = self.balancer.choose(queued.info)
         if isinstance(choice, Dispatch):
             fingerprint = queued.info.fingerprint
@@ -260,9 +256,7 @@
             queued.resolve(choice)
             return True
         # Only upstreams that this request has already tried have capacity.
-        refusal = self.queue.push(queued, queued.caller, queued.deadline)
-        if refusal is not None:
-            queued.resolve(refusal)
+        self.queue.give_back(entry)
         return False
 
     def _deadline_refusal(self) -> Refuse:
