--- a/bench/run.py
+++ b/bench/run.py
@@ -11,7 +11,7 @@
 import fire
 
 _SHORT_BENCHMARKS = ('policy', 'ledger')
-_BENCHMARKS = ('policy', 'call_cost', 'ledger', 'accounts')
+_BENCHMARKS = ('policy', 'call_cost', 'ledger', 'accounts', 'upstream_choice')
 
 
 def main(short: bool = False) -> None:
