Choose an upstream from an index by cost

Each choice examined all upstreams of the service, so its work grew with their number. An index now files the upstreams in cells by a lower bound of their cost, within groups of equal load. Changes of an upstream file it again, and so do timers where its cost falls with time or a limit ends. A choice draws among the upstreams of equal cost and checks the drawn one before use; a failed check corrects its entry. All upstreams are examined only if all are slow. The counts of slots and the checks for a usable upstream use the index too.

Ties are drawn with other random numbers, and in a window that begins at the lower bound of the lowest cost rather than at that cost.

--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -26,7 +26,7 @@
 )
 from .served_shares import ServedShares
 from .slot_counter import SlotCounter
-from .upstream_choice import UpstreamChoice
+from .upstream_choice import Selection, UpstreamChoice
 from .upstream_set import Ownership, UpstreamSet
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
@@ -63,13 +63,14 @@
         self.usage = AccountUsage()
         self.served = ServedShares()
         self.queue = FairQueue(self.usage, self.served)
-        self.slots = SlotCounter(self.upstreams)
+        self.slots = SlotCounter(self.upstream_set.index)
         self.admission = Admission(self.queue, self.slots, random)
-        self.choice = UpstreamChoice(self.upstreams, self.concurrency, random)
+        self.choice = UpstreamChoice(
+            self.upstream_set.index, self.concurrency, random
+        )
         self.refusals = Refusals(
             self.queue,
             self.admission,
-            self.upstreams,
             self.choice,
             self.slots,
             random,
@@ -90,7 +91,7 @@
         if key in self.upstreams:
             self.upstream_set.remove(key)
             self.slots.invalidate()
-            self.refusals.refuse_unplaceable()
+            self.refusals.refuse_unplaceable(self.now())
 
     def set_ownership(self, owns: Ownership) -> None:
         """Use only the upstreams of the failure domains that ``owns`` names.
@@ -138,10 +139,12 @@
         """Return whether requests wait long for a slot, or there is none."""
         if not self.queue:
             # The usual case, for which the slots need not be counted.
+            now = self.now()
+            index = self.upstream_set.index
+            index.refresh(now)
             return not any(
-                state.is_usable
-                and (not state.is_cold or state.may_start(self.now()))
-                for state in self.upstreams.values()
+                state.is_usable and (not state.is_cold or state.may_start(now))
+                for state in index.usable
             )
         return len(self.queue) >= MAX_QUEUED_SHARE * self.slots.count(
             self.now()
@@ -166,7 +169,7 @@
         self.choice.service_time = request.service_time
         self.usage.count(request.account, request.service_time, now)
         queued_request = QueuedRequest(request, now, on_decision)
-        if not self.choice.has_upstream(request):
+        if not self.choice.has_upstream(request, now):
             on_decision(NO_UPSTREAM)
             return queued_request
         if not self.queue and self._place_now(queued_request, now):
@@ -177,13 +180,9 @@
     def place_hedge(self, request: PlacementRequest) -> Placed | None:
         """Place a hedge on an upstream that is not slow, without queueing."""
         now = self.now()
-        fast = [
-            state
-            for state in self.choice.candidates(now)
-            if not state.is_slow(now)
-        ]
+        selection = Selection(self.choice, now, for_hedge=True)
         hedge = QueuedRequest(request, now, _ignore_decision)
-        state = self.choice.choose(hedge, fast, now)
+        state = selection.choose_fast(hedge)
         if state is None:
             return None
         return replace(
@@ -200,6 +199,7 @@
         now = self.now()
         observed = placed.upstream.observed
         observed.end(placed.ticket, now, answered=answered)
+        self.upstream_set.index.note_change(placed.upstream)
         # Only the faster hedges are answered, so they are left out.
         is_sample = answered and not placed.is_hedge
         self._end(placed, now, is_sample=is_sample)
@@ -213,6 +213,7 @@
             observed.discard(placed.ticket)
         else:
             observed.supersede(placed.ticket, now)
+        self.upstream_set.index.note_change(placed.upstream)
         # The first attempt has taken longer than most, so its age is a sample.
         self._end(placed, now, is_sample=not placed.is_hedge)
 
@@ -250,7 +251,7 @@
     def _apply_usability(self) -> None:
         """Apply changes of whether upstreams may be used."""
         self.slots.invalidate()
-        self.refusals.refuse_unplaceable()
+        self.refusals.refuse_unplaceable(self.now())
         self.process_queue()
 
     def _apply_time(self, now: float) -> None:
@@ -268,14 +269,12 @@
         if not self.queue:
             return
         if placed.upstream.terms.is_leaving:
-            self.refusals.refuse_unplaceable()
+            self.refusals.refuse_unplaceable(self.now())
         self.process_queue()
 
     def _place_now(self, queued_request: QueuedRequest, now: float) -> bool:
         """Place a request without queueing, the usual case."""
-        state = self.choice.choose(
-            queued_request, self.choice.candidates(now), now
-        )
+        state = Selection(self.choice, now).choose(queued_request)
         if state is None:
             return False
         self._decide_placed(queued_request, state, now)
@@ -287,18 +286,21 @@
         At most ``MAX_QUEUE_SCAN`` requests are passed over, so that the cost of
         a call does not grow with the queue.
         """
-        candidates = self.choice.candidates(now) if self.queue else []
+        if not self.queue:
+            return
+        selection = Selection(self.choice, now)
         passed_over: list[QueuedRequest] = []
-        while candidates and len(passed_over) < MAX_QUEUE_SCAN:
+        has_candidates = selection.has_candidates()
+        while has_candidates and len(passed_over) < MAX_QUEUE_SCAN:
             queued_request = self.queue.take(now)
             if queued_request is None:
                 break
-            state = self.choice.choose(queued_request, candidates, now)
+            state = selection.choose(queued_request)
             if state is None:
                 passed_over.append(queued_request)
             else:
                 self._decide_placed(queued_request, state, now)
-                candidates = self.choice.with_room(candidates, now)
+                has_candidates = selection.has_candidates()
         for queued_request in reversed(passed_over):
             self.queue.give_back(queued_request, now)
 
@@ -323,7 +325,9 @@
         )
         expected = self.concurrency.expected_seconds(sample)
         state.terms.count_request(now)
-        return Placed(state, state.observed.start(now, expected), sample)
+        ticket = state.observed.start(now, expected)
+        self.upstream_set.index.note_change(state)
+        return Placed(state, ticket, sample)
 
 
 def _ignore_decision(decision: Decision) -> None:
--- a/src/crocusproxy/placement/refusals.py
+++ b/src/crocusproxy/placement/refusals.py
@@ -1,6 +1,5 @@
 """Refusals of requests that no upstream can serve in time."""
 
-from collections.abc import Mapping
 from datetime import timedelta
 from math import inf
 from random import Random
@@ -15,7 +14,6 @@
     stated_capacity,
 )
 from .upstream_choice import UpstreamChoice
-from .upstream_state import UpstreamState
 
 #: Queued requests per slot, apart from those that can wait for longer.
 QUEUED_PER_SLOT = 2
@@ -42,14 +40,12 @@
         self,
         queue: FairQueue,
         admission: Admission,
-        upstreams: Mapping[str, UpstreamState],
         choice: UpstreamChoice,
         slots: SlotCounter,
         random: Random,
     ) -> None:
         self.queue = queue
         self.admission = admission
-        self.upstreams = upstreams
         self.choice = choice
         self.slots = slots
         self.return_schedule = ReturnSchedule(random)
@@ -63,7 +59,7 @@
 
     def refuse_excess(self, now: float) -> None:
         """Refuse what the upstreams' limits or the queue have no room for."""
-        capacity = stated_capacity(self.upstreams.values(), now)
+        capacity = self._capacity(now)
         if capacity.is_limited(now):
             self._refuse_limited(capacity, now)
         slots = self.slots.count(now)
@@ -81,18 +77,23 @@
         if self.admission.will_expire(queued_request, now):
             self.refuse(queued_request, now)
 
-    def refuse_unplaceable(self) -> None:
+    def refuse_unplaceable(self, now: float) -> None:
         """Refuse the queued requests that no upstream is left for."""
         for queued_request in tuple(self.queue):
-            if not self.choice.has_upstream(queued_request.request):
+            if not self.choice.has_upstream(queued_request.request, now):
                 self.queue.remove(queued_request)
                 queued_request.on_decision(NO_UPSTREAM)
 
     def refuse(self, queued_request: QueuedRequest, now: float) -> None:
         """Refuse a queued request, with the time at which to return."""
-        capacity = stated_capacity(self.upstreams.values(), now)
+        capacity = self._capacity(now)
         self._refuse(queued_request, capacity, now)
 
+    def _capacity(self, now: float) -> StatedCapacity:
+        index = self.choice.index
+        index.refresh(now)
+        return stated_capacity(index.usable, now)
+
     def _refuse(
         self,
         queued_request: QueuedRequest,
--- a/src/crocusproxy/placement/slot_counter.py
+++ b/src/crocusproxy/placement/slot_counter.py
@@ -1,11 +1,10 @@
 """Number of slots of the upstreams of a service."""
 
-from collections.abc import Mapping
 from math import inf
 
-from .upstream_state import UpstreamState
+from .upstream_index import UpstreamIndex
 
-#: Time for which a count is used, as counting takes longer with more upstreams.
+#: Time for which a count is used. Decisions of a moment use the same one.
 COUNT_VALIDITY_SECONDS = 0.05
 
 
@@ -15,8 +14,8 @@
     ``counted_at`` is in monotonic seconds.
     """
 
-    def __init__(self, upstreams: Mapping[str, UpstreamState]) -> None:
-        self.upstreams = upstreams
+    def __init__(self, index: UpstreamIndex) -> None:
+        self.index = index
         self.latest = 0
         self.counted_at = -inf
 
@@ -28,9 +27,6 @@
         """Return the number of slots, at most a short time old."""
         if now - self.counted_at >= COUNT_VALIDITY_SECONDS:
             self.counted_at = now
-            self.latest = sum(
-                state.entry.slots
-                for state in self.upstreams.values()
-                if state.is_usable and not state.is_limited
-            )
+            self.index.refresh(now)
+            self.latest = self.index.slot_count
         return self.latest
--- a/src/crocusproxy/placement/stated_capacity.py
+++ b/src/crocusproxy/placement/stated_capacity.py
@@ -44,8 +44,14 @@
     upstreams: Iterable[UpstreamState], now: float
 ) -> StatedCapacity:
     """Return what the usable upstreams permit together."""
-    usable = [state for state in upstreams if state.is_usable]
-    if not usable or any(_takes_any_number(state, now) for state in usable):
+    usable: list[UpstreamState] = []
+    for state in upstreams:
+        if state.is_usable:
+            if _takes_any_number(state, now):
+                # The usual case, for which the others need not be examined.
+                return StatedCapacity(now, inf)
+            usable.append(state)
+    if not usable:
         return StatedCapacity(now, inf)
     rate = sum(state.terms.lowest_rate(now) or 0 for state in usable)
     return StatedCapacity(
--- a/src/crocusproxy/placement/upstream_set.py
+++ b/src/crocusproxy/placement/upstream_set.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..routes.model import RegisteredUpstream
 from .concurrency import ServiceConcurrency
+from .upstream_index import UpstreamIndex
 from .upstream_state import UpstreamState
 from .upstream_terms import TermsTable
 from .warm_up import HANDOVER_SECONDS
@@ -15,7 +16,7 @@
 
 
 class UpstreamSet:
-    """States of the upstreams, in ``states`` by key.
+    """States of the upstreams, in ``states`` by key and in ``index`` by cost.
 
     ``failure_domain`` is that of this instance. ``took_over_at`` is when this
     instance last began to dispatch to upstreams of another one, in monotonic
@@ -34,6 +35,7 @@
         self.concurrency = concurrency
         self.terms_table = terms_table
         self.states: dict[str, UpstreamState] = {}
+        self.index = UpstreamIndex(self.states)
         self.owns: Ownership = _owns_all
         self.is_exclusive = True
         self.evacuated: frozenset[str] = frozenset()
@@ -130,6 +132,7 @@
             now=self.now,
         )
         state.terms.warm_up.hand_over(self.took_over_at + HANDOVER_SECONDS)
+        self.index.add(state)
         return state
 
     def _take_over(self, state: UpstreamState) -> None:
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import exp, inf
+from typing import ClassVar
 
 from ..routes.model import RegisteredUpstream
+from .change_notifier import ChangeNotifier
 from .concurrency import LoadEffect
 from .observed_slowdown import ObservedSlowdown
 from .upstream_terms import UpstreamTerms
@@ -33,7 +35,8 @@
 COLD_COST_SHARE = 2.0
 #: Factor of the assumed slowdown during warm-up.
 WARM_UP_SLOWDOWN = 2.0
-_MAX_FAILURE_RATE = 0.95
+#: Upper limit of the failure rate in the cost.
+MAX_FAILURE_RATE = 0.95
 _MIN_SLOWDOWN = 0.1
 
 
@@ -42,7 +45,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class UpstreamState:
+class UpstreamState(ChangeNotifier):
     """Requests in flight and latest signals of one upstream.
 
     ``slowdown`` is the ratio of the service time to the usual one, as reported
@@ -55,6 +58,8 @@
     seconds.
     """
 
+    unwatched: ClassVar[frozenset[str]] = frozenset(('on_change', 'probed_at'))
+
     entry: RegisteredUpstream
     is_remote: bool
     load_effect: LoadEffect
@@ -143,11 +148,15 @@
     def expected_slowdown(self, now: float) -> float:
         """Return the expected ratio of the service time to the usual one."""
         weight = exp((self.reported_at - now) / SLOWDOWN_DECAY_SECONDS)
-        assumed = TYPICAL_SLOWDOWN
-        if now < self.warm_up_until:
-            assumed *= WARM_UP_SLOWDOWN
+        assumed = self.assumed_slowdown(now)
         return weight * self.slowdown + (1 - weight) * assumed
 
+    def assumed_slowdown(self, now: float) -> float:
+        """Return the slowdown that is expected without a recent report."""
+        if now < self.warm_up_until:
+            return TYPICAL_SLOWDOWN * WARM_UP_SLOWDOWN
+        return TYPICAL_SLOWDOWN
+
     def is_slow(self, now: float) -> bool:
         """Return whether the upstream is probably slow."""
         return (
@@ -179,7 +188,7 @@
         )
         if self.terms.warm_up.is_cold(now):
             time += COLD_COST_SHARE * service_time
-        time /= 1 - min(self.failure_rate, _MAX_FAILURE_RATE)
+        time /= 1 - min(self.failure_rate, MAX_FAILURE_RATE)
         return (
             time
             + (REMOTE_SECONDS + REMOTE_COST_SHARE * service_time)
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from math import inf
+from typing import ClassVar
 
 from ..limits.rate_limiter import MIN_RATE_PER_SECOND, RateLimiter
 from ..protocol.home_feed import StatedTerms
 from ..routes.model import RegisteredUpstream
+from .change_notifier import ChangeNotifier
 from .warm_up import WarmUp
 
 #: Incarnations whose terms are kept, also after their entries are removed.
@@ -22,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class UpstreamTerms:
+class UpstreamTerms(ChangeNotifier):
     """Terms of one incarnation of an upstream.
 
     ``rate_limit`` is the number of requests per second that the upstream takes
@@ -34,6 +36,10 @@
     the limit was last logged. Times are monotonic seconds.
     """
 
+    unwatched: ClassVar[frozenset[str]] = frozenset(
+        ('on_change', 'limit_logged_at')
+    )
+
     rate_limit: float | None = None
     limiter: RateLimiter | None = None
     is_leaving: bool = False
--- a/src/crocusproxy/placement/warm_up.py
+++ b/src/crocusproxy/placement/warm_up.py
@@ -7,8 +7,10 @@
 
 from dataclasses import dataclass
 from math import inf
+from typing import ClassVar
 
 from ..limits.rate_limiter import RateLimiter
+from .change_notifier import ChangeNotifier
 
 #: An instance that begins to dispatch to an upstream sends it nothing for this
 #: time while it is cold: the predecessor may not know yet, and may still use
@@ -48,7 +50,7 @@
 
 
 @dataclass(slots=True)
-class WarmUp:
+class WarmUp(ChangeNotifier):
     """Warm-up of one incarnation of an upstream.
 
     ``rate`` is the number of requests per second that it tolerates while it is
@@ -60,6 +62,10 @@
     Times are monotonic seconds.
     """
 
+    unwatched: ClassVar[frozenset[str]] = frozenset(
+        ('on_change', 'is_listed', 'limiter', 'sent_at')
+    )
+
     rate: float = 0
     seconds: float = 0
     burst: float | None = None
