Release removed upstreams from the index

The terms of an upstream outlive it and referred to its index entry, so up to 20,000 removed upstreams would have stayed in memory. They no longer do. The new test fails without the change and passes with it.

--- a/src/crocusproxy/placement/upstream_index.py
+++ b/src/crocusproxy/placement/upstream_index.py
@@ -148,6 +148,7 @@
         if state.is_removed:
             self._changed.pop(state, None)
             self._remove(state)
+            _detach(state)
         else:
             self._changed[state] = None
 
@@ -252,6 +253,18 @@
             heappush(self._timers, (at, sequence, state))
 
 
+def _detach(state: UpstreamState) -> None:
+    """Let the terms, which outlive the upstream, no longer refer to it."""
+    terms = state.terms
+    if terms.on_change is state.on_change:
+        terms.on_change = _ignore_change
+        terms.warm_up.on_change = _ignore_change
+
+
+def _ignore_change() -> None:
+    """Notify nobody, as the upstream has been removed."""
+
+
 def _lowest_slowdown(state: UpstreamState, now: float) -> tuple[float, float]:
     """Return a lower bound of the slowdown, and until when it is valid.
 
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -1,6 +1,7 @@
 """Guards against requests that are placed, queued or refused wrongly."""
 
 from datetime import timedelta
+from gc import collect, get_objects
 from random import Random
 
 import pytest
@@ -8,6 +9,7 @@
 from crocusproxy.clock import ManualClock
 from crocusproxy.placement.placer import ServicePlacer
 from crocusproxy.placement.requests import Placed, PlacementRequest, Refused
+from crocusproxy.placement.upstream_state import UpstreamState
 from crocusproxy.routes.model import RegisteredUpstream
 
 
@@ -298,6 +300,21 @@
     assert placing.placer.is_short_of_slots()
 
 
+def test_kept_terms_do_not_keep_a_removed_upstream():
+    """Memory would grow with each start, as the terms of 20,000 are kept."""
+    placing = Placing(entry('kept'), entry('removed'))
+    placing.place()
+    terms = placing.placer.upstreams['removed'].terms
+    placing.placer.remove('removed')
+    placing.clock.advance(timedelta(seconds=9))
+    placing.place()
+    terms.is_leaving = True
+    collect()
+    assert 'removed' not in [
+        one.key for one in get_objects() if isinstance(one, UpstreamState)
+    ]
+
+
 def test_placer_without_upstreams_is_short_of_slots():
     """Its requests would be refused while other homes could serve them."""
     assert Placing().placer.is_short_of_slots()
