Report an append that the platform rejects as an error at once

Cause: a 400 response to an append raised PlatformUnavailableError. The appender of claims retried the batch, which was rejected again, refused all other keyed requests with `platform_unavailable` meanwhile, and reported an outage. The members' records were written again every 2 or 5 s, and a rejected burn summary was included in each later one. Change: 400, 413 and 422 raise AppendRejectedError (`append_rejected`). The appender drops the batch, resolves its claims with `append_rejected` (500, not retryable) and continues with the other entries; a dropped void or completion leaves its key claimed until it expires, which is safe. Members' records are written again after a change only.

--- a/src/crocusproxy/config/publisher.py
+++ b/src/crocusproxy/config/publisher.py
@@ -110,6 +110,7 @@
 
         Raises:
             PlatformUnavailableError: the change was certainly not made.
+            AppendRejectedError: the platform does not accept the change.
             NoConfigurationError: the stream yields no document.
             NotKnownYetError: the change may or may not take effect.
         """
@@ -145,6 +146,7 @@
 
         Raises:
             PlatformUnavailableError: the change was certainly not made.
+            AppendRejectedError: the platform does not accept the change.
             NoConfigurationError: the stream yields no document.
             NotKnownYetError: the change may or may not take effect.
         """
--- a/src/crocusproxy/config/snapshot_writer.py
+++ b/src/crocusproxy/config/snapshot_writer.py
@@ -6,7 +6,11 @@
 from random import Random
 
 from ..clock import Clock
-from ..errors import AppendUnknownError, PlatformUnavailableError
+from ..errors import (
+    AppendRejectedError,
+    AppendUnknownError,
+    PlatformUnavailableError,
+)
 from ..logs import log
 from ..protocol import codec
 from .reader import CONFIG_STREAM, ConfigStreamReader
@@ -101,7 +105,7 @@
                 )
             except AppendUnknownError:
                 continue
-            except PlatformUnavailableError as error:
+            except (PlatformUnavailableError, AppendRejectedError) as error:
                 log('snapshot_not_written', error=str(error))
                 return False
         log(
--- a/src/crocusproxy/console/change_publisher.py
+++ b/src/crocusproxy/console/change_publisher.py
@@ -144,6 +144,7 @@
         Raises:
             InvalidDocumentError: with the faults at their fields.
             PlatformUnavailableError: this call did not make the change.
+            AppendRejectedError: the platform does not accept the change.
             NoConfigurationError: the records of the stream cannot be applied.
             NotKnownYetError: the change may or may not take effect.
         """
--- a/src/crocusproxy/console/publish_pages.py
+++ b/src/crocusproxy/console/publish_pages.py
@@ -13,7 +13,11 @@
     Rejected,
     Verdict,
 )
-from ..errors import CrocusError, PlatformUnavailableError
+from ..errors import (
+    AppendRejectedError,
+    CrocusError,
+    PlatformUnavailableError,
+)
 from ..logs import log
 from .change_publisher import ConcurrentChangeError, PreviewedChange
 from .changes import map_fault_paths, service_digest
@@ -89,7 +93,11 @@
             verdict = await self.console.change_publisher.publish(
                 change, session.operator
             )
-        except (PlatformUnavailableError, NoConfigurationError) as error:
+        except (
+            PlatformUnavailableError,
+            AppendRejectedError,
+            NoConfigurationError,
+        ) as error:
             context = self.service_pages.change_context(request, change)
             return self._result_page(
                 request,
--- a/src/crocusproxy/errors.py
+++ b/src/crocusproxy/errors.py
@@ -77,6 +77,19 @@
     code = 'append_unknown'
 
 
+#: Statuses by which a log service rejects the content of an append.
+REJECTED_APPEND_STATUSES = frozenset((400, 413, 422))
+
+
+class AppendRejectedError(CrocusError):
+    """The platform rejected the content of an append, which had no effect.
+
+    The platform is available, and the same append would be rejected again.
+    """
+
+    code = 'append_rejected'
+
+
 class NotReachableError(CrocusError):
     """Another program of the system did not respond."""
 
--- a/src/crocusproxy/ledger/appender.py
+++ b/src/crocusproxy/ledger/appender.py
@@ -6,7 +6,11 @@
 from datetime import timedelta
 
 from ..clock import Clock
-from ..errors import CrocusError, PlatformUnavailableError
+from ..errors import (
+    AppendRejectedError,
+    CrocusError,
+    PlatformUnavailableError,
+)
 from ..logs import log
 from ..protocol import codec
 from .claim_registry import ClaimRegistry
@@ -26,7 +30,9 @@
 
     A failed append is retried with the same nonces and without new claims, so
     the number of claims with an unknown outcome stays bounded.
-    ``on_platform_down`` is called when the platform is found to be down.
+    A rejected one is not retried, as it would be rejected again.
+    ``on_platform_down`` is called when the platform is found to be down,
+    ``on_rejected`` with a batch that the platform rejected.
     """
 
     def __init__(
@@ -35,11 +41,13 @@
         registry: ClaimRegistry,
         clock: Clock,
         on_platform_down: Callable[[], None],
+        on_rejected: Callable[[Batch], None],
     ) -> None:
         self.platform = platform
         self.registry = registry
         self.clock = clock
         self.on_platform_down = on_platform_down
+        self.on_rejected = on_rejected
         self.platform_down = False
         self.failure_count = 0
         # Time at which all appends so far would end at the mean rate (GCRA).
@@ -138,6 +146,9 @@
         except PlatformUnavailableError as error:
             self.registry.mark_not_written(first_sends)
             self._note_failure(error, had_no_effect=True)
+        except AppendRejectedError as error:
+            self.registry.mark_not_written(first_sends)
+            self._note_rejection(error, batch)
         except CrocusError as error:
             # An empty batch only tests whether the platform responds.
             if batch == Batch() or not self.registry.is_settled(batch):
@@ -146,6 +157,18 @@
             self.registry.mark_appended(batch)
             self.mark_confirmed()
 
+    def _note_rejection(self, error: CrocusError, batch: Batch) -> None:
+        log(
+            'claims_append_rejected',
+            error=str(error),
+            claims=len(batch.claims),
+            voids=len(batch.voids),
+            completions=len(batch.completions),
+        )
+        self.registry.remove_entries(batch)
+        self.on_rejected(batch)
+        self.mark_confirmed()  # the platform responds
+
     def _note_failure(self, error: CrocusError, *, had_no_effect: bool) -> None:
         log(
             'claims_append_failed',
--- a/src/crocusproxy/ledger/claim_registry.py
+++ b/src/crocusproxy/ledger/claim_registry.py
@@ -130,6 +130,13 @@
 
     def mark_appended(self, batch: Batch) -> None:
         """Note that the batch is in the stream."""
+        self.remove_entries(batch)
+
+    def remove_entries(self, batch: Batch) -> None:
+        """Append the entries of a batch no more.
+
+        They are in the stream, or the log service does not accept them.
+        """
         for claim in batch.claims:
             self.unconfirmed_claims.pop(claim.nonce, None)
         for void in batch.voids:
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -10,7 +10,7 @@
 from .claim_registry import ClaimRegistry, OwnClaim
 from .platform import LogClient
 from .reader import ClaimsReader
-from .records import Claim
+from .records import Batch, Claim
 from .results import (
     Claimed,
     ClaimResult,
@@ -38,7 +38,11 @@
             platform, self.registry, clock, self._on_decided
         )
         self.appender = Appender(
-            platform, self.registry, clock, self._reject_unwritten
+            platform,
+            self.registry,
+            clock,
+            on_platform_down=self._reject_unwritten,
+            on_rejected=self._reject_batch,
         )
         self.pending_results: dict[str, asyncio.Future[ClaimResult]] = {}
         self.tasks: tuple[asyncio.Task[None], ...] = ()
@@ -164,6 +168,10 @@
         for nonce in self.registry.unwritten_nonces():
             self._give_up(nonce, 'platform_unavailable')
 
+    def _reject_batch(self, batch: Batch) -> None:
+        for claim in batch.claims:
+            self._give_up(claim.nonce, 'append_rejected')
+
     def _on_decided(self, own_claim: OwnClaim) -> None:
         self.appender.mark_confirmed()
         self._resolve(own_claim)
--- a/src/crocusproxy/ledger/results.py
+++ b/src/crocusproxy/ledger/results.py
@@ -36,9 +36,9 @@
 class ClaimUnavailable:
     """The claim was not confirmed; it never becomes dispatchable.
 
-    ``reason`` is one of ``platform_unavailable``, ``deadline_passed``,
-    ``records_missing``, ``expired``, ``expiry_too_far``, ``overloaded`` and
-    ``stopped``.
+    ``reason`` is one of ``platform_unavailable``, ``append_rejected``,
+    ``deadline_passed``, ``records_missing``, ``expired``, ``expiry_too_far``,
+    ``overloaded`` and ``stopped``.
     """
 
     reason: str
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -8,7 +8,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from ..errors import PlatformUnavailableError
+from ..errors import AppendRejectedError, PlatformUnavailableError
 from ..logs import log
 from ..membership.domain_homes import DomainHomeTable
 from ..membership.member_list import MemberList
@@ -58,7 +58,8 @@
     async def register(self) -> bool:
         """Register this instance and read the other members.
 
-        Return False if the store is unavailable.
+        Return False if the store is unavailable. A rejected record is not
+        written again, and the other members are read nevertheless.
         """
         own = self.member_list.own
         try:
@@ -76,7 +77,7 @@
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _write_and_list(self, own: Member) -> RecordPage:
-        await self.store.put(MEMBER_TOPIC, own.name, encode(own))
+        await _put(self.store, own.name, encode(own))
         return await self.store.newest(MEMBER_TOPIC)
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -127,7 +128,7 @@
                     self.domain_homes.assignment,
                 )
                 key = ROSTER_KEY.format(number=number)
-                await self.store.put(MEMBER_TOPIC, key, encode(roster))
+                await _put(self.store, key, encode(roster))
         except PlatformUnavailableError as error:
             log('announcement_failed', error=str(error))
             return
@@ -143,6 +144,14 @@
         )
 
 
+async def _put(store: StoreClient, key: str, content: bytes) -> None:
+    """Write a record; a rejection, which a retry would repeat, is logged."""
+    try:
+        await store.put(MEMBER_TOPIC, key, content)
+    except AppendRejectedError as error:
+        log('announcement_rejected', key=key, error=str(error))
+
+
 def _decode_roster(record: KeyedRecord) -> Roster:
     if record.key.startswith('/'):
         return decode(Roster, record.content)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -7,7 +7,11 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from ..errors import PlatformUnavailableError
+from ..errors import (
+    REJECTED_APPEND_STATUSES,
+    AppendRejectedError,
+    PlatformUnavailableError,
+)
 from ..logs import log
 from ..membership.store_incarnation import StoreIncarnation
 from .store_records import (
@@ -138,6 +142,7 @@
 
         Raises:
             PlatformUnavailableError: the write was not confirmed.
+            AppendRejectedError: the store does not accept the record.
         """
         try:
             async with self.session.post(
@@ -149,6 +154,10 @@
                 await response.read()
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'append: {error!r}') from error
+        if response.status in REJECTED_APPEND_STATUSES:
+            raise AppendRejectedError(
+                f'append of {key} to {topic}: status {response.status}'
+            )
         if response.status != _OK:
             raise PlatformUnavailableError(f'append: status {response.status}')
         self.incarnation.observe(incarnation_of(response.headers))
--- a/src/crocusproxy/platform_client.py
+++ b/src/crocusproxy/platform_client.py
@@ -17,7 +17,12 @@
 )
 from pydantic import BeforeValidator
 
-from .errors import AppendUnknownError, PlatformUnavailableError
+from .errors import (
+    REJECTED_APPEND_STATUSES,
+    AppendRejectedError,
+    AppendUnknownError,
+    PlatformUnavailableError,
+)
 from .membership.view import InstanceView
 from .protocol.codec import decode
 
@@ -87,6 +92,7 @@
 
         Raises:
             PlatformUnavailableError: the record was certainly not appended.
+            AppendRejectedError: the record was not appended and never will.
             AppendUnknownError: the record may have been appended.
         """
         url = f'http://{self.address}/v1/streams/{stream}/records'
@@ -150,6 +156,11 @@
 def _check_append(stream: str, status: int) -> None:
     if status in _UNCERTAIN_STATUSES:
         raise AppendUnknownError(f'append to {stream} ended with {status}')
+    if status in REJECTED_APPEND_STATUSES:
+        raise AppendRejectedError(
+            f'append to {stream} was rejected with {status}',
+            hint='find out which entry the log service does not accept',
+        )
     if status != _OK:
         raise PlatformUnavailableError(
             f'append to {stream} was refused with {status}'
--- a/src/crocusproxy/proxy/burn_summary.py
+++ b/src/crocusproxy/proxy/burn_summary.py
@@ -12,7 +12,7 @@
 
 from ..burn.windows import WINDOW, WindowCounts
 from ..clock import Clock
-from ..errors import AppendUnknownError, CrocusError
+from ..errors import AppendRejectedError, AppendUnknownError, CrocusError
 from ..logs import log
 from ..protocol import codec
 from ..protocol.burn import BurnReport
@@ -33,7 +33,8 @@
 
     An append with an unknown result is not retried, because readers would
     count its windows twice. After a definite failure, the windows are
-    included in the next summary. Windows that start at or before
+    included in the next summary, unless the platform rejected the summary: one
+    that contains them would be rejected again. Windows that start at or before
     ``written_until`` are not written again.
     """
 
@@ -84,6 +85,8 @@
             await self.platform.append(_STREAM, codec.to_plain(report))
         except AppendUnknownError as error:
             log('burn_summary_unknown', error=str(error))
+        except AppendRejectedError as error:
+            log('burn_summary_rejected', error=str(error))
         except CrocusError as error:
             log('burn_summary_not_written', error=str(error))
             return False
--- a/src/crocusproxy/proxy/claims.py
+++ b/src/crocusproxy/proxy/claims.py
@@ -14,6 +14,7 @@
 from .problems import UNKNOWN, RefusalError
 
 _REFUSAL_CODES = {  # noqa: WPS407 - read-only by convention
+    'append_rejected': 'append_rejected',
     'deadline_passed': 'deadline_exceeded',
     'expired': 'idempotency_key_expired',
     'expiry_too_far': 'idempotency_expiry_too_far',
--- a/src/crocusproxy/proxy/problems.py
+++ b/src/crocusproxy/proxy/problems.py
@@ -26,6 +26,7 @@
     'idempotency_key_reused': 422,
     'caller_over_limit': 429,
     'headers_too_large': 431,
+    'append_rejected': 500,
     'internal_error': 500,
     'upstream_failed': 502,
     'response_incomplete': 502,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -46,12 +46,14 @@
 class Faults:
     """Faults to inject, set with ``POST /faults``.
 
-    ``lose_answers`` is the number of appends that take effect, but whose
+    ``reject_appends`` is the number of appends that are refused with status
+    400. ``lose_answers`` is the number of appends that take effect, but whose
     response is dropped. ``keep`` is the number of records per stream.
     """
 
     outage: bool = False
     delay_ms: int = 0
+    reject_appends: int = 0
     lose_answers: int = 0
     keep: int = _DEFAULT_RETAINED_RECORDS
 
@@ -85,6 +87,9 @@
     async def append(self, request: web.Request) -> web.Response:
         await self._fail_or_delay()
         body = await request.json()
+        if self.faults.reject_appends:
+            self.faults.reject_appends -= 1
+            raise web.HTTPBadRequest
         self.appends += 1
         stream = self.streams.setdefault(request.match_info['stream'], Stream())
         offset = stream.append(body['data'])
--- a/standins/store.py
+++ b/standins/store.py
@@ -28,7 +28,8 @@
 class StandInStore:
     """Implements the store's HTTP API and injects faults.
 
-    With ``is_unavailable`` every request is refused with status 503. With
+    With ``is_unavailable`` every request is refused with status 503, with
+    ``rejects_appends`` every append with status 400. With
     ``drop_append_responses`` the connection is closed after an append took
     effect. ``delay`` is in seconds. ``restore`` goes back to the state of an
     earlier ``copy`` and increases ``incarnation``, as after a disaster.
@@ -38,6 +39,7 @@
         self.incarnation = 1
         self.partitions = defaultdict(Partition)
         self.is_unavailable = False
+        self.rejects_appends = False
         self.drop_append_responses = False
         self.delay = 0.0
         self.calls = 0
@@ -108,6 +110,8 @@
         refusal = await self._delay_or_refuse(request)
         if refusal is not None:
             return refusal
+        if self.rejects_appends:
+            return web.Response(status=400)
         partition = self._partition(request)
         expected_end = request.query.get('AsOf')
         if expected_end is not None and int(expected_end) != partition.end:
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -164,6 +164,30 @@
     assert isinstance(await ledger.claim('s/k', 'd', future_expiry()), Claimed)
 
 
+@with_ledgers(1, reject_appends=1)
+async def test_rejected_append_is_no_outage(platform, ledger):
+    """It was retried, and other claims were refused meanwhile."""
+    deadline = deadline_in(ledger, 60)
+    result = await ledger.claim('s/bad', 'd', future_expiry(), deadline)
+    assert result == ClaimUnavailable('append_rejected')
+    assert not ledger.appender.platform_down
+    assert not ledger.registry.unconfirmed_voids
+    assert isinstance(await ledger.claim('s/b', 'd', future_expiry()), Claimed)
+    assert platform.appends == 1
+
+
+@with_ledgers(1)
+async def test_rejected_completion_does_not_block_other_entries(
+    platform, ledger
+):
+    claimed = await ledger.claim('s/a', 'd', future_expiry())
+    platform.faults.reject_appends = 1
+    await ledger.complete(claimed.nonce, 200)
+    await wait_until(lambda: not ledger.registry.unconfirmed_completions)
+    assert not platform.faults.reject_appends
+    assert isinstance(await ledger.claim('s/b', 'd', future_expiry()), Claimed)
+
+
 @with_ledgers(2)
 async def test_claim_undecided_at_its_deadline_is_voided_on_recovery(
     platform, ledger, other
--- a/tests/platform/test_members.py
+++ b/tests/platform/test_members.py
@@ -14,6 +14,7 @@
     RosterWriter,
 )
 from crocusproxy.platform.store import StoreClient
+from crocusproxy.protocol.codec import encode
 from crocusproxy.protocol.home_feed import DomainHome, DomainHomes, Member
 from standins.store import StandInStore
 
@@ -81,6 +82,27 @@
     run_with_store(scenario)
 
 
+def test_rejected_record_is_not_written_again_and_hides_no_member(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'crocusproxy.platform.members.log',
+        lambda event, error, **_: lines.append((event, error.split()[0])),
+    )
+
+    async def scenario(store, client):
+        store.put(MEMBER_TOPIC, 'single', encode(member('single')))
+        store.rejects_appends = True
+        home_list = MemberList(member('home'))
+        assert await register(client, home_list)
+        assert home_list.members.keys() == {'home', 'single'}
+        writer = RosterWriter(client, home_list, DomainHomeTable())
+        await writer.write()
+        assert writer.written_state
+        assert lines == [('announcement_rejected', '[append_rejected]')] * 2
+
+    run_with_store(scenario)
+
+
 def test_unreadable_record_hides_no_other_member(capsys):
     async def scenario(store, client):
         store.put(MEMBER_TOPIC, '/roster/0', b'{}')
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -64,6 +64,8 @@
          'platform_unavailable', 'not-run'),
         (ClaimUnavailable('platform_unavailable'), b'', 503,
          'platform_unavailable', 'unknown'),
+        (ClaimUnavailable('append_rejected'), FIRST_ATTEMPT, 500,
+         'append_rejected', 'not-run'),
         (ClaimUnavailable('deadline_passed'), b'', 504, 'deadline_exceeded',
          'unknown'),
         (ClaimUnavailable('expired'), b'', 410, 'idempotency_key_expired',
