Count the reported failure in claims_append_failed

Cause: the appender logged the number of failures before it counted the current one, so the first failure said 0 and the second one, which starts the outage state, said 1. The state itself is right: it begins with the second append of unknown effect, as documented. `claim_table.py` counts no failures.

--- a/src/crocusproxy/ledger/appender.py
+++ b/src/crocusproxy/ledger/appender.py
@@ -170,12 +170,12 @@
         self.mark_confirmed()  # the platform responds
 
     def _note_failure(self, error: CrocusError, *, had_no_effect: bool) -> None:
+        self.failure_count += 1
         log(
             'claims_append_failed',
             error=str(error),
             failures=self.failure_count,
         )
-        self.failure_count += 1
         if had_no_effect or self.failure_count >= _FAILURES_UNTIL_DOWN:
             self.platform_down = True
             self.on_platform_down()
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -7,8 +7,12 @@
 from aiohttp import ClientSession
 from aiohttp.test_utils import TestServer
 
-from crocusproxy.clock import SystemClock
+from crocusproxy.clock import ManualClock, SystemClock
+from crocusproxy.errors import AppendUnknownError
+from crocusproxy.ledger.appender import Appender
+from crocusproxy.ledger.claim_registry import ClaimRegistry
 from crocusproxy.ledger.ledger import Ledger
+from crocusproxy.ledger.records import Batch
 from crocusproxy.ledger.results import (
     AlreadyClaimed,
     Claimed,
@@ -129,6 +133,28 @@
         assert isinstance(claimed, Claimed)
 
 
+def test_every_failed_append_is_counted_before_the_outage(monkeypatch):
+    """The log line of the first failure said 0 failures, the next one 1."""
+    states = []
+
+    class Platform:
+        async def append(self, *_):
+            raise AppendUnknownError('lost')
+
+    clock = ManualClock()
+    registry = ClaimRegistry(SETTINGS, clock)
+    appender = Appender(Platform(), registry, clock, list, list)
+    monkeypatch.setattr(
+        'crocusproxy.ledger.appender.log',
+        lambda event, failures, **_: states.append((event, failures)),
+    )
+    for _ in range(2):
+        asyncio.run(appender._append(Batch()))
+        states.append(appender.platform_down)
+    event = 'claims_append_failed'
+    assert states == [(event, 1), False, (event, 2), True]
+
+
 @with_ledgers(1, lose_answers=1)
 async def test_claim_is_confirmed_after_a_lost_append_response(
     platform, ledger
