Expire crash suspects with time

Cause: expired suspects and refusals were removed only when the next crash was recorded. Change: each query expires the entries. It is one comparison until the earliest expiry, so the work per request does not grow with the suspects.

--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -81,29 +81,35 @@
 
     def refused_for(self, request: OutgoingRequest) -> timedelta:
         """Return how long to refuse a request from now, zero to accept it."""
+        now = self.clock.monotonic()
+        self.tracker.expire(now)
         if not self.tracker.confirmed_until:
             return timedelta()
-        return self.tracker.refused_for(
-            fingerprint(request), self.clock.monotonic()
-        )
+        return self.tracker.refused_for(fingerprint(request), now)
 
     def is_suspect(self, request: OutgoingRequest) -> bool:
         """Return whether equal requests were in flight at a crash."""
-        tracker = self.tracker
-        if not tracker.suspects and not tracker.confirmed_until:
-            return False
-        digest = fingerprint(request)
-        return tracker.is_suspect(digest) or digest in tracker.confirmed_until
+        return self._suspected_fingerprint(request) is not None
 
     def record_response(self, request: OutgoingRequest) -> None:
         """Clear a request that an upstream has answered."""
+        answered = self._suspected_fingerprint(request)
+        if answered is not None:
+            self.tracker.answered(answered)
+            self.send_report(CrashReport('', (answered,), cleared=True))
+
+    def _suspected_fingerprint(self, request: OutgoingRequest) -> str | None:
+        """Return the fingerprint if it is suspected or confirmed now.
+
+        It hashes the body, so it is computed only when it is needed.
+        """
         tracker = self.tracker
+        tracker.expire(self.clock.monotonic())
         if not tracker.suspects and not tracker.confirmed_until:
-            return
-        answered = fingerprint(request)
-        if tracker.is_suspect(answered) or answered in tracker.confirmed_until:
-            tracker.answered(answered)
-            self.send_report(CrashReport('', (answered,), cleared=True))
+            return None
+        digest = fingerprint(request)
+        is_known = digest in tracker.suspects
+        return digest if is_known or digest in tracker.confirmed_until else None
 
 
 def fingerprint(request: OutgoingRequest) -> str:
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -41,9 +41,10 @@
 
     def check(self, inbound: InboundRequest) -> None:
         """Raise RefusalError for a request that crashes upstreams."""
+        now = self.clock.monotonic()
+        self.tracker.expire(now)
         if not self.tracker.confirmed_until:
             return
-        now = self.clock.monotonic()
         remaining = self.tracker.refused_for(inbound.fingerprint(), now)
         if remaining:
             raise RefusalError('request_suspected', retry_after=remaining)
@@ -53,10 +54,12 @@
 
         It hashes the body, so it is computed only when it is needed.
         """
+        self.tracker.expire(self.clock.monotonic())
         return inbound.fingerprint() if self.tracker.suspects else ''
 
     def record_answered(self, inbound: InboundRequest) -> None:
         """Stop suspecting a request whose complete response has arrived."""
+        self.tracker.expire(self.clock.monotonic())
         if self.tracker.suspects or self.tracker.confirmed_until:
             self.tracker.answered(inbound.fingerprint())
 
--- a/src/crocusproxy/routing/balancer.py
+++ b/src/crocusproxy/routing/balancer.py
@@ -61,7 +61,7 @@
         if retry_after:
             return Refuse('request_suspected', retry_after)
         now = time.total_seconds()
-        usable = self._usable(request, now)
+        usable = self._usable(request, time)
         if not usable:
             return Refuse('no_upstream', _NO_UPSTREAM_RETRY)
         ejected = self._update_ejections(now)
@@ -98,7 +98,7 @@
         state = self.states.get(upstream.key)
         if state is None:
             return 0
-        is_crash_suspect = self.suspects.is_suspect(fingerprint)
+        is_crash_suspect = self.suspects.is_suspect(fingerprint, now)
         return state.open_request(now.total_seconds(), is_crash_suspect)
 
     def finished(
@@ -181,13 +181,14 @@
     def _usable(
         self,
         request: RequestInfo,
-        now: float,
+        time: timedelta,
     ) -> list[UpstreamState]:
         """Return the upstreams that the request may be sent to.
 
         Crash suspects are sent to separate upstreams, so that the next crash
         identifies the cause.
         """
+        now = time.total_seconds()
         usable = [
             state
             for state in self.states.values()
@@ -196,7 +197,7 @@
         excluded = request.excluded
         if excluded:
             usable = [state for state in usable if state.key not in excluded]
-        if self.suspects.is_suspect(request.fingerprint):
+        if self.suspects.is_suspect(request.fingerprint, time):
             separate = [
                 state for state in usable if not state.has_crash_suspect
             ]
--- a/src/crocusproxy/routing/crash.py
+++ b/src/crocusproxy/routing/crash.py
@@ -28,17 +28,19 @@
     """Finds requests that were in flight at crashes of two upstreams.
 
     A request that is answered in between is cleared, so that a popular request
-    is not confirmed only because it is in flight everywhere.
+    is not confirmed only because it is in flight everywhere. Entries expire
+    with time; ``next_expiry`` is the earliest time at which one may.
     """
 
     def __init__(self) -> None:
         # The upstream and the time of the crash, by fingerprint.
         self.suspects: dict[str, tuple[str, timedelta]] = {}
         self.confirmed_until: dict[str, timedelta] = {}
+        self.next_expiry = timedelta.max
 
     def crashed(self, crash: Crash) -> frozenset[str]:
         """Record a crash and return the fingerprints that it confirms."""
-        self._drop_expired(crash.at)
+        self.expire(crash.at)
         confirmed = frozenset(
             fingerprint
             for fingerprint in crash.fingerprints
@@ -47,14 +49,42 @@
         for fingerprint in crash.fingerprints - confirmed:
             if len(self.suspects) < MAX_SUSPECTS:
                 self.suspects[fingerprint] = (crash.upstream, crash.at)
+                self._expect_expiry(crash.at + SUSPICION_PERIOD)
         self.confirm(confirmed, crash.at)
         return confirmed
 
     def confirm(self, fingerprints: Iterable[str], now: timedelta) -> None:
         """Refuse fingerprints that this or another home confirmed."""
+        until = now + CONFIRMATION_PERIOD
         for fingerprint in fingerprints:
             self.suspects.pop(fingerprint, None)
-            self.confirmed_until[fingerprint] = now + CONFIRMATION_PERIOD
+            self.confirmed_until[fingerprint] = until
+            self._expect_expiry(until)
+
+    def expire(self, now: timedelta) -> None:
+        """Remove the entries whose time has passed.
+
+        Each request calls this, so nothing is done before ``next_expiry``.
+        """
+        if now < self.next_expiry:
+            return
+        self.suspects = {
+            fingerprint: first_crash
+            for fingerprint, first_crash in self.suspects.items()
+            if now <= first_crash[1] + SUSPICION_PERIOD
+        }
+        self.confirmed_until = {
+            fingerprint: until
+            for fingerprint, until in self.confirmed_until.items()
+            if now < until
+        }
+        self.next_expiry = min(
+            (
+                *(at + SUSPICION_PERIOD for _, at in self.suspects.values()),
+                *self.confirmed_until.values(),
+            ),
+            default=timedelta.max,
+        )
 
     def answered(self, fingerprint: str) -> None:
         """Clear a request that an upstream has answered.
@@ -66,8 +96,9 @@
             self.suspects.pop(fingerprint, None)
             self.confirmed_until.pop(fingerprint, None)
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, fingerprint: str, now: timedelta) -> bool:
         """Return whether a request was in flight at a recent crash."""
+        self.expire(now)
         return fingerprint in self.suspects
 
     def refused_for(self, fingerprint: str, now: timedelta) -> timedelta:
@@ -79,14 +110,5 @@
         first, _ = self.suspects.get(fingerprint, (upstream, None))
         return first != upstream
 
-    def _drop_expired(self, now: timedelta) -> None:
-        self.suspects = {
-            fingerprint: first_crash
-            for fingerprint, first_crash in self.suspects.items()
-            if now - first_crash[1] <= SUSPICION_PERIOD
-        }
-        self.confirmed_until = {
-            fingerprint: until
-            for fingerprint, until in self.confirmed_until.items()
-            if until > now
-        }
+    def _expect_expiry(self, at: timedelta) -> None:
+        self.next_expiry = min(self.next_expiry, at)
--- a/tests/membership/test_crash_exchange.py
+++ b/tests/membership/test_crash_exchange.py
@@ -149,7 +149,9 @@
 
     async def scenario(home, first, second):
         second.elector._apply_message(message)
-        assert second.watch.tracker.is_suspect(FINGERPRINT)
+        assert second.watch.tracker.is_suspect(
+            FINGERPRINT, second.watch.clock.monotonic()
+        )
 
     run_with_home(scenario)
 
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from datetime import timedelta
+from types import SimpleNamespace
 
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
 
-from crocusproxy.clock import SystemClock
+from crocusproxy.clock import ManualClock, SystemClock
 from crocusproxy.membership.view import Instance
 from crocusproxy.protocol.crashes import CrashReport
 from crocusproxy.proxy.crashes import CrashWatch, post_report
@@ -38,6 +39,17 @@
     assert not suspects.confirmed_until
 
 
+def test_expired_suspects_cost_no_fingerprints():
+    """Every body was hashed until the next crash."""
+    clock = ManualClock()
+    watch = CrashWatch(clock)
+    inbound = SimpleNamespace(fingerprint=lambda: 'bad')
+    watch.apply_report(CrashReport('s/a', ('bad',)))
+    assert watch.fingerprint(inbound) == 'bad'
+    clock.advance(61 * SECOND)
+    assert not watch.fingerprint(inbound)
+
+
 def test_an_answered_request_is_no_suspect():
     """A frequent request may be in flight during unrelated crashes."""
     suspects = CrashSuspects()
--- a/tests/routing/test_crash.py
+++ b/tests/routing/test_crash.py
@@ -45,6 +45,20 @@
     assert not suspects.crashed(crash('s/b', 'x', at=later))
 
 
+def test_entries_expire_without_another_crash():
+    """They stayed, and every request was hashed to look for them."""
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'bad', 'x'))
+    suspects.crashed(crash('s/b', 'bad', at=30))
+    assert suspects.is_suspect('x', SUSPICION_PERIOD)
+    later = SUSPICION_PERIOD + timedelta(seconds=1)
+    assert not suspects.is_suspect('x', later)
+    assert suspects.refused_for('bad', later)
+    suspects.expire(timedelta(seconds=30) + CONFIRMATION_PERIOD)
+    assert not suspects.suspects
+    assert not suspects.confirmed_until
+
+
 def test_confirmed_request_is_cleared_when_a_copy_is_answered():
     """A popular request in flight at both crashes stayed refused too long."""
     suspects = CrashSuspects()
