Forget long timeouts of callers after one to two minutes

Cause: RouteTiming kept the longest timeout ever seen on a route. Each later request with a shorter one counted as if it had lost the difference on its way, so after one phase of longer timeouts its target time stayed in the past, and the order of requests under scarcity was wrong until a restart. Change: the maximum is that of the current period of 60 s and the one before, which costs two comparisons per request.

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -195,7 +195,8 @@
             table.config.version,
             received_at,
             received_at + _time_limit(caller_timeout, route),
-            received_at + timing.seconds_to_target(route, caller_timeout),
+            received_at
+            + timing.seconds_to_target(route, caller_timeout, received_at),
             account=_account_of(outgoing_request.identity),
         )
 
--- a/src/crocusproxy/routes/timing.py
+++ b/src/crocusproxy/routes/timing.py
@@ -1,5 +1,6 @@
 """Estimates of the remaining and the service time of a route's requests."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 
 from .model import Route
@@ -11,6 +12,33 @@
 INITIAL_SERVICE_TIME_SHARE = 0.3
 #: Network round trip between a caller and the system.
 CALLER_ROUND_TRIP = timedelta(milliseconds=20)
+#: A timeout counts for one to two such periods after its request. Callers that
+#: use a longer one for a while would otherwise make every later request look
+#: as if it had lost the difference on its way.
+TIMEOUT_PERIOD_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class RecentMaximum:
+    """The highest value of the current period and the one before.
+
+    Times are monotonic seconds.
+    """
+
+    started_at: float
+    current: float = 0
+    previous: float = 0
+
+    def update(self, value: float, now: float) -> float:
+        """Add a value and return the maximum."""
+        age = now - self.started_at
+        if age >= TIMEOUT_PERIOD_SECONDS:
+            is_recent = age < 2 * TIMEOUT_PERIOD_SECONDS
+            self.previous = self.current if is_recent else 0
+            self.current = 0
+            self.started_at = now
+        self.current = max(self.current, value)
+        return max(self.current, self.previous)
 
 
 class RouteTiming:
@@ -18,30 +46,32 @@
 
     The service time is the duration of a request at an upstream of the usual
     speed. A caller may send its remaining timeout. If this is shorter than the
-    longest timeout seen on the route, the difference has passed before the
+    longest recent timeout on the route, the difference has passed before the
     request arrived: in a name lookup, a connect or an earlier attempt. Times
     are seconds.
     """
 
     def __init__(self) -> None:
-        self.longest_timeout: dict[str, float] = {}
+        self.longest_timeouts: dict[str, RecentMaximum] = {}
         self.service_time_estimates: dict[str, float] = {}
 
     def seconds_to_target(
-        self, route: Route, remaining_timeout: float | None
+        self, route: Route, remaining_timeout: float | None, now: float
     ) -> float:
         """Return the seconds that remain to meet the target latency.
 
-        ``remaining_timeout`` is in seconds, None if the caller sent none.
+        ``remaining_timeout`` is in seconds, None if the caller sent none, and
+        ``now`` in monotonic seconds.
         """
         target = route.target_latency.total_seconds()
         target -= CALLER_ROUND_TRIP.total_seconds()
         if remaining_timeout is None:
             return target
-        longest = max(
-            self.longest_timeout.get(route.name, 0), remaining_timeout
-        )
-        self.longest_timeout[route.name] = longest
+        recent = self.longest_timeouts.get(route.name)
+        if recent is None:
+            recent = RecentMaximum(now)
+            self.longest_timeouts[route.name] = recent
+        longest = recent.update(remaining_timeout, now)
         return target - (longest - remaining_timeout)
 
     def expected_service_time(self, route: Route) -> float:
