Let no order of arrival decide between records of one start

Cause: of two different member records with the same start time the one that arrived last replaced the other, at each instance in its own order. It happens when an older build passes a member on without the fields that it does not know (`knows_shared`), and if two instances have the same name: the records replaced each other with each message, and each change counted as a new revision, for which the home writes the member list again. Change: such records have a total order; the one that states more holds.

--- a/src/crocusproxy/membership/member_list.py
+++ b/src/crocusproxy/membership/member_list.py
@@ -8,6 +8,7 @@
 class MemberList:
     """Members by name; a later start of an instance replaces an earlier one.
 
+    All instances keep the same one of several records with one start time.
     ``revision`` grows with each change of the list.
     """
 
@@ -23,7 +24,7 @@
             known = self.members.get(member.name)
             if member.name == self.own.name or known == member:
                 continue
-            if known is None or known.started_at <= member.started_at:
+            if known is None or _precedence(known) < _precedence(member):
                 self.members[member.name] = member
                 changed = True
         self.revision += changed
@@ -41,3 +42,18 @@
     def all(self) -> tuple[Member, ...]:
         """Return every member, this one included."""
         return tuple(self.members.values())
+
+
+def _precedence(member: Member) -> tuple[int, bool, float, tuple[str, ...]]:
+    """Return the sort key of the records of a member; the highest one holds.
+
+    Records with one start time differ if an older build has passed one on
+    without the fields that it does not know, or if two instances have the same
+    name. The order of arrival must not decide, as it differs by instance.
+    """
+    return (
+        member.started_at,
+        member.knows_shared,
+        member.capacity,
+        (member.failure_domain, member.internal, member.callers),
+    )
