Limit failed sign-ins by client address and operator

Cause: ten failed sign-ins within a minute refused all sign-ins to the console, so one client that kept guessing locked out every operator. Change: failures are counted per client address (IPv6 by /64) and operator name. The sign-in form has an optional operator name: behind a proxy all clients have one address, and operators who enter their name are counted apart. A token is valid only for the named operator, and unknown names share the count without a name, so names give no further attempts.

--- a/src/crocusproxy/console/security.py
+++ b/src/crocusproxy/console/security.py
@@ -16,7 +16,9 @@
     (SIGN_IN_PATH, '/static/console.css', '/metrics', '/healthz', '/readyz')
 )
 _RESUMABLE_FORM_PATHS = frozenset(('/preview', '/edit', '/publish'))
-_UNSAVED_INPUTS = frozenset(('token', 'form_token', 'seal', 'submission'))
+_UNSAVED_INPUTS = frozenset(
+    ('token', 'operator', 'form_token', 'seal', 'submission')
+)
 _SECURITY_HEADERS = (
     (
         'Content-Security-Policy',
--- a/src/crocusproxy/console/sessions.py
+++ b/src/crocusproxy/console/sessions.py
@@ -8,12 +8,10 @@
 
 from ..clock import Clock
 from ..errors import CrocusError
+from .failed_sign_ins import FailedSignIns, SignInOrigin, client_of
 from .settings import Operator
 
 SESSION_LIFETIME = timedelta(hours=8)
-#: Failed sign-ins within the window after which all sign-ins are refused.
-MAX_FAILED_SIGN_INS = 10
-FAILURE_WINDOW = timedelta(minutes=1)
 _MAX_SESSIONS = 1000
 
 
@@ -49,33 +47,37 @@
 
 
 class SessionStore:
-    """The sessions of one console process; a restart ends all of them.
-
-    ``failure_times`` are the times of failed sign-ins on the monotonic clock.
-    """
+    """The sessions of one console process; a restart ends all of them."""
 
     def __init__(self, operators: tuple[Operator, ...], clock: Clock) -> None:
         self.operators = operators
         self.clock = clock
         self.sessions: dict[str, Session] = {}
-        self.failure_times: list[timedelta] = []
+        self.failed_sign_ins = FailedSignIns()
 
-    def sign_in(self, token: str) -> Session:
+    def sign_in(
+        self, token: str, address: str = '', operator_name: str = ''
+    ) -> Session:
         """Open a session for the operator with ``token``.
 
+        ``address`` is that of the client. If it names an operator, the token
+        must be that operator's.
+
         Raises:
             SignInError: no operator has this token.
             TooManyFailedSignInsError: too many sign-ins failed within a minute.
         """
         now = self.clock.monotonic()
         self._remove_expired(now)
-        if len(self.failure_times) >= MAX_FAILED_SIGN_INS:
+        origin = self._origin(address, operator_name)
+        if self.failed_sign_ins.is_limited(origin, now):
             raise TooManyFailedSignInsError(
-                'too many failed sign-ins', hint='wait a minute'
+                'too many failed sign-ins',
+                hint='wait a minute, or enter your operator name',
             )
         operator = self._find_operator(token)
-        if operator is None:
-            self.failure_times.append(now)
+        if operator is None or operator_name not in {'', operator.name}:
+            self.failed_sign_ins.record(origin, now)
             raise SignInError('the token is unknown', hint='check the token')
         session = Session(
             identifier=secrets.token_urlsafe(),
@@ -111,6 +113,11 @@
                 hint='open the page again and repeat the change',
             )
 
+    def _origin(self, address: str, operator_name: str) -> SignInOrigin:
+        names = {operator.name for operator in self.operators}
+        known_name = operator_name if operator_name in names else ''
+        return SignInOrigin(client_of(address), known_name)
+
     def _find_operator(self, token: str) -> Operator | None:
         digest = hashlib.sha256(token.encode()).hexdigest()
         matching_operator = None
@@ -121,11 +128,6 @@
         return matching_operator
 
     def _remove_expired(self, now: timedelta) -> None:
-        self.failure_times = [
-            failure_time
-            for failure_time in self.failure_times
-            if failure_time > now - FAILURE_WINDOW
-        ]
         active_sessions = [
             session
             for session in self.sessions.values()
--- a/src/crocusproxy/console/sign_in_pages.py
+++ b/src/crocusproxy/console/sign_in_pages.py
@@ -6,11 +6,11 @@
 
 from ..logs import log
 from .console import SESSION_KEY, Console, read_post
+from .failed_sign_ins import FAILURE_WINDOW
 from .forms import read_form
 from .security import SIGN_IN_PATH, inputs_to_save
 from .service_pages import ServicePages
 from .sessions import (
-    FAILURE_WINDOW,
     SESSION_LIFETIME,
     Session,
     SignInError,
@@ -43,7 +43,9 @@
         saved_inputs = inputs_to_save(posted)
         try:
             session = self.console.sessions.sign_in(
-                posted.get('token', '').strip()
+                posted.get('token', '').strip(),
+                request.remote or '',
+                posted.get('operator', '').strip(),
             )
         except SignInError as error:
             log('console_sign_in_failed', peer=request.remote)
--- a/tests/console/test_security.py
+++ b/tests/console/test_security.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crocusproxy.console.sessions import MAX_FAILED_SIGN_INS
+from crocusproxy.console.failed_sign_ins import MAX_FAILED_SIGN_INS
 from tests.console.harness import Form, with_console
 
 
@@ -98,7 +98,10 @@
     platform.daemon.console.sessions.sessions.clear()
     deletion = {'base': '1', 'name': 'redaccion'}
     await browser.post('/delete', deletion)
-    assert Form(browser.page, '/sign-in').inputs.keys() == {'token'}
+    assert Form(browser.page, '/sign-in').inputs.keys() == {
+        'operator',
+        'token',
+    }
 
 
 @with_console
@@ -112,6 +115,9 @@
     await browser.sign_in()
     assert browser.status == 429
     assert browser.response.headers['Retry-After'] == '60'
+    sign_in_form = {'operator': 'ana', 'token': 'secret-a'}
+    await browser.post('/sign-in', sign_in_form)
+    assert browser.status == 200
 
 
 @with_console
