Check the exits of soak processes during the run and serialize reloads

Cause: the soak looked for a process that had ended by itself only at the end of a run, so a later planned kill or termination replaced the process and hid the exit. Two reloads of one instance could overlap: the second one changed the settings file before the first one's signal was handled. Change: each instance is checked every 0.1 s and before each signal that replaces its process; each exit is one violation with its time. Reloads have a lock of their own, as they may still happen during a kill or a pause.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import subprocess
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -24,6 +25,7 @@
 SHUTDOWN_TIMEOUT_SECONDS = 3.0
 READY_TIMEOUT_SECONDS = 15.0
 _POLL_SECONDS = 0.05
+EXIT_CHECK_SECONDS = 0.1
 #: The interpreter has no signal handlers before this, whatever the program
 #: does.
 INTERPRETER_START_SECONDS = 0.3
@@ -60,6 +62,9 @@
         self.validity_seconds = 1
         #: Serializes kills, terminations and pauses.
         self.lock = asyncio.Lock()
+        #: Serializes reloads, which may happen during a kill or a pause.
+        self.reload_lock = asyncio.Lock()
+        self.reported_exit: subprocess.Popen | None = None
 
     async def start(self, seeds: tuple[str, ...]) -> None:
         await self.link.start()
@@ -100,6 +105,7 @@
     async def kill(self, down_seconds: float) -> None:
         """Send SIGKILL and restart after ``down_seconds``."""
         async with self.lock:
+            self.check_exit()
             start = self.now()
             self.processes.kill(self.name)
             await asyncio.sleep(down_seconds)
@@ -112,6 +118,7 @@
         A timeout and a nonzero exit status are violations.
         """
         async with self.lock:
+            self.check_exit()
             start = self.now()
             process = self.processes.running[self.name]
             process.send_signal(signal.SIGTERM)
@@ -143,14 +150,15 @@
 
     async def reload(self, times: int) -> None:
         """Change the settings file and send SIGHUP, ``times`` times."""
-        for _ in range(times):
-            self.validity_seconds = 3 - self.validity_seconds
-            self.write_settings()
-            process = self.processes.running.get(self.name)
-            # A process that starts later reads the file then.
-            if process is not None and self._handles_signals():
-                process.send_signal(signal.SIGHUP)
-            await asyncio.sleep(_POLL_SECONDS)
+        async with self.reload_lock:
+            for _ in range(times):
+                self.validity_seconds = 3 - self.validity_seconds
+                self.write_settings()
+                process = self.processes.running.get(self.name)
+                # A process that starts later reads the file then.
+                if process is not None and self._handles_signals():
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(_POLL_SECONDS)
 
     async def is_ready(self) -> bool:
         try:
@@ -162,11 +170,32 @@
             return False
         return status == 200
 
+    async def watch_exits(self) -> None:
+        """Record each unexpected exit soon after it, until cancelled."""
+        while True:
+            await asyncio.sleep(EXIT_CHECK_SECONDS)
+            # A signal may end the process while the lock is held.
+            async with self.lock:
+                self.check_exit()
+
+    def check_exit(self) -> None:
+        """Record an exit that no signal has caused, once.
+
+        Also called before a signal that replaces the process, as the exit
+        would be lost with it.
+        """
+        process = self.processes.running[self.name]
+        if process.poll() is None or process is self.reported_exit:
+            return
+        self.reported_exit = process
+        self._add_violation(
+            f'ended by itself with {process.returncode} '
+            f'before second {self.now():.2f}'
+        )
+
     def check(self) -> None:
         """Record an unexpected exit and forbidden log lines."""
-        process = self.processes.running[self.name]
-        if process.poll() is not None:
-            self._add_violation(f'ended by itself with {process.returncode}')
+        self.check_exit()
         lines = Path(self.processes.log_path(self.name)).read_text()
         for line in lines.splitlines():
             if any(text in line for text in FORBIDDEN_LOG_TEXTS):
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -160,6 +160,10 @@
             asyncio.create_task(caller.run()) for caller in self.callers
         ]
         self.tasks.append(asyncio.create_task(self._record_delays()))
+        self.tasks.extend(
+            asyncio.create_task(instance.watch_exits())
+            for instance in self.instances
+        )
 
     async def _record_delays(self) -> None:
         """Record when this process, and so the callers, did not run."""
