Remove the queries of the ledger that only tests called

Cause: Ledger.known_claim and is_known_unclaimed had no caller in the programs. Change: removed; tests look at the claim table instead and wait until the reader has applied all records of the stand-in. The state machine checks the table without the exception for keys in use, which is stricter. test_pending_claim_of_the_same_process_blocks_the_key tested only the removed query, and so did one assertion each of the tests for an outage and for a reader that has not started.

--- a/src/crocusproxy/ledger/claim_registry.py
+++ b/src/crocusproxy/ledger/claim_registry.py
@@ -3,7 +3,6 @@
 The ledger passes in the times, the outcomes of appends and the records read.
 """
 
-from collections import Counter
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
@@ -43,7 +42,6 @@
         self.clock = clock
         self.table = ClaimTable(settings.horizon, settings.clock_bound)
         self.own_claims: dict[str, OwnClaim] = {}
-        self.own_keys: Counter[str] = Counter()
         # Entries by nonce, until a response or a read confirms their append.
         self.unconfirmed_claims: dict[str, Claim] = {}
         self.unconfirmed_voids: dict[str, Void] = {}
@@ -69,7 +67,6 @@
             result = ClaimUnavailable('platform_unavailable')
         if result is None:
             self.own_claims[claim.nonce] = OwnClaim(claim, deadline)
-            self.own_keys[claim.key] += 1
             self.unconfirmed_claims[claim.nonce] = claim
         return result
 
@@ -187,7 +184,7 @@
         It never becomes dispatchable, and its key is released as soon as the
         platform accepts the void.
         """
-        own_claim = self._remove(nonce)
+        own_claim = self.own_claims.pop(nonce, None)
         if own_claim is None:
             return None
         own_claim.result = ClaimUnavailable(reason)
@@ -202,7 +199,7 @@
         own_claim = self.own_claims.get(nonce)
         if own_claim is None or not isinstance(own_claim.result, Claimed):
             return
-        self._remove(nonce)
+        self.own_claims.pop(nonce)
         completion = Completion(nonce, own_claim.claim.key, status)
         self.unconfirmed_completions[nonce] = (
             completion,
@@ -220,19 +217,6 @@
             and self.clock.now() < own_claim.claim.expiry
         )
 
-    def is_in_use(self, key: str) -> bool:
-        """Return whether this process waits for or holds a claim of ``key``."""
-        return key in self.own_keys
-
-    def is_known_unclaimed(self, key: str, expiry: datetime) -> bool:
-        """Return whether ``key`` had no claim up to the last read.
-
-        False also means unknown, for example if records are missing.
-        """
-        if self.is_in_use(key) or self.table.holder(key):
-            return False
-        return self.table.is_complete_for(expiry)
-
     def is_stream_idle(self, interval: timedelta) -> bool:
         """Return whether no record was read for ``interval``."""
         return self.clock.monotonic() - self.last_read >= interval
@@ -265,7 +249,7 @@
         holder = self.table.holder(own_claim.claim.key)
         if verdict is ClaimVerdict.late and holder:
             own_claim.result = AlreadyClaimed(holder)
-            self._remove(nonce)
+            self.own_claims.pop(nonce)
             return
         reason = self._failure_reason(own_claim, verdict)
         if reason:
@@ -284,14 +268,6 @@
             return 'deadline_passed'
         return ''
 
-    def _remove(self, nonce: str) -> OwnClaim | None:
-        own_claim = self.own_claims.pop(nonce, None)
-        if own_claim:
-            self.own_keys[own_claim.claim.key] -= 1
-            if not self.own_keys[own_claim.claim.key]:
-                self.own_keys.pop(own_claim.claim.key)
-        return own_claim
-
     def _remove_expired(self) -> None:
         now = self.clock.monotonic()
         if now - self.last_cleanup < _CLEANUP_INTERVAL:
@@ -308,4 +284,4 @@
                 self.unconfirmed_completions.pop(nonce)
         for nonce, own_claim in tuple(self.own_claims.items()):
             if own_claim.result and own_claim.claim.expiry <= expiry_cutoff:
-                self._remove(nonce)
+                self.own_claims.pop(nonce)
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -14,7 +14,6 @@
 from .results import (
     Claimed,
     ClaimResult,
-    ClaimState,
     ClaimUnavailable,
     LedgerSettings,
 )
@@ -134,30 +133,6 @@
         self.registry.complete(nonce, status)
         self.appender.notify()
 
-    def known_claim(self, key: str) -> ClaimState | None:
-        """Return the claim that the local table has for ``key``.
-
-        None does not prove that there is no claim: the table may be behind.
-        """
-        return self.registry.table.holder(key)
-
-    async def is_known_unclaimed(
-        self, key: str, expiry: datetime, wait: timedelta
-    ) -> bool:
-        """Read the stream to its end; return whether ``key`` has no claim.
-
-        False also means unknown, for example if the platform does not respond
-        within ``wait`` or records are missing.
-        """
-        if self.registry.is_in_use(key) or self.appender.platform_down:
-            return False
-        try:
-            async with asyncio.timeout(wait.total_seconds()):
-                reached_end = await self.reader.read_to_end()
-        except TimeoutError:
-            return False
-        return reached_end and self.registry.is_known_unclaimed(key, expiry)
-
     def _give_up(self, nonce: str, reason: str) -> None:
         own_claim = self.registry.give_up(nonce, reason)
         if own_claim:
--- a/tests/ledger/test_claim_registry.py
+++ b/tests/ledger/test_claim_registry.py
@@ -109,15 +109,6 @@
     assert result.state.status == 201
 
 
-def test_pending_claim_of_the_same_process_blocks_the_key():
-    registry = make_registry()
-    request_claim(registry, 'a')
-    expiry = START + timedelta(minutes=10)
-    assert not registry.is_known_unclaimed('k', expiry)
-    registry.give_up('a', 'voided')
-    assert registry.is_known_unclaimed('k', expiry)
-
-
 def test_unconfirmed_claim_cannot_be_completed():
     registry = make_registry()
     request_claim(registry, 'a')
@@ -147,9 +138,7 @@
     registry.complete('c', 200)
     registry.clock.advance(timedelta(minutes=11))
     assert registry.next_batch() is None
-    assert not (
-        registry.own_claims or registry.own_keys or registry.unconfirmed_voids
-    )
+    assert not (registry.own_claims or registry.unconfirmed_voids)
     assert not (registry.unconfirmed_completions or registry.unconfirmed_claims)
 
 
--- a/tests/ledger/test_claim_state_machine.py
+++ b/tests/ledger/test_claim_state_machine.py
@@ -174,7 +174,8 @@
             return
         name, expiry = self.name_and_expiry(key)
         self.read(instance)
-        if instance.registry.is_known_unclaimed(name, expiry):
+        table = instance.registry.table
+        if table.holder(name) is None and table.is_complete_for(expiry):
             assert name not in self.dispatched, (
                 f'{name} ran as {self.dispatched[name]}'
             )
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -24,8 +24,6 @@
 
 SETTINGS = LedgerSettings(append_interval=timedelta(milliseconds=1))
 
-READ_WAIT = timedelta(seconds=5)
-
 
 def future_expiry():
     return datetime.now(timezone.utc) + timedelta(minutes=10)
@@ -58,6 +56,23 @@
             await asyncio.sleep(0.005)
 
 
+async def is_unclaimed(platform, ledger, key, expiry):
+    """Wait for all records; return whether they contain no claim of a key."""
+    table = ledger.registry.table
+    await wait_until(
+        lambda: table.next_offset >= platform.streams['claims'].next
+    )
+    return table.holder(key) is None and table.is_complete_for(expiry)
+
+
+def known_claim(ledger, key):
+    return ledger.registry.table.holder(key)
+
+
+def own_keys(ledger):
+    return {one.claim.key for one in ledger.registry.own_claims.values()}
+
+
 def deadline_in(ledger, seconds):
     return ledger.clock.monotonic() + timedelta(seconds=seconds)
 
@@ -80,7 +95,7 @@
 
 @with_ledgers(2)
 async def test_re_send_through_another_instance_finds_the_claim(
-    _, first, second
+    platform, first, second
 ):
     expiry = future_expiry()
     claimed = await first.claim('s/k', 'd', expiry)
@@ -88,12 +103,12 @@
     assert first.may_dispatch(claimed.nonce)
     resent = await second.claim('s/k', 'd', expiry)
     assert resent.state.nonce == claimed.nonce
-    assert not await second.is_known_unclaimed('s/k', expiry, READ_WAIT)
-    assert await second.is_known_unclaimed('s/other', expiry, READ_WAIT)
+    assert not await is_unclaimed(platform, second, 's/k', expiry)
+    assert await is_unclaimed(platform, second, 's/other', expiry)
     await first.complete(claimed.nonce, 201)
-    await wait_until(lambda: second.known_claim('s/k').status == 201)
+    await wait_until(lambda: known_claim(second, 's/k').status == 201)
     resent = await second.claim('s/k', 'd', expiry)
-    assert resent == AlreadyClaimed(second.known_claim('s/k'))
+    assert resent == AlreadyClaimed(known_claim(second, 's/k'))
 
 
 @with_ledgers(2)
@@ -181,9 +196,6 @@
             's/k', 'd', future_expiry(), deadline_in(ledger, 60)
         )
         assert result == ClaimUnavailable('platform_unavailable')
-    assert not await ledger.is_known_unclaimed(
-        's/k', future_expiry(), READ_WAIT
-    )
     assert not ledger.registry.unconfirmed_voids
     platform.faults.outage = False
     await wait_until(lambda: not ledger.appender.platform_down)
@@ -228,7 +240,7 @@
     await wait_until(
         lambda: platform.appends >= 3 and not ledger.registry.unconfirmed_voids
     )
-    assert await other.is_known_unclaimed('s/k', expiry, READ_WAIT)
+    assert await is_unclaimed(platform, other, 's/k', expiry)
     assert isinstance(await other.claim('s/k', 'd', expiry), Claimed)
 
 
@@ -245,8 +257,8 @@
     assert not ledger.may_dispatch(dropped.nonce)
     await wait_until(lambda: ledger.appender.platform_down)
     platform.faults.outage = False
-    await wait_until(lambda: ledger.known_claim('s/done').status == 200)
-    await wait_until(lambda: ledger.known_claim('s/dropped') is None)
+    await wait_until(lambda: known_claim(ledger, 's/done').status == 200)
+    await wait_until(lambda: known_claim(ledger, 's/dropped') is None)
 
 
 @with_ledgers(2)
@@ -267,11 +279,11 @@
     await asyncio.gather(task, return_exceptions=True)
     await wait_until(
         lambda: (
-            's/k' not in ledger.registry.own_keys
+            's/k' not in own_keys(ledger)
             and not ledger.registry.unconfirmed_voids
         )
     )
-    assert await other.is_known_unclaimed('s/k', expiry, READ_WAIT)
+    assert await is_unclaimed(platform, other, 's/k', expiry)
 
 
 @with_ledgers(1)
@@ -281,7 +293,7 @@
     claimed = await ledger.claim('s/k', 'd', future_expiry())
     platform.faults.delay_ms = 50
     waiting = asyncio.create_task(ledger.claim('s/w', 'd', future_expiry()))
-    await wait_until(lambda: 's/w' in ledger.registry.own_keys)
+    await wait_until(lambda: 's/w' in own_keys(ledger))
     await ledger.complete(claimed.nonce, 200)
     await ledger.stop()
     assert await waiting == ClaimUnavailable('stopped')
@@ -300,8 +312,6 @@
     await earlier.claim('s/k', 'd', expiry)
     for _ in range(1200):
         platform.streams['claims'].append({})
-    unstarted = Ledger(earlier.reader.platform, SystemClock(), SETTINGS)
-    assert not await unstarted.is_known_unclaimed('s/k', expiry, READ_WAIT)
     started = Ledger(earlier.reader.platform, SystemClock(), SETTINGS)
     await started.start()
     result = await started.claim('s/k', 'd', expiry)
@@ -312,9 +322,7 @@
 @with_ledgers(1, keep=0)
 async def test_reader_that_missed_records_confirms_no_claim(platform, ledger):
     await ledger.reader.platform.append('claims', {})
-    assert not await ledger.is_known_unclaimed(
-        's/k', future_expiry(), READ_WAIT
-    )
+    assert not await is_unclaimed(platform, ledger, 's/k', future_expiry())
     platform.faults.keep = 100
     result = await ledger.claim('s/k', 'd', future_expiry())
     assert result == ClaimUnavailable('records_missing')
--- a/tests/proxy/test_claims.py
+++ b/tests/proxy/test_claims.py
@@ -92,7 +92,13 @@
             assert refused.outcome == 'not-run'
             # The key can be claimed again once the void record has been read.
             await wait_until(
-                lambda: not (proxy.core.dispatcher.ledger.known_claim('s/k1'))
+                lambda: (
+                    not (
+                        proxy.core.dispatcher.ledger.registry.table.holder(
+                            's/k1'
+                        )
+                    )
+                )
             )
             again = await proxy.call(POST, KEY)
             assert (again.status, again.outcome) == (200, 'answered')
@@ -117,7 +123,9 @@
             assert await reader.read() == b''
             async with proxies(1, upstream, address) as [proxy]:
                 await wait_until(
-                    lambda: proxy.core.dispatcher.ledger.known_claim('s/k1')
+                    lambda: proxy.core.dispatcher.ledger.registry.table.holder(
+                        's/k1'
+                    )
                 )
                 response = await proxy.call(POST, KEY)
         assert (response.status, response.outcome) == (409, 'unknown')
