Record the peak of the response budget in the test that checks it

Cause: ResponseBudget.peak_bytes was updated with each part of a response and read by one test only.

--- a/src/crocusproxy/entry/response_budget.py
+++ b/src/crocusproxy/entry/response_budget.py
@@ -15,7 +15,6 @@
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = total_bytes
         self.used_bytes = 0
-        self.peak_bytes = 0
 
     def take(self, held_bytes: int, more_bytes: int) -> bool:
         """Take bytes for a response that holds some, or return False."""
@@ -23,7 +22,6 @@
         if held_bytes + more_bytes > left_bytes:
             return False
         self.used_bytes += more_bytes
-        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
         return True
 
     def give_back(self, held_bytes: int) -> None:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -66,12 +66,23 @@
     )
 
 
+class ObservedBudget(ResponseBudget):
+    """Records the most bytes that responses have taken together."""
+
+    peak_bytes = 0
+
+    def take(self, held_bytes, more_bytes):
+        is_taken = super().take(held_bytes, more_bytes)
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        return is_taken
+
+
 class GatewaySystem:
     """One gateway with its port and its upstreams."""
 
     def __init__(self):
         self.catalog = Catalog()
-        self.budget = ResponseBudget(RESPONSE_BUDGET_BYTES)
+        self.budget = ObservedBudget(RESPONSE_BUDGET_BYTES)
         self.pool = ConnectionPool(
             timedelta(seconds=1),
             timedelta(seconds=8),
