Split the checks of stated terms from soak/invariants.py

Change: the checks of limits, leaving and backoffs move to soak/terms_invariants.py, and what counts as a disturbance to propagation.py, which had a copy of it.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -14,7 +14,13 @@
     wrong_rejections,
 )
 from .placement_invariants import cold_bursts, evacuated_arrivals
-from .records import InstanceDisturbance, RunRecord, SentRequest, Statement
+from .propagation import is_excused, unplanned_disturbances
+from .records import RunRecord, SentRequest
+from .terms_invariants import (
+    exceeded_limits,
+    requests_after_leaving,
+    requests_in_backoff,
+)
 
 #: Statuses that guarantee that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -27,15 +33,6 @@
 INTERRUPTION_GRACE_SECONDS = 3.0
 #: A response may arrive this long after the timeout of its request.
 RESPONSE_SLACK_SECONDS = 0.5
-#: Instances apply stated terms within this time after a response with them.
-TERMS_SLACK_SECONDS = 0.5
-LIMIT_WINDOW_SECONDS = 4.0
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
-DRAIN_SECONDS = 2.0
-#: Requests of each instance that may cross the refusal with the backoff.
-BACKOFF_SLACK = 2
-
 #: Callers of an instance without upstreams are served from this time on.
 HANDOVER_SECONDS = 3.0
 #: They are served at least this share as often as in the rest of the run.
@@ -57,10 +54,10 @@
         _interrupted_requests,
         _excess_retries,
         _config_rollbacks,
-        _exceeded_limits,
-        _requests_after_leaving,
+        exceeded_limits,
+        requests_after_leaving,
         _unserved_in_cuts,
-        _requests_in_backoff,
+        requests_in_backoff,
         unauthorized_runs,
         wrong_accounts,
         wrong_rejections,
@@ -139,7 +136,7 @@
     return any(
         disturbance.start <= request.ended_at
         and disturbance.end >= request.sent_at
-        for disturbance in _unplanned_disturbances(run)
+        for disturbance in unplanned_disturbances(run)
     )
 
 
@@ -156,21 +153,13 @@
             disturbance.start <= request.ended_at and disturbance.end >= start
             for disturbance in (
                 *run.upstream_disturbances,
-                *_unplanned_disturbances(run),
+                *unplanned_disturbances(run),
             )
         )
         if not is_disturbed:
             yield f'cut off while it ran: {request.request_id}'
 
 
-def _unplanned_disturbances(run: RunRecord) -> list[InstanceDisturbance]:
-    return [
-        disturbance
-        for disturbance in run.instance_disturbances
-        if not disturbance.is_planned
-    ]
-
-
 def _excess_retries(run: RunRecord) -> Iterator[str]:
     seen_ids: set[str] = set()
     retry_times: dict[str, list[float]] = defaultdict(list)
@@ -251,87 +240,6 @@
     )
 
 
-def _told_statements(
-    run: RunRecord, terms: str
-) -> Iterator[tuple[Statement, float]]:
-    """Yield the statements of a kind and when they bind the instances."""
-    for statement in run.statements:
-        if statement.terms == terms and statement.told_at is not None:
-            yield statement, statement.told_at + TERMS_SLACK_SECONDS
-
-
-def _arrival_times(run: RunRecord, upstream: str) -> list[float]:
-    """Return when requests and probes arrived at a server."""
-    requests = [
-        arrival.arrived_at
-        for arrival in run.arrivals
-        if arrival.upstream == upstream
-    ]
-    return sorted((*requests, *run.probe_times.get(upstream, ())))
-
-
-def _is_excused(run: RunRecord, start: float, end: float) -> bool:
-    """Return whether an instance was disturbed, so that it may not know."""
-    return any(
-        disturbance.start <= end and disturbance.end >= start
-        for disturbance in _unplanned_disturbances(run)
-    )
-
-
-def _exceeded_limits(run: RunRecord) -> Iterator[str]:
-    for statement, binds_at in _told_statements(run, 'limit'):
-        allowed = (
-            LIMIT_FACTOR * LIMIT_WINDOW_SECONDS * statement.figure + LIMIT_SLACK
-        )
-        times = [
-            time
-            for time in _arrival_times(run, statement.upstream)
-            if binds_at <= time <= statement.ended_at
-        ]
-        for end in times:
-            start = end - LIMIT_WINDOW_SECONDS
-            count = sum(start < time <= end for time in times)
-            if count > allowed and not _is_excused(run, start, end):
-                yield (
-                    f'{count} requests in 4 s at {statement.upstream} '
-                    f'with limit {statement.figure} before {end:.2f}'
-                )
-                break
-
-
-def _requests_after_leaving(run: RunRecord) -> Iterator[str]:
-    sent_at = {request.request_id: request.sent_at for request in run.requests}
-    for statement, binds_at in _told_statements(run, 'leave'):
-        latest_start = binds_at - TERMS_SLACK_SECONDS + DRAIN_SECONDS
-        for arrival in run.arrivals:
-            if (
-                arrival.upstream == statement.upstream
-                and arrival.arrived_at <= statement.ended_at
-                and sent_at.get(arrival.request_id, 0) > latest_start
-                and not _is_excused(run, binds_at, arrival.arrived_at)
-            ):
-                yield (
-                    f'sent to {statement.upstream}, which leaves: '
-                    f'{arrival.request_id}'
-                )
-
-
-def _requests_in_backoff(run: RunRecord) -> Iterator[str]:
-    instances = {request.instance for request in run.requests}
-    for statement, binds_at in _told_statements(run, 'backoff'):
-        end = binds_at - TERMS_SLACK_SECONDS + statement.figure
-        count = sum(
-            binds_at <= time <= min(end, statement.ended_at)
-            for time in _arrival_times(run, statement.upstream)
-        )
-        is_excused = _is_excused(run, binds_at, end) or any(
-            fault.start <= binds_at and fault.end >= statement.set_at
-            for fault in run.upstream_disturbances
-        )
-        if count > BACKOFF_SLACK * len(instances) and not is_excused:
-            yield f'{count} requests in the backoff of {statement.upstream}'
-
-
 def _unserved_in_cuts(run: RunRecord) -> Iterator[str]:
     """Check that callers of instances without upstreams are served.
 
@@ -343,7 +251,7 @@
         for request in run.requests
         if request.outcome != 'left'
         and _may_expect_service(run, request)
-        and not _is_excused(
+        and not is_excused(
             run, request.sent_at - HANDOVER_SECONDS, request.ended_at
         )
         and _has_able_instance(run, request)
