--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -10,11 +10,10 @@
 from .claim_registry import ClaimRegistry, OwnClaim
 from .platform import LogClient
 from .reader import ClaimsReader
-from .records import Claim
+from .records import Batch, Claim
 from .results import (
     Claimed,
     ClaimResult,
-    ClaimState,
     ClaimUnavailable,
     LedgerSettings,
 )
@@ -38,7 +37,11 @@
             platform, self.registry, clock, self._on_decided
         )
         self.appender = Appender(
-            platform, self.registry, clock, self._reject_unwritten
+            platform,
+            self.registry,
+            clock,
+            on_platform_down=self._reject_unwritten,
+            on_rejected=self._reject_batch,
         )
         self.pending_results: dict[str, asyncio.Future[ClaimResult]] = {}
         self.tasks: tuple[asyncio.Task[None], ...] = ()
@@ -130,30 +133,6 @@
         self.registry.complete(nonce, status)
         self.appender.notify()
 
-    def known_claim(self, key: str) -> ClaimState | None:
-        """Return the claim that the local table has for ``key``.
-
-        None does not prove that there is no claim: the table may be behind.
-        """
-        return self.registry.table.holder(key)
-
-    async def is_known_unclaimed(
-        self, key: str, expiry: datetime, wait: timedelta
-    ) -> bool:
-        """Read the stream to its end; return whether ``key`` has no claim.
-
-        False also means unknown, for example if the platform does not respond
-        within ``wait`` or records are missing.
-        """
-        if self.registry.is_in_use(key) or self.appender.platform_down:
-            return False
-        try:
-            async with asyncio.timeout(wait.total_seconds()):
-                reached_end = await self.reader.read_to_end()
-        except TimeoutError:
-            return False
-        return reached_end and self.registry.is_known_unclaimed(key, expiry)
-
     def _give_up(self, nonce: str, reason: str) -> None:
         own_claim = self.registry.give_up(nonce, reason)
         if own_claim:
@@ -164,6 +143,10 @@
         for nonce in self.registry.unwritten_nonces():
             self._give_up(nonce, 'platform_unavailable')
 
+    def _reject_batch(self, batch: Batch) -> None:
+        for claim in batch.claims:
+            self._give_up(claim.nonce, 'append_rejected')
+
     def _on_decided(self, own_claim: OwnClaim) -> None:
         self.appender.mark_confirmed()
         self._resolve(own_claim)
