--- a/bench/crocus_policy.py
+++ b/bench/crocus_policy.py
@@ -28,7 +28,7 @@
 from .simulation import Job, Request
 
 if TYPE_CHECKING:
-    from .policy import Run
+    from .policy_run import Run
 
 _NEVER = timedelta(seconds=-1)
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -10,7 +10,7 @@
 from .simulation import FaultWindow, Job, Request
 
 if TYPE_CHECKING:
-    from .policy import Run
+    from .policy_run import Run
 
 MAX_ATTEMPTS = 3  # of a request, for policies without a retry budget
 PROBE_SECONDS = 0.0002  # for which a probe occupies a slot
