--- a/bench/placement.py
+++ b/bench/placement.py
@@ -8,78 +8,28 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from datetime import timedelta
 from importlib import import_module
 from pathlib import Path
 from random import Random
-from statistics import fmean
-from types import SimpleNamespace
-from typing import Any
 
 import fire
 import yaml
-from prometheus_client import CollectorRegistry
 
-from crocusproxy.entry.call_results import NotRun, Responded, ResponseLost
-from crocusproxy.entry.crash_watch import CrashWatch
-from crocusproxy.entry.dispatcher import Dispatcher
-from crocusproxy.entry.metrics import EntryMetrics
-from crocusproxy.entry.request_context import RequestContext
-from crocusproxy.entry.request_log import RequestLog
-from crocusproxy.entry.responses import CallerResponse
-from crocusproxy.entry.settings import Bounds
-from crocusproxy.placement.upstream_reach import UpstreamReach
-from crocusproxy.placement.upstream_terms import TermsTable
-from crocusproxy.protocol.home_feed import UpstreamChange
-from crocusproxy.routes.model import (
-    RegisteredUpstream,
-    Route,
-    WeightedService,
-)
-from standins.virtual_time import LoopClock, VirtualLoop
+from standins.virtual_time import VirtualLoop
 
+from .placement_figures import (
+    RequestRecord,
+    RunCounts,
+    figures,
+    mean_of,
+    worth,
+)
+from .placement_policies import DOMAINS, POLICIES
 from .platform_servers import ModelServer, ServerParameters, Slowness
 
 SCENARIOS = Path(__file__).with_name('scenarios') / 'placement'
-SERVICE = 's'
-DOMAINS = ('a', 'b', 'c')
 NEAR_SECONDS = 0.0001
 LATE_CREDIT_SHARE = 0.1
-WINDOW_SECONDS = 2.0
-PROBE_CHECK_INTERVAL_SECONDS = 0.05
-#: Age of a load report above which the product probes in the background.
-BACKGROUND_PROBE_AGE_SECONDS = 0.3
-
-
-@dataclass
-class RequestRecord:
-    """One request, with the credit that it can earn and has earned.
-
-    Times are virtual seconds; a response by ``target_at`` earns ``worth``.
-    """
-
-    kind: str
-    arrived_at: float
-    worth: float
-    target_at: float
-    earned: float = 0
-    is_served: bool = False
-
-
-@dataclass
-class RunCounts:
-    """Requests of a run, and the sends and probes made for them.
-
-    ``far_sends`` go to other failure domains.
-    """
-
-    sends: int = 0
-    far_sends: int = 0
-    probes: int = 0
-    requests: list[RequestRecord] = field(default_factory=list)
 
 
 class Model:
@@ -187,234 +137,6 @@
             record.earned = record.worth * (1 if in_time else LATE_CREDIT_SHARE)
 
 
-class RandomPolicy:
-    """Sends at random without queueing, and retries if a server is full."""
-
-    max_attempts = 3
-
-    def __init__(self, model: Model) -> None:
-        self.model = model
-        self.in_flight: dict[str, int] = defaultdict(int)
-
-    async def run_background(self) -> None:
-        """Do nothing; the policy has no state to update."""
-
-    async def serve(
-        self, kind: dict, work: float, record: RequestRecord, deadline: float
-    ) -> bool:
-        try:
-            async with asyncio.timeout_at(deadline):
-                for _ in range(self.max_attempts):
-                    if await self._send(self.choose(), work):
-                        return True
-        except TimeoutError:
-            return False
-        return False
-
-    def choose(self) -> ModelServer:
-        return self.model.random.choice(list(self.model.servers.values()))
-
-    async def _send(self, server: ModelServer, work: float) -> bool:
-        self.in_flight[server.key] += 1
-        try:
-            return await self.model.call(server, work)
-        finally:
-            self.in_flight[server.key] -= 1
-
-
-class LeastInFlight(RandomPolicy):
-    """Sends to the server with the fewest requests in flight of this entry."""
-
-    def choose(self) -> ModelServer:
-        servers = list(self.model.servers.values())
-        least = min(self.in_flight[one.key] for one in servers)
-        return self.model.random.choice(
-            [one for one in servers if self.in_flight[one.key] == least]
-        )
-
-
-class Product:
-    """The product's dispatcher; with ``is_informed`` it knows all speeds."""
-
-    is_informed = False
-
-    def __init__(self, model: Model) -> None:
-        self.model = model
-        self.probing: set[asyncio.Task[None]] = set()
-        clock = LoopClock(model.loop)
-        self.dispatcher = Dispatcher(
-            SimpleNamespace(call=self.call),  # type: ignore[arg-type]
-            DOMAINS[0],
-            Bounds(),
-            clock,
-            Random(model.random.random()),
-            EntryMetrics(CollectorRegistry()),
-            RequestLog(clock, lambda *_, **__: None),
-            CrashWatch(clock, UpstreamReach(clock)),
-            TermsTable(),
-            UpstreamReach(clock),
-        )
-        self.dispatcher.selector.refresh_load = self.refresh
-        for server in model.servers.values():
-            entry = RegisteredUpstream(
-                server.key,
-                SERVICE,
-                server.key,
-                server.domain,
-                server.parameters.slots,
-                False,
-                1,
-                1,
-            )
-            change = UpstreamChange(server.key, entry)
-            self.dispatcher.apply_upstream_change(change)
-
-    async def run_background(self) -> None:
-        queues = asyncio.create_task(self.dispatcher.run_queues())
-        placer = self.dispatcher.placer(SERVICE)
-        try:
-            while True:
-                await asyncio.sleep(PROBE_CHECK_INTERVAL_SECONDS)
-                for state in placer.upstreams.values():
-                    age = self.model.now() - state.reported_at
-                    is_urgent = placer.queue and state.has_slot
-                    if is_urgent or age > BACKGROUND_PROBE_AGE_SECONDS:
-                        self._start_probe(state)
-        finally:
-            queues.cancel()
-            await asyncio.wait((queues, *self.probing))
-
-    def _start_probe(self, state: Any) -> None:
-        task = asyncio.create_task(self.refresh(SERVICE, state))
-        self.probing.add(task)
-        task.add_done_callback(self.probing.discard)
-
-    async def refresh(self, service: str, state: Any) -> None:
-        server = self.model.servers[state.key]
-        slowdown = await self.model.probe(server)
-        state.report(slowdown, self.model.now())
-
-    async def call(self, state, outgoing, deadline, before_send):
-        server = self.model.servers[state.key]
-        before_send()
-        try:
-            async with asyncio.timeout_at(deadline):
-                if not await self.model.call(server, outgoing.work):
-                    return NotRun('server full', reported_by_upstream=True)
-        except TimeoutError:
-            return ResponseLost('late', is_timeout=True)
-        now = self.model.now()
-        state.report(server.reported_slowdown(now), now)
-        return Responded(CallerResponse(200), is_failure=False)
-
-    async def serve(
-        self, kind: dict, work: float, record: RequestRecord, deadline: float
-    ) -> bool:
-        if self.is_informed:
-            self._report_all_slowdowns()
-        context = RequestContext(
-            SimpleNamespace(is_detached=False, caller_disconnected=False),
-            SimpleNamespace(request_id='', work=work),
-            _route(kind),
-            SERVICE,
-            1,
-            record.arrived_at,
-            deadline,
-            record.target_at,
-        )
-        answer = await self.dispatcher.run(context)
-        return isinstance(answer, CallerResponse)
-
-    def _report_all_slowdowns(self) -> None:
-        now = self.model.now()
-        for state in self.dispatcher.placer(SERVICE).upstreams.values():
-            server = self.model.servers[state.key]
-            slowdown = server.reported_slowdown(now)
-            for hidden in server.slownesses:
-                if (
-                    hidden.start <= now < hidden.end
-                    and server.rank < hidden.share
-                ):
-                    slowdown *= hidden.factor
-            state.report(slowdown, now)
-
-
-class Informed(Product):
-    """The product with perfect knowledge of all speeds, without probes."""
-
-    is_informed = True
-
-    async def refresh(self, service: str, state: Any) -> None:
-        self._report_all_slowdowns()
-
-
-POLICIES: dict[str, Callable[[Model], Any]] = {
-    'random': RandomPolicy,
-    'least_in_flight': LeastInFlight,
-    'product': Product,
-    'informed': Informed,
-}
-
-
-def _route(kind: dict) -> Route:
-    return Route(
-        kind['name'],
-        '',
-        '/',
-        idempotent=kind['idempotent'],
-        timeout=timedelta(milliseconds=kind['deadline_ms']),
-        target_latency=timedelta(milliseconds=kind['aim_ms']),
-        attempts=3,
-        priority=kind['priority'],
-        parts=(WeightedService(SERVICE, 1),),
-    )
-
-
-def figures(counts: RunCounts) -> dict[str, float]:
-    """Return the shares of the credit, and the sends and probes used."""
-    requests = counts.requests
-    kinds = {one.kind for one in requests}
-    # The last window is incomplete, as the load ends within it.
-    windows = range(int(requests[-1].arrived_at / WINDOW_SECONDS))
-    by_window = sorted(
-        credit(
-            [
-                one
-                for one in requests
-                if int(one.arrived_at / WINDOW_SECONDS) == window
-            ]
-        )
-        for window in windows
-    )
-    return {
-        'credit': credit(requests),
-        'windows': fmean(by_window[:2]),
-        'kind': min(
-            credit([one for one in requests if one.kind == kind])
-            for kind in kinds
-        ),
-        'served': sum(one.is_served for one in requests) / len(requests),
-        'far': counts.far_sends / max(counts.sends, 1),
-        'probes': counts.probes / len(requests),
-    }
-
-
-def credit(requests: list[RequestRecord]) -> float:
-    """Return the credit earned, as a share of the credit owed."""
-    owed = sum(one.worth for one in requests)
-    return sum(one.earned for one in requests) / owed
-
-
-def worth(row: dict[str, float]) -> float:
-    """Return the shares weighted as by the users, without their prices."""
-    return (
-        0.28 * row['credit']
-        + 0.4 * row['windows']
-        + 0.2 * row['served']
-        + 0.12 * row['kind']
-    )
-
-
 def set_constants(tune: str) -> None:
     """Set constants of ``src/crocusproxy``.
 
@@ -428,10 +150,6 @@
         setattr(target, constant, float(setting))
 
 
-def mean_of(rows: list[dict[str, float]]) -> dict[str, float]:
-    return {name: fmean(row[name] for row in rows) for name in rows[0]}
-
-
 def play(path: Path, policy: str, seeds: int) -> dict[str, float]:
     """Return the mean figures of a policy over a number of seeds."""
     scenario = yaml.safe_load(path.read_text())
--- a/tests/bench/test_placement.py
+++ b/tests/bench/test_placement.py
@@ -3,7 +3,8 @@
 import pytest
 import yaml
 
-from bench.placement import SCENARIOS, Model, credit
+from bench.placement import SCENARIOS, Model
+from bench.placement_figures import credit
 
 SECONDS = 6
 
