--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -80,7 +80,7 @@
 class GatewaySystem:
     """One gateway with its port and its upstreams."""
 
-    def __init__(self):
+    def __init__(self, bounds=Bounds()):
         self.catalog = Catalog()
         self.budget = ObservedBudget(RESPONSE_BUDGET_BYTES)
         self.pool = ConnectionPool(
@@ -106,7 +106,7 @@
                 self.pool, self.messages, self.clock, self.observer, self.reach
             ),
             'a',
-            Bounds(),
+            bounds,
             self.clock,
             Random(1),
             metrics,
