Divide entry/daemon.py by responsibility

No change of behaviour: a rejected file applies the settings in force once more, which changes nothing.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -3,16 +3,12 @@
 import asyncio
 from datetime import timedelta
 from functools import partial
-from pathlib import Path
 from random import SystemRandom
 
 from aiohttp import ClientSession, TCPConnector
 
 from ..application import Application
 from ..clock import SystemClock
-from ..documents import read_document
-from ..errors import InvalidDocumentError
-from ..logs import log
 from ..membership.catalog import Catalog
 from ..membership.crash_exchange import CrashExchange
 from ..membership.domain_homes import DomainHomeTable
@@ -21,14 +17,12 @@
 from ..membership.member_list import MemberList
 from ..membership.quota_exchange import QuotaExchange
 from ..membership.terms_exchange import TermsExchange
-from ..placement.placer import ServicePlacer
 from ..placement.upstream_reach import UpstreamReach
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
-from ..proxy.pool import ConnectionPool
 from .addresses import find_addresses
 from .background_tasks import BackgroundTasks
 from .caller_connection import CallerConnection
@@ -36,34 +30,29 @@
 from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
 from .draining import drain_callers
+from .entry_gauges import add_gauges
+from .forwarding_connection import connect_forwarding
 from .gateway import Gateway
-from .home_forwarder import HomeForwarder
 from .home_tasks import home_tasks
 from .joining import join
 from .listeners import AddressList, Listeners
 from .metrics import EntryMetrics
-from .overflow import OverflowTargets
 from .own_member import own_member
-from .placement_metrics import PlacementCollector
 from .prober import Prober
 from .quota_connection import connect_quotas
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
-from .reloading import reload_settings
+from .reloading import reload_from_file
 from .request_log import RequestLog
-from .response_budget import budget_of
 from .response_observer import ResponseObserver
+from .role_tasks import RoleTasks
 from .settings import EntrySettings
 from .upstream_call import UpstreamClient
-from .upstream_connection import MatchingConnection
 from .upstream_messages import UpstreamMessages
+from .upstream_pool import create_pool
 
 PROGRAM = 'crocus-entry'
 _STORE_TIMEOUT = timedelta(milliseconds=600)
-_CONNECT_TIMEOUT = timedelta(seconds=1)
-#: Idle connections to upstreams are closed after this time. Upstreams also
-#: close them, after a timeout of their own.
-_UPSTREAM_IDLE_LIMIT = timedelta(seconds=8)
 _CLOSE_IDLE_INTERVAL_SECONDS = 1.0
 _BACKLOG = 512
 #: The process exits this long before the platform would kill it.
@@ -90,16 +79,7 @@
         self.catalog.on_upstream.append(self.reach.apply_change)
         self.catalog.on_evacuation.append(self.reach.apply_evacuated)
         self.crash_watch = CrashWatch(self.clock, self.reach)
-        self.pool = ConnectionPool(
-            _CONNECT_TIMEOUT,
-            _UPSTREAM_IDLE_LIMIT,
-            on_crash=self.crash_watch.record_crash,
-            connection_type=partial(
-                MatchingConnection,
-                budget=budget_of(self.settings.capacity.memory_mb),
-            ),
-            source=str(self.settings.source or ''),
-        )
+        self.pool = create_pool(settings, self.crash_watch.record_crash)
         self.observer = ResponseObserver(
             HEADER_NAMES, self.clock, self.catalog.terms
         )
@@ -131,8 +111,7 @@
         )
         self.prober = self._create_prober()
         self.tasks = BackgroundTasks()
-        self.home_tasks = BackgroundTasks()
-        self.probe_tasks = BackgroundTasks()
+        self.role_tasks = RoleTasks(self.role, self.dispatcher, self.prober)
         self._connect_callbacks()
 
     async def start(self) -> None:
@@ -147,51 +126,25 @@
             self.catalog.store_incarnation,
         )
         self._connect_members(MemberClient(self.session))
-        self._connect_request_server()
-        self._add_gauges()
-        await self._open_ports()
-        self._start_tasks()
-        self.reload_signal.connect(self._request_reload)
-
-    def start_home_tasks(self) -> None:
-        """Start the tasks that only the home runs."""
-        for task in home_tasks(
-            self.store,
-            self.elector,
+        connect_forwarding(
+            self.gateway.request_server,
+            self.pool,
+            self.messages,
             self.clock,
+            self.role,
+            self.observer,
             self.dispatcher.random,
-            self.reach_queries,
-        ):
-            self.home_tasks.spawn(task)
-        self.update_role()
-
-    def stop_home_tasks(self) -> None:
-        """Stop the tasks that only the home runs."""
-        self.home_tasks.cancel()
-        self.update_role()
-
-    def update_role(self) -> None:
-        """Dispatch to the owned upstreams; probe them if this is a home."""
-        is_dispatcher = self.role.is_dispatcher()
-        self.dispatcher.assign_role(self.role, is_exclusive=is_dispatcher)
-        self.dispatcher.hand_over()
-        self.quota_exchange.set_role(
-            is_dispatcher=is_dispatcher, others=self.role.other_domain_homes()
         )
-        if not is_dispatcher:
-            self.probe_tasks.cancel()
-        elif not self.probe_tasks.tasks:
-            self.probe_tasks.spawn(
-                partial(self.prober.run, self.dispatched_placers)
-            )
-
-    def dispatched_placers(self) -> list[ServicePlacer]:
-        """Return the placers of the services that are dispatched here."""
-        return [
-            placer
-            for placer in self.dispatcher.placers.values()
-            if self.role.dispatches(placer.service)
-        ]
+        add_gauges(
+            self.metrics,
+            self.gateway,
+            self.dispatcher.placers,
+            self.elector,
+            self.reach,
+        )
+        await self._open_ports()
+        self._start_tasks()
+        self.reload_signal.connect(self._request_reload)
 
     async def drain(self) -> None:
         """Serve until callers have had time to switch to other instances."""
@@ -203,25 +156,17 @@
 
     async def stop(self) -> None:
         """Close everything that was opened."""
-        for tasks in (self.tasks, self.home_tasks, self.probe_tasks):
-            tasks.cancel()
+        self.tasks.cancel()
+        self.role_tasks.cancel()
         await self.listeners.close()
         await self.session.close()
         self.pool.close()
 
     def reload(self) -> None:
         """Reload the settings; an invalid file changes nothing."""
-        try:
-            settings = read_document(EntrySettings, Path(self.path))
-        except InvalidDocumentError as error:
-            faults = '; '.join(str(fault) for fault in error.faults)
-            log('settings_rejected', path=self.path, faults=faults)
-            return
-        reload = reload_settings(self.settings, settings)
-        log('settings_reloaded', needs_restart=reload.needs_restart)
-        self.settings = reload.settings
-        self.store.address = reload.settings.store
-        self.dispatcher.hedged_calls.apply_settings(reload.settings.hedging)
+        self.settings = reload_from_file(self.settings, self.path)
+        self.store.address = self.settings.store
+        self.dispatcher.hedged_calls.apply_settings(self.settings.hedging)
 
     async def find_addresses(self, failure_domain: str) -> AddressList:
         """Return the address for callers of a failure domain."""
@@ -264,8 +209,8 @@
             self.catalog,
             self.member_list,
             self.clock,
-            self.start_home_tasks,
-            self.stop_home_tasks,
+            self.role_tasks.start_home_tasks,
+            self.role_tasks.stop_home_tasks,
             self.domain_homes,
             self.reach.unreached_if_doubtful,
         )
@@ -290,21 +235,16 @@
         self.quota_exchange = QuotaExchange(
             member_client, self.member_list, self.quotas, self.clock
         )
-
-    def _connect_request_server(self) -> None:
-        """Let requests be forwarded to the instances that dispatch them."""
-        request_server = self.gateway.request_server
-        request_server.forwarder = HomeForwarder(
-            self.pool,
-            self.messages,
-            self.clock,
-            self.role.forwarding_address,
-            self.observer.observe_relayed,
-        )
-        request_server.overflow_targets = OverflowTargets(
-            self.role.other_domain_homes,
-            self.dispatcher.random,
-            self.role.is_shared,
+        self.role_tasks.connect(
+            self.quota_exchange,
+            partial(
+                home_tasks,
+                self.store,
+                self.elector,
+                self.clock,
+                self.dispatcher.random,
+                self.reach_queries,
+            ),
         )
 
     def _start_tasks(self) -> None:
@@ -354,29 +294,9 @@
         # An instance without a home is not the only one that dispatches.
         self.dispatcher.set_exclusive(is_exclusive=False)
         self.catalog.on_config.append(self.prober.apply_config)
-        self.domain_homes.on_change.append(lambda _: self.update_role())
-
-    def _add_gauges(self) -> None:
-        placers = self.dispatcher.placers
-        self.metrics.add_gauges(
-            in_flight=lambda: self.gateway.in_flight,
-            queued=lambda: sum(
-                len(placer.queue) for placer in placers.values()
-            ),
-            config_version=lambda: (
-                self.catalog.config.version if self.catalog.config else 0
-            ),
-            epoch=lambda: self.elector.epoch,
-            limited_upstreams=lambda: sum(
-                placer.limited_count() for placer in placers.values()
-            ),
-            unreached_upstreams=lambda: len(self.reach.unreached()),
-            evacuated_domains=lambda: len(self.catalog.evacuated),
-            cold_upstreams=lambda: sum(
-                placer.cold_count() for placer in placers.values()
-            ),
+        self.domain_homes.on_change.append(
+            lambda _: self.role_tasks.update_role()
         )
-        self.metrics.registry.register(PlacementCollector(placers))
 
     async def _open_ports(self) -> None:
         settings = self.settings
--- /dev/null
+++ b/src/crocusproxy/entry/forwarding_connection.py
@@ -0,0 +1,34 @@
+"""Connects the request server with the instances that it forwards to."""
+
+from random import Random
+
+from ..clock import Clock
+from ..proxy.pool import ConnectionPool
+from .dispatch_role import DispatchRole
+from .home_forwarder import HomeForwarder
+from .overflow import OverflowTargets
+from .request_server import RequestServer
+from .response_observer import ResponseObserver
+from .upstream_messages import UpstreamMessages
+
+
+def connect_forwarding(
+    request_server: RequestServer,
+    pool: ConnectionPool,
+    messages: UpstreamMessages,
+    clock: Clock,
+    role: DispatchRole,
+    observer: ResponseObserver,
+    random: Random,
+) -> None:
+    """Let requests be forwarded to the instances that dispatch them."""
+    request_server.forwarder = HomeForwarder(
+        pool,
+        messages,
+        clock,
+        role.forwarding_address,
+        observer.observe_relayed,
+    )
+    request_server.overflow_targets = OverflowTargets(
+        role.other_domain_homes, random, role.is_shared
+    )
--- a/src/crocusproxy/entry/reloading.py
+++ b/src/crocusproxy/entry/reloading.py
@@ -1,7 +1,11 @@
 """Changes of the settings that take effect without a restart."""
 
 from dataclasses import dataclass, replace
+from pathlib import Path
 
+from ..documents import read_document
+from ..errors import InvalidDocumentError
+from ..logs import log
 from .settings import EntrySettings
 
 
@@ -34,3 +38,19 @@
         hedging=hedging,
     )
     return Reload(settings, needs_restart=settings != loaded)
+
+
+def reload_from_file(current: EntrySettings, path: str) -> EntrySettings:
+    """Return the settings in force after the file at ``path`` is read again.
+
+    These are the current ones if the file is invalid.
+    """
+    try:
+        loaded = read_document(EntrySettings, Path(path))
+    except InvalidDocumentError as error:
+        faults = '; '.join(str(fault) for fault in error.faults)
+        log('settings_rejected', path=path, faults=faults)
+        return current
+    reload = reload_settings(current, loaded)
+    log('settings_reloaded', needs_restart=reload.needs_restart)
+    return reload.settings
