Change quotas and cut links between domain homes in the soak

The soak checked quotas that never change, and no link between instances failed in it. QUOTAS raises the quota of an account or lowers it far below the load, and LINKS cuts the link between the internal ports of two domain homes, as the directory names them. A lowered quota is binding one window of 5 s after it is in force; a cut excuses nothing. With HOMES, callers are now in both failure domains: before, all used one of the homes.

--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,8 @@
 
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
 # of the store, TERMS of upstreams, CUTS of instances, changes of keys of client
-# ACCOUNTS, EVACUATIONS and COLD upstreams in each run; with HOMES=True, SILENT=True
+# ACCOUNTS, EVACUATIONS, COLD upstreams, changes of QUOTAS and cut LINKS between
+# domain homes in each run; with HOMES=True, SILENT=True
 # and FAULTS=False also homes of failure domains, upstreams that ignore requests that
 # they have no slot for, and only the faults that are listed here.
 soak: $(STAMP)
@@ -67,6 +68,7 @@
 	  $(if $(RESTORES),--restores=$(RESTORES)) $(if $(TERMS),--terms=$(TERMS)) \
 	  $(if $(CUTS),--cuts=$(CUTS)) $(if $(ACCOUNTS),--accounts=$(ACCOUNTS)) \
 	  $(if $(EVACUATIONS),--evacuations=$(EVACUATIONS)) $(if $(COLD),--cold=$(COLD)) \
+	  $(if $(QUOTAS),--quotas=$(QUOTAS)) $(if $(LINKS),--links=$(LINKS)) \
 	  $(if $(HOMES),--homes=$(HOMES)) $(if $(SILENT),--silent=$(SILENT)) \
 	  $(if $(FAULTS),--faults=$(FAULTS))
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,8 @@
     cold: int = 0,
     homes: bool = False,
     silent: bool = False,
+    quotas: int = 0,
+    links: int = 0,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -42,6 +44,8 @@
         cold: how often upstreams become cold; each new one is cold then too.
         homes: whether each failure domain has a home.
         silent: whether upstreams ignore requests they have no slot for.
+        quotas: how often the quota of an account is raised or lowered.
+        links: how often the link between two domain homes is cut.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
@@ -60,6 +64,8 @@
                 cold,
                 homes,
                 silent,
+                quotas,
+                links,
             )
         )
         report(verdict)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -35,8 +35,10 @@
         run: RunRecord,
         now: Callable[[], float],
         random: Random,
+        failure_domain: str = '',
     ) -> None:
         self.name = name
+        self.failure_domain = failure_domain
         self.directories = directories
         self.instances = instances
         self.operator = operator
@@ -134,7 +136,10 @@
         ):
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                    response = await http_get(directory, '/-/resolve?Name=a')
+                    response = await http_get(
+                        directory,
+                        f'/-/resolve?Name=a&Zone={self.failure_domain}',
+                    )
             except (*_CONNECTION_ERRORS, TimeoutError, IndexError):
                 continue
             if response[0] == 200:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -58,6 +58,8 @@
         self.settings_path = processes.folder / f'{self.name}.yaml'
         self.source = f'127.0.1.{number + 1}'
         self.validity_seconds = 1
+        #: Links to the internal ports of other instances, by their addresses.
+        self.links: dict[str, Link] = {}
         #: Serializes kills, terminations and pauses.
         self.lock = asyncio.Lock()
 
@@ -87,15 +89,26 @@
     def spawn(self) -> None:
         self.write_settings()
         self.spawned_at = self.now()
-        program = (
-            sys.executable,
-            '-X',
-            'faulthandler',
-            '-m',
-            'crocusproxy.entry.main',
+        self.processes.start(
+            self.name,
+            (
+                *(sys.executable, '-X', 'faulthandler', '-m'),
+                *self._program(),
+                f'--settings={self.settings_path}',
+            ),
         )
-        arguments = (f'--settings={self.settings_path}',)
-        self.processes.start(self.name, (*program, *arguments))
+
+    def _program(self) -> tuple[str, ...]:
+        """Return the module to run; one with links if there are any."""
+        if not self.links:
+            return ('crocusproxy.entry.main',)
+        links_path = self.settings_path.with_suffix('.links')
+        links_path.write_text(
+            json.dumps(
+                {target: link.address for target, link in self.links.items()}
+            )
+        )
+        return 'soak.linked_entry', str(links_path)
 
     async def kill(self, down_seconds: float) -> None:
         """Send SIGKILL and restart after ``down_seconds``."""
@@ -189,3 +202,25 @@
 
     def _add_violation(self, description: str) -> None:
         self.run_record.violations.append(f'{self.name}: {description}')
+
+
+async def find_domain_homes(instances: Sequence[Instance]) -> list[Instance]:
+    """Return the instances that the first directory that responds names."""
+    domains = sorted({instance.failure_domain for instance in instances})
+    for instance in instances:
+        try:
+            async with asyncio.timeout(1):
+                responses = [
+                    await http_get(
+                        instance.addresses['directory'],
+                        f'/-/resolve?Name=a&Zone={domain}',
+                    )
+                    for domain in domains
+                ]
+        except (OSError, TimeoutError, EOFError):
+            continue
+        if any(status != 200 for status, _ in responses):
+            continue
+        named = {json.loads(body)['Addresses'][0] for _, body in responses}
+        return [one for one in instances if one.addresses['callers'] in named]
+    return []
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -7,7 +7,7 @@
 from standins.store import StandInStore
 
 from .plan import Features
-from .records import Evacuation, KeyPeriod, Quota, RunRecord
+from .records import Evacuation, KeyPeriod, Quota, QuotaChange, RunRecord
 
 HOST = 'a.example'
 TOPIC = 'keyed.op'
@@ -46,10 +46,11 @@
         self.features = features
         self.now = now
         self.version = 0
+        self.quota = QUOTA
         if features.accounts:
             run.keys[MAIN_KEY] = KeyPeriod('main')
             run.keys[LIMITED_KEY] = KeyPeriod('limited')
-            run.quotas['limited'] = QUOTA
+            run.quotas['limited'] = self.quota
             run.anonymous_paths.add('/safe/')
 
     def publish(self) -> None:
@@ -89,6 +90,13 @@
             + ('key-of-nobody', '')
         )
 
+    def change_quota(self, quota: Quota) -> None:
+        """Publish a version with another quota of the limited account."""
+        self.quota = quota
+        change = QuotaChange('limited', self.now(), quota)
+        self.run_record.quota_changes.append(change)
+        self.publish()
+
     def evacuate(self, domain: str) -> Evacuation:
         self.store.put(TOPIC, f'evacuate/{domain}', b'1')
         evacuation = Evacuation(domain, self.now())
@@ -127,8 +135,8 @@
             {
                 'Name': 'limited',
                 'ApiKeys': [LIMITED_KEY],
-                'RatePerS': QUOTA.rate,
-                'Burst': QUOTA.burst,
+                'RatePerS': self.quota.rate,
+                'Burst': self.quota.burst,
             },
             {'Name': 'rotated', 'ApiKeys': rotated_keys},
         ]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,8 @@
 from .link import LinkFault
 
 FAILURE_DOMAINS = ('a', 'b')
+#: Rate and burst; the limited account sends some 20 requests a second.
+QUOTAS = ((0.5, 1.0), (0.5, 1.0), (2.0, 5.0), (12.0, 10.0), (40.0, 40.0))
 StoreFault = Literal['refuse', 'slow', 'lose_answers', 'forget']
 #: An upstream becomes cold, or all upstreams of its service restart cold.
 Chill = Literal['become', 'restart', 'restart_service']
@@ -156,6 +158,25 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeQuota:
+    """The operator changes the quota of the limited account."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutHomeLink:
+    """The link between two domain homes is faulty.
+
+    Their messages are lost; forwarded requests pass.
+    """
+
+    link_fault: LinkFault
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Publish:
     """The operator publishes ``count`` configurations in quick succession."""
@@ -180,6 +201,8 @@
     | StateTerms
     | ChillUpstream
     | Evacuate
+    | ChangeQuota
+    | CutHomeLink
     | Publish
 )
 
@@ -188,9 +211,10 @@
 class Features:
     """What a run uses besides faults.
 
-    Client accounts; two failure domains, with slots for a home each if
-    ``homes``; upstreams that are cold after a start; and upstreams that never
-    respond to requests that they have no slot for.
+    Client accounts; two failure domains, with slots for a home each and callers
+    in both, if ``homes``; upstreams that are cold after a start; upstreams that
+    never respond to requests that they have no slot for; and links between the
+    internal ports of instances.
     """
 
     accounts: bool = False
@@ -198,6 +222,7 @@
     homes: bool = False
     cold: bool = False
     silent: bool = False
+    links: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +245,7 @@
         self.terms_random = Random(f'terms-{seed}')
         self.cuts_random = Random(f'cuts-{seed}')
         self.features_random = Random(f'features-{seed}')
+        self.quotas_random = Random(f'quotas-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -323,6 +349,31 @@
             for fault in faults
         )
 
+    def schedule_quota_faults(
+        self, changes: int, cuts: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return changed quotas and cut links between domain homes.
+
+        The quotas are raised above the load or lowered far below it.
+        """
+        random = self.quotas_random
+        # A quota that changes later is not binding before the end of the load.
+        faults = [
+            ScheduledFault(
+                round(random.uniform(0.5, seconds / 2), 2),
+                ChangeQuota(*random.choice(QUOTAS)),
+            )
+            for _ in range(changes)
+        ]
+        for _ in range(cuts):
+            link_fault = random.choice(
+                (LinkFault.RESET, LinkFault.ONE_WAY, LinkFault.SILENT)
+            )
+            cut = CutHomeLink(link_fault, round(random.uniform(1, 6), 2))
+            at = round(random.uniform(0.5, seconds), 2)
+            faults.append(ScheduledFault(at, cut))
+        return tuple(faults)
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/records.py
+++ b/soak/records.py
@@ -128,6 +128,15 @@
     burst: float
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaChange:
+    """A quota that was written at ``at`` in place of an earlier one."""
+
+    account: str
+    at: float
+    quota: Quota
+
+
 @dataclass(slots=True)
 class Evacuation:
     """A period in which a failure domain was listed as evacuated."""
@@ -172,8 +181,10 @@
     store_disturbances: list[StoreDisturbance] = field(default_factory=list)
     #: API keys of all configurations; without any, no request needs one.
     keys: dict[str, KeyPeriod] = field(default_factory=dict)
-    #: Quotas by the name of the client account.
+    #: First quotas by the name of the client account.
     quotas: dict[str, Quota] = field(default_factory=dict)
+    #: Later quotas in the order of their times.
+    quota_changes: list[QuotaChange] = field(default_factory=list)
     anonymous_paths: set[str] = field(default_factory=set)
     evacuations: list[Evacuation] = field(default_factory=list)
     #: Failure domains by the key of the server.
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,8 @@
     cold: int = 0,
     homes: bool = False,
     silent: bool = False,
+    quotas: int = 0,
+    links: int = 0,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
@@ -56,11 +58,18 @@
     ``cuts`` times. Without ``faults``, there are no others. With client
     accounts, their keys change ``accounts`` times; failure domains are
     evacuated ``evacuations`` times, and upstreams become cold ``cold`` times.
-    See ``Features`` for ``homes`` and ``silent``.
+    The quota of an account changes ``quotas`` times, and the link between two
+    domain homes is cut ``links`` times. See ``Features`` for ``homes`` and
+    ``silent``.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     features = Features(
-        bool(accounts), bool(evacuations) or homes, homes, bool(cold), silent
+        bool(accounts or quotas),
+        bool(evacuations) or homes,
+        homes,
+        bool(cold),
+        silent,
+        bool(links),
     )
     testbed = Testbed(folder, instances, seed, features)
     planner = Planner(seed, instances, len(SERVICES) * UPSTREAMS_PER_SERVICE)
@@ -71,6 +80,7 @@
             *planner.schedule_terms(terms, seconds),
             *planner.schedule_cuts(cuts, seconds),
             *planner.schedule_features(accounts, evacuations, cold, seconds),
+            *planner.schedule_quota_faults(quotas, links, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -10,14 +10,16 @@
 from standins.store import StandInStore
 
 from .callers import Caller
-from .instances import PORT_NAMES, Instance
-from .link import LinkFault
+from .instances import PORT_NAMES, Instance, find_domain_homes
+from .link import Link, LinkFault
 from .operator import Operator
 from .plan import (
     FAILURE_DOMAINS,
+    ChangeQuota,
     ChillUpstream,
     CorruptResponses,
     CrashUpstream,
+    CutHomeLink,
     CutOffInstances,
     DegradeStore,
     DisruptStoreLinks,
@@ -38,6 +40,7 @@
 )
 from .records import (
     ObserverDelay,
+    Quota,
     RunRecord,
     StoreDisturbance,
     UpstreamCut,
@@ -121,13 +124,18 @@
                 self._failure_domain(number),
             )
             self.instances.append(instance)
+        if self.features.links:
+            await self._start_links()
         seeds = tuple(
             instance.addresses['control'] for instance in self.instances[:3]
         )
         for instance in self.instances:
             await instance.start(seeds)
         self.callers = [
-            self.new_caller(f'c{number}')
+            self.new_caller(
+                f'c{number}',
+                self._failure_domain(number) if self.features.homes else '',
+            )
             for number in range(
                 CALLER_COUNT_WITH_LIMITS
                 if self.features.accounts or self.features.cold
@@ -135,11 +143,18 @@
             )
         ]
 
+    async def _start_links(self) -> None:
+        for instance in self.instances:
+            for other in self.instances:
+                if other is not instance:
+                    target = other.addresses['internal']
+                    instance.links[target] = await Link(target).start()
+
     def _failure_domain(self, number: int) -> str:
         domains = FAILURE_DOMAINS if self.features.domains else ('a',)
         return domains[number % len(domains)]
 
-    def new_caller(self, name: str) -> Caller:
+    def new_caller(self, name: str, failure_domain: str = '') -> Caller:
         return Caller(
             name,
             [instance.addresses['directory'] for instance in self.instances],
@@ -151,6 +166,7 @@
             self.run_record,
             self.now,
             Random(self.random.random()),
+            failure_domain,
         )
 
     def start_load(self) -> None:
@@ -185,7 +201,8 @@
             f'{name}: did not end' for name in unfinished
         )
         for instance in self.instances:
-            await instance.link.stop()
+            for link in (instance.link, *instance.links.values()):
+                await link.stop()
         for upstream in self.upstreams:
             await upstream.stop()
         await self.store.stop()
@@ -227,6 +244,10 @@
                 for _ in range(count):
                     self.operator.publish()
                     await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
+            case ChangeQuota(rate=rate, burst=burst):
+                self.operator.change_quota(Quota(rate, burst))
+            case CutHomeLink(link_fault=link_fault, seconds=seconds):
+                await self._cut_home_link(link_fault, seconds)
             case Evacuate(failure_domain=domain, seconds=seconds):
                 async with self.evacuation_lock:
                     evacuation = self.operator.evacuate(domain)
@@ -291,6 +312,27 @@
             self.instances[number].link.apply(LinkFault.NONE)
         self._record_store_disturbance(start)
 
+    async def _cut_home_link(
+        self, link_fault: LinkFault, seconds: float
+    ) -> None:
+        """Cut the link between two domain homes, or between any two if one.
+
+        It excuses nothing: other instances still reach both.
+        """
+        homes = await find_domain_homes(self.instances)
+        if len(homes) < 2:
+            homes = self.random.sample(self.instances, 2)
+        one, other = homes[:2]
+        links = (
+            one.links[other.addresses['internal']],
+            other.links[one.addresses['internal']],
+        )
+        for link in links:
+            link.apply(link_fault)
+        await asyncio.sleep(seconds)
+        for link in links:
+            link.apply(LinkFault.NONE)
+
     async def _cut_off(
         self, number: int, keeps_open: bool, seconds: float
     ) -> None:
--- a/tests/soak/test_account_invariants.py
+++ b/tests/soak/test_account_invariants.py
@@ -7,6 +7,7 @@
     Arrival,
     KeyPeriod,
     Quota,
+    QuotaChange,
     RunRecord,
     SentRequest,
     StoreDisturbance,
@@ -129,6 +130,40 @@
     assert all('48 requests of main ran' in line for line in violations)
 
 
+@pytest.mark.parametrize(
+    ('changed_at', 'disturbances', 'is_reported'),
+    [
+        (6, [], True),
+        # The requests end before a window after the propagation.
+        (7.6, [], False),
+        # The disturbance delays the propagation.
+        (6, [StoreDisturbance(6.5, 7.5)], False),
+    ],
+)
+def test_lowered_quota_binds_a_window_after_it_is_in_force(
+    changed_at, disturbances, is_reported
+):
+    """A change in force at 8.5 is binding at 13.5; requests end at 14.9."""
+    run = account_run(
+        'key-of-main',
+        count=50,
+        quotas={'main': Quota(10, 10)},
+        quota_changes=[QuotaChange('main', changed_at, Quota(1, 1))],
+        store_disturbances=disturbances,
+    )
+    assert bool(find_violations(run)) == is_reported
+
+
+def test_raised_quota_counts_from_its_publication_on():
+    run = account_run(
+        'key-of-main',
+        count=50,
+        quotas={'main': Quota(1, 1)},
+        quota_changes=[QuotaChange('main', 11, Quota(10, 10))],
+    )
+    assert not find_violations(run)
+
+
 def test_request_without_an_end_is_no_violation():
     """The end of the load cancels requests, which have no time of their end."""
     run = account_run('new')
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -24,6 +24,7 @@
             *planner.schedule_terms(1, 12),
             *planner.schedule_cuts(1, 12),
             *planner.schedule_features(1, 1, 1, 12),
+            *planner.schedule_quota_faults(1, 1, 12),
         )
     }
     assert drawn_types == set(get_args(Fault))
@@ -52,6 +53,15 @@
     assert planner.schedule(12) == Planner(7, 4, 6).schedule(12)
 
 
+def test_quota_faults_leave_the_other_faults_of_a_seed_unchanged():
+    planner = Planner(7, 4, 6)
+    faults = planner.schedule_quota_faults(3, 2, 12)
+    assert len(faults) == 5
+    features = planner.schedule_features(2, 1, 3, 12)
+    assert features == Planner(7, 4, 6).schedule_features(2, 1, 3, 12)
+    assert planner.schedule(12) == Planner(7, 4, 6).schedule(12)
+
+
 def test_schedule_is_ordered_and_has_series():
     times = [scheduled.at for scheduled in Planner(7, 4, 6).schedule(60)]
     assert times == sorted(times)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -51,6 +51,17 @@
     assert verdict.outcomes['answered 401']
 
 
+def test_run_with_changing_quotas_and_cut_links_between_domain_homes():
+    verdict = asyncio.run(
+        run_seed(
+            5, 12, INSTANCES + 1, faults=False, homes=True, quotas=3, links=2
+        )
+    )
+    assert not verdict.violations
+    assert verdict.outcomes['answered 429']
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 3
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
