Keep the reference scan apart from the code it checks

The scan in the test used the product's check for room, so a fault there would have been the same on both sides. It now has the rule of the earlier scan itself. The test passes.

--- a/tests/placement/test_upstream_choice_machine.py
+++ b/tests/placement/test_upstream_choice_machine.py
@@ -36,8 +36,17 @@
 def scan(placer, queued_request, now):
     """Return the costs of the candidates, as a scan of all upstreams does."""
     choice = placer.choice
+    is_waiting = now - choice.released_at > choice.service_time
+    is_trial = now < placer.concurrency.trial_ends_at
     states = placer.upstreams.values()
-    with_room = [state for state in states if choice.may_use(state, now)]
+    with_room = [
+        state
+        for state in states
+        if state.has_slot
+        and (is_waiting or state.is_below_limit(is_trial=is_trial))
+        and state.is_usable
+        and state.may_start(now)
+    ]
     fast = [
         state
         for state in with_room
