--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -1,7 +1,7 @@
 """Attaches this instance to a home or makes it the home."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable
 from contextlib import aclosing
 from datetime import timedelta
 
@@ -19,14 +19,8 @@
 )
 from .catalog import Catalog
 from .domain_homes import DomainHomeTable
-from .election import Attach, ElectionResult, Lead, elect
-from .election_pace import (
-    MAX_DEFERENCE,
-    DomainResponses,
-    lead_delay,
-    queried_members,
-    query_interval,
-)
+from .election import Attach, Lead
+from .election_rounds import ElectionRounds
 from .feed_server import HomeFeedServer
 from .feed_source import feed_source, first_source
 from .member_client import MemberClient
@@ -35,14 +29,8 @@
 from .seeds import SeedQueries
 
 RETRY_INTERVAL_SECONDS = 0.1
-#: How long a member waits until others detect the loss of a home.
-MAX_ELECTION_WAIT = timedelta(seconds=1)
 #: Interval at which a home queries one member that does not follow it.
 CHECK_INTERVAL_SECONDS = 1.0
-#: Once this share of the queried members has responded, the others have
-#: ``LATE_VIEW_SECONDS`` after each response.
-QUORUM_SHARE = 0.5
-LATE_VIEW_SECONDS = 0.05
 #: After this many failures in a row of a domain home, the home is followed.
 _MAX_SOURCE_FAILURES = 5
 #: The same after this time if it can't be reached. Five time-outs took 4 s, in
@@ -78,6 +66,7 @@
         self.member_list = member_list
         self.domain_homes = domain_homes or DomainHomeTable()
         self.seeds = SeedQueries(client, member_list, self.domain_homes)
+        self.rounds = ElectionRounds(member_list, self.query_view, clock)
         self.clock = clock
         self.on_started_leading = on_started_leading
         self.on_stopped_leading = on_stopped_leading
@@ -126,7 +115,7 @@
         """Follow a home or be the home until cancelled."""
         self.is_electing = True
         while True:
-            match await self._run_election():
+            match await self.rounds.run(self.lost_home_name, self.epoch):
                 case Attach(member=member):
                     await self._follow(member)
                 case Lead(epoch=epoch) if not self.leaving:
@@ -170,91 +159,6 @@
         else:
             self.home_known.set()
 
-    async def _run_election(self) -> ElectionResult:
-        started = self.clock.monotonic()
-        round_number = -1
-        own = self.member_list.own
-        responses = DomainResponses(own.failure_domain)
-        lost_domains: frozenset[str] = frozenset()
-        while True:
-            round_number += 1
-            if responses.lost_domains() != lost_domains:
-                lost_domains = responses.lost_domains()
-                log('election_domains_lost', domains=sorted(lost_domains))
-            others = self._electable(lost_domains)
-            elapsed = self.clock.monotonic() - started
-            views = await self._query_views(
-                queried_members(own, others, elapsed, round_number), responses
-            )
-            election = elect(
-                own,
-                views,
-                self.lost_home_name,
-                self.epoch,
-                may_wait=elapsed < MAX_ELECTION_WAIT,
-                may_defer=elapsed < MAX_DEFERENCE,
-            )
-            pause = query_interval(own, others)
-            match election:
-                case Attach():
-                    return election
-                case Lead():
-                    remaining = lead_delay(own, others) - elapsed
-                    if remaining <= timedelta():
-                        return election
-                    pause = min(pause, remaining)
-            await asyncio.sleep(pause.total_seconds())
-
-    def _electable(self, lost_domains: Collection[str]) -> tuple[Member, ...]:
-        """Return the other members that are in no lost failure domain."""
-        return tuple(
-            member
-            for member in self.member_list.others()
-            if member.failure_domain not in lost_domains
-        )
-
-    async def _query_views(
-        self, members: Iterable[Member], responses: DomainResponses
-    ) -> list[MemberView]:
-        """Return the views of responding members; stop at the first home.
-
-        Members without power do not respond at all. Those with a worse rank
-        are not waited for once enough others have responded: any follower of a
-        home names it.
-        """
-        queries = {
-            asyncio.create_task(
-                self._query_candidate(member, responses)
-            ): member
-            for member in members
-        }
-        needed = QUORUM_SHARE * len(queries)
-        pending = set(queries)
-        views: list[MemberView] = []
-        while pending and not _includes_home(views):
-            has_quorum = len(views) >= needed and not any(
-                queries[task].rank < self.member_list.own.rank
-                for task in pending
-            )
-            done, pending = await asyncio.wait(
-                pending,
-                timeout=LATE_VIEW_SECONDS if has_quorum else None,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not done:
-                break
-            views.extend(filter(None, (task.result() for task in done)))
-        for task in pending:
-            task.cancel()
-        return views
-
-    async def _query_candidate(
-        self, member: Member, responses: DomainResponses
-    ) -> MemberView | None:
-        view = await self.query_view(member)
-        responses.record(member, has_responded=view is not None)
-        return view
-
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
         is_unreachable = False
@@ -419,7 +323,3 @@
                     epoch=rival.epoch,
                 )
                 return
-
-
-def _includes_home(views: Iterable[MemberView]) -> bool:
-    return any(view.state == 'home' for view in views)
