Count only unreachable sources against their time limit, and use plainer names

A source of the feed that sent a malformed message or declined counted as unreachable, also after another source had failed before it. The checks of a home that may be isolated queried one follower twice in a row. A filled configuration of a known schema would have lost its own accounts. Names and docstrings of membership, the completion of configurations and the wait for the start are plainer. The tests of membership, platform and routes pass.

--- a/src/crocusproxy/entry/start_wait.py
+++ b/src/crocusproxy/entry/start_wait.py
@@ -14,8 +14,8 @@
 class StartWait:
     """Delays requests until configuration and upstreams have been received.
 
-    After a loss of all instances, callers reconnect within milliseconds after
-    the port opens, with their last attempt, which a refusal would use up.
+    After a loss of all instances, callers reconnect as soon as the port opens
+    and have one attempt left. A refusal would fail their request.
     """
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
--- a/src/crocusproxy/membership/domain_home_planner.py
+++ b/src/crocusproxy/membership/domain_home_planner.py
@@ -21,10 +21,10 @@
 #: If most queries fail at once, this instance is probably overloaded or cut off
 #: itself. Failures then count only after this many checks in a row, unless
 #: followers respond. Without them, a loss of all domain homes took 6 s.
-MAX_DOUBTFUL_CHECKS = 6
-_MIN_DOUBTFUL_FAILURES = 2
+MAX_ISOLATED_CHECKS = 6
+_MIN_ISOLATED_FAILURES = 2
 #: Followers of each failure domain that are queried in case of doubt.
-WITNESSES_PER_DOMAIN = 2
+QUERIED_FOLLOWERS_PER_DOMAIN = 2
 #: Attempts per check to appoint members that are neither lost nor cut off.
 #: After these, the failure domains go to members that are known to work.
 MAX_APPOINTMENTS = 4
@@ -40,7 +40,7 @@
     """Runs at the home; the feed distributes the assignment.
 
     ``failed_queries`` counts the failed queries in a row by member name,
-    ``doubtful_checks`` the checks in a row in which most queries failed.
+    ``isolated_checks`` the checks in a row in which most queries failed.
     ``judge`` knows the members that are cut off from upstreams. Members that
     were to be appointed but did not respond are in ``lost_until``.
     """
@@ -57,7 +57,7 @@
         self.catalog = catalog
         self.table = table
         self.failed_queries: Counter[str] = Counter()
-        self.doubtful_checks = 0
+        self.isolated_checks = 0
         self.lost_until: dict[Member, float] = {}
 
     async def run(self) -> None:
@@ -76,11 +76,12 @@
         views = await self._query(present)
         unusable = (
             set()
-            if await self._is_doubtful(present, views)
+            if await self._is_probably_isolated(present, views)
             else self._find_unusable(present, views, MAX_FAILED_QUERIES)
         )
         if not self.catalog.is_complete:
-            # Unchanged ones are not applied: those in the store may follow.
+            # An unchanged assignment is not applied: it may be older than
+            # the one in the store, which is read later.
             if unusable:
                 self.table.apply(replace_lost(self.table.assignment, unusable))
             return
@@ -208,24 +209,27 @@
             if name not in known_names
         )
 
-    async def _is_doubtful(
+    async def _is_probably_isolated(
         self,
         present: Sequence[Member],
         views: Sequence[MemberView | None],
     ) -> bool:
         """Return whether failures are likely to be those of this instance."""
         failures = views.count(None)
-        if failures < _MIN_DOUBTFUL_FAILURES or 2 * failures <= len(views):
-            self.doubtful_checks = 0
+        if failures < _MIN_ISOLATED_FAILURES or 2 * failures <= len(views):
+            self.isolated_checks = 0
             return False
-        self.doubtful_checks += 1
+        self.isolated_checks += 1
         return (
-            self.doubtful_checks <= MAX_DOUBTFUL_CHECKS
-            and not await self._do_followers_respond(present)
+            self.isolated_checks <= MAX_ISOLATED_CHECKS
+            and not await self._followers_respond(present)
         )
 
-    async def _do_followers_respond(self, present: Sequence[Member]) -> bool:
-        """Return whether most of some followers respond, others each time."""
+    async def _followers_respond(self, present: Sequence[Member]) -> bool:
+        """Return whether most of the queried followers respond.
+
+        Different ones are queried in each check.
+        """
         followers: dict[str, list[Member]] = {}
         for member in self.elector.member_list.others():
             if member.name in self.elector.server.followers:
@@ -233,15 +237,14 @@
                     member.failure_domain, []
                 )
                 domain_followers.append(member)
-        witnesses = [
-            domain_followers[
-                (self.doubtful_checks + number) % len(domain_followers)
-            ]
+        first = self.isolated_checks * QUERIED_FOLLOWERS_PER_DOMAIN
+        queried = [
+            domain_followers[(first + number) % len(domain_followers)]
             for domain_followers in followers.values()
-            for number in range(WITNESSES_PER_DOMAIN)
+            for number in range(QUERIED_FOLLOWERS_PER_DOMAIN)
         ]
         views = await self._query(
-            [one for one in dict.fromkeys(witnesses) if one not in present]
+            [one for one in dict.fromkeys(queried) if one not in present]
         )
         return len(views) > 1 and 2 * views.count(None) < len(views)
 
--- a/src/crocusproxy/membership/domain_homes.py
+++ b/src/crocusproxy/membership/domain_homes.py
@@ -70,8 +70,9 @@
 def replace_lost(current: DomainHomes, lost: Collection[str]) -> DomainHomes:
     """Return the domain homes with the first one left in place of lost ones.
 
-    It is empty, so that the home dispatches alone, if none is left. ``lost``
-    are names of members.
+    Without the slots of the upstreams there is nothing else to choose by. The
+    result is empty, so that the home dispatches alone, if no domain home is
+    left. ``lost`` are names of members.
     """
     remaining = [
         home.member for home in current.homes if home.member.name not in lost
--- a/src/crocusproxy/membership/election_rounds.py
+++ b/src/crocusproxy/membership/election_rounds.py
@@ -19,10 +19,10 @@
 
 #: How long a member waits until others detect the loss of a home.
 MAX_ELECTION_WAIT = timedelta(seconds=1)
-#: Once this share of the queried members has responded, the others have
-#: ``LATE_VIEW_SECONDS`` after each response.
+#: Once this share of the queried members and all with a better rank have
+#: responded, the others have ``LATE_RESPONSE_SECONDS`` after each response.
 QUORUM_SHARE = 0.5
-LATE_VIEW_SECONDS = 0.05
+LATE_RESPONSE_SECONDS = 0.05
 
 #: Returns the view of a member, None if it can't be reached.
 ViewQuery = Callable[[Member], Awaitable[MemberView | None]]
@@ -90,9 +90,9 @@
     ) -> list[MemberView]:
         """Return the views of responding members; stop at the first home.
 
-        Members without power do not respond at all. Those with a worse rank
-        are not waited for once enough others have responded: any follower of a
-        home names it.
+        Members that have lost power never respond, so the rest is not waited
+        for once a quorum and all members with a better rank have responded. A
+        home can't be missed: each of its followers names it.
         """
         queries = {
             asyncio.create_task(self._query(member, responses)): member
@@ -108,7 +108,7 @@
             )
             done, pending = await asyncio.wait(
                 pending,
-                timeout=LATE_VIEW_SECONDS if has_quorum else None,
+                timeout=LATE_RESPONSE_SECONDS if has_quorum else None,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not done:
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -35,7 +35,7 @@
 _MAX_SOURCE_FAILURES = 5
 #: The same after this time if it can't be reached. Five time-outs took 4 s, in
 #: which the directory went on naming the lost domain home.
-_MAX_UNREACHABLE_SOURCE = timedelta(seconds=1)
+_MAX_UNREACHABLE_TIME = timedelta(seconds=1)
 
 
 class HomeElector:
@@ -44,9 +44,9 @@
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
     name of a domain home whose feed was lost, ``source_failures`` the number of
-    feeds in a row that did not begin, and ``source_tried_at`` the time of the
-    first of these attempts. ``find_unreached`` returns the
-    upstreams that this instance can't connect to, if it may be cut off.
+    feeds in a row that did not begin, and ``source_failing_since`` the time of
+    the first of these attempts. ``find_unreached`` returns the upstreams that
+    this instance can't connect to, if it may be cut off.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         self.lost_home_name = ''
         self.avoided_source = ''
         self.source_failures = 0
-        self.source_tried_at = timedelta()
+        self.source_failing_since = timedelta()
         self.on_crash_report: list[Callable[[CrashReport], None]] = []
         self.domain_homes.on_change.append(self._clear_avoided_source)
 
@@ -161,17 +161,17 @@
 
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
-        is_unreachable = False
         if not self.source_failures:
-            self.source_tried_at = self.clock.monotonic()
+            self.source_failing_since = self.clock.monotonic()
         source: Member | None = self._first_source(member)
         while source is not None:
             followed = source
+            is_unreachable = False
             try:
                 source = await self._read_feed(followed)
             except (NotReachableError, MalformedMessageError) as error:
                 reason = str(error)
-                is_unreachable = True
+                is_unreachable = isinstance(error, NotReachableError)
                 source = None
             source = source or self._source_after_loss(followed)
         if self.home is None:
@@ -225,9 +225,9 @@
     ) -> None:
         """Avoid a domain home that does not become able to serve a feed."""
         self.source_failures += 1
-        tried_for = self.clock.monotonic() - self.source_tried_at
+        tried_for = self.clock.monotonic() - self.source_failing_since
         if self.source_failures >= _MAX_SOURCE_FAILURES or (
-            is_unreachable and tried_for >= _MAX_UNREACHABLE_SOURCE
+            is_unreachable and tried_for >= _MAX_UNREACHABLE_TIME
         ):
             self.source_failures = 0
             self.avoided_source = source.name
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -31,7 +31,11 @@
 
 
 class UnknownMessageError(NotReachableError):
-    """A member of an older build does not know a message, and works well."""
+    """The member's build has no endpoint for a message.
+
+    This is no sign of a failure. Callers that do not distinguish builds treat
+    it as no response.
+    """
 
     code = 'message_unknown'
 
--- a/src/crocusproxy/membership/quota_exchange.py
+++ b/src/crocusproxy/membership/quota_exchange.py
@@ -43,7 +43,7 @@
         self.quotas = quotas
         self.clock = clock
         self.is_dispatcher = False
-        self.had_limits = False
+        self.is_reporting = False
         self.reports = QuotaReports(member_list.own, self._apply_takes)
         self.posting: dict[str, asyncio.Task[None]] = {}
         quotas.unreported = self.reports.unreported
@@ -63,9 +63,9 @@
 
     def update_division(self) -> None:
         """Divide the quotas by the role and by the reports so far."""
-        if self.quotas.has_limits and not self.had_limits:
+        if self.quotas.has_limits and not self.is_reporting:
             self.reports.restart(self._now())
-        self.had_limits = self.quotas.has_limits
+        self.is_reporting = self.quotas.has_limits
         division = self._division()
         was_split = isinstance(self.quotas.division, SplitQuota)
         match division:
@@ -80,14 +80,14 @@
         while True:
             await asyncio.sleep(INTERVAL_SECONDS)
             self.update_division()
-            if self.had_limits:
+            if self.is_reporting:
                 self._post_reports()
 
     def _division(self) -> Division:
         if not self.is_dispatcher:
             return PartOfQuota(len(self.member_list.members))
-        homes = self.reports.count_counting() + 1
-        if homes == 1 or not self.had_limits:
+        homes = self.reports.quota_peer_count() + 1
+        if homes == 1 or not self.is_reporting:
             return WholeQuota()
         if self.reports.is_split(self._now()):
             return SplitQuota(homes)
--- a/src/crocusproxy/membership/quota_reports.py
+++ b/src/crocusproxy/membership/quota_reports.py
@@ -22,8 +22,8 @@
     of them that the peer may not know. ``known_totals`` are those of the peer
     since its start in ``known_stream``, by the report ``known_sequence``. The
     latest report came at ``heard_at``, the latest confirmation of an own one at
-    ``confirmed_at``. A build before quotas is not ``is_counting``: it takes no
-    tokens and knows no reports.
+    ``confirmed_at``. ``supports_quotas`` is False for a build that has no quota
+    reports: it takes no tokens.
     """
 
     started_at: int
@@ -38,7 +38,7 @@
     known_sequence: int = 0
     known_totals: dict[str, int] = field(default_factory=dict)
     has_lost_peer: bool = False
-    is_counting: bool = True
+    supports_quotas: bool = True
 
 
 class QuotaReports:
@@ -80,7 +80,7 @@
 
     def record(self, account: str, count: int) -> None:
         """Record tokens that this instance has taken."""
-        for peer in self._counting():
+        for peer in self._quota_peers():
             peer.totals[account] = peer.totals.get(account, 0) + count
             unconfirmed = peer.unconfirmed.get(account, 0) + count
             peer.unconfirmed[account] = unconfirmed
@@ -88,7 +88,7 @@
     def unreported(self, account: str) -> float:
         """Return the taken tokens that some domain home may not know of."""
         return max(
-            (peer.unconfirmed.get(account, 0) for peer in self._counting()),
+            (peer.unconfirmed.get(account, 0) for peer in self._quota_peers()),
             default=0,
         )
 
@@ -131,13 +131,13 @@
         """
         peer = self.peers.get(name)
         if peer is not None and peer.stream == report.stream:
-            peer.is_counting = False
+            peer.supports_quotas = False
             peer.totals.clear()
             peer.unconfirmed.clear()
 
-    def count_counting(self) -> int:
+    def quota_peer_count(self) -> int:
         """Return the number of other domain homes that take tokens."""
-        return len(self._counting())
+        return len(self._quota_peers())
 
     def receive(self, report: QuotaReport, now: float) -> None:
         """Apply a report of another domain home."""
@@ -153,8 +153,8 @@
         peer.known_stream = stream
         peer.known_sequence = report.sequence
         peer.heard_at = now
-        if not peer.is_counting:
-            peer.is_counting = True
+        if not peer.supports_quotas:
+            peer.supports_quotas = True
             peer.confirmed_at = now
         peer.has_lost_peer = report.has_lost_peer
         for taken in report.taken:
@@ -168,14 +168,14 @@
         earliest = now - LOST_AFTER_SECONDS
         return any(
             min(peer.heard_at, peer.confirmed_at) < earliest
-            for peer in self._counting()
+            for peer in self._quota_peers()
         )
 
     def is_split(self, now: float) -> bool:
         """Return whether some domain home gets no reports of another one."""
         return self.has_lost_peer(now) or any(
-            peer.has_lost_peer for peer in self._counting()
+            peer.has_lost_peer for peer in self._quota_peers()
         )
 
-    def _counting(self) -> list[_Peer]:
-        return [peer for peer in self.peers.values() if peer.is_counting]
+    def _quota_peers(self) -> list[_Peer]:
+        return [peer for peer in self.peers.values() if peer.supports_quotas]
--- a/src/crocusproxy/platform/config_completion.py
+++ b/src/crocusproxy/platform/config_completion.py
@@ -21,11 +21,12 @@
 
 
 class ConfigCompletion:
-    """Reads each configuration once that an older build has passed on.
+    """Reads from the store each configuration that an older build passed on.
 
-    Without the store, it is applied as passed on, with the missing fields of
-    the version before, and is read again until it is complete. ``missing`` is
-    the latest one that has not been read.
+    While the store does not respond, the passed-on version applies with the
+    missing fields of the version before, and the read is retried. A version
+    that the store lacks, or an unusable document, is not read again.
+    ``missing`` is the latest configuration that has not been read.
     """
 
     def __init__(
@@ -79,7 +80,9 @@
             log(
                 'route_config_incomplete',
                 version=config.version,
-                error=str(error or 'no such version in the store'),
+                error=str(
+                    error or 'the store has no usable document of this version'
+                ),
             )
             self.catalog.apply_config(config.fill_from(current))
 
--- a/src/crocusproxy/platform/members.py
+++ b/src/crocusproxy/platform/members.py
@@ -72,7 +72,7 @@
         return True
 
     async def register_until_written(self) -> None:
-        """Retry until the record is written."""
+        """Retry until the store has accepted or rejected the record."""
         while not await self.register():
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
--- a/src/crocusproxy/routes/model.py
+++ b/src/crocusproxy/routes/model.py
@@ -112,9 +112,11 @@
     def fill_from(self, previous: 'RouteConfig | None') -> 'RouteConfig':
         """Return the configuration with the latest known dropped fields.
 
-        Routes and services take them from those with the same name.
+        Routes and services take them from those with the same name. All fields
+        newer than schema 0 are replaced; extend this by schema when
+        ``CONFIG_SCHEMA`` grows.
         """
-        if previous is None:
+        if previous is None or self.is_complete:
             return self
         routes = {route.name: route for route in previous.routes}
         services = {service.name: service for service in previous.services}
