Keep decided claims when the retry of their append is rejected

After an append with an unknown effect, its record can be read while the retry is in flight. If the retry was then rejected, the claim was voided although its request had been dispatched. The void released the key, so that the request could run twice. Only claims without a result are now given up. The new test fails without the change and passes with it; tests/ledger passes.

--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -145,7 +145,12 @@
 
     def _reject_batch(self, batch: Batch) -> None:
         for claim in batch.claims:
-            self._give_up(claim.nonce, 'append_rejected')
+            own_claim = self.registry.own_claims.get(claim.nonce)
+            # An earlier append of the same claim may have been read while this
+            # one was in flight. Its request may run already, and a void would
+            # release the key.
+            if own_claim is not None and own_claim.result is None:
+                self._give_up(claim.nonce, 'append_rejected')
 
     def _on_decided(self, own_claim: OwnClaim) -> None:
         self.appender.mark_confirmed()
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -8,7 +8,7 @@
 from aiohttp.test_utils import TestServer
 
 from crocusproxy.clock import ManualClock, SystemClock
-from crocusproxy.errors import AppendUnknownError
+from crocusproxy.errors import AppendRejectedError, AppendUnknownError
 from crocusproxy.ledger.appender import Appender
 from crocusproxy.ledger.claim_registry import ClaimRegistry
 from crocusproxy.ledger.ledger import Ledger
@@ -19,7 +19,7 @@
     ClaimUnavailable,
     LedgerSettings,
 )
-from crocusproxy.platform_client import PlatformClient
+from crocusproxy.platform_client import Page, PlatformClient, StoredRecord
 from standins.platform import Platform
 
 SETTINGS = LedgerSettings(append_interval=timedelta(milliseconds=1))
@@ -214,6 +214,51 @@
     assert platform.appends == 1
 
 
+def test_claim_read_during_a_rejected_retry_stays_dispatchable():
+    """It was voided after its dispatch, so its request could run twice."""
+
+    class Platform:
+        def __init__(self):
+            self.appended = []
+            self.retry_sent = asyncio.Event()
+            self.rejection_due = asyncio.Event()
+
+        async def append(self, _, data):
+            self.appended.append(data)
+            if len(self.appended) == 1:
+                raise AppendUnknownError('lost')
+            if len(self.appended) == 2:
+                self.retry_sent.set()
+                await self.rejection_due.wait()
+                raise AppendRejectedError('rejected')
+            return len(self.appended)
+
+        async def read(self, _, start, wait):
+            await self.retry_sent.wait()
+            if start:
+                await asyncio.sleep(wait.total_seconds())
+            now = datetime.now(timezone.utc)
+            record = StoredRecord(0, now, self.appended[0])
+            return Page(0, 1, () if start else (record,))
+
+    async def run():
+        platform = Platform()
+        ledger = Ledger(platform, SystemClock(), SETTINGS)
+        await ledger.start()
+        claimed = await ledger.claim(
+            's/k', 'd', future_expiry(), deadline_in(ledger, 60)
+        )
+        assert isinstance(claimed, Claimed)
+        platform.rejection_due.set()
+        async with asyncio.timeout(10):
+            await ledger.appender.idle_event.wait()
+        assert len(platform.appended) == 2  # a void would be a third
+        assert ledger.may_dispatch(claimed.nonce)
+        await ledger.stop()
+
+    asyncio.run(run())
+
+
 @with_ledgers(1)
 async def test_rejected_completion_does_not_block_other_entries(
     platform, ledger
