Name the removal of entries and the state of the platform exactly

The appender notes that the platform responds after a rejection too, and the entries of a rejected batch are dropped. mark_appended only called remove_entries. tests/ledger passes.

--- a/src/crocusproxy/ledger/appender.py
+++ b/src/crocusproxy/ledger/appender.py
@@ -30,7 +30,9 @@
 
     A failed append is retried with the same nonces and without new claims, so
     the number of claims with an unknown outcome stays bounded.
-    A rejected one is not retried, as it would be rejected again.
+    A rejection does not name the entry, so all entries of the batch are
+    dropped; the keys of dropped completions and voids stay claimed until they
+    expire.
     ``on_platform_down`` is called when the platform is found to be down,
     ``on_rejected`` with a batch that the platform rejected.
     """
@@ -62,8 +64,8 @@
         self.idle_event.clear()
         self.work_available.set()
 
-    def mark_confirmed(self) -> None:
-        """Note that a response or a read has confirmed an append.
+    def mark_platform_up(self) -> None:
+        """Note that the platform responds.
 
         Reads count too, because every response can be lost although each
         append takes effect.
@@ -154,8 +156,8 @@
             if batch == Batch() or not self.registry.is_settled(batch):
                 self._note_failure(error, had_no_effect=False)
         else:
-            self.registry.mark_appended(batch)
-            self.mark_confirmed()
+            self.registry.remove_entries(batch)
+            self.mark_platform_up()
 
     def _note_rejection(self, error: CrocusError, batch: Batch) -> None:
         log(
@@ -167,7 +169,7 @@
         )
         self.registry.remove_entries(batch)
         self.on_rejected(batch)
-        self.mark_confirmed()  # the platform responds
+        self.mark_platform_up()
 
     def _note_failure(self, error: CrocusError, *, had_no_effect: bool) -> None:
         self.failure_count += 1
--- a/src/crocusproxy/ledger/claim_registry.py
+++ b/src/crocusproxy/ledger/claim_registry.py
@@ -73,7 +73,7 @@
     def next_batch(self, *, retry: bool = False) -> Batch | None:
         """Return the batch of the next append; None if there is none.
 
-        Entries stay until ``mark_appended`` confirms them or they are given
+        Entries stay until ``remove_entries`` drops them or they are given
         up, so a retried append writes the same nonces again. With ``retry``,
         only claims that an earlier append may have written are included.
         """
@@ -125,14 +125,10 @@
             if not self.own_claims[nonce].maybe_written
         )
 
-    def mark_appended(self, batch: Batch) -> None:
-        """Note that the batch is in the stream."""
-        self.remove_entries(batch)
-
     def remove_entries(self, batch: Batch) -> None:
-        """Append the entries of a batch no more.
+        """Stop appending the entries of a batch.
 
-        They are in the stream, or the log service does not accept them.
+        They are in the stream or were rejected.
         """
         for claim in batch.claims:
             self.unconfirmed_claims.pop(claim.nonce, None)
@@ -168,7 +164,7 @@
         self.table.apply(offset, time, batch)
         if batch is None:
             return ()
-        self.mark_appended(batch)
+        self.remove_entries(batch)
         decided = tuple(
             self.own_claims[claim.nonce]
             for claim in batch.claims
--- a/src/crocusproxy/ledger/ledger.py
+++ b/src/crocusproxy/ledger/ledger.py
@@ -153,7 +153,7 @@
                 self._give_up(claim.nonce, 'append_rejected')
 
     def _on_decided(self, own_claim: OwnClaim) -> None:
-        self.appender.mark_confirmed()
+        self.appender.mark_platform_up()
         self._resolve(own_claim)
 
     def _resolve(self, own_claim: OwnClaim) -> None:
--- a/tests/ledger/test_claim_registry.py
+++ b/tests/ledger/test_claim_registry.py
@@ -31,7 +31,7 @@
     request_claim(registry, nonce, key='k' if nonce == 'a' else nonce)
     batch = registry.next_batch()
     registry.mark_sending(batch)
-    registry.mark_appended(batch)
+    registry.remove_entries(batch)
     registry.apply_record(registry.table.next_offset, START, batch)
     return registry.own_claims.get(nonce)
 
--- a/tests/ledger/test_claim_state_machine.py
+++ b/tests/ledger/test_claim_state_machine.py
@@ -132,7 +132,7 @@
         if outcome in {'ok', 'lost'}:
             self.log.records.append((self.now, batch))
         if outcome == 'ok':
-            instance.registry.mark_appended(batch)
+            instance.registry.remove_entries(batch)
         if outcome == 'delayed':
             self.in_transit.append(batch)
         if outcome == 'down':
