Say why a sign-in failed, and limit mapped IPv4 clients separately

A valid token with the name of another operator was reported as unknown. All IPv4 clients of a listener for both address families counted as one IPv6 network, so one of them locked out the others. tests/console and the doctests of the module pass.

--- a/src/crocusproxy/console/failed_sign_ins.py
+++ b/src/crocusproxy/console/failed_sign_ins.py
@@ -8,8 +8,8 @@
 #: Failed sign-ins of one origin within the window after which it is refused.
 MAX_FAILED_SIGN_INS = 10
 FAILURE_WINDOW = timedelta(minutes=1)
-#: More origins take the place of those with the oldest failures, so that many
-#: addresses cannot use up the memory.
+#: Beyond this number, the origin that has not failed for longest is dropped, to
+#: bound the memory.
 MAX_ORIGINS = 10_000
 #: A client usually has all addresses of a network of this size.
 _IPV6_NETWORK_BITS = 64
@@ -30,8 +30,9 @@
 class FailedSignIns:
     """Counts the failures of each origin in the window.
 
-    One client locks out neither the others nor, if operators share an address
-    as behind a proxy, those who name themselves. Times are monotonic; origins
+    A client locks out only sign-ins from its own address. Behind a shared
+    proxy, operators who enter their names are counted separately, but a client
+    there can still lock out a name that it knows. Times are monotonic; origins
     are in the order of their latest failure.
     """
 
@@ -62,6 +63,11 @@
 
     >>> client_of('192.0.2.1'), client_of('2001:db8::1'), client_of('')
     ('192.0.2.1', '2001:db8::', '')
+
+    A listener for both families has IPv4 clients with mapped addresses:
+
+    >>> client_of('::ffff:192.0.2.1')
+    '192.0.2.1'
     """
     try:
         parsed = ip_address(address)
@@ -69,5 +75,7 @@
         return address
     if not isinstance(parsed, IPv6Address):
         return address
+    if parsed.ipv4_mapped is not None:
+        return str(parsed.ipv4_mapped)
     host_bits = _IPV6_BITS - _IPV6_NETWORK_BITS
     return str(IPv6Address(int(parsed) >> host_bits << host_bits))
--- a/src/crocusproxy/console/sessions.py
+++ b/src/crocusproxy/console/sessions.py
@@ -16,7 +16,7 @@
 
 
 class SignInError(CrocusError):
-    """No operator has this token."""
+    """No operator has this token, or not the named one."""
 
     code = 'sign_in_failed'
 
@@ -64,7 +64,7 @@
         must be that operator's.
 
         Raises:
-            SignInError: no operator has this token.
+            SignInError: no operator has this token, or not the named one.
             TooManyFailedSignInsError: too many sign-ins failed within a minute.
         """
         now = self.clock.monotonic()
@@ -78,7 +78,10 @@
         operator = self._find_operator(token)
         if operator is None or operator_name not in {'', operator.name}:
             self.failed_sign_ins.record(origin, now)
-            raise SignInError('the token is unknown', hint='check the token')
+            raise SignInError(
+                'the token does not belong to this operator or is unknown',
+                hint='check the operator name and the token',
+            )
         session = Session(
             identifier=secrets.token_urlsafe(),
             operator=operator.name,
--- a/tests/console/test_sessions.py
+++ b/tests/console/test_sessions.py
@@ -84,7 +84,7 @@
 
 def test_token_of_another_operator_is_refused(store):
     """It would give as many attempts as there are operators for one token."""
-    with pytest.raises(SignInError):
+    with pytest.raises(SignInError, match='does not belong'):
         store.sign_in('secret', '192.0.2.1', 'luz')
 
 
