--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -108,8 +108,10 @@
         if not tracker.suspects and not tracker.confirmed_until:
             return None
         digest = fingerprint(request)
-        is_known = digest in tracker.suspects
-        return digest if is_known or digest in tracker.confirmed_until else None
+        is_suspected = (
+            digest in tracker.suspects or digest in tracker.confirmed_until
+        )
+        return digest if is_suspected else None
 
 
 def fingerprint(request: OutgoingRequest) -> str:
