--- a/src/crocusproxy/placement/upstream_choice.py
+++ b/src/crocusproxy/placement/upstream_choice.py
@@ -189,25 +189,25 @@
             if lowest == inf:
                 return None
             limit = lowest + EQUAL_COST_SHARE * service_time
-            cells = [[state for cost, state in known if cost <= limit]]
+            buckets = [[state for cost, state in known if cost <= limit]]
             for one in bounds:
-                cells.extend(one.examine_up_to(limit))
-            drawn = self._draw(cells, limit, queued_request)
+                buckets.extend(one.examine_up_to(limit))
+            drawn = self._draw(buckets, limit, queued_request)
             if drawn is not None:
                 return drawn
-            for cell in cells[1:]:
-                known.extend(self._costs(cell, queued_request))
+            for bucket in buckets[1:]:
+                known.extend(self._costs(bucket, queued_request))
 
     def _draw(
         self,
-        cells: list[list[UpstreamState]],
+        buckets: list[list[UpstreamState]],
         limit: float,
         queued_request: QueuedRequest,
     ) -> UpstreamState | None:
         """Draw an upstream and check its cost; return None if none fits."""
-        total = sum(map(len, cells))
+        total = sum(map(len, buckets))
         for _ in range(min(MAX_DRAWS, total)):
-            state = _item(cells, self.choice.random.randrange(total))
+            state = _item(buckets, self.choice.random.randrange(total))
             cost = self._fast_cost(state, queued_request)
             if cost is not None and cost <= limit:
                 return state
@@ -270,7 +270,7 @@
         are outdated, and are corrected so that they are not met again.
         """
         for group in groups:
-            for states in group.cells.values():
+            for states in group.buckets.values():
                 for state in states:
                     yield state
                     self.index.note_change(state)
@@ -300,10 +300,10 @@
         return state.cost(request.service_time, self.now)
 
 
-def _item(cells: list[list[UpstreamState]], number: int) -> UpstreamState:
-    """Return an item of the concatenated cells."""
-    for cell in cells:
-        if number < len(cell):
-            return cell[number]
-        number -= len(cell)
+def _item(buckets: list[list[UpstreamState]], number: int) -> UpstreamState:
+    """Return an item of the concatenated buckets."""
+    for bucket in buckets:
+        if number < len(bucket):
+            return bucket[number]
+        number -= len(bucket)
     raise IndexError(number)
--- a/src/crocusproxy/placement/upstream_index.py
+++ b/src/crocusproxy/placement/upstream_index.py
@@ -27,11 +27,12 @@
     UpstreamState,
 )
 
-#: Width of a cell. A smaller one needs more timers; it must be well below the
-#: share of the service time by which equal costs differ.
-CELL_WIDTH = 0.01
+#: Width of a bucket, as a slowdown ratio. A smaller one needs more timers; it
+#: must be well below the share of the service time by which equal costs differ.
+BUCKET_WIDTH = 0.01
 #: Share of the excess over the assumed slowdown that may decay until the next
-#: timer. With a smaller one, timers after a report are more frequent.
+#: timer. With a smaller one, timers after a report are more frequent; a larger
+#: one gives looser lower bounds, so more draws fail.
 DECAY_SHARE = 1 / 3
 #: Difference of slowdowns that is taken for a rounding error.
 ROUNDING_ERROR = 1e-10
@@ -50,22 +51,23 @@
 class UpstreamGroup:
     """Upstreams that are not slow, with the same load.
 
-    ``cells`` holds them by a lower bound of their slowdown, ``order`` the
-    numbers of the cells.
+    ``buckets`` holds them by a lower bound of their slowdown,
+    ``bucket_numbers`` the sorted keys of ``buckets``.
     """
 
     def __init__(self, key: GroupKey) -> None:
         self.key = key
-        self.cells: dict[int, list[UpstreamState]] = {}
-        self.order: list[int] = []
+        self.buckets: dict[int, list[UpstreamState]] = {}
+        self.bucket_numbers: list[int] = []
 
 
 @dataclass(slots=True)
 class GroupCosts:
     """Lower bounds of the costs in a group, for one service time.
 
-    The bound of a cell is ``base`` and ``step`` times its number. The cells
-    before ``position`` in the order of the group have been examined.
+    The bound of a bucket is the sum of ``base`` and ``step`` times its number.
+    The buckets before ``position`` in ``bucket_numbers`` of the group have been
+    examined.
     """
 
     group: UpstreamGroup
@@ -75,24 +77,25 @@
 
     def lowest(self) -> float:
         """Return the lowest bound that has not been examined."""
-        order = self.group.order
-        if self.position == len(order):
+        numbers = self.group.bucket_numbers
+        if self.position == len(numbers):
             return inf
-        return self.base + self.step * order[self.position]
+        return self.base + self.step * numbers[self.position]
 
     def examine_up_to(self, limit: float) -> list[list[UpstreamState]]:
-        """Return the further cells whose bound is at most ``limit``."""
-        cells: list[list[UpstreamState]] = []
+        """Return the further buckets whose bound is at most ``limit``."""
+        buckets: list[list[UpstreamState]] = []
         while self.lowest() <= limit:
-            cells.append(self.group.cells[self.group.order[self.position]])
+            number = self.group.bucket_numbers[self.position]
+            buckets.append(self.group.buckets[number])
             self.position += 1
-        return cells
+        return buckets
 
 
 def group_costs(group: UpstreamGroup, service_time: float) -> GroupCosts:
     """Return the lower bounds of the costs in a group.
 
-    They follow from ``UpstreamState.cost`` for the lowest slowdown in a cell.
+    They follow from ``UpstreamState.cost`` for the lowest slowdown in a bucket.
     """
     key = group.key
     ratio = key.effect.ratio(key.in_flight + 1)
@@ -100,21 +103,21 @@
     base = (TYPICAL_SLOWDOWN * ratio + busy) * service_time
     if key.is_remote:
         base += REMOTE_SECONDS + REMOTE_COST_SHARE * service_time
-    return GroupCosts(group, base, CELL_WIDTH * ratio * service_time)
+    return GroupCosts(group, base, BUCKET_WIDTH * ratio * service_time)
 
 
 @dataclass(slots=True, eq=False)
-class _Filing:
-    """Where an upstream is filed, and its contribution to the slots."""
+class _IndexEntry:
+    """Position of an upstream in the index, and its part of the slots."""
 
     slots: int = 0
     group: UpstreamGroup | None = None
-    cell: int = 0
+    bucket_number: int = 0
     position: int = 0
 
 
 class UpstreamIndex:
-    """The usable upstreams of ``upstreams``, filed by their cost.
+    """The usable upstreams of ``upstreams``, indexed by their cost.
 
     ``usable`` holds all of them, ``cold`` those that are cold, whose cost is
     not indexed, and ``groups`` those that are neither cold nor slow and that no
@@ -125,7 +128,7 @@
 
     def __init__(self, upstreams: Mapping[str, UpstreamState]) -> None:
         self.upstreams = upstreams
-        self.usable: dict[UpstreamState, _Filing] = {}
+        self.usable: dict[UpstreamState, _IndexEntry] = {}
         self.cold: dict[UpstreamState, None] = {}
         self.groups: dict[GroupKey, UpstreamGroup] = {}
         self.slot_count = 0
@@ -144,7 +147,10 @@
         notify()
 
     def note_change(self, state: UpstreamState) -> None:
-        """File an upstream again at the next refresh."""
+        """Index a changed upstream again at the next refresh.
+
+        Drop a removed one now.
+        """
         if state.is_removed:
             self._changed.pop(state, None)
             self._remove(state)
@@ -155,7 +161,8 @@
     def refresh(self, now: float) -> None:
         """Apply all changes and the passing of time."""
         if now < self.refreshed_at:
-            # Timers that were due by then are not set any more.
+            # A ``Selection`` may be older than another call. Timers due between
+            # the two were already removed, so everything is indexed again.
             self._changed.update(dict.fromkeys(self.upstreams.values()))
         self.refreshed_at = now
         timers = self._timers
@@ -167,36 +174,35 @@
             changed = tuple(self._changed)
             for state in changed:
                 self._remove(state)
-                self._file(state, now)
-            # The evaluation of a rate limit may have changed it.
+                self._insert(state, now)
             self._changed.clear()
 
-    def _file(self, state: UpstreamState, now: float) -> None:
+    def _insert(self, state: UpstreamState, now: float) -> None:
         warm_up = state.terms.warm_up
         is_cold = warm_up.is_cold(now)
         if is_cold:
             self._set_timer(state, warm_up.cold_until())
         if not state.is_usable:
             return
-        filing = _Filing()
-        self.usable[state] = filing
+        entry = _IndexEntry()
+        self.usable[state] = entry
         if is_cold:
             self.cold[state] = None
             return
         if state.rate_limit is None:
-            filing.slots = state.entry.slots
-            self.slot_count += filing.slots
+            entry.slots = state.entry.slots
+            self.slot_count += entry.slots
         may_start = state.may_start(now)
         if may_start and state.is_slow(now):
             self._set_timer(state, _fast_at(state, now))
         elif may_start:
-            self._file_by_cost(state, filing, now)
+            self._insert_by_cost(state, entry, now)
         else:
             next_at = state.terms.next_request_at(now)
             self._set_timer(state, max(state.backoff_until, next_at))
 
-    def _file_by_cost(
-        self, state: UpstreamState, filing: _Filing, now: float
+    def _insert_by_cost(
+        self, state: UpstreamState, entry: _IndexEntry, now: float
     ) -> None:
         slowdown, valid_until = _lowest_slowdown(state, now)
         self._set_timer(state, valid_until)
@@ -212,38 +218,40 @@
             group = UpstreamGroup(key)
             self.groups[key] = group
         above_typical = slowdown - TYPICAL_SLOWDOWN + 2 * ROUNDING_ERROR
-        filing.group = group
-        filing.cell = floor(above_typical / CELL_WIDTH)
-        cell = group.cells.get(filing.cell)
-        if cell is None:
-            cell = []
-            group.cells[filing.cell] = cell
-            insort(group.order, filing.cell)
-        filing.position = len(cell)
-        cell.append(state)
+        entry.group = group
+        entry.bucket_number = floor(above_typical / BUCKET_WIDTH)
+        bucket = group.buckets.get(entry.bucket_number)
+        if bucket is None:
+            bucket = []
+            group.buckets[entry.bucket_number] = bucket
+            insort(group.bucket_numbers, entry.bucket_number)
+        entry.position = len(bucket)
+        bucket.append(state)
 
     def _remove(self, state: UpstreamState) -> None:
         self._timer_of.pop(state, None)
         self.cold.pop(state, None)
-        filing = self.usable.pop(state, None)
-        if filing is None:
+        entry = self.usable.pop(state, None)
+        if entry is None:
             return
-        self.slot_count -= filing.slots
-        if filing.group is not None:
-            self._remove_from_group(state, filing, filing.group)
+        self.slot_count -= entry.slots
+        if entry.group is not None:
+            self._remove_from_group(state, entry, entry.group)
 
     def _remove_from_group(
-        self, state: UpstreamState, filing: _Filing, group: UpstreamGroup
+        self, state: UpstreamState, entry: _IndexEntry, group: UpstreamGroup
     ) -> None:
-        cell = group.cells[filing.cell]
-        last = cell.pop()
+        bucket = group.buckets[entry.bucket_number]
+        last = bucket.pop()
         if last is not state:
-            cell[filing.position] = last
-            self.usable[last].position = filing.position
-        if len(cell) == 0:
-            group.cells.pop(filing.cell)
-            group.order.pop(bisect_left(group.order, filing.cell))
-        if not group.order:
+            bucket[entry.position] = last
+            self.usable[last].position = entry.position
+        if len(bucket) == 0:
+            group.buckets.pop(entry.bucket_number)
+            group.bucket_numbers.pop(
+                bisect_left(group.bucket_numbers, entry.bucket_number)
+            )
+        if not group.bucket_numbers:
             self.groups.pop(group.key)
 
     def _set_timer(self, state: UpstreamState, at: float) -> None:
@@ -269,7 +277,9 @@
     """Return a lower bound of the slowdown, and until when it is valid.
 
     The slowdown is that of reports and observations together, raised for
-    failures as in the cost. It decays to the assumed one.
+    failures as in the cost. It decays to the assumed one. Below the assumed
+    slowdown it rises, so the present value is the bound. Above it, the value
+    after the next decay step is.
     """
     scale = state.observed.slowdown(now)
     scale /= 1 - min(state.failure_rate, MAX_FAILURE_RATE)
@@ -282,7 +292,7 @@
     if excess < 0:
         steady_at = now + SLOWDOWN_DECAY_SECONDS * log(-excess / ROUNDING_ERROR)
         return expected, min(steady_at, drop_at)
-    decay = max(CELL_WIDTH, DECAY_SHARE * excess)
+    decay = max(BUCKET_WIDTH, DECAY_SHARE * excess)
     if decay >= excess:
         return assumed, drop_at
     seconds = -SLOWDOWN_DECAY_SECONDS * log(1 - decay / excess)
