--- a/src/crocusproxy/placement/change_notifier.py
+++ b/src/crocusproxy/placement/change_notifier.py
@@ -8,7 +8,7 @@
     """Calls ``on_change``, once it is set, after each write of an attribute.
 
     Attributes in ``unwatched`` are left out. The writers are in several
-    packages, so explicit notifications would be forgotten in one of them.
+    packages; a missing notification would leave the index outdated.
     """
 
     __slots__ = ('on_change',)
--- a/src/crocusproxy/placement/slot_counter.py
+++ b/src/crocusproxy/placement/slot_counter.py
@@ -4,7 +4,8 @@
 
 from .upstream_index import UpstreamIndex
 
-#: Time for which a count is used. Decisions of a moment use the same one.
+#: Time for which a count is used, so that one burst of requests is judged by
+#: one count.
 COUNT_VALIDITY_SECONDS = 0.05
 
 
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -58,6 +58,7 @@
     seconds.
     """
 
+    # These have no effect on the cost.
     unwatched: ClassVar[frozenset[str]] = frozenset(('on_change', 'probed_at'))
 
     entry: RegisteredUpstream
--- a/src/crocusproxy/placement/upstream_terms.py
+++ b/src/crocusproxy/placement/upstream_terms.py
@@ -36,6 +36,7 @@
     the limit was last logged. Times are monotonic seconds.
     """
 
+    # These have no effect on the cost.
     unwatched: ClassVar[frozenset[str]] = frozenset(
         ('on_change', 'limit_logged_at')
     )
--- a/src/crocusproxy/placement/warm_up.py
+++ b/src/crocusproxy/placement/warm_up.py
@@ -62,6 +62,8 @@
     Times are monotonic seconds.
     """
 
+    # These have no effect on the index: ``limiter`` and ``sent_at`` decide on
+    # cold upstreams only, whose cost is not indexed.
     unwatched: ClassVar[frozenset[str]] = frozenset(
         ('on_change', 'is_listed', 'limiter', 'sent_at')
     )
