Use one rule for the room of an upstream and of a group

groups_with_room repeated the rule of _has_room; both now compare with _limit. is_below_limit, which only the reference scan of the test still used, moves into that test, so that the scan shares less with the code it checks. Selection uses names that say what was decided. No change of behaviour; the tests of placement pass.

--- a/src/crocusproxy/placement/upstream_choice.py
+++ b/src/crocusproxy/placement/upstream_choice.py
@@ -4,7 +4,7 @@
 from math import inf
 from random import Random
 
-from .concurrency import ServiceConcurrency
+from .concurrency import LoadEffect, ServiceConcurrency
 from .requests import PlacementRequest, QueuedRequest
 from .upstream_index import (
     GroupCosts,
@@ -86,26 +86,34 @@
 
     def groups_with_room(self, now: float) -> list[UpstreamGroup]:
         """Return the groups of the index whose upstreams have room."""
-        is_waiting = self._is_waiting_too_long(now)
-        is_trial = now < self.concurrency.trial_ends_at
         groups: list[UpstreamGroup] = []
         for group in self.index.groups.values():
             key = group.key
-            limit = inf if is_waiting else key.effect.limit
-            if is_trial:
-                limit += key.trial_offset
-            if key.in_flight < min(limit, key.slots):
+            limit = self._limit(key.effect, key.slots, key.trial_offset, now)
+            if key.in_flight < limit:
                 groups.append(group)
         return groups
 
     def _has_room(self, state: UpstreamState, now: float) -> bool:
         """Return whether a slot is free and its use speeds up the service."""
-        if not state.has_slot:
-            return False
+        return state.in_flight < self._limit(
+            state.load_effect, state.entry.slots, state.trial_offset, now
+        )
+
+    def _limit(
+        self, effect: LoadEffect, slots: int, trial_offset: int, now: float
+    ) -> int:
+        """Return the number of requests in flight from which there is no room.
+
+        It is the number of slots, or a lower one at which one more request
+        would not speed up the service.
+        """
         if self._is_waiting_too_long(now):
-            return True
-        is_trial = now < self.concurrency.trial_ends_at
-        return state.is_below_limit(is_trial=is_trial)
+            return slots
+        limit = effect.limit
+        if now < self.concurrency.trial_ends_at:
+            limit += trial_offset
+        return min(limit, slots)
 
     def _is_waiting_too_long(self, now: float) -> bool:
         """Return whether no request has ended for a service time.
@@ -138,12 +146,12 @@
             if not for_hedge and state.terms.warm_up.is_due(now)
         }
         self.slow: list[UpstreamState] | None = None
-        self.is_settled = False
+        self.has_decided_slow = False
 
     def has_candidates(self) -> bool:
         """Return whether an upstream can take a request."""
-        if not self.is_settled:
-            self._settle()
+        if not self.has_decided_slow:
+            self._decide_slow()
         if self.slow is not None:
             return any(
                 self.choice.may_use(state, self.now) for state in self.slow
@@ -158,10 +166,10 @@
         """
         if self.slow is None:
             state = self.choose_fast(queued_request)
-            if state is not None or self.is_settled:
-                self.is_settled = True
+            if state is not None or self.has_decided_slow:
+                self.has_decided_slow = True
                 return state
-            self._settle()
+            self._decide_slow()
         if self.slow is None:
             return None
         costs = [
@@ -174,7 +182,10 @@
     def choose_fast(
         self, queued_request: QueuedRequest
     ) -> UpstreamState | None:
-        """Return the same, but no slow upstream unless it is due."""
+        """Return the fast or due cold upstream with the lowest cost.
+
+        None if there is none.
+        """
         self.index.refresh(self.now)
         service_time = queued_request.service_time
         bounds = [
@@ -234,9 +245,9 @@
         equal = [state for cost, state in costs if cost <= limit]
         return self.choice.random.choice(equal) if equal else None
 
-    def _settle(self) -> None:
+    def _decide_slow(self) -> None:
         """Use slow upstreams if no fast one will take a request soon."""
-        self.is_settled = True
+        self.has_decided_slow = True
         self.index.refresh(self.now)
         if self._has_fast() or self._has_fast_with_room():
             return
@@ -251,23 +262,24 @@
         now = self.now
         return any(
             state.is_usable and state.may_start(now) and not state.is_slow(now)
-            for state in self._indexed(self.index.groups.values())
+            for state in self._examine(self.index.groups.values())
         )
 
     def _has_fast_with_room(self) -> bool:
         groups = self.choice.groups_with_room(self.now)
         return any(
             self.choice.may_use(state, self.now) and self._is_fast(state)
-            for state in self._indexed(groups)
+            for state in self._examine(groups)
         )
 
-    def _indexed(
+    def _examine(
         self, groups: Iterable[UpstreamGroup]
     ) -> Iterator[UpstreamState]:
-        """Iterate over upstreams of groups, and over the cold ones.
+        """Yield the upstreams of groups, then the cold ones.
 
-        The caller stops at the first that fits. Entries of those that don't
-        are outdated, and are corrected so that they are not met again.
+        The caller stops at the first that fits. Each one of a group that it
+        passes over has an outdated entry and is marked as changed, so that the
+        next refresh indexes it again.
         """
         for group in groups:
             for states in group.buckets.values():
--- a/src/crocusproxy/placement/upstream_state.py
+++ b/src/crocusproxy/placement/upstream_state.py
@@ -121,13 +121,6 @@
         """Return whether a slot is free."""
         return len(self.observed.running) < self.entry.slots
 
-    def is_below_limit(self, *, is_trial: bool) -> bool:
-        """Return whether one more request does not lower the throughput."""
-        limit = self.load_effect.limit
-        if is_trial:
-            limit += self.trial_offset
-        return len(self.observed.running) < min(limit, self.entry.slots)
-
     def is_backing_off(self, now: float) -> bool:
         """Return whether a backoff forbids requests and probes."""
         return now < self.backoff_until or now < self.terms.backoff_until
--- a/tests/placement/test_upstream_choice_machine.py
+++ b/tests/placement/test_upstream_choice_machine.py
@@ -33,6 +33,14 @@
 flags = st.booleans()
 
 
+def is_below_limit(state, *, is_trial):
+    """Return whether one more request does not lower the throughput."""
+    limit = state.load_effect.limit
+    if is_trial:
+        limit += state.trial_offset
+    return state.in_flight < min(limit, state.entry.slots)
+
+
 def scan(placer, queued_request, now):
     """Return the costs of the candidates, as a scan of all upstreams does."""
     choice = placer.choice
@@ -43,7 +51,7 @@
         state
         for state in states
         if state.has_slot
-        and (is_waiting or state.is_below_limit(is_trial=is_trial))
+        and (is_waiting or is_below_limit(state, is_trial=is_trial))
         and state.is_usable
         and state.may_start(now)
     ]
