Require the time of a push and name the steps of the fair level

All callers in src and bench pass the time of a push, so it is required. The tests pass an early one, at which no request is refused for its deadline, as before. The names and docstrings of the fair level say what the steps do. No change of behaviour; lint and the tests of placement, limits and the service of the proxy pass.

--- a/src/crocusproxy/limits/caller_queue.py
+++ b/src/crocusproxy/limits/caller_queue.py
@@ -28,9 +28,9 @@
 class QueueEntry(Generic[QueuedItem]):
     """A queued request; ``deadline`` is in monotonic time.
 
-    The account, as which the fair level knows the caller, and the other fields
-    belong to the queue. Each request is charged as one, because its duration
-    is not known.
+    ``account`` is the caller. ``order_key``, ``service_time`` and ``is_queued``
+    are set by the queue only; ``service_time`` is 1, as durations are not
+    known.
     """
 
     item: QueuedItem
@@ -63,11 +63,12 @@
     """Requests that wait at a home until an upstream has room.
 
     A home of a service is an instance that dispatches its requests. The
-    earliest deadline comes first, except that a caller with more than its fair
-    share of the queue gets one request served in each round of the callers. A
-    caller may queue at most ``per_caller`` requests, and at most as many as
-    there are free places, so that its load neither displaces nor overtakes the
-    requests of others. ``limit`` is the maximum length. Times are monotonic.
+    earliest deadline comes first, except that a caller whose requests beyond
+    the first are more than twice the mean number of requests of the others gets
+    one request served in each round of the callers. A caller may queue at most
+    ``per_caller`` requests, and at most as many as there are free places, so
+    that its load neither displaces nor overtakes the requests of others.
+    ``limit`` is the maximum length. Times are monotonic.
     """
 
     def __init__(self, limit: int, per_caller: int) -> None:
@@ -91,12 +92,12 @@
         item: QueuedItem,
         caller: str,
         deadline: timedelta,
-        now: timedelta | None = None,
+        now: timedelta,
     ) -> Refuse | None:
         """Add a request, or return its refusal.
 
-        With ``now``, a request is also refused if its deadline has passed or
-        would pass during the expected wait.
+        It is also refused if its deadline has passed or would pass during the
+        expected wait.
         """
         code = self._refusal_code(caller, deadline, now)
         if code:
@@ -149,16 +150,16 @@
         self,
         caller: str,
         deadline: timedelta,
-        now: timedelta | None,
+        now: timedelta,
     ) -> str:
-        if now is not None and deadline <= now:
+        if deadline <= now:
             return 'deadline_passed'
         free = self.limit - len(self.level)
         if free <= 0:
             return 'queue_full'
         if self.level.count_of(caller) >= min(self.per_caller, free):
             return 'caller_over_limit'
-        if now is not None and now + self.expected_wait() > deadline:
+        if now + self.expected_wait() > deadline:
             return 'queue_full'
         return ''
 
--- a/src/crocusproxy/limits/fair_level.py
+++ b/src/crocusproxy/limits/fair_level.py
@@ -51,12 +51,12 @@
 
     @property
     def excess(self) -> float:
-        """Return the number of requests relative to the usual use."""
+        """Return the number of requests divided by the account's weight."""
         return len(self.requests) / self.weight
 
 
 BacklogHeap: TypeAlias = list[tuple[float, int, Backlog[Item]]]
-DueHeap: TypeAlias = list[tuple[OrderKey, int, Backlog[Item]]]
+FirstKeyHeap: TypeAlias = list[tuple[OrderKey, int, Backlog[Item]]]
 
 
 class FairLevel(Generic[Item]):
@@ -72,8 +72,8 @@
     the mean backlog of the others. The virtual time then passes by one round
     when each account has been served once, and of the accounts that are due,
     the one with the first sort key is next. Without a tolerance, random
-    differences among accounts with equal loads make the unlucky ones wait for
-    several rounds.
+    differences among accounts with equal loads make those with slightly more
+    requests wait for several rounds.
     """
 
     def __init__(self, tolerated_excess: float | None = None) -> None:
@@ -84,7 +84,7 @@
         self.length = 0
         self.by_start: BacklogHeap[Item] = []
         self.by_excess: BacklogHeap[Item] = []
-        self.due: DueHeap[Item] = []
+        self.by_first_key: FirstKeyHeap[Item] = []
         self.sequence = count()
 
     def __len__(self) -> int:
@@ -106,7 +106,7 @@
             self.weight_sum += weight
             self._push_start(backlog)
         elif request.order_key < backlog.first_key:
-            self._first_changes(backlog)
+            self._requeue_after_new_first(backlog)
         insort(backlog.requests, (request.order_key, request))
         self.length += 1
         heappush(
@@ -121,7 +121,7 @@
             return None
         request = backlog.requests[0][1]
         charge = self._charge(backlog, request)
-        self._pass_time(request.service_time, self.weight_sum)
+        self._advance_virtual_time(request.service_time, self.weight_sum)
         backlog.requests.pop(0)
         self.length -= 1
         backlog.start += charge
@@ -140,7 +140,7 @@
         former_weight_sum = self.weight_sum
         if backlog is None:
             former_weight_sum += weight
-        self._pass_time(-request.service_time, former_weight_sum)
+        self._advance_virtual_time(-request.service_time, former_weight_sum)
         self.push(request, weight)
         if backlog is not None:
             backlog.start -= self._charge(backlog, request)
@@ -155,7 +155,7 @@
         if not backlog.requests:
             self._drop(backlog)
         elif not index:
-            self._first_changes(backlog)
+            self._requeue_after_new_first(backlog)
 
     def last(self) -> Item:
         """Return the last request of the account with the largest excess."""
@@ -196,13 +196,15 @@
                 return 0
         return request.service_time / backlog.weight
 
-    def _pass_time(self, service_time: float, weight_sum: float) -> None:
+    def _advance_virtual_time(
+        self, service_time: float, weight_sum: float
+    ) -> None:
         if self.tolerated_excess is not None:
             self.virtual_time += service_time / weight_sum
 
     def _next_backlog(self) -> Backlog[Item] | None:
         """Return the backlog that is served next, after dropping its entry."""
-        while self.by_start or self.due:
+        while self.by_start or self.by_first_key:
             if self.tolerated_excess is not None:
                 backlog = self._next_due()
                 if backlog is not None:
@@ -229,9 +231,9 @@
             backlog = heappop(self.by_start)[2]
             if self._is_current(backlog):
                 entry = (backlog.first_key, next(self.sequence), backlog)
-                heappush(self.due, entry)
-        while self.due:
-            key, _, backlog = heappop(self.due)
+                heappush(self.by_first_key, entry)
+        while self.by_first_key:
+            key, _, backlog = heappop(self.by_first_key)
             if self._is_current(backlog) and key == backlog.first_key:
                 if backlog.start <= self.virtual_time:
                     return backlog
@@ -239,7 +241,7 @@
                 self._push_start(backlog)
         return None
 
-    def _first_changes(self, backlog: Backlog[Item]) -> None:
+    def _requeue_after_new_first(self, backlog: Backlog[Item]) -> None:
         """Enter a backlog again whose next request is another one."""
         if self.tolerated_excess is not None:
             self._push_start(backlog)
@@ -254,7 +256,7 @@
         if not self.backlogs:
             self.weight_sum = 0
             self.by_start.clear()
-            self.due.clear()
+            self.by_first_key.clear()
             self.by_excess.clear()
 
     def _limit_outdated(self) -> None:
@@ -265,8 +267,8 @@
                 for backlog in self.backlogs.values()
             ]
             heapify(self.by_excess)
-        if len(self.by_start) + len(self.due) > limit:
-            self.due.clear()
+        if len(self.by_start) + len(self.by_first_key) > limit:
+            self.by_first_key.clear()
             self.by_start = [
                 (backlog.start, next(self.sequence), backlog)
                 for backlog in self.backlogs.values()
--- a/tests/limits/test_caller_queue.py
+++ b/tests/limits/test_caller_queue.py
@@ -9,6 +9,9 @@
 
 from crocusproxy.limits.caller_queue import CallerQueue
 
+#: Time of a push that is never refused for its deadline or its expected wait.
+EARLY = timedelta(hours=-1)
+
 
 def ms(number):
     return timedelta(milliseconds=number)
@@ -22,33 +25,33 @@
 def test_requests_of_one_caller_are_popped_by_deadline():
     queue = CallerQueue(10, 10)
     for number in (30, 10, 20):
-        assert queue.push(number, 'a', ms(number)) is None
+        assert queue.push(number, 'a', ms(number), EARLY) is None
     assert [pop_item(queue) for _ in range(4)] == [10, 20, 30, None]
 
 
 def test_flood_of_one_caller_neither_fills_the_queue_nor_delays_others():
     queue = CallerQueue(16, 16)
-    refusals = [queue.push('flood', 'f', ms(100)) for _ in range(100)]
+    refusals = [queue.push('flood', 'f', ms(100), EARLY) for _ in range(100)]
     assert refusals[-1].code == 'caller_over_limit'
-    assert queue.push('other', 'o', ms(100)) is None
+    assert queue.push('other', 'o', ms(100), EARLY) is None
     assert 'other' in {pop_item(queue) for _ in range(2)}
 
 
 def test_callers_with_one_request_at_a_time_do_not_stop_a_longer_backlog():
     queue = CallerQueue(100, 100)
     for _ in range(10):
-        queue.push('a', 'a', ms(1000))
+        queue.push('a', 'a', ms(1000), EARLY)
     popped = ''
     for caller in 'bc' * 10:
-        queue.push(caller, caller, ms(1000))
+        queue.push(caller, caller, ms(1000), EARLY)
         popped += pop_item(queue)
     assert popped.count('a') >= 6
 
 
 def test_expired_requests_are_returned_once_and_never_popped():
     queue = CallerQueue(10, 10)
-    queue.push('early', 'a', ms(5))
-    queue.push('late', 'a', ms(50))
+    queue.push('early', 'a', ms(5), EARLY)
+    queue.push('late', 'a', ms(50), EARLY)
     assert pop_item(queue, 5) == 'late'
     assert queue.expired(ms(5)) == ['early']
     assert not queue.expired(ms(5))
@@ -58,7 +61,7 @@
 def test_request_that_would_wait_past_its_deadline_is_refused():
     queue = CallerQueue(100, 100)
     for number in range(40):
-        queue.push(number, 'a', ms(10_000))
+        queue.push(number, 'a', ms(10_000), EARLY)
     for number in range(30):
         queue.pop(ms(number * 10))
     refusal = queue.push('x', 'b', ms(310), now=ms(300))
@@ -69,7 +72,7 @@
 def test_request_given_back_to_a_full_queue_keeps_its_place_and_the_rate():
     queue = CallerQueue(4, 4)
     for item, caller in (('a1', 'a'), ('b1', 'b'), ('a2', 'a'), ('c1', 'c')):
-        queue.push(item, caller, ms(10_000))
+        queue.push(item, caller, ms(10_000), EARLY)
     retry_after = queue.retry_after()
     for poll in range(1, 100):
         queue.give_back(queue.pop(ms(poll * 20)))
@@ -81,9 +84,9 @@
 def test_expired_or_returned_requests_are_not_charged_to_their_caller():
     queue = CallerQueue(20, 20)
     for number in range(8):
-        queue.push(number, 'a', ms(5))
-    queue.push('a1', 'a', ms(40))
-    queue.push('b1', 'b', ms(50))
+        queue.push(number, 'a', ms(5), EARLY)
+    queue.push('a1', 'a', ms(40), EARLY)
+    queue.push('b1', 'b', ms(50), EARLY)
     queue.give_back(queue.pop(ms(0)))
     assert [pop_item(queue, 10) for _ in range(3)] == ['a1', 'b1', None]
 
@@ -92,9 +95,9 @@
 def test_flood_with_earlier_deadlines_gets_one_request_in_a_round(flood):
     queue = CallerQueue(100, 100)
     for number in range(flood):
-        queue.push('flood', 'f', ms(10 + number))
+        queue.push('flood', 'f', ms(10 + number), EARLY)
     for caller in 'abc':
-        queue.push(caller, caller, ms(100))
+        queue.push(caller, caller, ms(100), EARLY)
     popped = [pop_item(queue) for _ in range(5)]
     assert popped.count('flood') <= 2
 
@@ -102,9 +105,9 @@
 def test_attempts_without_room_give_no_further_round_to_a_flood():
     queue = CallerQueue(100, 100)
     for number in range(20):
-        queue.push('flood', 'f', ms(10 + number))
+        queue.push('flood', 'f', ms(10 + number), EARLY)
     for caller in 'abc':
-        queue.push(caller, caller, ms(100))
+        queue.push(caller, caller, ms(100), EARLY)
     assert pop_item(queue) == 'flood'
     for _ in range(20):
         queue.give_back(queue.pop(ms(0)))
@@ -114,10 +117,10 @@
 def test_request_entered_before_an_earlier_one_gets_no_further_round():
     queue = CallerQueue(100, 100)
     for caller in 'bcdefgffff':
-        queue.push(caller, caller, ms(100))
+        queue.push(caller, caller, ms(100), EARLY)
     for first, flood in ((5, 60), (6, 50)):
-        queue.push('first', 'a', ms(first))
-        queue.push('f', 'f', ms(flood))
+        queue.push('first', 'a', ms(first), EARLY)
+        queue.push('f', 'f', ms(flood), EARLY)
         assert pop_item(queue) == 'first'
     assert [pop_item(queue) for _ in range(2)] == ['f', 'b']
 
@@ -126,14 +129,14 @@
     queue = CallerQueue(100, 100)
     entries = [('a', 5), ('a', 1), ('b', 4), ('b', 2), ('c', 3), ('a', 6)]
     for caller, deadline in entries:
-        queue.push(deadline, caller, ms(deadline))
+        queue.push(deadline, caller, ms(deadline), EARLY)
     assert [pop_item(queue) for _ in range(6)] == [1, 2, 3, 4, 5, 6]
 
 
 def test_heap_of_deadlines_does_not_keep_requests_that_have_left():
     queue = CallerQueue(10, 10)
     for number in range(1000):
-        queue.push(number, 'a', timedelta(hours=1))
+        queue.push(number, 'a', timedelta(hours=1), EARLY)
         pop_item(queue)
     assert len(queue.by_deadline) < 100
 
@@ -144,7 +147,7 @@
     accepted = [
         number
         for number, (caller, deadline) in enumerate(entries)
-        if queue.push(number, caller, ms(deadline)) is None
+        if queue.push(number, caller, ms(deadline), EARLY) is None
     ]
     removed = []
     for now in range(60):
@@ -167,7 +170,7 @@
                 random.choice('abcd'),
                 ms(now + random.random() * 60),
             )
-            assert queue.push(now, caller, deadline) is None
+            assert queue.push(now, caller, deadline, EARLY) is None
             waiting[now] = (caller, deadline)
             continue
         entry = queue.pop(ms(now))
