--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""Entries of another writer that can't be read, while servers are drained."""
+"""SIGTERM of an instance while its clients have pipelined requests."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,85 +9,94 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib'))
 
 from bed import (  # noqa: E402
-    DRAIN_S,
-    HEARTBEAT_S,
+    DEADLINE,
+    GRACE_S,
+    HOST,
+    REQUEST_ID,
+    SIGNATURE,
     TROUBLE,
     CaseFailed,
     config,
+    message,
+    read_body,
+    read_head,
     run_case,
 )
 
-CLIENTS = 16
-WORK_S = 0.3
-#: How long the drained servers go on after the acknowledgement.
-SERVES_ON_S = 4.0
-#: JSON has no NaN; the second one is a text where a number is due.
-FOREIGN_FIGURES = ('NaN', '"Infinity"', '-Infinity')
+CONNECTIONS = 8
+PIPELINED = 3
+WORK_S = 0.4
+DEADLINE_MS = 2500
 
 
-async def write_foreign_entries(bed):
-    """Keep some entries alive, as any server does, that can't be read."""
-    sequence = 0
-    while True:
-        sequence += 1
-        for number, figure in enumerate(FOREIGN_FIGURES):
-            bed.store.put(
-                'keyed.servers',
-                f'i-other{number}',
-                (
-                    '{"Address":"127.0.0.1:9","ServerInfo":{"Service":"alpha",'
-                    '"Version":"v1","Zone":"z1","Slots":2},"Status":{"State":'
-                    f'"ready","Sequence":{sequence},'
-                    f'"WarmupRemainingMs":{figure}}}}}'
-                ).encode(),
+async def pipeline(bed, front, outcomes):
+    """Send some safe requests behind one another; read their answers."""
+    host, _, port = front.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    rids = []
+    for _ in range(PIPELINED):
+        rid = bed.new_id()
+        rids.append(rid)
+        outcomes[rid] = 'no answer, the connection ended'
+        writer.write(
+            message(
+                'GET /read/1 HTTP/1.1',
+                [
+                    ('Host', HOST),
+                    (REQUEST_ID, rid),
+                    (DEADLINE, str(DEADLINE_MS)),
+                ],
             )
-            bed.record.write(f'another writer wrote i-other{number}: {figure}')
-            await asyncio.sleep(HEARTBEAT_S / len(FOREIGN_FIGURES))
-
-
-async def send_requests(bed, outcomes):
-    while True:
-        front = await bed.resolve('z1')
-        for _ in range(5):
-            rid, status = await bed.request(front, '/order/1', 'POST')
-            outcomes[rid] = status
+        )
+        bed.record.write(f'{rid} sent to {front}: GET /read/1 (pipelined)')
+        await asyncio.sleep(0.05)
+    try:
+        for rid in rids:
+            first, headers = await read_head(reader)
+            await read_body(reader, headers)
+            signed = SIGNATURE.lower() in headers
+            outcomes[rid] = f'{first}{", of a server" if signed else ""}'
+            closes = headers.get('connection', '') == 'close'
+            bed.record.write(
+                f'{rid} answered: {outcomes[rid]}'
+                f'{" (Connection: close)" if closes else ""}'
+            )
+    except (asyncio.IncompleteReadError, ConnectionError):
+        bed.record.write(f'connection of {rids} has ended')
+    finally:
+        writer.close()
 
 
 async def scenario(bed):
-    await bed.start(config([('/order/', 'unsafe', 'alpha')]))
-    for number in range(8):
+    await bed.start(config([('/read/', 'safe', 'alpha')]))
+    for number in range(6):
         await bed.add_server('alpha', f'z{number % 3 + 1}', work=WORK_S)
     await bed.wait_ready()
     await asyncio.sleep(2)
+    front = await bed.resolve('z1')
+    home = bed.instance_at(front)
+    for _ in range(5):
+        _, status = await bed.request(front, '/read/0')
+        if status != 200:
+            raise CaseFailed(f'status {status} before the disruption')
     outcomes = {}
-    bed.tasks += [
-        asyncio.create_task(send_requests(bed, outcomes))
-        for _ in range(CLIENTS)
+    clients = [
+        asyncio.create_task(pipeline(bed, front, outcomes))
+        for _ in range(CONNECTIONS)
     ]
-    await asyncio.sleep(4)
-    if not outcomes or set(outcomes.values()) != {200}:
-        raise CaseFailed('not all requests are served before the disruption')
+    await asyncio.sleep(0.3)
+    terminated_at = bed.record.now()
     if TROUBLE:
-        bed.tasks.append(asyncio.create_task(write_foreign_entries(bed)))
-    await asyncio.sleep(4)
-    leaving = {server.id: server.drain() for server in bed.servers[:2]}
-    # A server that takes the place of each, as in a rolling release.
-    for number in range(2):
-        await bed.add_server('alpha', f'z{number + 1}', work=WORK_S)
-    await asyncio.sleep(SERVES_ON_S)
-    for server in bed.servers[:2]:
-        server.unregister()
-        server.close()
-    await asyncio.sleep(2)
-    lost = [rid for rid, status in outcomes.items() if status != 200]
-    bed.record.write(f'requests without a success: {len(lost)}')
-    joined = sum(len(server.arrivals) for server in bed.servers[8:])
-    bed.record.write(f'arrivals at the servers that joined: {joined}')
+        home.send_signal(signal.SIGTERM)
+    await asyncio.gather(*clients)
+    if bed.record.now() - terminated_at > GRACE_S * 5 / 6:
+        raise CaseFailed('the clients took too long')
+    passed_on = {rid for rid, at, _ in bed.arrivals()}
     return [
-        f'{rid} reached server {server.id} '
-        f'{at - leaving[server.id]:.3f} s after its draining was acknowledged'
-        for rid, at, server in bed.arrivals()
-        if at > leaving.get(server.id, at) + DRAIN_S
+        f'{rid} was passed on to a server, and its connection ended without '
+        'an answer to it'
+        for rid, outcome in outcomes.items()
+        if outcome.startswith('no answer') and rid in passed_on
     ]
 
 
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -223,7 +223,8 @@
         self.host = host
         self.mode = 'ok'
         self.writers = set()
-        self.tasks = set()
+        #: Loop time at which bytes last came from the client.
+        self.used_at = 0.0
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, self.host, port)
@@ -252,15 +253,17 @@
             return
         self.writers |= {writer, other_writer}
         await asyncio.gather(
-            self._forward(reader, other_writer),
+            self._forward(reader, other_writer, is_client=True),
             self._forward(other_reader, writer),
         )
         self.writers -= {writer, other_writer}
 
-    async def _forward(self, reader, writer):
+    async def _forward(self, reader, writer, is_client=False):
         is_silent = False
         try:
             while chunk := await reader.read(65536):
+                if is_client:
+                    self.used_at = asyncio.get_running_loop().time()
                 is_silent = is_silent or self.mode == 'silent'
                 if not is_silent:
                     writer.write(chunk)
@@ -683,6 +686,10 @@
     def instance_at(self, front):
         return next(one for one in self.instances if one.front == front)
 
+    def reader(self):
+        """Return the instance that reads the store."""
+        return max(self.instances, key=lambda one: one.link.used_at)
+
     def new_id(self):
         self.request_count += 1
         return '%06x%010x' % (
