--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,11 +18,12 @@
 ZONES = ('z1', 'z2', 'z3')
 SERVICES = ('alpha', 'beta')
 SERVERS_PER_ZONE = 6
-CLIENTS_PER_ZONE = 8
-WORK_S = 0.25
+CLIENTS_PER_ZONE = 14
+WORK_S = 0.4
 CUT_S = 5.5
-#: The servers that leave end this long after their entries are removed.
-SERVES_ON_S = 3.5
+#: How long the servers that leave serve on after their entries are removed, by
+#: zone.
+SERVES_ON_S = {'z1': 2.6, 'z2': 2.6, 'z3': 4.0}
 
 
 async def send_requests(bed, zone, outcomes, fronts):
@@ -38,7 +39,9 @@
 async def leave(server):
     """Leave without a report of draining; return the acknowledgement."""
     at = server.unregister()
-    asyncio.get_running_loop().call_later(SERVES_ON_S, server.close)
+    asyncio.get_running_loop().call_later(
+        SERVES_ON_S[server.zone], server.close
+    )
     return at
 
 
