--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -513,7 +513,7 @@
                 'LinkMbps': 1000.0,
             },
             'HeartbeatMs': int(HEARTBEAT_S * 1000),
-            'Bounds': BOUNDS,
+            'Bounds': BOUNDS | bed.bounds,
             'Platform': {'Address': self.link.address},
         }
         template = (ROOT / bed.role['template']).read_text()
@@ -610,7 +610,8 @@
 class Bed:
     """Store, instances and servers of one case."""
 
-    def __init__(self, folder, instance_zones):
+    def __init__(self, folder, instance_zones, bounds):
+        self.bounds = bounds
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         (self.role,) = deploy['roles'].values()
         self.record = Record(folder)
@@ -698,7 +699,14 @@
         )
 
     async def request(
-        self, front, path, method='GET', deadline_ms=3000, rid=None, body=b''
+        self,
+        front,
+        path,
+        method='GET',
+        deadline_ms=3000,
+        rid=None,
+        body=b'',
+        headers=(),
     ):
         """Send a request on a new connection; return its id and the status.
 
@@ -707,7 +715,11 @@
         """
         rid = rid or self.new_id()
         self.record.write(f'{rid} sent to {front}: {method} {path}')
-        headers = [(REQUEST_ID, rid), (DEADLINE, str(deadline_ms))]
+        headers = [
+            (REQUEST_ID, rid),
+            (DEADLINE, str(deadline_ms)),
+            *headers,
+        ]
         status = 0
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 2):
@@ -787,11 +799,11 @@
     return document
 
 
-def run_case(folder, zones, scenario, limit_s=110):
+def run_case(folder, zones, scenario, limit_s=110, bounds=None):
     """Run a scenario; exit with 1 if it returns faults, 0 if it held."""
 
     async def main():
-        bed = Bed(folder, zones)
+        bed = Bed(folder, zones, bounds or {})
         bed.record.write(f'TROUBLE={int(TROUBLE)}')
         try:
             async with asyncio.timeout(limit_s):
