Let the review's scripts exit with 2 after any error of their own

Cause: a fault of the script itself would have counted as a broken rule. Change: every error ends with exit code 2, and SIGTERM ends the processes.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -120,8 +120,8 @@
         self.server = await asyncio.start_server(
             self._serve, '127.0.0.1', 0, limit=1 << 22
         )
-        self.address = '127.0.0.1:%d' % (
-            self.server.sockets[0].getsockname()[1]
+        self.address = (
+            '127.0.0.1:%d' % (self.server.sockets[0].getsockname()[1])
         )
         return self
 
@@ -803,6 +803,8 @@
     """Run a scenario; exit with 1 if it returns faults, 0 if it held."""
 
     async def main():
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         bed = Bed(folder, zones, bounds or {})
         bed.record.write(f'TROUBLE={int(TROUBLE)}')
         try:
@@ -819,7 +821,7 @@
 
     try:
         faults = asyncio.run(main())
-    except (CaseFailed, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f'the case could not run: {error!r}')
         sys.exit(NOT_RUN)
     for fault in faults[:10]:
