Give the review's instances names in the order of their numbers

Cause: members are ranked by name, and front-10 came before front-2. Change: two digits in the names.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -473,7 +473,7 @@
 
     def __init__(self, bed, number, zone):
         self.bed = bed
-        self.name = f'front-{number}'
+        self.name = f'front-{number:02}'
         self.zone = zone
         self.ip = f'127.{bed.net}.0.{number}'
         self.process = None
