Answer all pipelined requests at work before a shutdown closes

Cause: CallerConnection closed with the first response that it wrote while draining, and a response of internal_error closed in the same way. Safe requests of a pipeline run concurrently, so those behind had been sent.

A connection now closes after the last request that has started. While draining, none starts behind another one. A non-idempotent request that waits runs only if a started one is behind it, and the shutdown counts it.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -110,12 +110,20 @@
 
 
 class CallerConnection(BaseProtocol):
-    """Reads requests, serves them, and writes the responses in order."""
+    """Reads requests, serves them, and writes the responses in order.
+
+    A request that has started may be at work at an upstream, so the connection
+    closes only after the last one of these. ``closes_after_started`` is set
+    once no further request may start, and ``ignores_input`` once one has
+    arrived that does not start: the caller treats requests without a response
+    before the close as not processed.
+    """
 
     __slots__ = (
         'last_activity_at',
+        'closes_after_started',
+        'ignores_input',
         'is_finished',
-        'is_rejected',
         'head_started_at',
         'pipeline',
         'gateway',
@@ -128,7 +136,8 @@
         self.gateway = gateway
         self.pipeline: deque[CallerRequest] = deque()
         self.is_finished = False
-        self.is_rejected = False
+        self.closes_after_started = False
+        self.ignores_input = False
         self.head_started_at: timedelta | None = None
         self.last_activity_at = gateway.clock.monotonic()
         max_header_bytes = gateway.limits.header_bytes
@@ -162,7 +171,7 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
-        if self.is_finished or self.is_rejected:
+        if self.is_finished or self.ignores_input:
             return
         self.last_activity_at = self.gateway.clock.monotonic()
         assert self._parser is not None
@@ -173,6 +182,9 @@
             return
         self._note_partial_head(is_partial=not messages and not self.pipeline)
         for message, payload in messages:
+            if not self._accepts_request():
+                self.ignores_input = True
+                return
             self._start_request(message, payload)
         if upgraded:
             self._reject(BadHttpMessage('protocol switch'))
@@ -205,6 +217,16 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    def has_requests(self) -> bool:
+        """Return whether a request has not been answered yet."""
+        return bool(self.pipeline)
+
+    def _accepts_request(self) -> bool:
+        """Return whether a request may start behind those in the pipeline."""
+        if self.closes_after_started:
+            return False
+        return not (self.gateway.is_draining and self.pipeline)
+
     def _note_partial_head(self, *, is_partial: bool) -> None:
         if not is_partial:
             self.head_started_at = None
@@ -214,6 +236,7 @@
     def _start_request(
         self, message: RawRequestMessage, payload: StreamReader
     ) -> None:
+        self.closes_after_started = message.should_close
         earlier_responses_written = None
         if self.pipeline and message.method not in _SAFE_METHODS:
             # An unsafe request must not run if the connection is closed after
@@ -269,27 +292,37 @@
         transport = self.transport
         if transport is None:
             return
-        close = (
-            response.close
-            or request.message.should_close
-            or self.gateway.is_draining
-            or not request.payload.is_eof()
+        if response.close or self.gateway.is_draining:
+            self.closes_after_started = True
+        close = not request.payload.is_eof() or (
+            self.closes_after_started and not self._has_started_requests()
         )
         with_body = request.message.method != 'HEAD'
         transport.write(response.encode(close=close, with_body=with_body))
         if close:
             self.is_finished = True
-            # The caller treats requests pipelined after it as not processed.
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
             transport.write_eof()
             self._loop.call_later(_LINGER_SECONDS, transport.close)
 
+    def _has_started_requests(self) -> bool:
+        """Return whether a request in the pipeline may be at an upstream."""
+        return any(
+            request.earlier_responses_written is None
+            for request in self.pipeline
+        )
+
     def _reject(self, error: BaseException) -> None:
-        """Refuse invalid input once all earlier responses were written."""
+        """Refuse invalid input once all earlier responses were written.
+
+        There is no refusal if the connection closes after these.
+        """
         # The parser can't continue after invalid input.
-        self.is_rejected = True
+        self.ignores_input = True
+        if not self._accepts_request():
+            return
         refusal = _refusal_for(error)
         # The parser's message quotes the input, which can contain an API key.
         error_type = type(error).__name__
--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -39,5 +39,5 @@
     for connection in tuple(gateway.connections):
         connection.close_if_idle()
     log('port_closed', in_flight=gateway.in_flight)
-    while gateway.in_flight or gateway.has_unsent_bytes():
+    while gateway.has_open_requests() or gateway.has_unsent_bytes():
         await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -48,9 +48,9 @@
 class Gateway:
     """Serves the requests of all callers of this process.
 
-    ``is_draining`` is set during shutdown; each response then closes its
-    connection. The process may end at monotonic second ``ends_at``; requests
-    with a later deadline are refused.
+    ``is_draining`` is set during shutdown; each connection then closes after
+    the requests that have started. The process may end at monotonic second
+    ``ends_at``; requests with a later deadline are refused.
     """
 
     def __init__(
@@ -103,6 +103,12 @@
         """Return whether a response waits for a caller that reads slowly."""
         return any(one.has_unsent_bytes() for one in self.connections)
 
+    def has_open_requests(self) -> bool:
+        """Return whether a request is at work, or waits behind another one."""
+        return self.in_flight > 0 or any(
+            connection.has_requests() for connection in self.connections
+        )
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
         self.in_flight += 1
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -17,7 +17,11 @@
 
 
 class FakeGateway:
-    """Answers each request once ``release`` is set."""
+    """Answers each request once ``release`` is set.
+
+    ``handled`` lists the paths of the requests in the order of their start; a
+    request whose path is in ``failing`` ends with an error.
+    """
 
     def __init__(self):
         self.clock = ManualClock()
@@ -25,12 +29,16 @@
         self.is_draining = False
         self.connections = set()
         self.release = asyncio.Event()
-        self.handled_count = 0
+        self.handled = []
+        self.failing = set()
 
     async def handle(self, request):
-        self.handled_count += 1
+        path = request.message.path
+        self.handled.append(path)
         await self.release.wait()
-        return CallerResponse(200, body=request.message.path.encode())
+        if path in self.failing:
+            raise LookupError(path)
+        return CallerResponse(200, body=path.encode())
 
 
 class Connection:
@@ -46,10 +54,43 @@
         self.gateway.clock.advance(timedelta(seconds=seconds))
         self.protocol.enforce_timeouts(self.gateway.clock.monotonic())
 
+    def send(self, number, method='GET', headers=''):
+        head = f'{method} /{number} HTTP/1.1\r\nHost: a.example\r\n{headers}'
+        self.protocol.data_received(f'{head}\r\n'.encode())
+
+    async def finish(self):
+        """Let requests start, and answer all that have started."""
+        await asyncio.sleep(0)
+        self.gateway.release.set()
+        await asyncio.sleep(0.01)
+
     @property
-    def written(self):
+    def responses(self):
         calls = self.transport.write.call_args_list
-        return b''.join(call.args[0] for call in calls)
+        return [call.args[0].decode() for call in calls]
+
+    @property
+    def written(self):
+        return ''.join(self.responses).encode()
+
+    @property
+    def statuses(self):
+        return [int(response.split()[1]) for response in self.responses]
+
+    @property
+    def bodies(self):
+        return [
+            response.partition('\r\n\r\n')[2] for response in self.responses
+        ]
+
+    @property
+    def closing_bodies(self):
+        """Return the bodies of the responses that close the connection."""
+        return [
+            response.partition('\r\n\r\n')[2]
+            for response in self.responses
+            if 'Connection: close' in response
+        ]
 
 
 def test_head_that_arrives_slowly_is_rejected():
@@ -99,12 +140,92 @@
         await asyncio.sleep(0.01)
         statuses = re.findall(rb'HTTP/1.1 (\d+)', connection.written)
         assert statuses == [b'200', b'400']
-        assert connection.gateway.handled_count == 1
+        assert len(connection.gateway.handled) == 1
         assert events == ['request_not_handled']
 
     asyncio.run(scenario())
 
 
+def pipelined_connection(*methods):
+    """Return a connection that has received one request for each method."""
+    connection = Connection()
+    for number, method in enumerate(methods):
+        connection.send(number, method)
+    return connection
+
+
+def test_draining_cuts_no_pipelined_request_that_has_started():
+    """The first response closed the connection, and the others were lost."""
+
+    async def scenario():
+        connection = pipelined_connection('GET', 'GET', 'GET')
+        connection.gateway.is_draining = True
+        await connection.finish()
+        assert connection.bodies == ['/0', '/1', '/2']
+        assert connection.closing_bodies == ['/2']
+
+    asyncio.run(scenario())
+
+
+def test_draining_serves_an_unsafe_request_before_one_that_has_started():
+    """Its response has to precede that of the request behind it."""
+
+    async def scenario():
+        connection = pipelined_connection('GET', 'POST', 'GET', 'POST')
+        connection.gateway.is_draining = True
+        await connection.finish()
+        assert connection.bodies == ['/0', '/1', '/2']
+        assert connection.closing_bodies == ['/2']
+        assert connection.gateway.handled == ['/0', '/2', '/1']
+
+    asyncio.run(scenario())
+
+
+def test_request_behind_another_is_not_started_while_draining():
+    """It could not be answered, as the connection closes before it."""
+
+    async def scenario():
+        connection = pipelined_connection('GET')
+        connection.gateway.is_draining = True
+        connection.send(1)
+        connection.send(2)
+        await connection.finish()
+        assert connection.gateway.handled == ['/0']
+        assert connection.closing_bodies == ['/0']
+
+    asyncio.run(scenario())
+
+
+def test_request_behind_one_that_closes_the_connection_is_not_started():
+    """It ran at an upstream, and the caller got no response to it."""
+
+    async def scenario():
+        connection = Connection()
+        connection.send(0, headers='Connection: close\r\n')
+        connection.send(1)
+        await connection.finish()
+        assert connection.gateway.handled == ['/0']
+        assert connection.bodies == ['/0']
+
+    asyncio.run(scenario())
+
+
+def test_failed_request_cuts_no_pipelined_request_that_has_started():
+    """A fault of one request closed the connection of the others."""
+
+    async def scenario():
+        connection = pipelined_connection('GET', 'GET')
+        connection.gateway.failing = {'/0'}
+        await connection.finish()
+        assert connection.statuses == [500, 200]
+        assert connection.closing_bodies == ['/1']
+        connection.send(2)
+        await asyncio.sleep(0.01)
+        assert connection.gateway.handled == ['/0', '/1']
+
+    asyncio.run(scenario())
+
+
 def test_rejected_request_gets_its_response_over_a_socket():
     async def scenario(system):
         caller = await system.connect()
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -390,6 +390,51 @@
     run_scenario(scenario, [make_server(work=0.1)])
 
 
+def test_draining_answers_all_pipelined_requests_that_are_at_work():
+    """The first response closed the connection and cancelled the others."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        for number in range(3):
+            caller.send(f'r{number}')
+        await asyncio.sleep(0.05)
+        system.gateway.is_draining = True
+        responses = [await caller.read() for _ in range(3)]
+        assert [status for status, _, _ in responses] == [200] * 3
+        assert [body for _, _, body in responses] == [b'r0', b'r1', b'r2']
+        closing = [headers.get('connection') for _, headers, _ in responses]
+        assert closing == [None, None, 'close']
+        assert await caller.reader.read() == b''
+        caller.close()
+
+    run_scenario(scenario, [make_server(work=0.2, slots=4)])
+
+
+def test_pipelined_request_that_waits_keeps_the_process_alive():
+    """The process could end between two requests of one connection."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        caller.send('r0')
+        caller.send('r1', '/once/', 'POST', b'x')
+        caller.send('r2')
+        await asyncio.sleep(0.05)
+        system.gateway.is_draining = True
+        reading = asyncio.create_task(read_all(caller, 3))
+        while len(system.servers[0].runs) < 3 or system.servers[0].running:
+            assert system.gateway.has_open_requests()
+            await asyncio.sleep(0)
+        assert await reading == [b'r0', b'r1', b'r2']
+        assert not system.gateway.has_open_requests()
+        caller.close()
+
+    run_scenario(scenario, [make_server(work=0.1, slots=4)])
+
+
+async def read_all(caller, count):
+    return [(await caller.read())[2] for _ in range(count)]
+
+
 def test_unsent_rest_of_a_response_keeps_the_process_alive():
     """At a shutdown, the rest was lost if the caller read slowly."""
 
