Delay removals only if upstreams may not have reached the store

Cause: after any failed read, removals were held back for 2.2 s, as after an outage of the store; the pause before the retry came on top although another path had been found. The records that the reader then gets show whether the upstreams reached the store meanwhile, and entries of live upstreams expire only after three heartbeats without a report.

Removals now wait only after a gap of 1.5 heartbeats with less than three quarters of the expected reports (bounds.upstream_heartbeat). A read whose path is replaced is repeated at once, and a read returns all records though the store splits them.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -249,6 +249,7 @@
                 self.clock,
                 self.dispatcher.random,
                 self.reach_queries,
+                self.settings.bounds.upstream_heartbeat,
             ),
         )
 
--- a/src/crocusproxy/entry/home_tasks.py
+++ b/src/crocusproxy/entry/home_tasks.py
@@ -1,6 +1,7 @@
 """The tasks that only the home runs."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from random import Random
 
 from ..clock import Clock
@@ -21,12 +22,13 @@
     clock: Clock,
     random: Random,
     reach_queries: ReachQueries,
+    upstream_heartbeat: timedelta,
 ) -> Iterator[Run]:
     """Yield the tasks that read the store and appoint the domain homes."""
     catalog = elector.catalog
     outage = StoreOutage(random)
     yield ConfigWatch(store, catalog, clock, outage).run
-    yield UpstreamWatch(store, catalog, clock, outage).run
+    yield UpstreamWatch(store, catalog, clock, outage, upstream_heartbeat).run
     domain_homes = elector.domain_homes
     judge = ReachJudge(
         reach_queries.ask, reach_queries.check.find_triable, clock, random
--- a/src/crocusproxy/entry/settings.py
+++ b/src/crocusproxy/entry/settings.py
@@ -32,6 +32,12 @@
     return window
 
 
+def _check_positive(duration: timedelta) -> timedelta:
+    if not duration:
+        raise ValueError('a duration above 0s')
+    return duration
+
+
 _MIN_HEDGING_WINDOW = timedelta(seconds=1)
 #: Written as ``host:port``.
 Address = Annotated[Listen, BeforeValidator(_split_address)]
@@ -49,7 +55,8 @@
     the quota of a client account by the share ``quota_overage`` and by
     ``quota_slack`` requests. In any second, all instances together may send a
     cold upstream ``warm_up_overage`` times the rate that it tolerates, and
-    ``warm_up_slack`` requests.
+    ``warm_up_slack`` requests. Each upstream reports to the store about every
+    ``upstream_heartbeat``.
     """
 
     budget_ratio: float = 0.2
@@ -63,6 +70,9 @@
     quota_slack: float = 20
     warm_up_overage: float = 1
     warm_up_slack: float = 0
+    upstream_heartbeat: Annotated[Duration, AfterValidator(_check_positive)] = (
+        timedelta(milliseconds=1500)
+    )
 
 
 @dataclass(frozen=True, slots=True, config=STRICT)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -42,10 +42,11 @@
 
 
 class PathLostError(PlatformUnavailableError):
-    """A read was cancelled because the client switched to another path.
+    """A read has ended because the client switched to another path.
 
-    A path is the direct connection to the store or one relay. The read did
-    not fail on the new path, so it can be retried at once.
+    A path is the direct connection to the store or one relay. The read failed
+    on the old path, or was cancelled there, and can be retried at once on the
+    new one.
     """
 
 
@@ -120,22 +121,32 @@
     async def read(
         self, topic: str, start: StorePosition, wait: timedelta = timedelta()
     ) -> RecordPage:
-        """Read records from ``start`` on; wait up to ``wait`` for the first.
+        """Read all records from ``start`` on.
+
+        The store may wait up to ``wait`` for the first one.
 
         Raises:
             PlatformUnavailableError: the store did not respond.
             ExpiredPositionError: the record at ``start`` is gone.
+            MalformedMessageError: the response cannot be read.
         """
-        query = {
-            'Topic': topic,
-            'part': '0',
-            'From': str(start.offset),
-            'WaitMs': str(wait // _MILLISECOND),
-        }
-        response = await self._get('/-/log-read', query, wait)
-        records = decode_records(response.body)
-        end = start.advance(response.incarnation, len(records))
-        return RecordPage(records, end)
+        records: list[KeyedRecord] = []
+        position = start
+        while True:
+            query = {
+                'Topic': topic,
+                'part': '0',
+                'From': str(position.offset),
+                'WaitMs': str(wait // _MILLISECOND),
+            }
+            response = await self._get('/-/log-read', query, wait)
+            page_records, topic_end = decode_records(response.body)
+            records.extend(page_records)
+            position = position.advance(response.incarnation, len(page_records))
+            if not page_records or position.offset >= topic_end:
+                return RecordPage(tuple(records), position)
+            # The store limits the size of a response.
+            wait = timedelta()
 
     async def put(self, topic: str, key: str, content: bytes) -> None:
         """Write the newest record of a key.
@@ -178,8 +189,9 @@
             raise PathLostError(
                 f'{path}: cancelled by a switch to another path'
             ) from None
-        except PlatformUnavailableError:
+        except PlatformUnavailableError as error:
             await self._fail_over(relay, path, query)
+            self._check_path(relay, error)
             raise
         finally:
             self.pending_reads.pop(task, None)
@@ -189,6 +201,10 @@
         self._check_incarnation(path, response)
         return response
 
+    def _check_path(self, failed_relay: str, error: Exception) -> None:
+        if failed_relay != self.relay:
+            raise PathLostError(str(error)) from error
+
     def _check_incarnation(self, path: str, response: StoreResponse) -> None:
         if not self.incarnation.observe(response.incarnation):
             raise ExpiredPositionError(
--- a/src/crocusproxy/platform/store_records.py
+++ b/src/crocusproxy/platform/store_records.py
@@ -9,10 +9,11 @@
 from pydantic.dataclasses import dataclass as pydantic_dataclass
 
 from ..errors import CrocusError
-from ..protocol.codec import decode
+from ..protocol.codec import MalformedMessageError, decode
 
 _RECORD_LENGTH = struct.Struct('>I')
-#: Starts the response to a read: two offsets, which this client does not use.
+#: Starts the response to a read: the offset at which the topic ends, and the
+#: first one that is retained, which this client does not use.
 _PAGE_HEADER = struct.Struct('>QQ')
 
 
@@ -117,9 +118,16 @@
     return ListingPage(records, records[-1].key if has_next else '', page.end)
 
 
-def decode_records(body: bytes) -> tuple[KeyedRecord, ...]:
-    """Return the records of a read."""
-    return tuple(_split_records(body[_PAGE_HEADER.size :]))
+def decode_records(body: bytes) -> tuple[tuple[KeyedRecord, ...], int]:
+    """Return the records of a read, and the offset at which the topic ends.
+
+    Raises:
+        MalformedMessageError: the body has no offsets.
+    """
+    if len(body) < _PAGE_HEADER.size:
+        raise MalformedMessageError('a read without offsets')
+    end, _ = _PAGE_HEADER.unpack_from(body)
+    return tuple(_split_records(body[_PAGE_HEADER.size :])), end
 
 
 def encode_record(key: str, content: bytes) -> bytes:
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import Clock
@@ -12,6 +13,7 @@
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import UpstreamChange
 from .outage import StoreOutage
+from .recovery_grace import RecoveryGrace
 from .store import PathLostError, StoreClient
 from .store_records import (
     ExpiredPositionError,
@@ -35,17 +37,36 @@
 LISTING_INTERVAL = timedelta(milliseconds=300)
 #: Pause before a topic whose records are gone is listed again.
 EXPIRED_INTERVAL = timedelta(milliseconds=50)
-#: Upstreams whose entries expired in an outage report again within this time.
-RECOVERY_GRACE = timedelta(milliseconds=2200)
+
+
+@dataclass(frozen=True, slots=True)
+class TopicUpdate:
+    """The records of one read.
+
+    ``is_listing`` is set if they are the newest ones of all keys, and
+    ``is_restored`` if the store was restored since the previous read.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    is_listing: bool
+    is_restored: bool
+
+    def count_reports(self) -> int:
+        """Return the number of records since the previous read with content.
+
+        A listing does not show how many there were.
+        """
+        if self.is_listing:
+            return 0
+        return sum(bool(record.content) for record in self.records)
 
 
 class TopicWatch:
     """Reads one keyed topic: all keys first, then the records that follow.
 
-    ``handle_records`` is called with the records of each read and with True
-    if they are a listing of all keys. ``wait`` is how long a read may wait for
-    a record, and ``interval`` the pause between reads. ``outage`` is shared by
-    the readers of one store.
+    ``handle_update`` is called after each read. ``wait`` is how long a read may
+    wait for a record, and ``interval`` the pause between reads. ``outage`` is
+    shared by the readers of one store.
     """
 
     def __init__(
@@ -53,7 +74,7 @@
         store: StoreClient,
         topic: str,
         clock: Clock,
-        handle_records: Callable[[tuple[KeyedRecord, ...], bool], None],
+        handle_update: Callable[[TopicUpdate], None],
         outage: StoreOutage,
         wait: timedelta = timedelta(),
         interval: timedelta = timedelta(),
@@ -61,25 +82,24 @@
         self.store = store
         self.topic = topic
         self.clock = clock
-        self.handle_records = handle_records
+        self.handle_update = handle_update
         self.outage = outage
         self.wait = wait
         self.interval = interval
         self.position: StorePosition | None = None
         self.listed_incarnation = store.incarnation.number
         self.failing_since: timedelta | None = None
-        self.recovered_at: timedelta | None = None
+        self.is_path_new = False
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
             try:
                 await self.poll()
-            except PathLostError:
-                continue
+            except PathLostError as error:
+                await self._retry_on_new_path(error)
             except PlatformUnavailableError as error:
-                self._note_failure(error)
-                await self.outage.wait_to_retry(self.topic)
+                await self._wait_to_retry(error)
             except (ExpiredPositionError, MalformedMessageError) as error:
                 await self._list_again(error)
             else:
@@ -96,9 +116,19 @@
         page = await self._read_page()
         self.outage.end()
         self._note_success()
-        self._note_incarnation(page.end.incarnation)
+        is_restored = self._is_restored(page.end.incarnation)
         self.position = page.end
-        self.handle_records(page.records, is_listing)
+        self.handle_update(TopicUpdate(page.records, is_listing, is_restored))
+
+    async def _retry_on_new_path(self, error: PathLostError) -> None:
+        """Retry at once, unless the new path is lost as well."""
+        if self.is_path_new:
+            await self._wait_to_retry(error)
+        self.is_path_new = True
+
+    async def _wait_to_retry(self, error: PlatformUnavailableError) -> None:
+        self._note_failure(error)
+        await self.outage.wait_to_retry(self.topic)
 
     async def _list_again(self, error: Exception) -> None:
         log('topic_listed_anew', topic=self.topic, error=str(error))
@@ -114,11 +144,11 @@
         wait = self.wait if self.failing_since is None else timedelta()
         return await self.store.read(self.topic, self.position, wait)
 
-    def _note_incarnation(self, incarnation: int) -> None:
-        """Treat a restore of the store as the end of an outage."""
-        if self.listed_incarnation not in {UNKNOWN, incarnation}:
-            self.recovered_at = self.clock.monotonic()
+    def _is_restored(self, incarnation: int) -> bool:
+        """Return whether the store was restored since the previous read."""
+        previous = self.listed_incarnation
         self.listed_incarnation = incarnation
+        return previous not in {UNKNOWN, incarnation}
 
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         if self.failing_since is None:
@@ -126,16 +156,16 @@
             log('store_lost', topic=self.topic, error=str(error))
 
     def _note_success(self) -> None:
+        self.is_path_new = False
         if self.failing_since is None:
             return
-        now = self.clock.monotonic()
+        duration = self.clock.monotonic() - self.failing_since
         log(
             'store_regained',
             topic=self.topic,
-            seconds=(now - self.failing_since).total_seconds(),
+            seconds=duration.total_seconds(),
         )
         self.failing_since = None
-        self.recovered_at = now
 
 
 class ConfigWatch:
@@ -153,7 +183,7 @@
             store,
             CONFIG_TOPIC,
             clock,
-            self._apply_records,
+            self._apply_update,
             outage,
             CONFIG_WAIT,
         )
@@ -162,18 +192,16 @@
         """Follow the topic until cancelled."""
         await self.topic_watch.run()
 
-    def _apply_records(
-        self, records: tuple[KeyedRecord, ...], is_listing: bool
-    ) -> None:
-        for record in records:
+    def _apply_update(self, update: TopicUpdate) -> None:
+        for record in update.records:
             if record.key == CONFIG_KEY and record.content:
                 self._apply_config(record.content)
         is_evacuated = {
             record.key.removeprefix(EVACUATION_PREFIX): bool(record.content)
-            for record in records
+            for record in update.records
             if record.key.startswith(EVACUATION_PREFIX)
         }
-        previous = frozenset() if is_listing else self.catalog.evacuated
+        previous = frozenset() if update.is_listing else self.catalog.evacuated
         self.catalog.apply_evacuated(
             domain
             for domain in previous | is_evacuated.keys()
@@ -194,7 +222,8 @@
 
     A live upstream whose entry expires in a store outage, or is missing in the
     copy from which the store is restored, registers again shortly after the
-    store recovers; removals are delayed until then.
+    store recovers; removals are delayed until then. ``heartbeat`` is the usual
+    time between two reports of an upstream.
     """
 
     def __init__(
@@ -203,15 +232,16 @@
         catalog: Catalog,
         clock: Clock,
         outage: StoreOutage,
+        heartbeat: timedelta,
     ) -> None:
         self.catalog = catalog
-        self.clock = clock
+        self.grace = RecoveryGrace(clock, heartbeat)
         self.delayed_removals: set[str] = set()
         self.topic_watch = TopicWatch(
             store,
             UPSTREAM_TOPIC,
             clock,
-            self._apply_records,
+            self._apply_update,
             outage,
             interval=UPSTREAM_INTERVAL,
         )
@@ -220,11 +250,18 @@
         """Follow the topic until cancelled."""
         await self.topic_watch.run()
 
-    def _apply_records(
-        self, records: tuple[KeyedRecord, ...], is_listing: bool
-    ) -> None:
-        changes = [_to_change(record) for record in records]
-        if is_listing:
+    def _apply_update(self, update: TopicUpdate) -> None:
+        changes = [_to_change(record) for record in update.records]
+        # A listing does not show how often the upstreams have reported.
+        report_count = 0
+        if not update.is_listing:
+            report_count = sum(
+                bool(record.content) for record in update.records
+            )
+        self.grace.record_read(report_count, len(self.catalog.upstreams))
+        if update.is_restored:
+            self.grace.start()
+        if update.is_listing:
             self._apply_listing(changes)
         else:
             for change in changes:
@@ -238,26 +275,19 @@
                 self._apply_change(UpstreamChange(key))
         for change in changes:
             # A restored store lists upstreams that were removed before.
-            if not (self._in_grace() and self.catalog.was_removed(change)):
+            if not (self.grace.is_active and self.catalog.was_removed(change)):
                 self._apply_change(change)
         self.catalog.mark_complete()
 
     def _apply_change(self, change: UpstreamChange) -> None:
-        if change.entry is None and self._in_grace():
+        if change.entry is None and self.grace.is_active:
             self.delayed_removals.add(change.key)
             return
         self.delayed_removals.discard(change.key)
         self.catalog.apply_change(change)
 
-    def _in_grace(self) -> bool:
-        recovered_at = self.topic_watch.recovered_at
-        return (
-            recovered_at is not None
-            and self.clock.monotonic() - recovered_at < RECOVERY_GRACE
-        )
-
     def _apply_delayed_removals(self) -> None:
-        if self.delayed_removals and not self._in_grace():
+        if self.delayed_removals and not self.grace.is_active:
             for key in self.delayed_removals:
                 self.catalog.apply_change(UpstreamChange(key))
             self.delayed_removals.clear()
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -1,6 +1,7 @@
 """Guards against platform settings that the entry process rejects."""
 
 import re
+from datetime import timedelta
 from pathlib import Path
 
 from crocusproxy.documents import read_document
@@ -27,6 +28,7 @@
     'Bounds.GraceS': '6',
     'Bounds.ProbesPerS': '60',
     'Bounds.ttl_max_s': '5',
+    'HeartbeatMs': '1200',
 }
 
 
@@ -58,6 +60,7 @@
     assert settings.callers.port == 8144
     assert settings.bounds.shutdown.total_seconds() == 6
     assert settings.bounds.budget_slack == 58
+    assert settings.bounds.upstream_heartbeat == timedelta(seconds=1.2)
 
 
 def test_missing_bounds_keep_their_defaults(tmp_path):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,16 +2,18 @@
 
 import asyncio
 from datetime import timedelta
+from unittest.mock import AsyncMock
 
 import pytest
 
 from crocusproxy.errors import PlatformUnavailableError
-from crocusproxy.platform.store import PathLostError
+from crocusproxy.platform.store import PathLostError, StoreResponse
 from crocusproxy.platform.store_records import (
     ExpiredPositionError,
     KeyedRecord,
     StorePosition,
 )
+from crocusproxy.protocol.codec import MalformedMessageError
 from standins.store import StandInStore
 
 from .running_client import running_client
@@ -48,6 +50,32 @@
     asyncio.run(scenario())
 
 
+def test_read_returns_the_records_of_all_responses():
+    """A reader of a large topic fell behind, as it paused after each part."""
+
+    async def scenario():
+        async with running_client() as (store, client):
+            store.max_read_bytes = 100
+            keys = [f'i-{number}' for number in range(50)]
+            for key in keys:
+                store.put(TOPIC, key, b'x' * 20)
+            page = await client.read(TOPIC, StorePosition(1, 0))
+            assert [record.key for record in page.records] == keys
+            assert page.end == StorePosition(1, 50)
+
+    asyncio.run(scenario())
+
+
+def test_read_without_offsets_is_malformed():
+    async def scenario():
+        async with running_client() as (store, client):
+            client._read = AsyncMock(return_value=StoreResponse(b'x', 1))
+            with pytest.raises(MalformedMessageError):
+                await client.read(TOPIC, StorePosition(1, 0))
+
+    asyncio.run(scenario())
+
+
 def test_read_waits_for_a_record():
     async def scenario():
         async with running_client() as (store, client):
