Let an unreadable entry of the store hide no other entry

Cause: entries that fit the declared types failed in the conversion that follows (NaN or a large number as a duration) with errors that the reader did not expect; its position had moved, so the rest of the page was lost.

Numbers, ports, hosts, names and keys are now checked for what they are used for, each item of a listing by itself, and a record with a cut-off key is no removal. The connection pool reports an invalid address as not opened.

--- a/src/crocusproxy/ledger/reader.py
+++ b/src/crocusproxy/ledger/reader.py
@@ -59,7 +59,7 @@
 
 def _decode_batch(data: dict[str, object]) -> Batch | None:
     try:
-        return codec.from_plain(Batch, data)
+        return codec.decode_plain(Batch, data)
     except codec.MalformedMessageError as error:
         log('claims_record_malformed', error=str(error))
         return None
--- a/src/crocusproxy/measurement/renewer.py
+++ b/src/crocusproxy/measurement/renewer.py
@@ -116,7 +116,7 @@
 
 def _renewal_of(data: dict[str, Any]) -> Renewal | None:
     try:
-        return codec.from_plain(Renewal, data)
+        return codec.decode_plain(Renewal, data)
     except codec.MalformedMessageError as error:
         log('rights_record_malformed', error=str(error))
         return None
--- a/src/crocusproxy/platform/config_completion.py
+++ b/src/crocusproxy/platform/config_completion.py
@@ -97,6 +97,6 @@
         documents = {record.key: record.content for record in page.records}
         try:
             return decode_config(documents.get(CONFIG_KEY, b''))
-        except (MalformedMessageError, ValueError) as error:
+        except (MalformedMessageError, ValueError, OverflowError) as error:
             log('route_config_unusable', error=str(error))
             return None
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -103,6 +103,7 @@
         Raises:
             PlatformUnavailableError: the store did not respond.
             ExpiredPositionError: the store was restored meanwhile.
+            MalformedMessageError: a response cannot be read.
         """
         records: list[KeyedRecord] = []
         query = {'Topic': topic, 'part': '0'}
@@ -114,6 +115,12 @@
                 end = StorePosition(response.incarnation, page.end)
             end = end.advance(response.incarnation, 0)
             records.extend(page.records)
+            if page.unusable_count:
+                log(
+                    'store_records_unusable',
+                    topic=topic,
+                    count=page.unusable_count,
+                )
             if not page.next_key:
                 return RecordPage(tuple(records), end)
             query['after'] = page.next_key
--- a/src/crocusproxy/platform/store_records.py
+++ b/src/crocusproxy/platform/store_records.py
@@ -1,15 +1,22 @@
 """Records of the store's topics, their encoding and their positions."""
 
+import json
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Annotated
-
-from pydantic import Base64Bytes, ConfigDict, Field, alias_generators
+from typing import Annotated, Any
+
+from pydantic import (
+    AfterValidator,
+    Base64Bytes,
+    ConfigDict,
+    Field,
+    alias_generators,
+)
 from pydantic.dataclasses import dataclass as pydantic_dataclass
 
 from ..errors import CrocusError
-from ..protocol.codec import MalformedMessageError, decode
+from ..protocol.codec import MalformedMessageError, decode_plain
 
 _RECORD_LENGTH = struct.Struct('>I')
 #: Starts the response to a read: the offset at which the topic ends, and the
@@ -72,12 +79,22 @@
     end: StorePosition
 
 
+def _check_text(text: str) -> str:
+    """Return a text without parts of surrogate pairs.
+
+    Raises:
+        ValueError: the text cannot be encoded.
+    """
+    text.encode()
+    return text
+
+
 _PASCAL = ConfigDict(alias_generator=alias_generators.to_pascal)
 
 
 @pydantic_dataclass(frozen=True, slots=True, config=_PASCAL)
 class _NewestItem:
-    key: str
+    key: Annotated[str, AfterValidator(_check_text)]
     # Base64 on the wire, unlike the raw records of a read.
     value: Base64Bytes
     offset: int
@@ -85,8 +102,9 @@
 
 @pydantic_dataclass(frozen=True, slots=True, config=_PASCAL)
 class _NewestPage:
-    # Lower case on the wire, unlike the other fields.
-    items: Annotated[tuple[_NewestItem, ...], Field(alias='items')]
+    # Lower case on the wire, unlike the other fields. Each item is checked by
+    # itself, so that one of another writer does not hide the others.
+    items: Annotated[tuple[Any, ...], Field(alias='items')]
     has_more: bool
     end: int
 
@@ -96,26 +114,49 @@
     """One page of the newest record of each key.
 
     ``next_key`` is the key after which the next page starts, empty if this is
-    the last one. ``end`` is the offset at which the topic ends.
+    the last one. ``end`` is the offset at which the topic ends. Of
+    ``unusable_count`` items the key or the content cannot be read.
     """
 
     records: tuple[KeyedRecord, ...]
     next_key: str
     end: int
+    unusable_count: int = 0
 
 
 def decode_listing(body: bytes) -> ListingPage:
     """Return a page of the newest records.
 
     Raises:
-        MalformedMessageError: the body does not have the expected form.
+        MalformedMessageError: the body does not have the expected form, or no
+            key is usable to continue after it.
     """
-    page = decode(_NewestPage, body)
-    records = tuple(
-        KeyedRecord(item.key, item.value, item.offset) for item in page.items
-    )
-    has_next = page.has_more and bool(records)
-    return ListingPage(records, records[-1].key if has_next else '', page.end)
+    page = decode_plain(_NewestPage, _parse(body))
+    found = tuple(map(_decode_item, page.items))
+    records = tuple(record for record in found if record is not None)
+    next_key = ''
+    if page.has_more and page.items:
+        if not records:
+            raise MalformedMessageError('a page without a usable key')
+        next_key = records[-1].key
+    return ListingPage(records, next_key, page.end, found.count(None))
+
+
+def _parse(body: bytes) -> Any:
+    """Parse JSON whose strings may hold keys that are no valid text."""
+    try:
+        return json.loads(body.decode(errors='replace'))
+    except (ValueError, RecursionError) as error:
+        raise MalformedMessageError(f'not JSON: {error}') from error
+
+
+def _decode_item(plain: Any) -> KeyedRecord | None:
+    """Return a record, None if its key or content cannot be read."""
+    try:
+        item = decode_plain(_NewestItem, plain)
+    except MalformedMessageError:
+        return None
+    return KeyedRecord(item.key, item.value, item.offset)
 
 
 def decode_records(body: bytes) -> tuple[tuple[KeyedRecord, ...], int]:
@@ -149,12 +190,24 @@
     """
     position = 0
     while position + _RECORD_LENGTH.size <= len(content):
-        length = int.from_bytes(
-            content[position : position + _RECORD_LENGTH.size]
-        )
-        position += _RECORD_LENGTH.size
-        record = content[position : position + length]
-        position += length
-        key_end = 1 + record[0] if record else 0
-        key = record[1:key_end].decode(errors='replace')
-        yield KeyedRecord(key, record[key_end:])
+        start = position + _RECORD_LENGTH.size
+        position = start + int.from_bytes(content[position:start])
+        if position > len(content):
+            # The rest of the record is missing; the next read starts at it.
+            return
+        yield _decode_record(content[start:position])
+
+
+def _decode_record(record: bytes) -> KeyedRecord:
+    """Return a record; one whose key is cut off has no key and no content.
+
+    >>> _decode_record(bytes((2,)) + b'ab!')
+    KeyedRecord(key='ab', content=b'!', offset=-1)
+    >>> _decode_record(bytes((9,)) + b'ab!')
+    KeyedRecord(key='', content=b'', offset=-1)
+    """
+    key_end = 1 + record[0] if record else 1
+    if key_end > len(record):
+        return KeyedRecord('', b'')
+    key = record[1:key_end].decode(errors='replace')
+    return KeyedRecord(key, record[key_end:])
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -211,7 +211,7 @@
     def _apply_config(self, document: bytes) -> None:
         try:
             config = decode_config(document)
-        except (MalformedMessageError, ValueError) as error:
+        except (MalformedMessageError, ValueError, OverflowError) as error:
             log('route_config_unusable', error=str(error))
         else:
             self.catalog.apply_config(config)
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -3,12 +3,16 @@
 The private classes mirror the platform's field names.
 """
 
+import re
 from datetime import timedelta
-from typing import Annotated, Any, Literal
+from ipaddress import IPv4Address
+from typing import Annotated, Literal
 
 from pydantic import (
+    AfterValidator,
     ConfigDict,
     Field,
+    StrictFloat,
     StrictInt,
     StrictStr,
     alias_generators,
@@ -17,7 +21,7 @@
 
 from ..accounts.keys import key_digest
 from ..adapters import adapter_for
-from ..protocol.codec import decode
+from ..protocol.codec import MalformedMessageError, decode
 from ..routes.model import (
     CONFIG_SCHEMA,
     CallerLimits,
@@ -38,37 +42,79 @@
 _VERSION_RADIX = 16
 #: Printable ASCII characters without a space at either end.
 _HEADER_VALUE = r'^[!-~]([ -~]*[!-~])?$'
-_ADDRESS = r'^[0-9.]+:[0-9]+$'
-_Positive = Annotated[StrictInt, Field(gt=0)]
-_NonNegative = Annotated[StrictInt, Field(ge=0)]
+#: Keys are sent in a header.
+_UPSTREAM_KEY = re.compile('[!-~]+')
+_MAX_PORT = 65_535
+_MAX_ADDRESS_LENGTH = len('255.255.255.255:65535')
+_MAX_NAME_LENGTH = 255
+#: Larger numbers can't be encoded or converted to a time everywhere, and no
+#: server needs them.
+_MAX_SLOTS = 1_000_000
+_MAX_SEQUENCE = (1 << 63) - 1
+_MAX_UNIX_MS = 253_402_300_799_999  # the end of the year 9999
+_MAX_WARM_UP_MS = 86_400_000.0  # a day
+_Name = Annotated[StrictStr, Field(min_length=1, max_length=_MAX_NAME_LENGTH)]
+_Slots = Annotated[StrictInt, Field(gt=0, le=_MAX_SLOTS)]
+_Sequence = Annotated[StrictInt, Field(ge=0, le=_MAX_SEQUENCE)]
+_UnixMs = Annotated[StrictInt, Field(ge=0, le=_MAX_UNIX_MS)]
+_WarmUpMs = Annotated[
+    StrictFloat,
+    Field(ge=-_MAX_WARM_UP_MS, le=_MAX_WARM_UP_MS, allow_inf_nan=False),
+]
 _Amount = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
+def _check_address(address: str) -> str:
+    """Return the address of a server.
+
+    Raises:
+        ValueError: it is not an IPv4 address of a server with a port.
+    """
+    host, _, port = address.rpartition(':')
+    ip_address = IPv4Address(host)
+    if ip_address.is_unspecified or ip_address.is_multicast:
+        raise ValueError('the address of a server')
+    if not _is_port(port):
+        raise ValueError(f'a port from 1 to {_MAX_PORT}')
+    return address
+
+
+def _is_port(text: str) -> bool:
+    if not text.isascii() or not text.isdecimal():
+        return False
+    # The length first: very long numbers can't be converted.
+    return len(text) <= len(str(_MAX_PORT)) and 0 < int(text) <= _MAX_PORT
+
+
 @dataclass(frozen=True, slots=True, config=_WIRE)
 class _Status:
     state: Literal['ready', 'draining']
-    sequence: _NonNegative
+    sequence: _Sequence
     # Remaining time of the server's slow start, not its total duration.
-    warmup_remaining_ms: int | float = 0
+    warmup_remaining_ms: _WarmUpMs
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
 class _ServerInfo:
-    service: StrictStr
+    service: _Name
     # Version of the server's software; a restart changes ``born`` instead.
-    version: Any
-    zone: StrictStr
-    slots: _Positive
+    version: StrictStr
+    zone: _Name
+    slots: _Slots
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
 class _Entry:
-    address: Annotated[StrictStr, Field(pattern=_ADDRESS)]
+    address: Annotated[
+        StrictStr,
+        Field(max_length=_MAX_ADDRESS_LENGTH),
+        AfterValidator(_check_address),
+    ]
     server_info: _ServerInfo
     status: _Status
     # Start of the server in Unix milliseconds. Lower case on the wire, unlike
     # the other fields.
-    born: Annotated[_NonNegative, Field(alias='born')] = 0
+    born: Annotated[_UnixMs, Field(alias='born')] = 0
 
 
 @dataclass(frozen=True, slots=True, config=_WIRE)
@@ -139,7 +185,9 @@
 
     Raises:
         MalformedMessageError: the document does not have the expected form.
-        ValueError: the version is not a hexadecimal number.
+        ValueError: the version is not a hexadecimal number, or a duration is
+            not a number.
+        OverflowError: a duration is too long.
     """
     config = decode(_Config, document)
     return RouteConfig(
@@ -170,9 +218,13 @@
     """Return the upstream that an entry of the store describes.
 
     Raises:
-        MalformedMessageError: the entry does not have the expected form.
+        MalformedMessageError: the key or the entry does not have the expected
+            form.
     """
+    if _UPSTREAM_KEY.fullmatch(key) is None:
+        raise MalformedMessageError('the key is no printable ASCII text')
     entry = decode(_Entry, document)
+    warm_up_ms = max(entry.status.warmup_remaining_ms, 0)
     return RegisteredUpstream(
         key=key,
         service=entry.server_info.service,
@@ -182,7 +234,7 @@
         leaving=entry.status.state == 'draining',
         started_at=entry.born,
         sequence=entry.status.sequence,
-        warm_up=timedelta(milliseconds=entry.status.warmup_remaining_ms),
+        warm_up=timedelta(milliseconds=warm_up_ms),
     )
 
 
--- a/src/crocusproxy/protocol/codec.py
+++ b/src/crocusproxy/protocol/codec.py
@@ -42,7 +42,7 @@
     return message
 
 
-def from_plain(kind: type[_Message], raw: Any) -> _Message:
+def decode_plain(kind: type[_Message], raw: Any) -> _Message:
     """Convert plain objects into a data class.
 
     Raises:
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -133,7 +133,8 @@
                 )
         except TimeoutError as error:
             raise NotOpenedError(f'{address}: no connection in time') from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Beside failures of the network, an invalid host or port.
             raise NotOpenedError(f'{address}: {error}') from error
         if not connection.is_usable:
             raise NotOpenedError(f'{address}: closed at once')
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -6,6 +6,7 @@
 from random import Random
 from unittest.mock import AsyncMock
 
+import pytest
 from aiohttp import ClientSession
 
 from crocusproxy.clock import ManualClock
@@ -72,6 +73,53 @@
     run_scenario(scenario)
 
 
+ODD_ENTRIES = (
+    b'\xff',
+    b'[' * 100_000,
+    ENTRY_DOCUMENT.replace(b'500', b'NaN'),
+    ENTRY_DOCUMENT.replace(b'500', b'1e400'),
+    ENTRY_DOCUMENT.replace(b'500', b'"Infinity"'),
+    ENTRY_DOCUMENT.replace(b'500', b'9' * 5000),
+    ENTRY_DOCUMENT.replace(b':8080', b':80800'),
+    ENTRY_DOCUMENT.replace(b'"v1"', b'[' * 5000 + b']' * 5000),
+)
+
+
+@pytest.mark.parametrize('content', ODD_ENTRIES, ids=range(len(ODD_ENTRIES)))
+@pytest.mark.parametrize('key', ['i-2', 'i\r\n2', '\ufffd', 'x' * 255])
+def test_odd_entry_hides_no_other_of_its_page(key, content):
+    """The readers ended at it, and the rest of the page was never applied."""
+
+    async def scenario(store, clock, catalog, watch):
+        store.put(UPSTREAM_TOPIC, key, content)
+        store.put(UPSTREAM_TOPIC, 'i-1', ENTRY_DOCUMENT)
+        await watch.topic_watch.poll()
+        assert set(catalog.upstreams) == {'i-1'}
+        assert catalog.is_complete
+        store.put(UPSTREAM_TOPIC, key, content)
+        store.put(UPSTREAM_TOPIC, 'i-1', b'')
+        store.put(UPSTREAM_TOPIC, 'i-3', ENTRY_DOCUMENT)
+        await watch.topic_watch.poll()
+        assert set(catalog.upstreams) == {'i-3'}
+
+    run_scenario(scenario)
+
+
+def test_record_with_a_cut_off_key_removes_no_upstream():
+    """Its bytes after the length were taken for the key of a removal."""
+
+    async def scenario(store, clock, catalog, watch):
+        store.put(UPSTREAM_TOPIC, 'i-1', ENTRY_DOCUMENT)
+        await watch.topic_watch.poll()
+        records = store.partitions[UPSTREAM_TOPIC, 0].records
+        records.extend((b'\x99i-1', b''))
+        store.put(UPSTREAM_TOPIC, 'i-3', ENTRY_DOCUMENT)
+        await watch.topic_watch.poll()
+        assert set(catalog.upstreams) == {'i-1', 'i-3'}
+
+    run_scenario(scenario)
+
+
 def test_removed_entry_leaves_the_catalog():
     async def scenario(store, clock, catalog, watch):
         store.put(UPSTREAM_TOPIC, 'i-1', ENTRY_DOCUMENT)
@@ -196,6 +244,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('timeout', [b'NaN', b'1e300', b'[' * 5000])
+def test_configuration_with_an_odd_number_does_not_end_the_reader(timeout):
+    async def scenario(store, clock, catalog, upstream_watch):
+        watch = ConfigWatch(
+            upstream_watch.topic_watch.store,
+            catalog,
+            clock,
+            StoreOutage(Random(1)),
+        )
+        odd = encode_config(1).replace(b': 600', b': ' + timeout)
+        store.put(CONFIG_TOPIC, 'config', odd)
+        store.put(CONFIG_TOPIC, 'evacuate/d1', b'{}')
+        await watch.topic_watch.poll()
+        assert catalog.config is None
+        assert catalog.evacuated == {'d1'}
+
+    run_scenario(scenario)
+
+
 def test_evacuation_begins_and_ends_with_its_record():
     async def scenario(store, clock, catalog, upstream_watch):
         store.put(CONFIG_TOPIC, 'evacuate/d1', b'{}')
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -2,12 +2,20 @@
 
 import json
 from datetime import timedelta
+from ipaddress import IPv4Address
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from crocusproxy.accounts.keys import key_digest
 from crocusproxy.platform.wire import decode_config, decode_upstream
-from crocusproxy.protocol.codec import MalformedMessageError
+from crocusproxy.protocol.codec import (
+    MalformedMessageError,
+    decode,
+    encode,
+)
+from crocusproxy.protocol.home_feed import UpstreamChange
 from crocusproxy.routes.model import ClientAccount, WeightedService
 
 ENTRY = {
@@ -102,6 +110,36 @@
         entry_with(('ServerInfo', 'Service'), None),
         entry_with(('born',), '1700000000000'),
         entry_with(('born',), 1.5),
+        entry_with(('born',), 10**400),
+        entry_with(('ServerInfo', 'Slots'), 10**30),
+        entry_with(('ServerInfo', 'Version'), 1),
+        entry_with(('ServerInfo', 'Zone'), ''),
+        entry_with(('ServerInfo', 'Service'), 'x' * 300),
+        entry_with(('Status', 'Sequence'), 1 << 63),
+        entry_with(('Status', 'WarmupRemainingMs'), float('nan')),
+        entry_with(('Status', 'WarmupRemainingMs'), float('inf')),
+        entry_with(('Status', 'WarmupRemainingMs'), 'Infinity'),
+        entry_with(('Status', 'WarmupRemainingMs'), True),
+        entry_with(('Status', 'WarmupRemainingMs'), 1e300),
+        entry_with(('Status', 'WarmupRemainingMs'), 10**400),
+        entry_with(('Status',), {'State': 'ready', 'Sequence': 4}),
+        *(
+            entry_with(('Address',), address)
+            for address in (
+                '10.0.0.1:0',
+                '10.0.0.1:65536',
+                '10.0.0.1:99999999999999999999',
+                '10.0.0.1:-1',
+                '10.0.0.1:\u0664',
+                '10.0.0.1:80\n',
+                '10.0.0.256:80',
+                '0.0.0.0:80',
+                '224.0.0.1:80',
+                '...:80',
+                '1:80',
+                ':80',
+            )
+        ),
     ],
 )
 def test_malformed_entry_is_rejected(document):
@@ -109,6 +147,74 @@
         decode_upstream('i-1', document)
 
 
+@pytest.mark.parametrize('key', ['', 'a b', 'a\r\nX-Other: b', '\ufffd'])
+def test_key_that_is_no_header_value_is_rejected(key):
+    """Requests to the upstream name its key in a header."""
+    with pytest.raises(MalformedMessageError):
+        decode_upstream(key, json.dumps(ENTRY).encode())
+
+
+def nested(depth):
+    return b'[' * depth + b']' * depth
+
+
+@pytest.mark.parametrize('depth', [10, 199, 201, 10_000, 1_000_000])
+@pytest.mark.parametrize(
+    'old', [b'{"Address"', b'"v1"', b'500', b'"ready"', b'1700000000000']
+)
+def test_nested_entry_is_rejected(old, depth):
+    """An entry that is too deep for the parser ended the reader."""
+    document = json.dumps(ENTRY).encode().replace(old, nested(depth))
+    with pytest.raises(MalformedMessageError):
+        decode_upstream('i-1', document)
+
+
+odd_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from((0, -1, 1 << 31, 1 << 53, 1 << 63, 10**18, 10**400))
+    | st.floats()
+    | st.text()
+    | st.sampled_from(('ready', '10.0.0.1:80', '10.0.0.1:70000')),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+paths = st.sampled_from(
+    (
+        ('Address',),
+        ('ServerInfo',),
+        ('Status',),
+        ('born',),
+        ('New',),
+        *(('ServerInfo', name) for name in ENTRY['ServerInfo']),
+        *(('Status', name) for name in ENTRY['Status']),
+    )
+)
+
+
+@given(
+    st.text(max_size=4) | st.just('i-1'),
+    st.builds(entry_with, paths, odd_values) | st.binary(),
+)
+def test_entry_of_another_writer_is_usable_everywhere_or_rejected(
+    key, document
+):
+    """Whatever it holds, it must not end those that read it."""
+    try:
+        upstream = decode_upstream(key, document)
+    except MalformedMessageError:
+        return
+    change = UpstreamChange(key, upstream)
+    assert decode(UpstreamChange, encode(change)) == change
+    host, _, port = upstream.address.rpartition(':')
+    assert IPv4Address(host).packed
+    assert 0 < int(port) < 1 << 16
+    assert 0 < upstream.slots <= 1_000_000
+    assert timedelta() <= upstream.warm_up <= timedelta(days=1)
+    assert key.encode('ascii').isascii() and key.isprintable()
+
+
 def test_unknown_fields_are_ignored():
     assert decode_upstream('i-1', entry_with(('New',), 1)).key == 'i-1'
 
--- a/tests/proxy/test_pool.py
+++ b/tests/proxy/test_pool.py
@@ -3,7 +3,9 @@
 import asyncio
 from datetime import timedelta
 
-from crocusproxy.proxy.pool import ConnectionPool
+import pytest
+
+from crocusproxy.proxy.pool import ConnectionPool, NotOpenedError
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: u\r\n\r\n'
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -37,3 +39,18 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:70000', '127.0.0.1:-1', '...:80', 'a:b', ':']
+)
+def test_invalid_address_is_reported_as_not_opened(address):
+    """It raised other errors, which ended the task of the request."""
+
+    async def scenario():
+        pool = ConnectionPool(timedelta(seconds=1), timedelta(seconds=1))
+        with pytest.raises(NotOpenedError):
+            await pool.open(address, 1)
+        pool.close()
+
+    asyncio.run(scenario())
