Close connections whose refusals could be taken for another request's

A caller of crocus-proxy was told not-run for a request at work when the upstream wrote an earlier refusal without an id once more: ids were required only after a response with one. A connection remembered only the id of its last request, so that a copy could match a second attempt of an earlier one.

A connection now closes after a refusal without an id, and remembers the ids of refused requests. The new test of test_broken_responses.py fails before. The other forms of both reports, copies split at any byte and responses that are cut off at any byte, are ruled out by tests that held before.

--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -126,7 +126,11 @@
             message,
             is_signed=self.messages.is_from_upstream(message),
         )
-        return self._classify(message, body)
+        result = self._classify(message, body)
+        if isinstance(result, NotRun):
+            # A reused connection requires ids, so a refusal needs none here.
+            connection.record_refusal(has_id=True)
+        return result
 
     def _classify(self, message: RawResponseMessage, body: bytes) -> CallResult:
         if self.messages.was_not_run(message):
--- a/src/crocusproxy/proxy/attempt.py
+++ b/src/crocusproxy/proxy/attempt.py
@@ -130,11 +130,14 @@
         may_have_run_before = self.inbound.may_have_run
         message = await self._send()
         self._apply_upstream_headers(message)
+        is_refused = _reports_not_run(message)
+        if is_refused:
+            self.exchange.record_refusal()
         body, is_complete = await self.exchange.read_body(
             self.buffer_limit_bytes
         )
         outcome = ''
-        if _reports_not_run(message):
+        if is_refused:
             self.inbound.may_have_run = may_have_run_before
             outcome = self.inbound.current_outcome()
         if not is_complete:
--- a/src/crocusproxy/proxy/connection.py
+++ b/src/crocusproxy/proxy/connection.py
@@ -17,6 +17,8 @@
 _MAX_HEADER_FIELD_BYTES = 16 * 1024
 #: More than any server needs before one final response.
 MAX_INFORMATIONAL_RESPONSES = 32
+#: A connection closes after this many refusals, as it keeps their request ids.
+MAX_REFUSALS = 64
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
@@ -37,10 +39,13 @@
     a fault. ``tag`` identifies the request in flight in a crash report; None
     excludes it. ``idle_since`` is the event loop time in seconds. ``fault`` is
     the reason why the response is not usable, or empty. ``is_aborted`` is set
-    if this side closed the connection.
+    if this side closed the connection. ``refused_ids`` are those of requests
+    that the upstream has reported as not run on this connection. With
+    ``closes_after_exchange`` it is not reused.
     """
 
     __slots__ = (
+        'closes_after_exchange',
         'is_aborted',
         'fault',
         'echoes_request_id',
@@ -51,6 +56,7 @@
         'message',
         'on_lost',
         'payload',
+        'refused_ids',
         'tag',
         'timer',
         'waiter',
@@ -77,6 +83,8 @@
         self.idle_since = float()
         self.last_request_id = ''
         self.echoes_request_id = False
+        self.refused_ids: set[str] = set()
+        self.closes_after_exchange = False
         self.tag: Any = None
 
     @property
@@ -84,6 +92,27 @@
         """Return whether a request can be written."""
         return self.transport is not None and not self.transport.is_closing()
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether no earlier response can belong to a request.
+
+        A late copy of a response to an earlier attempt of the same request
+        would be taken for that to the new one.
+        """
+        return (
+            request_id != self.last_request_id
+            and request_id not in self.refused_ids
+        )
+
+    def record_refusal(self, *, has_id: bool) -> None:
+        """Record that the upstream has reported the latest request as not run.
+
+        A late copy of a refusal without the request's id could not be told from
+        a refusal of the next request.
+        """
+        self.refused_ids.add(self.last_request_id)
+        if not has_id or len(self.refused_ids) >= MAX_REFUSALS:
+            self.closes_after_exchange = True
+
     def send(
         self,
         request: bytes,
@@ -125,13 +154,13 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        is_complete = self._is_complete()
+        may_reuse = self._is_complete() and not self.closes_after_exchange
         self.waiter = None
         self.payload = None
         self._parser = None
         transport = self.transport
         is_reusable = (
-            is_complete
+            may_reuse
             and transport is not None
             and not transport.is_closing()
             # An upstream may respond before it has read the whole request.
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -81,6 +81,14 @@
         self._check_request_id(connection, self.message, is_reused)
         return self.message
 
+    def record_refusal(self) -> None:
+        """Record that the response reports the request as not run."""
+        assert self.connection is not None
+        assert self.message is not None
+        self.connection.record_refusal(
+            has_id='X-Request-ID' in self.message.headers
+        )
+
     async def read_body(self, limit_bytes: int) -> tuple[bytes, bool]:
         """Return the body and whether it is complete.
 
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -71,7 +71,7 @@
     ) -> UpstreamConnection | None:
         """Return an idle connection that is safe for this request.
 
-        A connection whose last request had the same id is closed, because a
+        A connection that has carried an earlier attempt is closed, because a
         late second response to it would be taken for the new response.
         ``idle_limit`` in seconds overrides the pool's limit.
         """
@@ -85,7 +85,7 @@
             if (
                 connection.is_usable
                 and connection.idle_since > min_idle_since
-                and connection.last_request_id != request_id
+                and connection.may_carry(request_id)
             ):
                 return connection
             connection.abort()
--- a/tests/proxy/test_broken_responses.py
+++ b/tests/proxy/test_broken_responses.py
@@ -151,6 +151,30 @@
         assert upstream.connections == 1
 
 
+async def test_late_copy_of_a_refusal_without_an_id_ends_no_other_request():
+    """A caller was told that a request which ran had not run."""
+    refusal = (
+        b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n'
+        b'Upstream-Outcome: not-run\r\n\r\n'
+    )
+    answered = []
+
+    async def script(upstream, reader, writer):
+        if not answered:
+            await upstream.read(reader)
+            answered.append(writer)
+            writer.write(refusal)
+            await upstream.read(reader)
+            writer.write(refusal)
+        await answering()(upstream, reader, writer)
+
+    async with serving(script) as (proxy, upstream):
+        assert (await proxy.call()).outcome == 'not-run'
+        response = await proxy.call()
+        assert (response.status, response.body) == (200, b'ok')
+        assert upstream.connections == 2
+
+
 async def test_requests_with_the_same_id_use_different_connections():
     """A late second response to the first request would match the second."""
 
