Keep an account's quota through the loss of one home and the next

Cause: the instances without a home and the successor each granted up to 0.8 of the permitted excess as start tokens. Also, a follower's part of a quota grew while there was a home, and all parts came on top at the next loss.

All starts within a window now share one budget, 0.15 of the excess for each of four. Parts are whole tokens by position and begin anew after each home. A successor's tokens grow from 0.2 s on, as members follow it one by one.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -240,6 +240,10 @@
         self.quota_exchange = QuotaExchange(
             member_client, self.member_list, self.quotas, self.clock
         )
+        self.quota_exchange.find_homes = lambda: (
+            self.elector.epoch,
+            self.domain_homes.assignment,
+        )
         self.role_tasks.connect(
             self.quota_exchange,
             partial(
--- a/src/crocusproxy/limits/account_quota.py
+++ b/src/crocusproxy/limits/account_quota.py
@@ -8,14 +8,28 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
+from zlib import crc32
 
 from ..routes.model import ClientAccount
 
-#: Part of the overage that a new bucket starts with, so that a change of home
-#: within a window stays within the quota.
-START_SHARE = 0.8
 #: Part of the overage that domain homes may take before they have reported it.
-UNREPORTED_SHARE = 1 - START_SHARE
+UNREPORTED_SHARE = 0.2
+#: Part of the overage for instances that follow the successor of a home later
+#: than most, and use their part of a quota until then.
+LATE_FOLLOWER_SHARE = 0.2
+#: The quotas of a successor grow from then on. Until the instances follow it,
+#: they use their parts.
+SUCCESSION_SECONDS = 0.2
+#: A home and its successor may both be lost within one window.
+_LOSSES_PER_WINDOW = 2
+#: At each loss, the instances without a home start with tokens, and then the
+#: successor does. Neither knows what the other or the lost home has admitted.
+_STARTS_PER_LOSS = 2
+#: Part of the overage that a new bucket starts with, so that all starts within
+#: a window stay within the quota.
+START_SHARE = (1 - UNREPORTED_SHARE - LATE_FOLLOWER_SHARE) / (
+    _LOSSES_PER_WINDOW * _STARTS_PER_LOSS
+)
 #: Time after which a token that only waits for reports is expected.
 REPORT_WAIT_SECONDS = 0.1
 #: A rejected caller of an instance without a home returns within this time,
@@ -65,9 +79,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PartOfQuota:
-    """This instance is one of ``members`` and has no home."""
+    """This instance is one of ``members`` and has no home.
+
+    ``position`` is its place among them, from 0 on. ``generation`` grows with
+    each home that it has followed: its tokens are those after one loss.
+    """
 
     members: int
+    position: int = 0
+    generation: int = 0
 
 
 Division = WholeQuota | SharedQuota | SplitQuota | PartOfQuota
@@ -150,7 +170,11 @@
         if division == previous:
             return
         match previous, division:
-            case PartOfQuota(), PartOfQuota():
+            case PartOfQuota(generation=earlier), PartOfQuota():
+                if division.generation != earlier:
+                    # Parts that had grown under the home would come on top of
+                    # what it has admitted.
+                    self.part_buckets.clear()
                 self.division = division
                 return
             case _, PartOfQuota():
@@ -222,9 +246,8 @@
         """Return a bucket as if it had existed since the start."""
         start = self._start_tokens(account)
         if isinstance(self.division, PartOfQuota):
-            # Rounding down would lose the fraction of a token at each instance.
-            start_tokens = int(start * self._share() + self.random.random())
-            return Bucket(start_tokens, now)
+            part = _part_of(int(start), self.division, account.name)
+            return Bucket(part, now)
         return Bucket(start * self.start_share, self.started_at)
 
     def _start_tokens(self, account: ClientAccount) -> float:
@@ -299,12 +322,14 @@
         """Begin to dispatch; another instance may have used the quotas."""
         self.division = WholeQuota()
         self._refill_all(now)
+        grows_from = now + SUCCESSION_SECONDS
         for name, bucket in self.buckets.items():
             account = self.accounts.get(name)
             if account is not None:
                 start = self._start_tokens(account)
                 bucket.tokens = min(bucket.tokens, start)
-        self._begin_buckets(now, 1)
+                bucket.updated_at = grows_from
+        self._begin_buckets(grows_from, 1)
 
     def _split(self, homes: int, now: float) -> None:
         """Keep the tokens that are safe without reports."""
@@ -328,6 +353,21 @@
                 self._bucket(account, now)
 
 
+def _part_of(tokens: int, division: PartOfQuota, name: str) -> int:
+    """Return the tokens of one member, so that all have ``tokens`` together.
+
+    Rounding at each member would lose their fractions, or exceed the sum. The
+    first members get the larger parts, beginning at another one by account.
+
+    >>> [_part_of(5, PartOfQuota(3, position), 'a') for position in range(3)]
+    [2, 2, 1]
+    """
+    members = division.members
+    place = (division.position + crc32(name.encode())) % members
+    whole, rest = divmod(tokens, members)
+    return whole + (place < rest)
+
+
 def _none_unreported(name: str) -> float:
     """Treat all tokens as reported, as without other domain homes."""
     return 0
--- a/src/crocusproxy/membership/member_list.py
+++ b/src/crocusproxy/membership/member_list.py
@@ -39,6 +39,10 @@
         ]
         return tuple(sorted(others, key=lambda member: member.rank))
 
+    def own_position(self) -> int:
+        """Return the number of members whose names precede this one's."""
+        return sum(name < self.own.name for name in self.members)
+
     def all(self) -> tuple[Member, ...]:
         """Return every member, this one included."""
         return tuple(self.members.values())
--- a/src/crocusproxy/membership/quota_exchange.py
+++ b/src/crocusproxy/membership/quota_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of quota reports between the domain homes."""
 
 import asyncio
+from collections.abc import Callable, Hashable
 
 from aiohttp import web
 
@@ -28,7 +29,8 @@
 class QuotaExchange:
     """Reports taken tokens and divides the quotas among the instances.
 
-    Nothing is reported while no account has a quota.
+    Nothing is reported while no account has a quota. ``find_homes`` returns a
+    value that changes as soon as another home, or other domain homes, dispatch.
     """
 
     def __init__(
@@ -46,6 +48,9 @@
         self.is_reporting = False
         self.reports = QuotaReports(member_list.own, self._apply_takes)
         self.posting: dict[str, asyncio.Task[None]] = {}
+        self.find_homes: Callable[[], Hashable] = _no_homes
+        self.homes: Hashable = None
+        self.generation = 0
         quotas.unreported = self.reports.unreported
         quotas.on_take = self.reports.record
 
@@ -85,7 +90,11 @@
 
     def _division(self) -> Division:
         if not self.is_dispatcher:
-            return PartOfQuota(len(self.member_list.members))
+            return PartOfQuota(
+                len(self.member_list.members),
+                self.member_list.own_position(),
+                self._current_generation(),
+            )
         homes = self.reports.quota_peer_count() + 1
         if homes == 1 or not self.is_reporting:
             return WholeQuota()
@@ -93,6 +102,13 @@
             return SplitQuota(homes)
         return SharedQuota(homes)
 
+    def _current_generation(self) -> int:
+        homes = self.find_homes()
+        if homes != self.homes:
+            self.homes = homes
+            self.generation += 1
+        return self.generation
+
     def _post_reports(self) -> None:
         for name, peer in self.reports.peers.items():
             if name not in self.posting:
@@ -139,3 +155,7 @@
 
     def _now(self) -> float:
         return self.clock.monotonic().total_seconds()
+
+
+def _no_homes() -> None:
+    """Return the same at all times, as without homes."""
--- a/tests/limits/test_account_quota.py
+++ b/tests/limits/test_account_quota.py
@@ -18,8 +18,8 @@
 
 BOUNDS = QuotaBounds(5, 0.1, 20)
 ACCOUNT = ClientAccount('a', (), None, rate=10, burst=30)
-#: 0.8 of the excess of 0.1 * (10 * 5 + 30) + 20.
-START_TOKENS = 22
+#: 0.15 of the excess of 0.1 * (10 * 5 + 30) + 20.
+START_TOKENS = 4
 
 
 def make_quotas(division=WholeQuota(), account=ACCOUNT, now=0.0, seed=1):
@@ -54,7 +54,7 @@
 
 def test_account_without_a_burst_gets_its_rate():
     account = ClientAccount('a', (), None, rate=10, burst=0)
-    quotas = make_quotas(account=account)
+    quotas = make_quotas(account=account, now=-1)
     times = [number / 10 for number in range(100)]
     assert sum(admitted(quotas, now, 3, account) for now in times) == 100
 
@@ -67,7 +67,7 @@
 
 
 def test_retries_are_not_rejected_but_paid_for():
-    quotas = make_quotas()
+    quotas = make_quotas(now=-100)
     admitted(quotas, 0)
     for _ in range(5):
         quotas.charge(ACCOUNT, 0)
@@ -103,7 +103,7 @@
     admitted(quotas, 100)
     quotas.apply_division(PartOfQuota(15), 100.5)
     quotas.apply_division(WholeQuota(), 101)
-    assert admitted(quotas, 101) == 10
+    assert admitted(quotas, 101) == START_TOKENS
     quotas.apply_division(PartOfQuota(15), 110)
     quotas.apply_division(WholeQuota(), 210)
     assert admitted(quotas, 210) == START_TOKENS
@@ -112,11 +112,11 @@
 def test_instances_without_a_home_use_a_part_each():
     """Parts of less than a token are lost if each instance rounds them."""
     counts = [
-        admitted(make_quotas(PartOfQuota(100), seed=seed), 0)
-        for seed in range(100)
+        admitted(make_quotas(PartOfQuota(100, position)), 0)
+        for position in range(100)
     ]
     assert max(counts) == 1
-    assert 10 <= sum(counts) <= 34
+    assert sum(counts) == START_TOKENS
     retry_after = make_quotas(PartOfQuota(10_000)).admit(ACCOUNT, 0).retry_after
     assert retry_after.total_seconds() <= 1
 
--- a/tests/membership/test_quota_exchange.py
+++ b/tests/membership/test_quota_exchange.py
@@ -33,7 +33,8 @@
     async def start(self, name, session, has_route):
         application = web.Application()
         self.server = TestServer(application)
-        self.quotas = AccountQuotas(QuotaBounds(5, 0.1, 20), Random(1))
+        # With this slack, a home starts with the whole burst.
+        self.quotas = AccountQuotas(QuotaBounds(5, 0.1, 100), Random(1))
         self.quotas.apply_accounts([ACCOUNT], 0)
         member_list = MemberList(Member(name, name, '', '', 1.0, 1))
         self.exchange = QuotaExchange(
@@ -131,6 +132,24 @@
     run_with_members(scenario)
 
 
+def test_instances_get_new_parts_after_the_loss_of_another_home():
+    """Parts that grew while there was a home came on top of its requests."""
+
+    async def scenario(first, second):
+        homes = ['h1']
+        exchange = first.exchange
+        exchange.find_homes = lambda: homes[0]
+        exchange.set_role(is_dispatcher=False, others=())
+        generation = first.quotas.division.generation
+        exchange.update_division()
+        assert first.quotas.division.generation == generation
+        homes[0] = 'h2'
+        await asyncio.sleep(0.3)
+        assert first.quotas.division.generation == generation + 1
+
+    run_with_members(scenario)
+
+
 def test_malformed_report_is_refused():
     async def scenario(first, second):
         client = first.exchange.client
