Try relays of other failure domains first

Cause: the reader tried four relays in the order of their names, all of its own failure domain and cut off with it, and then waited out further failures.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -123,7 +123,7 @@
             self.session,
             self.settings.store,
             _STORE_TIMEOUT,
-            lambda: self.elector.server.follower_addresses(),
+            lambda: self.elector.server.relay_addresses(),
             self.catalog.store_incarnation,
         )
         self.config_completion = ConfigCompletion(
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -18,6 +18,7 @@
 from .domain_homes import DomainHomeTable
 from .feed_lines import LineEncoder
 from .member_list import MemberList
+from .relay_order import order_relays
 
 FEED_PATH = '/members/feed'
 VIEW_PATH = '/members/view'
@@ -90,13 +91,18 @@
             web.get(LIST_PATH, self._handle_list),
         ]
 
-    def follower_addresses(self) -> tuple[str, ...]:
-        """Return the internal addresses of the members that follow this one."""
-        return tuple(
-            member.internal
+    def relay_addresses(self) -> tuple[str, ...]:
+        """Return the internal addresses of followers, best relays first."""
+        followers = (
+            member
             for member in self.member_list.others()
             if member.name in self.followers
         )
+        own_failure_domain = self.member_list.own.failure_domain
+        return tuple(
+            member.internal
+            for member in order_relays(followers, own_failure_domain)
+        )
 
     def publish(self, message: FeedMessage) -> None:
         """Queue a message for each follower."""
--- a/tests/limits/test_quota_succession.py
+++ b/tests/limits/test_quota_succession.py
@@ -1,8 +1,8 @@
 """Guards against quotas that each holder after a lost home grants anew.
 
 Requests of an account arrive at all instances at all times. The home is lost up
-to two times within a window; each time all instances use their parts, until they
-follow the successor one after the other.
+to two times within a window. Each time all instances use their parts, until
+they follow the successor one after the other.
 """
 
 from random import Random
