Forget members that have left for good

Cause: members were never removed from the list, so that elections waited for those with a better rank, and a home looked for rivals among them only.

A leaving member tells the home; a home queries members that have followed nobody for 30 s and forgets them after two failures; its feed tells all others. Any contact ends a departure, but one that the member has announced ends with its next start.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -155,6 +155,7 @@
         """Serve until callers have had time to switch to other instances."""
         self.gateway.is_draining = True
         self.elector.leave()
+        self.tasks.spawn(self.elector.announce_departure)
         await drain_callers(
             self.gateway, self.server, self.clock, self.settings.bounds.shutdown
         )
--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -9,6 +9,7 @@
 from ..logs import log
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.home_feed import (
+    Departure,
     FeedMessage,
     Member,
     MemberView,
@@ -23,6 +24,7 @@
 FEED_PATH = '/members/feed'
 VIEW_PATH = '/members/view'
 LIST_PATH = '/members'
+DEPARTURE_PATH = '/members/departure'
 #: A follower that receives nothing for several intervals seeks a new home.
 HEARTBEAT_INTERVAL_SECONDS = 0.2
 _CONFLICT = 409
@@ -40,7 +42,8 @@
 
     ``view`` returns this member's own view. ``wait_for_home`` returns once it
     has a home, or after some seconds. ``path`` names the members through which
-    the feed reaches this one, the home first.
+    the feed reaches this one, the home first. ``on_departure`` receives what
+    leaving members say.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.view = view
         self.wait_for_home = wait_for_home
         self.path: tuple[str, ...] = ()
+        self.on_departure: Callable[[Departure], None] = _ignore
         self.encoder = LineEncoder()
         self.plain_encoder = LineEncoder(compress=False)
         self.unsent_changes: list[UpstreamChange] = []
@@ -89,6 +93,7 @@
             web.post(FEED_PATH, self._handle_feed),
             web.post(VIEW_PATH, self._handle_view),
             web.get(LIST_PATH, self._handle_list),
+            web.post(DEPARTURE_PATH, self._handle_departure),
         ]
 
     def relay_addresses(self) -> tuple[str, ...]:
@@ -187,7 +192,10 @@
         revision = self.member_list.revision
         if self.member_revision != revision and not self.unsent_members:
             self.member_revision = revision
-            self.members = FeedMessage(members=self.member_list.all())
+            self.members = FeedMessage(
+                members=self.member_list.all(),
+                departed=self.member_list.departures(),
+            )
         return self.members
 
     def _end_feed(self, name: str) -> None:
@@ -225,7 +233,7 @@
 
     def _register(self, follower: Member) -> None:
         log('feed_follower_joined', member=follower.name)
-        if self.member_list.merge((follower,)):
+        if self.member_list.merge((follower,), is_in_contact=True):
             if not self.unsent_members:
                 asyncio.get_running_loop().call_later(
                     _MEMBER_BATCH_SECONDS, self._publish_members
@@ -258,11 +266,19 @@
             requester = decode(Member, await request.read())
         except MalformedMessageError as error:
             return web.Response(status=400, text=str(error))
-        self.member_list.merge((requester,))
+        self.member_list.merge((requester,), is_in_contact=True)
         if 'wait' in request.query:
             await self.wait_for_home(_VIEW_WAIT_SECONDS)
         return web.Response(body=encode(self.view()))
 
+    async def _handle_departure(self, request: web.Request) -> web.Response:
+        try:
+            departure = decode(Departure, await request.read())
+        except MalformedMessageError as error:
+            return web.Response(status=400, text=str(error))
+        self.on_departure(departure)
+        return web.Response()
+
     async def _handle_list(self, _: web.Request) -> web.Response:
         message = FeedMessage(members=self.member_list.all())
         return web.Response(body=encode(message))
@@ -276,3 +292,7 @@
             return await queue.get()
     except TimeoutError:
         return _HEARTBEAT
+
+
+def _ignore(departure: Departure) -> None:
+    """Do nothing, as at a member that is not the home."""
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -1,7 +1,7 @@
 """Attaches this instance to a home or makes it the home."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import aclosing
 from datetime import timedelta
 
@@ -11,6 +11,7 @@
 from ..protocol.codec import MalformedMessageError
 from ..protocol.home_feed import (
     CrashReport,
+    Departure,
     DomainHomes,
     FeedMessage,
     Member,
@@ -18,6 +19,7 @@
     MemberView,
 )
 from .catalog import Catalog
+from .departures import DepartureWatch
 from .domain_homes import DomainHomeTable
 from .election import Attach, Lead
 from .election_rounds import ElectionRounds
@@ -77,6 +79,10 @@
             self.view,
             self.wait_for_home,
         )
+        self.departures = DepartureWatch(
+            member_list, clock, self.query_view, self.server.publish
+        )
+        self.server.on_departure = self._apply_departure
         self.home: Member | None = None
         self.home_known = asyncio.Event()
         self.epoch = 0
@@ -132,6 +138,25 @@
         self.server.publish(FeedMessage(leaving=True))
         self.server.end_feeds()
 
+    async def announce_departure(self) -> None:
+        """Tell the home that this member leaves, so that it is forgotten.
+
+        If this member is or was home, its successor is told, once known.
+        """
+        own = self.member_list.own
+        while self.home is None or self.home.name == own.name:
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+        departure = Departure(own.name, own.started_at, is_final=True)
+        try:
+            await self.client.report_departure(self.home.internal, departure)
+        except NotReachableError as error:
+            # The home forgets this member later, as it no longer responds.
+            log(
+                'departure_not_reported',
+                home=self.home.name,
+                error=str(error),
+            )
+
     async def query_view(self, member: Member) -> MemberView | None:
         """Return a member's view, or None if the member can't be reached."""
         try:
@@ -140,7 +165,7 @@
         except (NotReachableError, MalformedMessageError):
             # An unreachable member takes no part in the election.
             return None
-        self.member_list.merge((view.member,))
+        self.member_list.merge((view.member,), is_in_contact=True)
         return view
 
     def _state(self) -> MemberState:
@@ -253,8 +278,7 @@
                 epoch=message.epoch,
                 path=','.join(message.path),
             )
-        if message.members and self.member_list.merge(message.members):
-            self.server.publish(FeedMessage(members=message.members))
+        self._apply_members(message)
         self.catalog.store_incarnation.observe(message.store_incarnation)
         if message.domain_homes is not None:
             self.domain_homes.apply(message.domain_homes)
@@ -271,6 +295,19 @@
         for change in message.changes:
             self.catalog.apply_change(change, is_notable=True)
 
+    def _apply_members(self, message: FeedMessage) -> None:
+        merged = self.member_list.merge(message.members, is_in_contact=True)
+        removed = self.member_list.depart(message.departed)
+        if merged or removed:
+            self.server.publish(
+                FeedMessage(members=message.members, departed=message.departed)
+            )
+
+    def _apply_departure(self, departure: Departure) -> None:
+        """Forget a leaving member if this one is home."""
+        if self.is_home:
+            self.departures.depart((departure,))
+
     def _apply_operator_state(self, message: FeedMessage) -> None:
         if message.config is not None:
             self.catalog.receive_config(message.config)
@@ -302,19 +339,35 @@
         self.server.end_feeds()
         self.on_stopped_leading()
 
+    def _publish_returned(self, absent: Sequence[Member]) -> None:
+        """Tell the followers which departed members have responded."""
+        returned = tuple(
+            member
+            for member in absent
+            if member.name in self.member_list.members
+        )
+        if returned:
+            self.server.publish(FeedMessage(members=returned))
+
     async def _lead_until_replaced(self) -> None:
         """Return when this instance leaves or yields to another home."""
         check_count = 0
+        self.departures.begin()
         while not self.leaving:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             check_count += 1
+            await self.departures.check(self.server.followers)
+            # A departed member may be a home that was cut off.
             non_followers = [
                 member
-                for member in self.member_list.others()
+                for member in self.member_list.others_ever()
                 if member.name not in self.server.followers
             ]
             queried = checked_members(non_followers, check_count)
+            departed = self.member_list.departed.keys()
+            absent = [one for one in queried if one.name in departed]
             views = await asyncio.gather(*map(self.query_view, queried))
+            self._publish_returned(absent)
             rival = find_better_home(self.view(), views)
             if rival is not None:
                 log(
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -9,6 +9,7 @@
 from ..protocol.codec import decode, encode
 from ..protocol.home_feed import (
     CrashReport,
+    Departure,
     FeedMessage,
     Member,
     MemberView,
@@ -17,7 +18,7 @@
 )
 from ..protocol.quotas import QuotaReport
 from .feed_lines import MAX_LINE_BYTES, decode_line
-from .feed_server import FEED_PATH, LIST_PATH, VIEW_PATH
+from .feed_server import DEPARTURE_PATH, FEED_PATH, LIST_PATH, VIEW_PATH
 
 CRASH_PATH = '/members/crash'
 TERMS_PATH = '/members/terms'
@@ -67,6 +68,12 @@
         body = await self._call('GET', address, LIST_PATH)
         return decode(FeedMessage, body).members
 
+    async def report_departure(
+        self, address: str, departure: Departure
+    ) -> None:
+        """Tell the home at ``address`` that a member leaves."""
+        await self._call('POST', address, DEPARTURE_PATH, encode(departure))
+
     async def report_crash(self, address: str, report: CrashReport) -> None:
         """Send a report to the home at ``address``."""
         await self._call('POST', address, CRASH_PATH, encode(report))
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -40,6 +40,19 @@
         return -self.capacity, self.name
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """The end of one start of an instance, which takes part in nothing more.
+
+    With ``is_final``, the instance itself has said that it leaves. Otherwise it
+    was not reached for some time, and any contact with it ends the departure.
+    """
+
+    name: str
+    started_at: int
+    is_final: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamChange:
     """An upstream that was added or replaced; removed if ``entry`` is None."""
@@ -141,7 +154,7 @@
     ``full``, ``changes`` hold all upstreams. Without ``domain_homes``, the
     latest ones stay in force. ``store_incarnation`` is -1 if not known.
     ``evacuated`` holds all evacuated failure domains; without it, the latest
-    set stays in force.
+    set stays in force. ``departed`` holds members to forget.
     """
 
     epoch: int = 0
@@ -157,3 +170,4 @@
     crash_reports: tuple[CrashReport, ...] = ()
     terms: tuple[StatedTerms, ...] = ()
     evacuated: tuple[str, ...] | None = None
+    departed: tuple[Departure, ...] = ()
