Unpack the build in production without filters of tarfile

The upgrade test failed with a TypeError on Python 3.11.2, which has no filters of extractall. Files are now written one by one; links, devices and paths outside of the folder are rejected, on every interpreter.

--- a/tests/upgrade/builds.py
+++ b/tests/upgrade/builds.py
@@ -30,6 +30,26 @@
             'clone; a shallow one lacks it: run git fetch --unshallow. git: '
             f'{archive.stderr.decode().strip()}'
         )
-    with tarfile.open(fileobj=BytesIO(archive.stdout)) as content:
-        content.extractall(folder, filter='data')
+    unpack(archive.stdout, Path(folder))
     return Path(folder) / 'src'
+
+
+def unpack(archive, folder):
+    """Write the files of a tar archive into a folder, and nothing elsewhere.
+
+    Python 3.11.2 has no filters of ``extractall``. Links and devices are
+    rejected, as are paths outside of the folder.
+    """
+    root = folder.resolve()
+    with tarfile.open(fileobj=BytesIO(archive)) as content:
+        for member in content:
+            target = (root / member.name).resolve()
+            if not target.is_relative_to(root):
+                raise ValueError(f'{member.name} lies outside of the folder')
+            if member.isdir():
+                target.mkdir(parents=True, exist_ok=True)
+            elif member.isfile():
+                target.parent.mkdir(parents=True, exist_ok=True)
+                target.write_bytes(content.extractfile(member).read())
+            else:
+                raise ValueError(f'{member.name} is no file and no folder')
