Do not confirm requests by two crashes at once

Requests that were in flight at two upstreams lost at the same time were refused for ten minutes, without a copy that could clear them (found by reading in the review).

A crash now counts as a request's second one only if that copy was sent after the first. Reports between homes carry the ages of requests; without them, as from older builds, they count as before. The state machine loses random sets of upstreams as well.

--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -10,8 +10,8 @@
 from ..logs import log
 from ..placement.upstream_reach import UpstreamReach
 from ..protocol.home_feed import CrashReport
-from ..routing.crash import Crash, CrashSuspects
-from .upstream_call import OutgoingRequest
+from ..routing.crash import Crash, CrashSuspects, sent_times
+from .upstream_call import OutgoingRequest, SentRequest
 
 #: Crashes that are retracted if they turn out to be one loss of all upstreams.
 RETRACTION_PERIOD = timedelta(seconds=1)
@@ -39,7 +39,7 @@
         self.send_report: Callable[[CrashReport], None] = _skip_report
 
     def record_crash(
-        self, address: str, requests: Iterable[OutgoingRequest]
+        self, address: str, requests: Iterable[SentRequest]
     ) -> None:
         """Record that an upstream crashed with these requests in flight."""
         self.reach.failed_at(address)
@@ -47,9 +47,19 @@
         if is_lost or self.reach.is_evacuated_address(address):
             log('crash_not_counted', upstream=address)
             return
-        fingerprints = sorted({fingerprint(request) for request in requests})
-        report = CrashReport(address, tuple(fingerprints))
-        self.latest_reports.append((self.clock.monotonic(), report))
+        now = self.clock.monotonic()
+        ages: dict[str, timedelta] = {}
+        for sent in requests:
+            digest = fingerprint(sent.request)
+            age = now - sent.sent_at
+            ages[digest] = min(age, ages.get(digest, age))
+        fingerprints = tuple(sorted(ages))
+        report = CrashReport(
+            address,
+            fingerprints,
+            ages=tuple(ages[digest] for digest in fingerprints),
+        )
+        self.latest_reports.append((now, report))
         self.apply_report(report)
         self.send_report(report)
 
@@ -70,7 +80,12 @@
                 self.tracker.answered(one)
             return
         now = self.clock.monotonic()
-        crash = Crash(report.upstream, frozenset(report.fingerprints), now)
+        crash = Crash(
+            report.upstream,
+            frozenset(report.fingerprints),
+            now,
+            sent_times(report.fingerprints, report.ages, now),
+        )
         confirmed = self.tracker.crashed(crash)
         log(
             'upstream_crashed',
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from aiohttp.http import RawRequestMessage, RawResponseMessage
 
@@ -38,6 +39,14 @@
     identity: Identity | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class SentRequest:
+    """A request and the monotonic time at which it was sent to an upstream."""
+
+    request: OutgoingRequest
+    sent_at: timedelta
+
+
 class UpstreamClient:
     """Sends requests over pooled connections and classifies the responses.
 
@@ -104,7 +113,7 @@
                 reported_by_upstream=False,
             )
         # The pool reports the tags of lost connections after a crash.
-        connection.tag = outgoing_request
+        connection.tag = SentRequest(outgoing_request, self.clock.monotonic())
         before_send()
         request_bytes = self.messages.upstream_request(
             outgoing_request.message,
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -122,13 +122,15 @@
 class CrashReport:
     """The requests in flight at an upstream when it crashed.
 
-    ``upstream`` is its address. ``fingerprints`` identify the requests. With
+    ``upstream`` is its address. ``fingerprints`` identify the requests, and
+    ``ages`` are the times since they were sent, in the same order. With
     ``cleared``, upstreams have answered these requests instead.
     """
 
     upstream: str
     fingerprints: tuple[str, ...]
     cleared: bool = False
+    ages: tuple[timedelta, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
@@ -16,7 +17,7 @@
 from ..membership.view import Instance
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.crashes import CrashReport
-from ..routing.crash import Crash, CrashSuspects
+from ..routing.crash import Crash, CrashSuspects, sent_times
 from .inbound import InboundRequest
 from .problems import RefusalError
 
@@ -71,9 +72,18 @@
         ``inbounds`` are the requests that were in flight at ``address``.
         """
         service = inbounds[0].service
-        fingerprints = frozenset(inbound.fingerprint() for inbound in inbounds)
-        key = self._upstream_key(service, address)
-        report = CrashReport(key, tuple(sorted(fingerprints)))
+        now = self.clock.monotonic()
+        ages: dict[str, timedelta] = {}
+        for inbound in inbounds:
+            digest = inbound.fingerprint()
+            age = now - inbound.sent_at
+            ages[digest] = min(age, ages.get(digest, age))
+        fingerprints = tuple(sorted(ages))
+        report = CrashReport(
+            self._upstream_key(service, address),
+            fingerprints,
+            tuple(ages[digest] for digest in fingerprints),
+        )
         self.apply_report(report)
         if self.send_report is not None:
             task = asyncio.ensure_future(self.send_report(service, report))
@@ -82,10 +92,12 @@
 
     def apply_report(self, report: CrashReport) -> None:
         """Apply a crash that this or another instance has detected."""
+        now = self.clock.monotonic()
         crash = Crash(
             report.upstream,
             frozenset(report.fingerprints),
-            self.clock.monotonic(),
+            now,
+            sent_times(report.fingerprints, report.ages, now),
         )
         confirmed = self.tracker.crashed(crash)
         log(
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -71,6 +71,7 @@
         connection.last_request_id = inbound.request_id
         # The loss of a home must not count as a crash of an upstream.
         connection.tag = None if to_home else inbound
+        inbound.sent_at = now
         request = request_bytes(inbound, self.address, now, to_home=to_home)
         self.write_started = True
         self.message = await connection.send(
--- a/src/crocusproxy/proxy/inbound.py
+++ b/src/crocusproxy/proxy/inbound.py
@@ -25,7 +25,8 @@
     ``target`` is the path and query for the upstream. ``is_forwarded`` is set
     if another instance forwarded the request. ``may_have_run`` is set once a
     byte may have reached an upstream or a home that has not reported that it
-    did not run the request. ``first_attempt`` is set if the caller has stated
+    did not run the request, and ``sent_at`` is the time of the latest attempt.
+    ``first_attempt`` is set if the caller has stated
     that it has not sent the request before.
     """
 
@@ -41,6 +42,7 @@
         'method',
         'path',
         'request_id',
+        'sent_at',
         'service',
         'started_at',
         'target',
@@ -54,6 +56,7 @@
         self.method: str = message.method
         self.path: str = message.path
         self.started_at = started_at
+        self.sent_at = started_at
         self.body = b''
         self.service = ''
         self.target = ''
--- a/src/crocusproxy/routing/crash.py
+++ b/src/crocusproxy/routing/crash.py
@@ -1,7 +1,7 @@
 """Detection of requests that crash upstreams."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 #: Time between two crashes within which the second one confirms a suspect.
@@ -17,19 +17,28 @@
 
     ``fingerprints`` identify them; equal requests have the same fingerprint.
     Homes exchange crashes; ``at`` is the monotonic time of the receiving home.
+    ``sent_at`` are the times at which the latest of equal requests were sent to
+    the upstream, if they are known.
     """
 
     upstream: str
     fingerprints: frozenset[str]
     at: timedelta
+    sent_at: Mapping[str, timedelta] = field(default_factory=dict)
+
+    def was_sent_since(self, fingerprint: str, at: timedelta) -> bool:
+        """Return whether a request was sent after an earlier crash."""
+        return self.sent_at.get(fingerprint, self.at) >= at
 
 
 class CrashSuspects:
     """Finds requests that were in flight at crashes of two upstreams.
 
     A request that is answered in between is cleared, so that a popular request
-    is not confirmed only because it is in flight everywhere. Entries expire
-    with time; ``next_expiry`` is the earliest time at which one may.
+    is not confirmed only because it is in flight everywhere. Neither is one
+    that was at both upstreams before the first crash: several upstreams can be
+    lost at once for another reason. Entries expire with time; ``next_expiry``
+    is the earliest time at which one may.
     """
 
     def __init__(self) -> None:
@@ -44,12 +53,10 @@
         confirmed = frozenset(
             fingerprint
             for fingerprint in crash.fingerprints
-            if self._is_second_crash(fingerprint, crash.upstream)
+            if self._is_second_crash(fingerprint, crash)
         )
         for fingerprint in crash.fingerprints - confirmed:
-            if len(self.suspects) < MAX_SUSPECTS:
-                self.suspects[fingerprint] = (crash.upstream, crash.at)
-                self._expect_expiry(crash.at + SUSPICION_PERIOD)
+            self._suspect(fingerprint, crash)
         self.confirm(confirmed, crash.at)
         return confirmed
 
@@ -106,9 +113,38 @@
         until = self.confirmed_until.get(fingerprint, now)
         return max(until - now, timedelta())
 
-    def _is_second_crash(self, fingerprint: str, upstream: str) -> bool:
-        first, _ = self.suspects.get(fingerprint, (upstream, None))
-        return first != upstream
+    def _suspect(self, fingerprint: str, crash: Crash) -> None:
+        earlier = self.suspects.get(fingerprint)
+        if earlier is not None and not crash.was_sent_since(
+            fingerprint, earlier[1]
+        ):
+            # Requests that were sent after the first crash still count.
+            return
+        if len(self.suspects) < MAX_SUSPECTS:
+            self.suspects[fingerprint] = (crash.upstream, crash.at)
+            self._expect_expiry(crash.at + SUSPICION_PERIOD)
+
+    def _is_second_crash(self, fingerprint: str, crash: Crash) -> bool:
+        earlier = self.suspects.get(fingerprint)
+        if earlier is None:
+            return False
+        upstream, at = earlier
+        return upstream != crash.upstream and crash.was_sent_since(
+            fingerprint, at
+        )
 
     def _expect_expiry(self, at: timedelta) -> None:
         self.next_expiry = min(self.next_expiry, at)
+
+
+def sent_times(
+    fingerprints: Iterable[str], ages: Iterable[timedelta], at: timedelta
+) -> dict[str, timedelta]:
+    """Return when requests were sent, from their ages at the crash.
+
+    A build that reports no ages has them confirmed as if just sent.
+    """
+    return {
+        fingerprint: at - age
+        for fingerprint, age in zip(fingerprints, ages, strict=False)
+    }
--- a/tests/entry/test_loss_of_upstreams.py
+++ b/tests/entry/test_loss_of_upstreams.py
@@ -8,6 +8,7 @@
 
 from crocusproxy.clock import ManualClock
 from crocusproxy.entry.crash_watch import CrashWatch, fingerprint
+from crocusproxy.entry.upstream_call import SentRequest
 from crocusproxy.placement.upstream_reach import UpstreamReach
 
 from .harness import make_server, run_scenario
@@ -77,7 +78,8 @@
         message, body = Message, b''
 
     for number in range(4):
-        watch.record_crash(f'h:{number}', (Request,))
+        sent = SentRequest(Request, clock.monotonic())
+        watch.record_crash(f'h:{number}', (sent,))
     assert [report.cleared for report in reports] == [False, False, True, True]
     assert not watch.refused_for(Request)
     assert reports[-1].fingerprints == (fingerprint(Request),)
--- a/tests/routing/test_crash.py
+++ b/tests/routing/test_crash.py
@@ -10,9 +10,11 @@
 )
 
 
-def crash(upstream, *fingerprints, at=0):
+def crash(upstream, *fingerprints, at=0, sent_at=None):
     seconds = timedelta(seconds=at)
-    return Crash(upstream, frozenset(fingerprints), seconds)
+    sent = timedelta(seconds=at if sent_at is None else sent_at)
+    times = dict.fromkeys(fingerprints, sent)
+    return Crash(upstream, frozenset(fingerprints), seconds, times)
 
 
 def test_request_of_two_crashes_is_refused_until_confirmation_expires():
@@ -69,3 +71,31 @@
     now = timedelta(seconds=2)
     assert not suspects.refused_for('popular', now)
     assert suspects.refused_for('bad', now)
+
+
+def test_requests_of_two_crashes_at_once_are_not_confirmed():
+    """A path was refused for ten minutes after a loss of two upstreams."""
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'path', at=10, sent_at=9))
+    assert not suspects.crashed(crash('s/b', 'path', at=10.2, sent_at=9.5))
+    now = timedelta(seconds=11)
+    assert suspects.is_suspect('path', now)
+    assert not suspects.refused_for('path', now)
+
+
+def test_request_that_was_sent_after_the_first_of_many_crashes_is_confirmed():
+    """Copies that were in flight before must not make it look like the first.
+
+    It would crash one upstream more with each of them.
+    """
+    suspects = CrashSuspects()
+    suspects.crashed(crash('s/a', 'bad', at=10, sent_at=9))
+    suspects.crashed(crash('s/b', 'bad', at=12, sent_at=9))
+    assert suspects.crashed(crash('s/c', 'bad', at=13, sent_at=11)) == {'bad'}
+
+
+def test_crash_of_an_older_build_confirms_as_before():
+    suspects = CrashSuspects()
+    suspects.crashed(Crash('s/a', frozenset('x'), timedelta(seconds=1)))
+    second = Crash('s/b', frozenset('x'), timedelta(seconds=2))
+    assert suspects.crashed(second) == {'x'}
--- a/tests/routing/test_crash_machine.py
+++ b/tests/routing/test_crash_machine.py
@@ -5,6 +5,7 @@
 """
 
 from datetime import timedelta
+from itertools import chain
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -46,28 +47,56 @@
     def send(self, fingerprint, upstream):
         if self.is_refused(fingerprint):
             return
-        self.in_flight[upstream].append(fingerprint)
+        self.in_flight[upstream].append((fingerprint, self.now))
         if fingerprint == CRASHING and len(self.crashed) >= 3:
             self.retries += 1
 
     @rule(upstream=upstreams)
     def crash(self, upstream):
         """Crash an upstream that runs the crashing request."""
-        lost = self.in_flight[upstream]
-        if CRASHING not in lost:
-            return
-        self.in_flight[upstream] = []
-        self.crashed.add(upstream)
-        self.suspects.crashed(Crash(upstream, frozenset(lost), self.now))
+        if CRASHING in self.running(upstream):
+            self.crashed.add(upstream)
+            self.lose(upstream)
+
+    @rule(lost=st.sets(upstreams, min_size=1))
+    def lose_at_once(self, lost):
+        """Lose upstreams for a reason that is not a request.
+
+        Requests that only this has hit must not be refused.
+        """
+        sent = [self.in_flight[upstream] for upstream in sorted(lost)]
+        suspects = {*self.suspects.suspects, *self.suspects.confirmed_until}
+        self.now += timedelta(milliseconds=1)
+        for upstream in sorted(lost):
+            self.lose(upstream)
+        for fingerprint, _ in chain.from_iterable(sent):
+            if fingerprint not in suspects:
+                assert not self.is_refused(fingerprint)
 
     @rule(upstream=upstreams)
     def answer(self, upstream):
         """Answer a harmless request, which clears it."""
-        running = [one for one in self.in_flight[upstream] if one != CRASHING]
+        running = [
+            (one, sent_at)
+            for one, sent_at in self.in_flight[upstream]
+            if one != CRASHING
+        ]
         if running:
             self.in_flight[upstream].remove(running[0])
-            self.suspects.answered(running[0])
-            assert not self.is_refused(running[0])
+            fingerprint, _ = running[0]
+            self.suspects.answered(fingerprint)
+            assert not self.is_refused(fingerprint)
+
+    def running(self, upstream):
+        return [fingerprint for fingerprint, _ in self.in_flight[upstream]]
+
+    def lose(self, upstream):
+        sent_at = dict(self.in_flight[upstream])
+        self.in_flight[upstream] = []
+        if sent_at:
+            self.suspects.crashed(
+                Crash(upstream, frozenset(sent_at), self.now, sent_at)
+            )
 
     @rule(seconds=st.sampled_from((0.1, 5)))
     def pass_time(self, seconds):
