Drop forwarded requests of gone callers, and budget those of lost homes

A non-idempotent request that waited at the home was sent after its caller had left, since the forwarding instance kept it like one that is running. Safe requests of a lost home were sent again outside of the retry budget and of the route's attempts, as if for the first time.

The connection to the home now closes with the caller, and the home keeps what it has sent. A second send takes a token and an attempt. For this, the forwarding instance and the home share the grant of a forwarded request.

--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -184,7 +184,7 @@
         """Dispatch a request and return its response or a refusal."""
         now = self._now()
         self.last_request_at = now
-        self.retry_budget(context.service).count_request(now)
+        self._count_request(context, now)
         if self.silence_breaker.refuses(now):
             return upstreams_unreachable(self.random)
         last_result: CallResult | None = None
@@ -202,6 +202,13 @@
             if not self._may_retry(context, result):
                 return self._failure_response(context, last_result, None)
 
+    def _count_request(self, context: RequestContext, now: float) -> None:
+        budget = self.retry_budget(context.service)
+        if context.is_forwarded:
+            budget.count_received(now)
+        else:
+            budget.count_request(now)
+
     async def _send(
         self, context: RequestContext, placed: Placed
     ) -> CallResult:
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -204,6 +204,7 @@
             received_at
             + timing.seconds_to_target(route, caller_timeout, received_at),
             account=_account_of(outgoing_request.identity),
+            is_forwarded=HOP_HEADER in request.message.headers,
         )
 
     def _identify(
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -21,7 +21,8 @@
     is the client account of the request's key, None if it has none;
     ``holds_token`` is set once the request has taken a token of its quota.
     ``is_answered`` is set once an attempt has a usable response; others in
-    flight are cancelled.
+    flight are cancelled. ``is_forwarded`` is set if another instance has
+    forwarded the request.
     """
 
     request: CallerRequest
@@ -39,6 +40,7 @@
     account: ClientAccount | None = None
     holds_token: bool = False
     is_answered: bool = False
+    is_forwarded: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/crocusproxy/entry/request_server.py
+++ b/src/crocusproxy/entry/request_server.py
@@ -19,7 +19,7 @@
 from .request_context import RequestContext
 from .request_log import RequestLog
 from .responses import CallerResponse, Refusal
-from .upstream_messages import HOP_HEADER, OVERFLOW_HEADER, RESPONDER_HEADER
+from .upstream_messages import OVERFLOW_HEADER, RESPONDER_HEADER
 
 _NO_UPSTREAM = 'no_upstream'
 
@@ -52,7 +52,7 @@
         if OVERFLOW_HEADER in headers:
             if not self.dispatcher.placer(context.service).has_spare_slots():
                 return NO_SPARE_SLOT
-        elif HOP_HEADER not in headers:
+        elif not context.is_forwarded:
             response = await self._serve_elsewhere(context)
             if response is not None:
                 return response
@@ -73,7 +73,7 @@
         if isinstance(response, Refusal):
             self._refund(context)
             return await self._serve_by_successor(context, response)
-        if HOP_HEADER in context.outgoing_request.message.headers:
+        if context.is_forwarded:
             return _with_responder(response, context.responder)
         return response
 
@@ -104,7 +104,7 @@
             return refusal
         if not self._successor(context):
             return await self._overflow_after_evacuation(context, refusal)
-        if HOP_HEADER in context.outgoing_request.message.headers:
+        if context.is_forwarded:
             return DISPATCHER_REPLACED
         response = await self._serve_elsewhere(context)
         return refusal if response is None else response
@@ -198,14 +198,18 @@
         context: RequestContext,
         exchange: Awaitable[CallerResponse | NotRun | ResponseLost],
     ) -> CallerResponse | Refusal | None:
-        """Return the response, or None if this instance dispatches."""
-        context.request.is_detached = not context.route.idempotent
+        """Return the response, or None if this instance dispatches.
+
+        If the caller leaves, the connection to the home closes. The home then
+        drops the request unless it may be running at an upstream.
+        """
         result = await exchange
-        context.request.is_detached = False
-        if isinstance(result, CallerResponse):
-            return result
         if isinstance(result, NotRun):
             return None
+        budget = self.dispatcher.retry_budget(context.service)
+        budget.count_forwarded(self._now())
+        if isinstance(result, CallerResponse):
+            return result
         self.request_log.log_forward_failure(context, result.reason)
         return self._after_lost_response(context, result)
 
@@ -216,7 +220,21 @@
         context.may_have_run = True
         if result.is_timeout:
             return TIMED_OUT
-        return None if context.route.idempotent else UPSTREAM_FAILED
+        return None if self._may_send_again(context) else UPSTREAM_FAILED
+
+    def _may_send_again(self, context: RequestContext) -> bool:
+        """Return whether this instance may send a request of a lost home.
+
+        The home may have sent it, so this is a retry.
+        """
+        route = context.route
+        if not route.idempotent or route.attempts <= 1:
+            return False
+        budget = self.dispatcher.retry_budget(context.service)
+        if not budget.try_spend(self._now()):
+            return False
+        context.send_count += 1
+        return True
 
     def _now(self) -> float:
         return self.clock.monotonic().total_seconds()
--- a/src/crocusproxy/limits/shared_retry_budget.py
+++ b/src/crocusproxy/limits/shared_retry_budget.py
@@ -75,6 +75,18 @@
         self.immediate.grant(now)
         self.reserve.grant(now)
 
+    def count_forwarded(self, now: float) -> None:
+        """Record a request that another instance dispatches for this one.
+
+        The two grant the parts of one request: this one may have to send it
+        again if the other is lost.
+        """
+        self.reserve.grant(now)
+
+    def count_received(self, now: float) -> None:
+        """Record a request that another instance has forwarded."""
+        self.immediate.grant(now)
+
     def try_spend(self, now: float) -> bool:
         """Spend one retry; return False if none is left in the budget."""
         return self.immediate.spend(now) or self.reserve.spend(now)
--- a/tests/limits/test_shared_retry_budget.py
+++ b/tests/limits/test_shared_retry_budget.py
@@ -28,6 +28,29 @@
         assert spent <= RATIO * seen + SLACK
 
 
+@given(
+    st.lists(st.tuples(st.floats(0, 0.5), st.sampled_from('frh')), max_size=300)
+)
+def test_forwarding_instance_and_home_share_the_grant_of_a_request(steps):
+    """Each request would grant its retries twice."""
+    forwarding = SharedRetryBudget(RATIO, SLACK, WINDOW)
+    home = SharedRetryBudget(RATIO, SLACK, WINDOW)
+    now = 0.0
+    requests = []
+    retries = []
+    for pause, step in steps:
+        now += pause
+        if step == 'r':
+            forwarding.count_forwarded(now)
+            home.count_received(now)
+            requests.append(now)
+        elif (forwarding if step == 'f' else home).try_spend(now):
+            retries.append(now)
+        spent = sum(now - WINDOW <= one for one in retries)
+        seen = sum(now - 2 * WINDOW <= one for one in requests)
+        assert spent <= RATIO * seen
+
+
 def test_memory_is_bounded_without_retries():
     """Without retries, the grants of all requests since the start were kept."""
     budget = SharedRetryBudget(RATIO, SLACK, WINDOW)
