--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -10,7 +10,7 @@
 from ..logs import log
 from ..placement.upstream_reach import UpstreamReach
 from ..protocol.home_feed import CrashReport
-from ..routing.crash import Crash, CrashSuspects, sent_times
+from ..routing.crash import Crash, CrashSuspects, latest_ages, sent_times
 from .upstream_call import OutgoingRequest, SentRequest
 
 #: Crashes that are retracted if they turn out to be one loss of all upstreams.
@@ -48,16 +48,12 @@
             log('crash_not_counted', upstream=address)
             return
         now = self.clock.monotonic()
-        ages: dict[str, timedelta] = {}
-        for sent in requests:
-            digest = fingerprint(sent.request)
-            age = now - sent.sent_at
-            ages[digest] = min(age, ages.get(digest, age))
-        fingerprints = tuple(sorted(ages))
+        ages = latest_ages(
+            ((fingerprint(sent.request), sent.sent_at) for sent in requests),
+            now,
+        )
         report = CrashReport(
-            address,
-            fingerprints,
-            ages=tuple(ages[digest] for digest in fingerprints),
+            address, tuple(ages.keys()), ages=tuple(ages.values())
         )
         self.latest_reports.append((now, report))
         self.apply_report(report)
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from datetime import timedelta
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
@@ -17,7 +16,7 @@
 from ..membership.view import Instance
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.crashes import CrashReport
-from ..routing.crash import Crash, CrashSuspects, sent_times
+from ..routing.crash import Crash, CrashSuspects, latest_ages, sent_times
 from .inbound import InboundRequest
 from .problems import RefusalError
 
@@ -73,16 +72,14 @@
         """
         service = inbounds[0].service
         now = self.clock.monotonic()
-        ages: dict[str, timedelta] = {}
-        for inbound in inbounds:
-            digest = inbound.fingerprint()
-            age = now - inbound.sent_at
-            ages[digest] = min(age, ages.get(digest, age))
-        fingerprints = tuple(sorted(ages))
+        ages = latest_ages(
+            ((inbound.fingerprint(), inbound.sent_at) for inbound in inbounds),
+            now,
+        )
         report = CrashReport(
             self._upstream_key(service, address),
-            fingerprints,
-            tuple(ages[digest] for digest in fingerprints),
+            tuple(ages.keys()),
+            tuple(ages.values()),
         )
         self.apply_report(report)
         if self.send_report is not None:
--- a/src/crocusproxy/routing/crash.py
+++ b/src/crocusproxy/routing/crash.py
@@ -137,6 +137,28 @@
         self.next_expiry = min(self.next_expiry, at)
 
 
+def latest_ages(
+    sent: Iterable[tuple[str, timedelta]], now: timedelta
+) -> dict[str, timedelta]:
+    """Return the ages of requests by fingerprint, of equal ones the latest.
+
+    ``sent`` are fingerprints and the times at which they were sent.
+
+    >>> second = timedelta(seconds=1)
+    >>> ages = latest_ages(
+    ...     [('b', second), ('a', second), ('b', 2 * second)], 3 * second
+    ... )
+    >>> [(name, age.seconds) for name, age in ages.items()]
+    [('a', 2), ('b', 1)]
+    """
+    latest: dict[str, timedelta] = {}
+    for fingerprint, sent_at in sent:
+        latest[fingerprint] = max(sent_at, latest.get(fingerprint, sent_at))
+    return {
+        fingerprint: now - latest[fingerprint] for fingerprint in sorted(latest)
+    }
+
+
 def sent_times(
     fingerprints: Iterable[str], ages: Iterable[timedelta], at: timedelta
 ) -> dict[str, timedelta]:
