Let tests close their connections, and name the interpreter that is needed

Tests left StreamWriters open, which newer patch releases of Python 3.11 close after the event loop, an error in the tests. A fixture now closes them before the loop of a test closes. make says in one line if the interpreter is not Python 3.11.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 venv: $(STAMP)
 
 $(STAMP): requirements.lock pyproject.toml
+	@$(PYTHON) -c 'import sys; sys.version_info[:2] == (3, 11) or \
+	  sys.exit("Python 3.11 is required, not " + sys.version.split()[0])'
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,42 @@
-"""Hypothesis profiles of all tests.
+"""Hypothesis profiles and the connections of all tests.
 
 By default the examples are the same in each run; ``make search`` generates
 random ones instead.
 """
 
+import asyncio
 import os
 
+import pytest
 from hypothesis import settings
 
 settings.register_profile('repeatable', derandomize=True, deadline=None)
 settings.register_profile('search', deadline=None, print_blob=True)
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'repeatable'))
+
+
+@pytest.fixture(autouse=True)
+def _owned_connections(monkeypatch):
+    """Close the connections of a test before its event loop closes.
+
+    From Python 3.11.5 on, a StreamWriter that is deleted later closes its
+    transport, which raises an error once the loop is closed.
+    """
+    writers = []
+    create = asyncio.StreamWriter.__init__
+    close_loop = asyncio.SelectorEventLoop.close
+
+    def create_owned(writer, *args, **options):
+        create(writer, *args, **options)
+        writers.append(writer)
+
+    def close_owned(loop):
+        if not loop.is_closed() and not loop.is_running():
+            for writer in writers:
+                writer.transport.abort()
+            writers.clear()
+            loop.run_until_complete(asyncio.sleep(0))
+        close_loop(loop)
+
+    monkeypatch.setattr(asyncio.StreamWriter, '__init__', create_owned)
+    monkeypatch.setattr(asyncio.SelectorEventLoop, 'close', close_owned)
