Delay removals after failed first reads of a new home

A home that took over during an outage of the store, less than 1.5 heartbeats before its end, applied a listing at once that lacked live upstreams.

--- a/src/crocusproxy/platform/recovery_grace.py
+++ b/src/crocusproxy/platform/recovery_grace.py
@@ -27,14 +27,14 @@
     """Decides whether removals from the store's list are delayed.
 
     ``heartbeat`` is the usual time between two reports of an upstream.
-    ``read_at`` is the time of the latest successful read, at first that of the
-    creation; ``started_at`` is the start of the latest grace period.
+    ``read_at`` is the time of the latest successful read, None before the first
+    one; ``started_at`` is the start of the latest grace period.
     """
 
     def __init__(self, clock: Clock, heartbeat: timedelta) -> None:
         self.clock = clock
         self.heartbeat = heartbeat
-        self.read_at = clock.monotonic()
+        self.read_at: timedelta | None = None
         self.started_at: timedelta | None = None
 
     @property
@@ -49,6 +49,15 @@
         """Start a grace period, as after a restore of the store."""
         self.started_at = self.clock.monotonic()
 
+    def record_first_read(self, *, follows_failure: bool) -> None:
+        """Start a grace period if reads have failed before the first one.
+
+        Nothing is known of the time before, in which another instance has read.
+        """
+        self.read_at = self.clock.monotonic()
+        if follows_failure:
+            self.start()
+
     def record_read(self, report_count: int, upstream_count: int) -> None:
         """Start a grace period if the store may have been unreachable.
 
@@ -56,8 +65,11 @@
         ``upstream_count`` that of the upstreams which were known before.
         """
         now = self.clock.monotonic()
-        gap = now - self.read_at
+        previous = self.read_at
         self.read_at = now
+        if previous is None:
+            return
+        gap = now - previous
         if gap < MIN_SILENT_HEARTBEATS * self.heartbeat:
             return
         expected_count = upstream_count * (gap / self.heartbeat)
--- a/src/crocusproxy/platform/topic_watch.py
+++ b/src/crocusproxy/platform/topic_watch.py
@@ -29,13 +29,15 @@
 class TopicUpdate:
     """The records of one read.
 
-    ``is_listing`` is set if they are the newest ones of all keys, and
-    ``is_restored`` if the store was restored since the previous read.
+    ``is_listing`` is set if they are the newest ones of all keys,
+    ``is_restored`` if the store was restored since the previous read, and
+    ``follows_failure`` if the reads just before have failed.
     """
 
     records: tuple[KeyedRecord, ...]
     is_listing: bool
     is_restored: bool
+    follows_failure: bool
 
     def count_reports(self) -> int:
         """Return the number of records since the previous read with content.
@@ -101,10 +103,13 @@
         is_listing = self.position is None
         page = await self._read_page()
         self.outage.end()
+        follows_failure = self.failing_since is not None
         self._note_success()
         is_restored = self._is_restored(page.end.incarnation)
         self.position = page.end
-        self.handle_update(TopicUpdate(page.records, is_listing, is_restored))
+        self.handle_update(
+            TopicUpdate(page.records, is_listing, is_restored, follows_failure)
+        )
 
     async def _retry_on_new_path(self, error: PathLostError) -> None:
         """Retry at once, unless the new path is lost as well."""
--- a/tests/platform/test_recovery_grace.py
+++ b/tests/platform/test_recovery_grace.py
@@ -60,6 +60,7 @@
         self.is_cut = is_cut
         self.clock = ManualClock()
         self.grace = RecoveryGrace(self.clock, HEARTBEAT)
+        self.grace.record_first_read(follows_failure=False)
         self.upstreams = [Upstream(number) for number in range(UPSTREAM_COUNT)]
         self.reports = 0
         self.removals = 0
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -21,6 +21,7 @@
     ConfigWatch,
     UpstreamWatch,
 )
+from crocusproxy.platform.wire import decode_upstream
 from standins.store import StandInStore
 
 from .test_wire import CONFIG, ENTRY
@@ -151,6 +152,35 @@
     run_scenario(scenario)
 
 
+def test_new_reader_delays_removals_after_a_failed_first_read():
+    """It cannot know how long the store was unreachable before."""
+
+    async def scenario(store, clock, catalog, watch):
+        entry = decode_upstream('i-1', ENTRY_DOCUMENT)
+        catalog.apply_list((entry,))
+        store.is_unavailable = True
+        await poll_failing(watch)
+        store.is_unavailable = False
+        await watch.topic_watch.poll()
+        assert set(catalog.upstreams) == {'i-1'}
+        clock.advance(RECOVERY_GRACE)
+        await watch.topic_watch.poll()
+        assert not catalog.upstreams
+
+    run_scenario(scenario)
+
+
+def test_new_reader_applies_removals_at_once_if_the_store_responds():
+    async def scenario(store, clock, catalog, watch):
+        entry = decode_upstream('i-1', ENTRY_DOCUMENT)
+        catalog.apply_list((entry,))
+        clock.advance(10 * HEARTBEAT)
+        await watch.topic_watch.poll()
+        assert not catalog.upstreams
+
+    run_scenario(scenario)
+
+
 def test_removal_is_not_delayed_by_a_short_loss_of_the_store():
     """No entry of a live upstream expires in it, so the removal is real."""
 
