Take a start after the clock was set back for another start

An instance that had said that it leaves, and whose clock was set back before its next start, stayed forgotten although it followed the home again. Its contact now ends the departure unless it is of the same start. Found when the change was read again.

--- a/src/crocusproxy/membership/member_list.py
+++ b/src/crocusproxy/membership/member_list.py
@@ -99,9 +99,13 @@
 
     def _has_departed(self, member: Member, *, is_in_contact: bool) -> bool:
         departure = self.departed.get(member.name)
-        if departure is None or member.started_at > departure.started_at:
+        if departure is None:
             return False
-        return departure.is_final or not is_in_contact
+        if is_in_contact:
+            # The clock may have been set back before the next start.
+            is_same_start = member.started_at == departure.started_at
+            return departure.is_final and is_same_start
+        return member.started_at <= departure.started_at
 
     def _remember(self, departure: Departure) -> None:
         self.departed.pop(departure.name, None)
--- a/tests/membership/test_member_list.py
+++ b/tests/membership/test_member_list.py
@@ -79,6 +79,15 @@
     assert 'a' in members.members
 
 
+def test_start_after_the_clock_was_set_back_is_another_start():
+    """The instance took part in nothing until the clock had caught up."""
+    members = make_list(member_of())
+    members.depart([departing(is_final=True)])
+    assert not members.merge([member_of(started_at=4)])
+    assert members.merge([member_of(started_at=4)], is_in_contact=True)
+    assert 'a' in members.members
+
+
 def test_departure_of_this_member_or_an_unknown_one_removes_nothing():
     members = make_list(member_of())
     revision = members.revision
