Close a test's connections by the loop that they belong to

The fixture ran a loop that was deleted while another one ran, which failed three tests of test_feed_source.py, by chance of the garbage collector.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+from collections import defaultdict
 
 import pytest
 from hypothesis import settings
@@ -22,19 +23,20 @@
     From Python 3.11.5 on, a StreamWriter that is deleted later closes its
     transport, which raises an error once the loop is closed.
     """
-    writers = []
+    writers = defaultdict(list)
     create = asyncio.StreamWriter.__init__
     close_loop = asyncio.SelectorEventLoop.close
 
     def create_owned(writer, *args, **options):
         create(writer, *args, **options)
-        writers.append(writer)
+        writers[asyncio.get_running_loop()].append(writer)
 
     def close_owned(loop):
-        if not loop.is_closed() and not loop.is_running():
-            for writer in writers:
-                writer.transport.abort()
-            writers.clear()
+        for writer in writers.pop(loop, ()):
+            writer.transport.abort()
+        # Lets the aborted transports close their sockets. A loop that nobody
+        # has closed may be deleted while another one runs.
+        if not loop.is_closed() and asyncio._get_running_loop() is None:
             loop.run_until_complete(asyncio.sleep(0))
         close_loop(loop)
 
