--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -20,6 +20,8 @@
 from crocusproxy.limits.account_quota import (
     AccountQuotas,
     QuotaBounds,
+)
+from crocusproxy.limits.quota_division import (
     SharedQuota,
 )
 from crocusproxy.membership.quota_reports import QuotaReports
--- a/src/crocusproxy/limits/account_quota.py
+++ b/src/crocusproxy/limits/account_quota.py
@@ -8,9 +8,15 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
-from zlib import crc32
 
 from ..routes.model import ClientAccount
+from .quota_division import (
+    Division,
+    PartOfQuota,
+    SharedQuota,
+    SplitQuota,
+    WholeQuota,
+)
 
 #: Part of the overage that domain homes may take before they have reported it.
 UNREPORTED_SHARE = 0.2
@@ -58,41 +64,6 @@
         return self.overage * quota + self.slack
 
 
-@dataclass(frozen=True, slots=True)
-class WholeQuota:
-    """Only this instance dispatches."""
-
-
-@dataclass(frozen=True, slots=True)
-class SharedQuota:
-    """``homes`` domain homes dispatch and report taken tokens to each other."""
-
-    homes: int
-
-
-@dataclass(frozen=True, slots=True)
-class SplitQuota:
-    """``homes`` domain homes dispatch, and not all of them get reports."""
-
-    homes: int
-
-
-@dataclass(frozen=True, slots=True)
-class PartOfQuota:
-    """This instance is one of ``members`` and has no home.
-
-    ``position`` is its place among them, from 0 on. ``generation`` grows with
-    each home that it has followed: its tokens are those after one loss.
-    """
-
-    members: int
-    position: int = 0
-    generation: int = 0
-
-
-Division = WholeQuota | SharedQuota | SplitQuota | PartOfQuota
-
-
 @dataclass(frozen=True, slots=True)
 class Admitted:
     """The request is within the quota and has taken a token."""
@@ -246,7 +217,7 @@
         """Return a bucket as if it had existed since the start."""
         start = self._start_tokens(account)
         if isinstance(self.division, PartOfQuota):
-            part = _part_of(int(start), self.division, account.name)
+            part = self.division.part_of(int(start), account.name)
             return Bucket(part, now)
         return Bucket(start * self.start_share, self.started_at)
 
@@ -353,21 +324,6 @@
                 self._bucket(account, now)
 
 
-def _part_of(tokens: int, division: PartOfQuota, name: str) -> int:
-    """Return the tokens of one member, so that all have ``tokens`` together.
-
-    Rounding at each member would lose their fractions, or exceed the sum. The
-    first members get the larger parts, beginning at another one by account.
-
-    >>> [_part_of(5, PartOfQuota(3, position), 'a') for position in range(3)]
-    [2, 2, 1]
-    """
-    members = division.members
-    place = (division.position + crc32(name.encode())) % members
-    whole, rest = divmod(tokens, members)
-    return whole + (place < rest)
-
-
 def _none_unreported(name: str) -> float:
     """Treat all tokens as reported, as without other domain homes."""
     return 0
--- a/src/crocusproxy/membership/departures.py
+++ b/src/crocusproxy/membership/departures.py
@@ -15,14 +15,18 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from ..errors import NotReachableError
 from ..logs import log
 from ..protocol.home_feed import Departure, FeedMessage, Member, MemberView
+from .member_client import MemberClient
 from .member_list import MemberList
 
 #: A member that follows no feed of the home for this time is queried.
 ABSENCE_LIMIT = timedelta(seconds=30)
 #: Another query follows a failed one after this time.
 SECOND_QUERY_DELAY = timedelta(seconds=5)
+#: Pause before a leaving member looks for a home again.
+HOME_POLL_SECONDS = 0.1
 #: Members that the home queries at each check.
 MAX_QUERIED = 100
 #: Failed queries in a row after which a member has departed.
@@ -80,12 +84,32 @@
         log('members_departed', members=[one.name for one in departed])
         self.publish(FeedMessage(departed=departed))
 
+    async def announce(
+        self, client: MemberClient, find_home: Callable[[], Member | None]
+    ) -> None:
+        """Tell the home that this member leaves.
+
+        If this member is or was home, its successor is told, once known.
+        """
+        own = self.member_list.own
+        home = find_home()
+        while home is None or home.name == own.name:
+            await asyncio.sleep(HOME_POLL_SECONDS)
+            home = find_home()
+        departure = Departure(own.name, own.started_at, is_final=True)
+        try:
+            await client.report_departure(home.internal, departure)
+        except NotReachableError as error:
+            # The home forgets this member later, as it no longer responds.
+            log('departure_not_reported', home=home.name, error=str(error))
+
     def _find_due(self, followers: Collection[str]) -> Sequence[Member]:
         now = self.clock.monotonic()
         absent = [
             member
-            for member in self.member_list.others()
+            for member in self.member_list.all()
             if member.name not in followers
+            and member.name != self.member_list.own.name
         ]
         names = {member.name for member in absent}
         for name in self.query_at.keys() - names:
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -1,7 +1,7 @@
 """Attaches this instance to a home or makes it the home."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from contextlib import aclosing
 from datetime import timedelta
 
@@ -25,9 +25,9 @@
 from .election_rounds import ElectionRounds
 from .feed_server import HomeFeedServer
 from .feed_source import feed_source, first_source
+from .home_check import HomeCheck
 from .member_client import MemberClient
 from .member_list import MemberList
-from .rival_homes import checked_members, find_better_home
 from .seeds import SeedQueries
 
 RETRY_INTERVAL_SECONDS = 0.1
@@ -82,6 +82,9 @@
         self.departures = DepartureWatch(
             member_list, clock, self.query_view, self.server.publish
         )
+        self.check = HomeCheck(
+            member_list, self.server, self.departures, self.query_view
+        )
         self.server.on_departure = self._apply_departure
         self.home: Member | None = None
         self.home_known = asyncio.Event()
@@ -139,23 +142,8 @@
         self.server.end_feeds()
 
     async def announce_departure(self) -> None:
-        """Tell the home that this member leaves, so that it is forgotten.
-
-        If this member is or was home, its successor is told, once known.
-        """
-        own = self.member_list.own
-        while self.home is None or self.home.name == own.name:
-            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
-        departure = Departure(own.name, own.started_at, is_final=True)
-        try:
-            await self.client.report_departure(self.home.internal, departure)
-        except NotReachableError as error:
-            # The home forgets this member later, as it no longer responds.
-            log(
-                'departure_not_reported',
-                home=self.home.name,
-                error=str(error),
-            )
+        """Tell the home that this member leaves, so that it is forgotten."""
+        await self.departures.announce(self.client, lambda: self.home)
 
     async def query_view(self, member: Member) -> MemberView | None:
         """Return a member's view, or None if the member can't be reached."""
@@ -339,36 +327,12 @@
         self.server.end_feeds()
         self.on_stopped_leading()
 
-    def _publish_returned(self, absent: Sequence[Member]) -> None:
-        """Tell the followers which departed members have responded."""
-        returned = tuple(
-            member
-            for member in absent
-            if member.name in self.member_list.members
-        )
-        if returned:
-            self.server.publish(FeedMessage(members=returned))
-
     async def _lead_until_replaced(self) -> None:
         """Return when this instance leaves or yields to another home."""
-        check_count = 0
-        self.departures.begin()
+        self.check.begin()
         while not self.leaving:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            check_count += 1
-            await self.departures.check(self.server.followers)
-            # A departed member may be a home that was cut off.
-            non_followers = [
-                member
-                for member in self.member_list.others_ever()
-                if member.name not in self.server.followers
-            ]
-            queried = checked_members(non_followers, check_count)
-            departed = self.member_list.departed.keys()
-            absent = [one for one in queried if one.name in departed]
-            views = await asyncio.gather(*map(self.query_view, queried))
-            self._publish_returned(absent)
-            rival = find_better_home(self.view(), views)
+            rival = await self.check.run()
             if rival is not None:
                 log(
                     'home_given_up',
--- a/src/crocusproxy/membership/member_list.py
+++ b/src/crocusproxy/membership/member_list.py
@@ -1,6 +1,7 @@
 """The members that an instance knows."""
 
 from collections.abc import Iterable
+from itertools import chain
 
 from ..protocol.home_feed import Departure, Member
 
@@ -65,17 +66,13 @@
 
     def others_ever(self) -> tuple[Member, ...]:
         """Return the other members and departed ones, by election rank."""
-        known = (*self.others(), *self.departed_members.values())
-        return tuple(sorted(known, key=lambda member: member.rank))
+        return self._ranked(
+            chain(self.members.values(), self.departed_members.values())
+        )
 
     def others(self) -> tuple[Member, ...]:
         """Return the other members in the order of their election rank."""
-        others = [
-            member
-            for member in self.members.values()
-            if member.name != self.own.name
-        ]
-        return tuple(sorted(others, key=lambda member: member.rank))
+        return self._ranked(self.members.values())
 
     def own_position(self) -> int:
         """Return the number of members whose names precede this one's."""
@@ -85,6 +82,11 @@
         """Return every member, this one included."""
         return tuple(self.members.values())
 
+    def _ranked(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        """Return members but this one in the order of their election rank."""
+        others = [one for one in members if one.name != self.own.name]
+        return tuple(sorted(others, key=lambda member: member.rank))
+
     def _add(self, member: Member) -> None:
         self.members[member.name] = member
         self.departed.pop(member.name, None)
--- a/src/crocusproxy/membership/quota_exchange.py
+++ b/src/crocusproxy/membership/quota_exchange.py
@@ -7,8 +7,8 @@
 
 from ..clock import Clock
 from ..errors import NotReachableError
-from ..limits.account_quota import (
-    AccountQuotas,
+from ..limits.account_quota import AccountQuotas
+from ..limits.quota_division import (
     Division,
     PartOfQuota,
     SharedQuota,
@@ -90,11 +90,7 @@
 
     def _division(self) -> Division:
         if not self.is_dispatcher:
-            return PartOfQuota(
-                len(self.member_list.members),
-                self.member_list.own_position(),
-                self._current_generation(),
-            )
+            return self._part()
         homes = self.reports.quota_peer_count() + 1
         if homes == 1 or not self.is_reporting:
             return WholeQuota()
@@ -102,6 +98,17 @@
             return SplitQuota(homes)
         return SharedQuota(homes)
 
+    def _part(self) -> PartOfQuota:
+        """Return the part of this instance, by its place among the members."""
+        count = len(self.member_list.members)
+        if not self.is_reporting:
+            return PartOfQuota(count)
+        return PartOfQuota(
+            count,
+            self.member_list.own_position(),
+            self._current_generation(),
+        )
+
     def _current_generation(self) -> int:
         homes = self.find_homes()
         if homes != self.homes:
--- a/src/crocusproxy/platform/recovery_grace.py
+++ b/src/crocusproxy/platform/recovery_grace.py
@@ -49,25 +49,22 @@
         """Start a grace period, as after a restore of the store."""
         self.started_at = self.clock.monotonic()
 
-    def record_first_read(self, *, follows_failure: bool) -> None:
-        """Start a grace period if reads have failed before the first one.
-
-        Nothing is known of the time before, in which another instance has read.
-        """
-        self.read_at = self.clock.monotonic()
-        if follows_failure:
-            self.start()
-
-    def record_read(self, report_count: int, upstream_count: int) -> None:
+    def record_read(
+        self, report_count: int, upstream_count: int, *, follows_failure: bool
+    ) -> None:
         """Start a grace period if the store may have been unreachable.
 
         ``report_count`` is the number of reports since the previous read, and
         ``upstream_count`` that of the upstreams which were known before.
+        Nothing is known of the time before the first read, so for that one a
+        failure just before is enough.
         """
         now = self.clock.monotonic()
         previous = self.read_at
         self.read_at = now
         if previous is None:
+            if follows_failure:
+                self.start()
             return
         gap = now - previous
         if gap < MIN_SILENT_HEARTBEATS * self.heartbeat:
--- a/src/crocusproxy/platform/watch.py
+++ b/src/crocusproxy/platform/watch.py
@@ -110,7 +110,11 @@
 
     def _apply_update(self, update: TopicUpdate) -> None:
         changes = [_to_change(record) for record in update.records]
-        self._record_read(update)
+        self.grace.record_read(
+            update.count_reports(),
+            len(self.catalog.upstreams),
+            follows_failure=update.follows_failure,
+        )
         if update.is_restored:
             self.grace.start()
         if update.is_listing:
@@ -120,14 +124,6 @@
                 self._apply_change(change)
         self._apply_delayed_removals()
 
-    def _record_read(self, update: TopicUpdate) -> None:
-        if self.grace.read_at is None:
-            self.grace.record_first_read(follows_failure=update.follows_failure)
-        else:
-            self.grace.record_read(
-                update.count_reports(), len(self.catalog.upstreams)
-            )
-
     def _apply_listing(self, changes: list[UpstreamChange]) -> None:
         present = {change.key for change in changes}
         for key in tuple(self.catalog.upstreams):
--- a/src/crocusproxy/platform/wire.py
+++ b/src/crocusproxy/platform/wire.py
@@ -5,6 +5,7 @@
 
 import re
 from datetime import timedelta
+from functools import lru_cache
 from ipaddress import IPv4Address
 from typing import Annotated, Literal
 
@@ -45,6 +46,7 @@
 #: Keys are sent in a header.
 _UPSTREAM_KEY = re.compile('[!-~]+')
 _MAX_PORT = 65_535
+_MAX_CACHED_ADDRESSES = 16_384
 _MAX_ADDRESS_LENGTH = len('255.255.255.255:65535')
 _MAX_NAME_LENGTH = 255
 #: Larger numbers can't be encoded or converted to a time everywhere, and no
@@ -64,9 +66,12 @@
 _Amount = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
+@lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
 def _check_address(address: str) -> str:
     """Return the address of a server.
 
+    Servers report continually, so the result is cached.
+
     Raises:
         ValueError: it is not an IPv4 address of a server with a port.
     """
--- a/tests/entry/test_quotas.py
+++ b/tests/entry/test_quotas.py
@@ -8,6 +8,8 @@
 from crocusproxy.limits.account_quota import (
     AccountQuotas,
     QuotaBounds,
+)
+from crocusproxy.limits.quota_division import (
     WholeQuota,
 )
 from crocusproxy.routes.model import ClientAccount
--- a/tests/limits/test_account_quota.py
+++ b/tests/limits/test_account_quota.py
@@ -8,8 +8,10 @@
     AccountQuotas,
     Admitted,
     OverQuota,
-    PartOfQuota,
     QuotaBounds,
+)
+from crocusproxy.limits.quota_division import (
+    PartOfQuota,
     SharedQuota,
     SplitQuota,
     WholeQuota,
--- a/tests/limits/test_account_quota_machine.py
+++ b/tests/limits/test_account_quota_machine.py
@@ -21,8 +21,10 @@
 from crocusproxy.limits.account_quota import (
     AccountQuotas,
     Admitted,
-    PartOfQuota,
     QuotaBounds,
+)
+from crocusproxy.limits.quota_division import (
+    PartOfQuota,
     SharedQuota,
     SplitQuota,
     WholeQuota,
--- a/tests/limits/test_quota_succession.py
+++ b/tests/limits/test_quota_succession.py
@@ -12,13 +12,15 @@
 from crocusproxy.limits.account_quota import (
     AccountQuotas,
     Admitted,
+)
+from crocusproxy.limits.quota_division import (
     PartOfQuota,
-    QuotaBounds,
     WholeQuota,
 )
 from crocusproxy.routes.model import ClientAccount
 
-BOUNDS = QuotaBounds(5, 0.1, 20)
+from .test_account_quota_machine import BOUNDS, most_permitted
+
 STEP_SECONDS = 0.02
 #: An instance sends more than any quota permits.
 ATTEMPTS_PER_STEP = 3
@@ -28,11 +30,6 @@
 FILL_SECONDS = 1000
 
 
-def most_permitted(account):
-    quota = account.rate * BOUNDS.window + account.burst
-    return quota * (1 + BOUNDS.overage) + BOUNDS.slack
-
-
 class Site:
     """Instances of which one dispatches, or all while there is no home."""
 
--- a/tests/membership/test_quota_exchange.py
+++ b/tests/membership/test_quota_exchange.py
@@ -9,8 +9,10 @@
 from crocusproxy.clock import SystemClock
 from crocusproxy.limits.account_quota import (
     AccountQuotas,
-    PartOfQuota,
     QuotaBounds,
+)
+from crocusproxy.limits.quota_division import (
+    PartOfQuota,
     SharedQuota,
     SplitQuota,
     WholeQuota,
--- a/tests/platform/test_recovery_grace.py
+++ b/tests/platform/test_recovery_grace.py
@@ -60,7 +60,7 @@
         self.is_cut = is_cut
         self.clock = ManualClock()
         self.grace = RecoveryGrace(self.clock, HEARTBEAT)
-        self.grace.record_first_read(follows_failure=False)
+        self.grace.record_read(0, 0, follows_failure=False)
         self.upstreams = [Upstream(number) for number in range(UPSTREAM_COUNT)]
         self.reports = 0
         self.removals = 0
@@ -88,7 +88,9 @@
         if self.is_down(step) or self.is_cut(step):
             return
         self.next_read = step + READ_STEPS
-        self.grace.record_read(self.reports, UPSTREAM_COUNT)
+        self.grace.record_read(
+            self.reports, UPSTREAM_COUNT, follows_failure=False
+        )
         self.grace_periods += self.grace.is_active
         if not self.grace.is_active:
             self.applied_at_once += self.removals
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -57,6 +57,24 @@
     asyncio.run(run())
 
 
+async def poll_after_outage(store, clock, watch, duration, key='i-1'):
+    """Poll in an outage of ``duration``, and after the removal of ``key``."""
+    store.is_unavailable = True
+    clock.advance(duration)
+    await poll_failing(watch)
+    if key:
+        store.put(UPSTREAM_TOPIC, key, b'')
+    store.is_unavailable = False
+    await watch.topic_watch.poll()
+
+
+async def check_removed_after_grace(clock, catalog, watch):
+    assert set(catalog.upstreams) == {'i-1'}
+    clock.advance(RECOVERY_GRACE)
+    await watch.topic_watch.poll()
+    assert not catalog.upstreams
+
+
 async def poll_failing(watch):
     try:
         await watch.topic_watch.poll()
@@ -138,16 +156,8 @@
     async def scenario(store, clock, catalog, watch):
         store.put(UPSTREAM_TOPIC, 'i-1', ENTRY_DOCUMENT)
         await watch.topic_watch.poll()
-        store.is_unavailable = True
-        clock.advance(3 * HEARTBEAT)
-        await poll_failing(watch)
-        store.put(UPSTREAM_TOPIC, 'i-1', b'')
-        store.is_unavailable = False
-        await watch.topic_watch.poll()
-        assert set(catalog.upstreams) == {'i-1'}
-        clock.advance(RECOVERY_GRACE)
-        await watch.topic_watch.poll()
-        assert not catalog.upstreams
+        await poll_after_outage(store, clock, watch, 3 * HEARTBEAT)
+        await check_removed_after_grace(clock, catalog, watch)
 
     run_scenario(scenario)
 
@@ -158,14 +168,8 @@
     async def scenario(store, clock, catalog, watch):
         entry = decode_upstream('i-1', ENTRY_DOCUMENT)
         catalog.apply_list((entry,))
-        store.is_unavailable = True
-        await poll_failing(watch)
-        store.is_unavailable = False
-        await watch.topic_watch.poll()
-        assert set(catalog.upstreams) == {'i-1'}
-        clock.advance(RECOVERY_GRACE)
-        await watch.topic_watch.poll()
-        assert not catalog.upstreams
+        await poll_after_outage(store, clock, watch, timedelta(), key='')
+        await check_removed_after_grace(clock, catalog, watch)
 
     run_scenario(scenario)
 
@@ -187,12 +191,7 @@
     async def scenario(store, clock, catalog, watch):
         store.put(UPSTREAM_TOPIC, 'i-1', ENTRY_DOCUMENT)
         await watch.topic_watch.poll()
-        store.is_unavailable = True
-        clock.advance(HEARTBEAT)
-        await poll_failing(watch)
-        store.put(UPSTREAM_TOPIC, 'i-1', b'')
-        store.is_unavailable = False
-        await watch.topic_watch.poll()
+        await poll_after_outage(store, clock, watch, HEARTBEAT)
         assert not catalog.upstreams
 
     run_scenario(scenario)
@@ -209,11 +208,7 @@
         for sequence in range(6):
             store.put(UPSTREAM_TOPIC, 'i-2', encode_entry(sequence))
             store.put(UPSTREAM_TOPIC, 'i-3', encode_entry(sequence))
-        store.is_unavailable = True
-        clock.advance(4 * HEARTBEAT)
-        await poll_failing(watch)
-        store.is_unavailable = False
-        await watch.topic_watch.poll()
+        await poll_after_outage(store, clock, watch, 4 * HEARTBEAT, key='')
         assert set(catalog.upstreams) == {'i-2', 'i-3'}
 
     run_scenario(scenario)
