Do not wait for the lost home in an election

Cause: a round waits until all members with a better rank have responded. The lost home has the best rank and is silent, so each round took the time- out of a query, 0.35 s.

Change: the lost home is not waited for. If it responds in time, its view counts as before.

The new test fails before the change (virtual time, nine members).

--- a/src/crocusproxy/membership/election_rounds.py
+++ b/src/crocusproxy/membership/election_rounds.py
@@ -56,7 +56,9 @@
             others = self._electable(lost_domains)
             elapsed = self.clock.monotonic() - started
             views = await self._query_views(
-                queried_members(own, others, elapsed, round_number), responses
+                queried_members(own, others, elapsed, round_number),
+                responses,
+                lost_home_name,
             )
             election = elect(
                 own,
@@ -86,14 +88,19 @@
         )
 
     async def _query_views(
-        self, members: Iterable[Member], responses: DomainResponses
+        self,
+        members: Iterable[Member],
+        responses: DomainResponses,
+        lost_home_name: str,
     ) -> list[MemberView]:
         """Return the views of responding members; stop at the first home.
 
         Members that have lost power never respond, so the rest is not waited
-        for once a quorum and all members with a better rank have responded. A
-        home can't be missed: each of its followers names it.
+        for once a quorum and all members with a better rank have responded,
+        except the lost home. A home can't be missed: each of its followers
+        names it.
         """
+        own_rank = self.member_list.own.rank
         queries = {
             asyncio.create_task(self._query(member, responses)): member
             for member in members
@@ -103,7 +110,8 @@
         views: list[MemberView] = []
         while pending and not _includes_home(views):
             has_quorum = len(views) >= needed and not any(
-                queries[task].rank < self.member_list.own.rank
+                queries[task].rank < own_rank
+                and queries[task].name != lost_home_name
                 for task in pending
             )
             done, pending = await asyncio.wait(
--- a/tests/membership/test_election_pace.py
+++ b/tests/membership/test_election_pace.py
@@ -17,6 +17,11 @@
     lead_delay,
     queried_members,
 )
+from crocusproxy.membership.feed_server import HEARTBEAT_INTERVAL_SECONDS
+from crocusproxy.membership.member_client import (
+    FEED_TIMEOUT_SECONDS,
+    REQUEST_TIMEOUT_SECONDS,
+)
 from crocusproxy.membership.rival_homes import (
     CHECKED_BEST_MEMBERS,
     checked_members,
@@ -202,3 +207,38 @@
     assert responses.lost_domains() == {'a'}
     responses.own_domain = 'a'
     assert not responses.lost_domains()
+
+
+def test_election_does_not_wait_for_the_lost_home():
+    """Each round waited for the lost home, which has the best rank.
+
+    With real processes, a configuration was in force 2.12 s after it was
+    published, when the home was stopped and its failure domain had lost the
+    store.
+    """
+    loop = VirtualLoop()
+    network = Network(loop)
+    names = [f'{domain}{number}' for number in range(3) for domain in 'abc']
+    members = [member(name) for name in sorted(names)]
+    for one in members:
+        network.add(one.name, one.failure_domain, one.capacity)
+
+    async def scenario():
+        for node in network.nodes.values():
+            node.start(members)
+        await asyncio.sleep(3)
+        assert network.nodes['a0'].elector.is_home
+        network.isolate('a0')
+        # A heartbeat, the time-out of the feed, and less than that of a query.
+        await asyncio.sleep(
+            HEARTBEAT_INTERVAL_SECONDS
+            + FEED_TIMEOUT_SECONDS
+            + 0.9 * REQUEST_TIMEOUT_SECONDS
+        )
+        homes = {network.nodes[name].home for name in names if name != 'a0'}
+        assert homes == {'a1'}
+
+    loop.run_until_complete(scenario())
+    for node in network.running():
+        node.kill()
+    loop.run_until_complete(asyncio.sleep(0.1))
