Let a new home read over members that do not follow it yet

With the home stopped and its failure domain cut from the store, the next home is mostly of the same failure domain. Its first read fails before it has followers, so there was no relay; the next failure then tried none.

Members that do not follow come after the followers, and a failover without any other path does not delay the next one.

--- a/src/crocusproxy/membership/feed_server.py
+++ b/src/crocusproxy/membership/feed_server.py
@@ -97,16 +97,19 @@
         ]
 
     def relay_addresses(self) -> tuple[str, ...]:
-        """Return the internal addresses of followers, best relays first."""
-        followers = (
-            member
-            for member in self.member_list.others()
-            if member.name in self.followers
-        )
+        """Return the internal addresses of relays of the store, best first.
+
+        Followers are known to run. A new home has few yet, and its own path to
+        the store may be lost already.
+        """
+        others = self.member_list.others()
+        followers = [one for one in others if one.name in self.followers]
+        absent = [one for one in others if one.name not in self.followers]
         own_failure_domain = self.member_list.own.failure_domain
         return tuple(
             member.internal
-            for member in order_relays(followers, own_failure_domain)
+            for group in (followers, absent)
+            for member in order_relays(group, own_failure_domain)
         )
 
     def publish(self, message: FeedMessage) -> None:
--- a/src/crocusproxy/platform/store_paths.py
+++ b/src/crocusproxy/platform/store_paths.py
@@ -183,9 +183,9 @@
         """
         if read.relay != self.relay or self.is_failing_over:
             return False
-        if not self.backoff.allows():
-            return False
         others = [one for one in ('', *self.relays()) if one != read.relay]
+        if not others or not self.backoff.allows():
+            return False
         candidates = self.history.order(others)[:_MAX_FAILOVER_CANDIDATES]
         self.is_failing_over = True
         try:  # noqa: WPS501 - also when cancelled
