Read the configuration at the followers while the home is silent

Each member that follows the home itself now reads the operators' topic on its own once it has heard nothing for 0.45 s, more than two heartbeats, until it hears a home again. A version applies by its number, whoever has read it.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -22,8 +22,10 @@
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
+from ..platform.outage import StoreOutage
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
+from ..platform.watch import ConfigWatch
 from .addresses import find_addresses
 from .background_tasks import BackgroundTasks
 from .caller_connection import CallerConnection
@@ -48,6 +50,7 @@
 from .response_observer import ResponseObserver
 from .role_tasks import RoleTasks
 from .settings import EntrySettings
+from .standby_reader import StandbyReader
 from .upstream_call import UpstreamClient
 from .upstream_messages import UpstreamMessages
 from .upstream_pool import create_pool
@@ -278,6 +281,18 @@
         self.tasks.spawn(self._close_idle_connections)
         self.tasks.spawn(self.quota_exchange.run)
         self.tasks.spawn(self.config_completion.run)
+        self.tasks.spawn(
+            StandbyReader(
+                self.elector,
+                self.clock,
+                ConfigWatch(
+                    self.store,
+                    self.catalog,
+                    self.clock,
+                    StoreOutage(self.dispatcher.random),
+                ).run,
+            ).run
+        )
 
     def _create_prober(self) -> Prober:
         return Prober(
--- /dev/null
+++ b/src/crocusproxy/entry/standby_reader.py
@@ -0,0 +1,59 @@
+"""Reads the operators' topic at a follower while its home is silent.
+
+A stopped home, or one that is cut off, is replaced within about a second. A
+configuration that is published meanwhile would reach nobody before that, so
+each member that follows the home itself reads the topic on its own. The others
+receive it from their domain homes. A version counts whoever has read it.
+"""
+
+import asyncio
+from datetime import timedelta
+
+from ..clock import Clock
+from ..logs import log
+from ..membership.home_elector import HomeElector
+from .background_tasks import BackgroundTasks, Run
+
+CHECK_INTERVAL_SECONDS = 0.1
+#: A feed has a heartbeat each 0.2 s, so at least one of them is late.
+MAX_FEED_SILENCE = timedelta(milliseconds=450)
+
+
+class StandbyReader:
+    """Runs ``read_config`` while this member hears nothing from its home."""
+
+    def __init__(
+        self, elector: HomeElector, clock: Clock, read_config: Run
+    ) -> None:
+        self.elector = elector
+        self.clock = clock
+        self.read_config = read_config
+        self.tasks = BackgroundTasks()
+
+    async def run(self) -> None:
+        """Check the feed periodically, until cancelled."""
+        try:  # noqa: WPS501 - also when cancelled
+            while True:
+                self.update()
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        finally:
+            self.tasks.cancel()
+
+    def update(self) -> None:
+        """Start or stop to read."""
+        is_reading = bool(self.tasks.tasks)
+        if self._is_needed() == is_reading:
+            return
+        if is_reading:
+            self.tasks.cancel()
+            log('standby_reading_ended')
+            return
+        log('standby_reading_started', home=self.elector.lost_home_name)
+        self.tasks.spawn(self.read_config)
+
+    def _is_needed(self) -> bool:
+        elector = self.elector
+        heard_at = elector.home_heard_at
+        if heard_at is None or elector.is_home or elector.leaving:
+            return False
+        return self.clock.monotonic() - heard_at > MAX_FEED_SILENCE
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -45,7 +45,9 @@
 
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
-    name of a domain home whose feed was lost, ``source_failures`` the number of
+    name of a domain home whose feed was lost, ``home_heard_at`` the time of the
+    latest message of a home's own feed, None at a member that follows a domain
+    home or was never attached, ``source_failures`` the number of
     feeds in a row that did not begin, and ``source_failing_since`` the time of
     the first of these attempts. ``find_unreached`` returns the upstreams that
     this instance can't connect to, if it may be cut off.
@@ -93,6 +95,7 @@
         self.is_home = False
         self.leaving = False
         self.lost_home_name = ''
+        self.home_heard_at: timedelta | None = None
         self.avoided_source = ''
         self.source_failures = 0
         self.source_failing_since = timedelta()
@@ -210,11 +213,16 @@
                 if message.leaving:
                     return None
                 self._apply_message(message)
+                self._note_contact(source)
                 preferred = self._preferred_source(message)
                 if preferred is not None and preferred.name != source.name:
                     return preferred
         return None
 
+    def _note_contact(self, source: Member) -> None:
+        is_home = self.home is not None and source.name == self.home.name
+        self.home_heard_at = self.clock.monotonic() if is_home else None
+
     def _preferred_source(self, message: FeedMessage) -> Member | None:
         """Return the member to follow, None if ``message`` can't change it."""
         is_relevant = message.members or message.domain_homes is not None
