Answer waiting requests before a planned stop ends

Callers saw: a request that still waited for an upstream at the end of a planned stop got no response, also one that is not idempotent; where it had been forwarded, its caller got 502 instead of a refusal.

Cause: requests are accepted for 0.4 of the shutdown time whatever their deadline, and the queue knows only that deadline.

Fix: all responses are due 0.5 s before the kill, from the SIGTERM on, so upstreams and homes get no more time; what waits at that moment is refused as not run. The existing test of late requests sets the new flag refuses_late, which was part of ends_at.

--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 from random import Random
 
@@ -49,6 +50,8 @@
 #: Weight of an error response in the moving average of the failure rate.
 ERROR_WEIGHT = 0.1
 
+_SHUTTING_DOWN = Refused('shutting_down', timedelta(milliseconds=10))
+
 #: Called immediately before a request is sent again that may have run.
 Charge = Callable[[RequestContext], None]
 
@@ -129,6 +132,11 @@
             if self.has_successor(placer.service):
                 placer.refuse_all()
 
+    def refuse_waiting(self) -> None:
+        """Refuse all waiting requests, as this instance ends."""
+        for placer in self.placers.values():
+            placer.refuse_all(_SHUTTING_DOWN)
+
     def end_backoffs(self) -> None:
         """Use upstreams at once whose failures were those of this instance."""
         for placer in self.placers.values():
--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -8,9 +8,9 @@
 from .gateway import Gateway
 
 #: Share of the shutdown time during which every request is accepted; afterwards
-#: only requests whose deadline is before the end of the process.
+#: only requests whose deadline is before the last response.
 _ACCEPT_ALL_SHARE = 0.4
-#: Time between the last possible deadline and the kill by the platform.
+#: Time between the last possible response and the kill by the platform.
 _LAST_RESPONSE_MARGIN_SECONDS = 0.5
 #: Share of the shutdown time after which new connections are refused.
 _STOP_LISTENING_SHARE = 0.7
@@ -25,13 +25,15 @@
 ) -> None:
     """Close the port of ``server`` and return once all responses are sent.
 
-    The process is killed ``shutdown`` after this call.
+    The process is killed ``shutdown`` after this call. A request that is still
+    waiting for an upstream shortly before is refused: it has not run, and
+    without a response its caller could not tell.
     """
     shutdown_seconds = shutdown.total_seconds()
     now = clock.monotonic().total_seconds()
-    ends_at = now + shutdown_seconds - _LAST_RESPONSE_MARGIN_SECONDS
+    gateway.ends_at = now + shutdown_seconds - _LAST_RESPONSE_MARGIN_SECONDS
     await asyncio.sleep(shutdown_seconds * _ACCEPT_ALL_SHARE)
-    gateway.ends_at = ends_at
+    gateway.refuses_late = True
     await asyncio.sleep(
         shutdown_seconds * (_STOP_LISTENING_SHARE - _ACCEPT_ALL_SHARE)
     )
@@ -40,4 +42,6 @@
         connection.close_if_idle()
     log('port_closed', in_flight=gateway.in_flight)
     while gateway.has_open_requests() or gateway.has_unsent_bytes():
+        if clock.monotonic().total_seconds() >= gateway.ends_at:
+            gateway.dispatcher.refuse_waiting()
         await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -49,8 +49,9 @@
     """Serves the requests of all callers of this process.
 
     ``is_draining`` is set during shutdown; each connection then closes after
-    the requests that have started. The process may end at monotonic second
-    ``ends_at``; requests with a later deadline are refused.
+    the requests that have started. The process may end after monotonic second
+    ``ends_at``, so all responses are due by then. With ``refuses_late``,
+    requests with a later deadline are refused: another instance has more time.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.limits = CallerLimits()
         self.is_draining = False
         self.ends_at = inf
+        self.refuses_late = False
         self.connections: set[CallerConnection] = set()
         self.table: RouteTable | None = None
         self.directory: AccountDirectory | None = None
@@ -173,7 +175,9 @@
             request, outgoing_request, route, table, caller_timeout
         )
         if context.deadline > self.ends_at:
-            return SHUTTING_DOWN
+            if self.refuses_late:
+                return SHUTTING_DOWN
+            context.deadline = self.ends_at
         return await self.request_server.serve(context)
 
     def _request_id(self, request: CallerRequest) -> str:
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -22,6 +22,7 @@
     Placed,
     PlacementRequest,
     QueuedRequest,
+    Refused,
     Standing,
 )
 from .served_shares import ServedShares
@@ -118,9 +119,9 @@
         self.upstream_set.apply_evacuated(failure_domains)
         self._apply_usability()
 
-    def refuse_all(self) -> None:
-        """Refuse the queued requests, as another instance dispatches now."""
-        self.refusals.refuse_all()
+    def refuse_all(self, refused: Refused = NO_UPSTREAM) -> None:
+        """Refuse the queued requests; usually another instance dispatches."""
+        self.refusals.refuse_all(refused)
 
     def end_backoffs(self) -> None:
         """Forget the failures of the upstreams in a row."""
--- a/src/crocusproxy/placement/refusals.py
+++ b/src/crocusproxy/placement/refusals.py
@@ -51,11 +51,11 @@
         self.return_schedule = ReturnSchedule(random)
         self.limits_checked_at = -inf
 
-    def refuse_all(self) -> None:
-        """Refuse the queued requests, as another instance dispatches now."""
+    def refuse_all(self, refused: Refused) -> None:
+        """Refuse the queued requests."""
         for queued_request in tuple(self.queue):
             self.queue.remove(queued_request)
-            queued_request.on_decision(NO_UPSTREAM)
+            queued_request.on_decision(refused)
 
     def refuse_excess(self, now: float) -> None:
         """Refuse what the upstreams' limits or the queue have no room for."""
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -365,6 +365,7 @@
         assert (await system.request('r1'))[0] == 200
         now = system.clock.monotonic().total_seconds()
         system.gateway.ends_at = now + 0.9
+        system.gateway.refuses_late = True
         status, headers, body = await system.request('r2')
         assert status == 503
         assert b'shutting_down' in body
