End programs without starting threads, and ignore late signals

Cause: aiomisc ends the thread pool of its loop by threads of its own, up to three, and waits for each to start. No program uses that pool. And the interpreter removes signal handlers when it ends, so that a signal kills.

Change: the loop is the application's own, without a pool; the signals are ignored once the loop has ended. The new tests fail before: the program can't end without threads.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -18,6 +18,7 @@
 ReadinessCheck = Callable[[], str]
 
 _SERVICE_UNAVAILABLE = 503
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: How long aiohttp waits for requests in progress by default.
 _SHUTDOWN_TIMEOUT = timedelta(seconds=60)
 
@@ -76,15 +77,23 @@
         ]
 
     def run(self) -> None:
-        """Run on a uvloop event loop until SIGTERM or SIGINT."""
+        """Run on a uvloop event loop until SIGTERM or SIGINT.
+
+        With a loop of its own, aiomisc would start threads to end its thread
+        pool, which no program uses. On a busy host that took up to 0.8 s, and
+        the platform kills a process that ends late.
+        """
+        loop = uvloop.new_event_loop()
+        asyncio.set_event_loop(loop)
         service = _LifeCycle(self)
-        with aiomisc.entrypoint(
-            service,
-            loop_factory=uvloop.new_event_loop,
-            log_config=False,
-            catch_signals=(),
-        ) as loop:
-            loop.run_until_complete(service.stopping.wait())
+        try:  # noqa: WPS501 - also after a failed start
+            with aiomisc.entrypoint(
+                service, loop=loop, log_config=False, catch_signals=()
+            ):
+                loop.run_until_complete(service.stopping.wait())
+        finally:
+            _ignore(*_STOP_SIGNALS)
+            _close(loop)
 
     async def _ready(self, _: web.Request) -> web.Response:
         reasons = self.not_ready_reasons()
@@ -102,7 +111,7 @@
         # aiomisc installs its handlers only after the start and removes them
         # before the shutdown; a signal outside that time kills the process.
         # uvloop's add_signal_handler loses a signal between two loop runs.
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _STOP_SIGNALS:
             signal.signal(number, self._request_stop)
         await self.application.start()
 
@@ -126,6 +135,22 @@
     gc.enable()
 
 
+def _ignore(*numbers: signal.Signals) -> None:
+    """Ignore signals while the interpreter ends, when handlers are removed."""
+    for number in numbers:
+        signal.signal(number, signal.SIG_IGN)
+
+
+def _close(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel the remaining tasks and close the loop."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
+
+
 async def _run_all(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
         try:
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -166,6 +166,7 @@
 
     async def stop(self) -> None:
         """Close everything that was opened."""
+        self.reload_signal.disconnect()
         self.tasks.cancel()
         self.role_tasks.cancel()
         await self.listeners.close()
--- a/src/crocusproxy/entry/reload_signal.py
+++ b/src/crocusproxy/entry/reload_signal.py
@@ -22,6 +22,14 @@
             self.is_pending = False
             callback()
 
+    def disconnect(self) -> None:
+        """Ignore the signal from now on.
+
+        The interpreter removes handlers when it ends, and the signal would then
+        kill the process.
+        """
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
     def _handle(self, *_: object) -> None:
         if self.callback is None:
             self.is_pending = True
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,7 +1,9 @@
-"""Guards against a signal that ends a program without its clean-up."""
+"""Guards against programs that end late, or without their clean-up."""
 
+import atexit
 import os
 import signal
+import threading
 from datetime import timedelta
 from multiprocessing import get_context
 
@@ -38,6 +40,24 @@
     pipe.send('end')
 
 
+def run_without_threads(pipe, late_signal):
+    """Run an application that can't start a thread after its stop hooks."""
+    application = Application('test')
+
+    async def forbid_threads():
+        threading.Thread.start = None
+
+    async def stop():
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    application.on_ready.append(stop)
+    application.on_stop.append(forbid_threads)
+    application.run()
+    if late_signal:
+        atexit.register(os.kill, os.getpid(), late_signal)
+    pipe.send('end')
+
+
 def signal_between_runs(application):
     """Send SIGTERM between the loop runs for the start and for the wait."""
     original = module._LifeCycle.__init__
@@ -55,11 +75,11 @@
     module._LifeCycle.__init__ = patched
 
 
-@pytest.mark.parametrize('stage', ['start', 'ready', 'between', 'drain'])
-def test_a_signal_at_any_stage_runs_every_hook_once_and_in_order(stage):
+def run_child(target, argument):
+    """Return the exit code of a process and what it has sent."""
     context = get_context('spawn')
     receiver, sender = context.Pipe()
-    child = context.Process(target=run_program, args=(sender, stage))
+    child = context.Process(target=target, args=(sender, argument))
     child.start()
     sender.close()
     child.join(30)
@@ -71,7 +91,24 @@
             seen.append(receiver.recv())
         except EOFError:
             break
+    return child.exitcode, seen
+
+
+@pytest.mark.parametrize('stage', ['start', 'ready', 'between', 'drain'])
+def test_a_signal_at_any_stage_runs_every_hook_once_and_in_order(stage):
     expected = ['start', 'ready', 'drain', 'stop first', 'stop', 'end']
     if stage == 'drain':
         expected.insert(2, 'drain')
-    assert (child.exitcode, seen) == (0, expected)
+    assert run_child(run_program, stage) == (0, expected)
+
+
+@pytest.mark.parametrize('late_signal', [0, signal.SIGTERM, signal.SIGINT])
+def test_program_ends_without_threads_and_whatever_signal_comes_late(
+    late_signal,
+):
+    """The end of a program waited up to 0.8 s for a thread on a busy host.
+
+    A process that was stopped was still running when its shutdown time was
+    over (soak seeds 3012 and 8007).
+    """
+    assert run_child(run_without_threads, late_signal) == (0, ['end'])
