Reserve the ports of test runs among all runs on a host

Runs that start at once drew the same ports, and an instance that can't bind its port never becomes ready. Seen here in one of four concurrent runs of the upgrade test, and twice in starts of bench.margins: "address already in use" in the instance's log, a TimeoutError in the test.

Blocks of 200 ports are reserved by locked files in the temporary folder until the process ends.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import ctypes
+import fcntl
 import importlib.util
 import itertools
 import os
@@ -13,10 +14,13 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
-from collections.abc import Sequence
+from collections import deque
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TextIO
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
@@ -25,6 +29,7 @@
 _POLL_SECONDS = 0.05
 #: Below the range that Linux uses for outgoing connections.
 _PORT_RANGE = range(10_000, 32_768)
+_BLOCK_PORTS = 200
 _LIBC = ctypes.CDLL(None)
 
 MODULES = {
@@ -168,11 +173,55 @@
 def free_ports(count: int) -> list[int]:
     """Return different loopback ports that are free at present.
 
-    The kernel assigns none of them to an outgoing connection, so a program can
-    be restarted on its port.
+    The kernel assigns none of them to an outgoing connection, and no other
+    process that calls this function gets them, so a program can be started and
+    restarted on its port. A port is returned again as late as possible.
     """
-    candidates = random.SystemRandom().sample(_PORT_RANGE, len(_PORT_RANGE))
-    return list(itertools.islice(filter(_is_free, candidates), count))
+    ports = list(itertools.islice(filter(_is_free, _BLOCKS.take()), count))
+    if len(ports) < count:
+        _BLOCKS.reserve()
+        return free_ports(count)
+    return ports
+
+
+class PortBlocks:
+    """Blocks of ports that this process has reserved by locked files.
+
+    Several test runs on one host drew the same ports, and a program that could
+    not bind its port never became ready.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.locks: list[TextIO] = []
+        self.unused = list(range(0, len(_PORT_RANGE), _BLOCK_PORTS))
+        self.ports: deque[int] = deque()
+
+    def take(self) -> Iterator[int]:
+        """Yield each reserved port once, the least recently taken ones first."""
+        for _ in range(len(self.ports)):
+            self.ports.rotate(-1)
+            yield self.ports[-1]
+
+    def reserve(self) -> None:
+        """Reserve another block until the process ends.
+
+        Raises:
+            OSError: all blocks are reserved.
+        """
+        random.SystemRandom().shuffle(self.unused)
+        while self.unused:
+            start = self.unused.pop()
+            lock = (self.folder / f'crocus-ports-{start}.lock').open('w')
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                lock.close()
+                continue
+            self.locks.append(lock)
+            self.ports.extendleft(_PORT_RANGE[start : start + _BLOCK_PORTS])
+            return
+        raise OSError('no block of ports is free; end other test runs')
 
 
 def _is_free(port: int) -> bool:
@@ -184,6 +233,9 @@
     return True
 
 
+_BLOCKS = PortBlocks(Path(tempfile.gettempdir()))
+
+
 async def _returns_ok(session: ClientSession, url: str) -> bool:
     try:
         async with session.get(url) as response:
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -9,6 +9,7 @@
 
 from standins.processes import (
     MODULES,
+    PortBlocks,
     Processes,
     ProcessFailedError,
     free_ports,
@@ -75,6 +76,28 @@
     assert "name 'Oops' is not defined" in str(caught.value)
 
 
+def test_two_runs_on_a_host_get_no_common_port(tmp_path):
+    """An instance never became ready, as another run had taken its port.
+
+    Seen with two and more runs of the upgrade test and of bench.margins.
+    """
+    runs = [PortBlocks(tmp_path) for _ in range(20)]
+    for run in (*runs, *runs):
+        run.reserve()
+    ports = [port for run in runs for port in run.take()]
+    assert len(set(ports)) == len(ports) > 0
+
+
+def test_port_is_taken_again_as_late_as_possible(tmp_path):
+    """A program that had not bound its port yet would lose it."""
+    blocks = PortBlocks(tmp_path)
+    blocks.reserve()
+    taking = blocks.take()
+    first = [next(taking) for _ in range(30)]
+    second = [port for port, _ in zip(blocks.take(), first, strict=False)]
+    assert not set(first) & set(second)
+
+
 def test_free_ports_are_different():
     assert len(set(free_ports(50))) == 50
 
