Lose the home and its store in the soak, and measure losses in bench.margins

bench/margins repeats losses of the home, of the store for its failure domain or for two, and of both at once with real processes, and reports how long a configuration and the removal of an upstream take to the instances that keep their path. The soak plays such losses under load, lets instances leave for good before the home is killed, and checks the version at the others by their logs; these losses are no excuse for any invariant.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Tests in KNOWN-RED.txt have an open issue; they are printed and deselected.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: help venv format lint test demo bench bench-short search soak clean
+.PHONY: help venv format lint test demo bench bench-short search soak margins clean
 
 help:
 	@echo 'make demo         run the whole system on loopback for about 20 seconds'
@@ -17,6 +17,7 @@
 	@echo 'make bench-short  run the part of the benchmarks that CI runs'
 	@echo 'make search       run the state machine tests with random examples'
 	@echo 'make soak         run the processes under random faults; SEED=n repeats a run'
+	@echo 'make margins      measure how near real processes come to a bound'
 	@echo 'make format       format the code'
 
 venv: $(STAMP)
@@ -60,8 +61,9 @@
 
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
 # of the store, TERMS of upstreams, CUTS of instances, changes of keys of client
-# ACCOUNTS, EVACUATIONS, COLD upstreams, changes of QUOTAS and cut LINKS between
-# domain homes in each run; with HOMES=True, SILENT=True
+# ACCOUNTS, EVACUATIONS, COLD upstreams, changes of QUOTAS, cut LINKS between
+# domain homes, LOSSES of the home or its store and DEPARTURES of instances for good
+# in each run; with HOMES=True, SILENT=True
 # and FAULTS=False also homes of failure domains, upstreams that ignore requests that
 # they have no slot for, and only the faults that are listed here.
 soak: $(STAMP)
@@ -72,7 +74,15 @@
 	  $(if $(EVACUATIONS),--evacuations=$(EVACUATIONS)) $(if $(COLD),--cold=$(COLD)) \
 	  $(if $(QUOTAS),--quotas=$(QUOTAS)) $(if $(LINKS),--links=$(LINKS)) \
 	  $(if $(HOMES),--homes=$(HOMES)) $(if $(SILENT),--silent=$(SILENT)) \
-	  $(if $(FAULTS),--faults=$(FAULTS))
+	  $(if $(FAULTS),--faults=$(FAULTS)) \
+	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES))
+
+# Optional: PLAN of the losses (mix, alternate, reader, stop, domain, two, both), how
+# many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY.
+margins: $(STAMP)
+	$(BIN)/python -m bench.margins $(if $(PLAN),--plan=$(PLAN)) \
+	  $(if $(REPEATS),--repeats=$(REPEATS)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
+	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/margins/__init__.py
@@ -0,0 +1,1 @@
+"""Times within which real processes keep their bounds, as distributions."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,8 @@
     silent: bool = False,
     quotas: int = 0,
     links: int = 0,
+    losses: int = 0,
+    departures: int = 0,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -46,6 +48,8 @@
         silent: whether upstreams ignore requests they have no slot for.
         quotas: how often the quota of an account is raised or lowered.
         links: how often the link between two domain homes is cut.
+        losses: how often the home, the store for its domain, or both are lost.
+        departures: how many instances leave for good; then the home is killed.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
@@ -66,6 +70,8 @@
                 silent,
                 quotas,
                 links,
+                losses,
+                departures,
             )
         )
         report(verdict)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from collections.abc import Callable, Sequence
+from math import inf
 from pathlib import Path
 
 from standins.processes import Processes
@@ -67,6 +68,7 @@
         #: Serializes reloads, which may happen during a kill or a pause.
         self.reload_lock = asyncio.Lock()
         self.reported_exit: subprocess.Popen | None = None
+        self.has_departed = False
 
     async def start(self, seeds: tuple[str, ...]) -> None:
         await self.link.start()
@@ -131,26 +133,21 @@
         A timeout and a nonzero exit status are violations.
         """
         async with self.lock:
-            self.check_exit()
             start = self.now()
-            process = self.processes.running[self.name]
-            process.send_signal(signal.SIGTERM)
-            while process.poll() is None:
-                if self.now() - start > SHUTDOWN_TIMEOUT_SECONDS:
-                    self._add_violation(
-                        f'did not end after SIGTERM at second {start:.2f}'
-                    )
-                    # Writes the stacks of all threads to the log.
-                    process.send_signal(signal.SIGABRT)
-                    await asyncio.sleep(_POLL_SECONDS)
-                    break
-                await asyncio.sleep(_POLL_SECONDS)
-            if (process.poll() or 0) not in {0, -signal.SIGABRT}:
-                self._add_violation(f'ended with {process.returncode}')
-            self.processes.kill(self.name)
+            await self._end(start)
             self.spawn()
             await self._record_disturbance(start, is_planned=True)
 
+    async def depart(self) -> None:
+        """Send SIGTERM and do not restart; the checks are as for a restart."""
+        async with self.lock:
+            start = self.now()
+            self.has_departed = True
+            await self._end(start)
+            self.run_record.instance_disturbances.append(
+                InstanceDisturbance(self.number, start, inf, is_planned=True)
+            )
+
     async def pause(self, seconds: float) -> None:
         """Send SIGSTOP, and SIGCONT after ``seconds``."""
         async with self.lock:
@@ -197,8 +194,10 @@
         Also called before a signal that replaces the process, as the exit
         would be lost with it.
         """
-        process = self.processes.running[self.name]
-        if process.poll() is None or process is self.reported_exit:
+        process = self.processes.running.get(self.name)
+        if process is None or process is self.reported_exit:
+            return
+        if process.poll() is None:
             return
         self.reported_exit = process
         self._add_violation(
@@ -214,6 +213,24 @@
             if any(text in line for text in FORBIDDEN_LOG_TEXTS):
                 self._add_violation(line)
 
+    async def _end(self, start: float) -> None:
+        self.check_exit()
+        process = self.processes.running[self.name]
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            if self.now() - start > SHUTDOWN_TIMEOUT_SECONDS:
+                self._add_violation(
+                    f'did not end after SIGTERM at second {start:.2f}'
+                )
+                # Writes the stacks of all threads to the log.
+                process.send_signal(signal.SIGABRT)
+                await asyncio.sleep(_POLL_SECONDS)
+                break
+            await asyncio.sleep(_POLL_SECONDS)
+        if (process.poll() or 0) not in {0, -signal.SIGABRT}:
+            self._add_violation(f'ended with {process.returncode}')
+        self.processes.kill(self.name)
+
     async def _record_disturbance(
         self, start: float, *, is_planned: bool
     ) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,8 +2,34 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import Literal, get_args
-
+from typing import get_args
+
+from .faults import (
+    ChangeQuota,
+    Chill,
+    ChillUpstream,
+    CorruptResponses,
+    CrashUpstream,
+    CutHomeLink,
+    CutOffInstances,
+    DegradeStore,
+    Depart,
+    DisruptStoreLinks,
+    DisruptUpstreamLink,
+    Evacuate,
+    Fault,
+    HomeLoss,
+    Kill,
+    LoseHome,
+    Pause,
+    Publish,
+    Reload,
+    ReplaceUpstream,
+    RestoreStore,
+    SlowUpstream,
+    StateTerms,
+    Terminate,
+)
 from .link import LinkFault
 
 FAILURE_DOMAINS = ('a', 'b')
@@ -11,202 +37,6 @@
 #: lowest is listed twice, so that more of a run's few changes lower the quota
 #: far below the load.
 QUOTAS = ((0.5, 1.0), (0.5, 1.0), (2.0, 5.0), (12.0, 10.0), (40.0, 40.0))
-StoreFault = Literal['refuse', 'slow', 'lose_answers', 'forget']
-#: An upstream becomes cold, or all upstreams of its service restart cold.
-Chill = Literal['become', 'restart', 'restart_service']
-Terms = Literal['limit', 'leave', 'backoff']
-ResponseFault = Literal['mute', 'error', 'extra', 'unsigned']
-
-
-@dataclass(frozen=True, slots=True)
-class Kill:
-    """SIGKILL to instances, which restart after ``down_seconds``."""
-
-    instances: tuple[int, ...]
-    down_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Terminate:
-    """SIGTERM to one instance, which restarts after its exit."""
-
-    instance: int
-
-
-@dataclass(frozen=True, slots=True)
-class Pause:
-    """SIGSTOP to one instance, and SIGCONT after ``seconds``."""
-
-    instance: int
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Reload:
-    """Changed settings and SIGHUP, ``times`` times in succession."""
-
-    instance: int
-    times: int
-
-
-@dataclass(frozen=True, slots=True)
-class DegradeStore:
-    """The store is faulty for every client."""
-
-    mode: StoreFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class RestoreStore:
-    """The store is away for ``seconds`` and comes back from an older copy.
-
-    The copy is ``copy_age`` seconds older than the moment at which it goes.
-    """
-
-    copy_age: float
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class DisruptStoreLinks:
-    """The links from some instances to the store are faulty."""
-
-    instances: tuple[int, ...]
-    link_fault: LinkFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class DisruptUpstreamLink:
-    """The link to one upstream is faulty."""
-
-    upstream: int
-    link_fault: LinkFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class CutOffInstances:
-    """Instances lose all upstreams; other connections stay.
-
-    Their connections to upstreams are reset, or live on if ``keeps_open``, and
-    new ones are reset.
-    """
-
-    instances: tuple[int, ...]
-    keeps_open: bool
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class CrashUpstream:
-    """An upstream loses its running requests and restarts under its key."""
-
-    upstream: int
-    down_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class ReplaceUpstream:
-    """An upstream drains and stops, and a new one replaces it."""
-
-    upstream: int
-
-
-@dataclass(frozen=True, slots=True)
-class CorruptResponses:
-    """An upstream sends faulty responses."""
-
-    upstream: int
-    mode: ResponseFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class SlowUpstream:
-    """An upstream takes several times as long for each request."""
-
-    upstream: int
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class StateTerms:
-    """An upstream states terms in its responses for some time.
-
-    ``figure`` is the limit in requests per second, or the backoff in seconds.
-    """
-
-    upstream: int
-    terms: Terms
-    figure: float
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class ChillUpstream:
-    """An upstream must warm up, in traffic or after a restart."""
-
-    upstream: int
-    mode: Chill
-
-
-@dataclass(frozen=True, slots=True)
-class Evacuate:
-    """The operator evacuates a failure domain for ``seconds``."""
-
-    failure_domain: str
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeQuota:
-    """The operator changes the quota of the limited account."""
-
-    rate: float
-    burst: float
-
-
-@dataclass(frozen=True, slots=True)
-class CutHomeLink:
-    """The link between two domain homes is faulty.
-
-    Their messages are lost; forwarded requests pass.
-    """
-
-    link_fault: LinkFault
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Publish:
-    """The operator publishes ``count`` configurations in quick succession."""
-
-    count: int
-
-
-Fault = (
-    Kill
-    | Terminate
-    | Pause
-    | Reload
-    | DegradeStore
-    | RestoreStore
-    | DisruptStoreLinks
-    | DisruptUpstreamLink
-    | CutOffInstances
-    | CrashUpstream
-    | ReplaceUpstream
-    | CorruptResponses
-    | SlowUpstream
-    | StateTerms
-    | ChillUpstream
-    | Evacuate
-    | ChangeQuota
-    | CutHomeLink
-    | Publish
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,6 +78,7 @@
         self.cuts_random = Random(f'cuts-{seed}')
         self.features_random = Random(f'features-{seed}')
         self.quotas_random = Random(f'quotas-{seed}')
+        self.losses_random = Random(f'losses-{seed}')
         self.instance_count = instance_count
         self.upstream_count = upstream_count
 
@@ -376,6 +207,32 @@
             faults.append(ScheduledFault(at, cut))
         return tuple(faults)
 
+    def schedule_home_losses(
+        self, losses: int, departures: int, seconds: float
+    ) -> tuple[ScheduledFault, ...]:
+        """Return losses of the home, and departures of some instances.
+
+        At least two instances stay.
+        """
+        random = self.losses_random
+        faults = [
+            ScheduledFault(
+                round(random.uniform(0.5, seconds), 2),
+                LoseHome(
+                    random.choice(get_args(HomeLoss)),
+                    phase=round(random.uniform(0, 1), 2),
+                    seconds=round(random.uniform(3, 5), 2),
+                ),
+            )
+            for _ in range(losses)
+        ]
+        count = min(departures, self.instance_count - 2)
+        if count > 0:
+            leaving = random.sample(range(self.instance_count), count)
+            at = round(random.uniform(0.5, seconds), 2)
+            faults.append(ScheduledFault(at, Depart(tuple(leaving))))
+        return tuple(faults)
+
     def _fault_of_same_kind(self, fault: Fault) -> Fault:
         """Return a fault of the same kind for a series."""
         while True:
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .instances import Instance
+from .home_losses import PROPAGATION_SECONDS, serves_path
 from .invariants import find_violations
 from .plan import Features, Planner
 from .records import RunRecord
@@ -15,8 +15,6 @@
 
 #: All instances are ready and serve within this time after the last fault.
 RECOVERY_SECONDS = 15.0
-#: A new configuration is in force on all instances within this time.
-PROPAGATION_SECONDS = 2.0
 #: Aborted connections are closed within this time.
 SETTLE_SECONDS = 0.1
 _POLL_SECONDS = 0.1
@@ -50,6 +48,8 @@
     silent: bool = False,
     quotas: int = 0,
     links: int = 0,
+    losses: int = 0,
+    departures: int = 0,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
@@ -59,13 +59,15 @@
     accounts, their keys change ``accounts`` times; failure domains are
     evacuated ``evacuations`` times, and upstreams become cold ``cold`` times.
     The quota of an account changes ``quotas`` times, and the link between two
-    domain homes is cut ``links`` times. See ``Features`` for ``homes`` and
-    ``silent``.
+    domain homes is cut ``links`` times. The home, the store's links of its
+    failure domain, or both are lost ``losses`` times, and ``departures``
+    instances leave for good before the home is killed. See ``Features`` for
+    ``homes`` and ``silent``.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     features = Features(
         bool(accounts or quotas),
-        bool(evacuations) or homes,
+        bool(evacuations) or homes or bool(losses),
         homes,
         bool(cold),
         silent,
@@ -81,6 +83,7 @@
             *planner.schedule_cuts(cuts, seconds),
             *planner.schedule_features(accounts, evacuations, cold, seconds),
             *planner.schedule_quota_faults(quotas, links, seconds),
+            *planner.schedule_home_losses(losses, departures, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
@@ -134,8 +137,8 @@
     testbed.operator.publish()
     await asyncio.sleep(PROPAGATION_SECONDS)
     path = f'/only{testbed.operator.version}/'
-    for instance in testbed.instances:
-        if not await _serves_path(testbed, instance, path):
+    for instance in testbed.running():
+        if not await serves_path(testbed, instance, path):
             testbed.run_record.violations.append(
                 f'{instance.name}: old configuration after '
                 f'{PROPAGATION_SECONDS} s'
@@ -144,7 +147,7 @@
 
 async def _await_readiness(testbed: Testbed, message: str) -> None:
     deadline = testbed.now() + RECOVERY_SECONDS
-    for instance in testbed.instances:
+    for instance in testbed.running():
         while not await instance.is_ready():
             if testbed.now() > deadline:
                 testbed.run_record.violations.append(
@@ -160,9 +163,9 @@
     Records a violation for a path that an instance doesn't serve in time.
     """
     deadline = testbed.now() + RECOVERY_SECONDS
-    for instance in testbed.instances:
+    for instance in testbed.running():
         for path in ('/safe/', '/unsafe/'):
-            while not await _serves_path(testbed, instance, path):
+            while not await serves_path(testbed, instance, path):
                 if testbed.now() > deadline:
                     testbed.run_record.violations.append(
                         f'{instance.name}: does not serve {path}'
@@ -170,13 +173,6 @@
                     break
 
 
-async def _serves_path(testbed: Testbed, instance: Instance, path: str) -> bool:
-    caller = testbed.new_caller(f'check-{testbed.now():.3f}')
-    request = await caller.send(path, instance.addresses['callers'])
-    caller.close()
-    return request is not None and request.status == 200
-
-
 def _count_outcomes(run: RunRecord) -> dict[str, int]:
     outcomes = Counter(
         f'{request.outcome} {request.status}'
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -10,11 +10,7 @@
 from standins.store import StandInStore
 
 from .callers import Caller
-from .instances import PORT_NAMES, Instance, find_domain_homes
-from .link import Link, LinkFault
-from .operator import Operator
-from .plan import (
-    FAILURE_DOMAINS,
+from .faults import (
     ChangeQuota,
     ChillUpstream,
     CorruptResponses,
@@ -22,12 +18,13 @@
     CutHomeLink,
     CutOffInstances,
     DegradeStore,
+    Depart,
     DisruptStoreLinks,
     DisruptUpstreamLink,
     Evacuate,
     Fault,
-    Features,
     Kill,
+    LoseHome,
     Pause,
     Publish,
     Reload,
@@ -38,6 +35,12 @@
     StoreFault,
     Terminate,
 )
+from .home_losses import depart, lose_home
+from .instance_log import InstanceLog
+from .instances import PORT_NAMES, Instance, find_domain_homes
+from .link import Link, LinkFault
+from .operator import Operator
+from .plan import FAILURE_DOMAINS, Features
 from .records import (
     ObserverDelay,
     Quota,
@@ -91,6 +94,9 @@
         self.evacuation_lock = asyncio.Lock()
         #: The end of a cut would also end another one of the same link.
         self.home_link_lock = asyncio.Lock()
+        #: The end of a loss would also end another one.
+        self.home_loss_lock = asyncio.Lock()
+        self.logs: dict[str, InstanceLog] = {}
 
     def now(self) -> float:
         """Return the seconds since the start of the run."""
@@ -255,6 +261,12 @@
             case CutHomeLink(link_fault=link_fault, seconds=seconds):
                 async with self.home_link_lock:
                     await self._cut_home_link(link_fault, seconds)
+            case LoseHome():
+                async with self.home_loss_lock:
+                    await lose_home(self, fault)
+            case Depart(instances=numbers):
+                async with self.home_loss_lock:
+                    await depart(self, numbers)
             case Evacuate(failure_domain=domain, seconds=seconds):
                 async with self.evacuation_lock:
                     evacuation = self.operator.evacuate(domain)
@@ -263,6 +275,27 @@
             case _:
                 await self._disturb_upstream(fault)
 
+    def running(self) -> list[Instance]:
+        """Return the instances that have not left for good."""
+        return [one for one in self.instances if not one.has_departed]
+
+    def home(self) -> Instance:
+        """Return the instance that has become home last."""
+        taken_over_at = {
+            self.log_of(instance).leading_since(): instance
+            for instance in self.running()
+        }
+        return taken_over_at[max(taken_over_at)]
+
+    def log_of(self, instance: Instance) -> InstanceLog:
+        """Return what an instance has logged so far."""
+        log = self.logs.get(instance.name)
+        if log is None:
+            log = InstanceLog(self.processes.log_path(instance.name))
+            self.logs[instance.name] = log
+        log.read()
+        return log
+
     def _record_store_disturbance(
         self, start: float, *, is_restore: bool = False
     ) -> None:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -9,9 +9,10 @@
 from standins.slot_server import REQUEST_ID, SlotServer
 from standins.store import StandInStore
 
+from .faults import ResponseFault, Terms
 from .link import Link
 from .operator import WARM_UP_RATE, WARM_UP_SECONDS
-from .plan import Features, ResponseFault, Terms
+from .plan import Features
 from .records import Arrival, ColdPeriod, RunRecord, Statement
 
 TOPIC = 'keyed.servers'
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -2,7 +2,8 @@
 
 from typing import get_args
 
-from soak.plan import Fault, Planner
+from soak.faults import Fault
+from soak.plan import Planner
 
 
 def test_same_seed_yields_same_schedule():
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -62,6 +62,15 @@
     assert verdict.outcomes['answered 200'] > verdict.request_count / 3
 
 
+def test_run_in_which_the_home_and_its_store_are_lost():
+    """Instances that reach the store must not wait for one that does not."""
+    verdict = asyncio.run(
+        run_seed(6, 12, INSTANCES + 2, faults=False, losses=3, departures=1)
+    )
+    assert not verdict.violations
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 2
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
--- a/tests/soak/test_testbed.py
+++ b/tests/soak/test_testbed.py
@@ -4,8 +4,9 @@
 from types import SimpleNamespace
 
 from soak import testbed
+from soak.faults import CutHomeLink
 from soak.link import LinkFault
-from soak.plan import CutHomeLink, Features
+from soak.plan import Features
 
 
 class RecordedLink:
