Do not count time in which the soak stands still as an instance's

A timeout of asyncio ends at once when the loop runs again, though the response has arrived meanwhile.

A caller now waits as long as before, counted in slices of 0.05 s in which its own loop runs. The bound for the instances stays: 0.8 s and the slack.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 
 from .invariants import RESPONSE_SLACK_SECONDS
 from .operator import HOST, MAIN_KEY, TIMEOUT_MS, Operator
+from .own_time import wait_in_own_time
 from .records import RunRecord, SentRequest
 
 #: Callers with keys also send this header, which the system must replace.
@@ -80,8 +81,7 @@
         is_abandoned = not address and self.random.random() < ABANDON_SHARE
         timeout_seconds = 0.01 if is_abandoned else RESPONSE_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(timeout_seconds):
-                await self._exchange(request)
+            await wait_in_own_time(self._exchange(request), timeout_seconds)
         except TimeoutError:
             request.outcome = 'left' if is_abandoned else 'late'
             self.close()
