--- a/bench/margins/config_loss.py
+++ b/bench/margins/config_loss.py
@@ -23,6 +23,8 @@
 MAX_WAIT_SECONDS = 8.0
 _POLL_SECONDS = 0.05
 _KINDS = ('reader', 'stop', 'domain', 'two', 'both')
+#: The series of losses that ``draw_loss`` knows.
+PLANS = ('mix', *_KINDS, 'alternate', 'calm')
 
 #: Returns whether an event shows that a change is in force.
 IsInForce = Callable[[LogEvent], bool]
@@ -60,6 +62,15 @@
     config: Propagation
     removal: Propagation
 
+    def line(self) -> str:
+        """Return the result in words; times are in seconds."""
+        return (
+            f'configuration {self.config.seconds:.2f} at {self.config.slowest},'
+            f' removal {self.removal.seconds:.2f} at {self.removal.slowest},'
+            f' home {self.home}, version {self.version}'
+            f' at {self.published_at:.3f}, loss {self.loss}'
+        )
+
 
 def draw_loss(
     testbed: MarginTestbed, plan: str, number: int, random: Random
--- /dev/null
+++ b/tests/bench/test_margins.py
@@ -0,0 +1,81 @@
+"""Guards against broken bounds that the tool does not report."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from bench.margins.config_loss import LossResult, Propagation
+from bench.margins.report import find_margins, write_json
+from bench.margins.testbed import split_into_domains
+
+
+def make_result(config_seconds, removal_seconds):
+    return LossResult(
+        'reader',
+        'n0',
+        2,
+        0.0,
+        Propagation(config_seconds, 'n1'),
+        Propagation(removal_seconds, 'n2'),
+    )
+
+
+def run_tool(*arguments):
+    return subprocess.run(
+        (sys.executable, '-m', 'bench.margins', *arguments),
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+
+
+def test_one_time_beyond_the_bound_breaks_it():
+    results = [make_result(0.1, 0.2)] * 99
+    assert not any(margin.is_broken for margin in find_margins(results))
+    config, removal = find_margins([*results, make_result(2.01, 0.2)])
+    assert config.is_broken
+    assert not removal.is_broken
+    assert (config.median, config.high, config.slowest) == (0.1, 0.1, 2.01)
+    assert find_margins([]) == ()
+
+
+def test_report_has_every_loss(tmp_path):
+    path = tmp_path / 'margins.json'
+    write_json(path, [make_result(0.5, 1.0)])
+    document = json.loads(path.read_text())
+    assert [margin['share'] for margin in document['margins']] == [0.25, 0.5]
+    assert document['losses'][0]['removal']['slowest'] == 'n2'
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('--plan=none',),
+        ('--repeats=0',),
+        ('--repeats=many',),
+        ('--instances=4',),
+        ('--instances=61',),
+        ('--busy=-1',),
+    ],
+)
+def test_invalid_argument_gets_one_line(arguments):
+    finished = run_tool(*arguments)
+    assert finished.returncode == 2
+    (line,) = finished.stderr.splitlines()
+    assert arguments[0].split('=')[0] in line
+
+
+@pytest.mark.parametrize('count', [5, 14, 15, 27, 60])
+def test_each_instance_has_a_failure_domain(count):
+    domains = split_into_domains(count)
+    assert len(domains) == count
+    assert len(set(domains)) == 3
+
+
+def test_loss_is_measured_with_real_processes():
+    """The tool itself must work; its figures depend on the machine."""
+    finished = run_tool('--repeats=1', '--instances=5', '--plan=reader')
+    assert finished.returncode in {0, 1}, finished.stderr
+    assert 'configuration in force' in finished.stdout
