--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from .home_losses import PROPAGATION_SECONDS, serves_path
+from .injection import FaultInjector
 from .invariants import find_violations
 from .plan import Features, Planner
 from .records import RunRecord
@@ -120,10 +121,11 @@
 async def _inject_faults(testbed: Testbed, schedule) -> None:
     testbed.start_load()
     start = testbed.now()
+    injector = FaultInjector(testbed)
     injections = []
     for scheduled in schedule:
         await asyncio.sleep(max(start + scheduled.at - testbed.now(), 0))
-        injections.append(asyncio.create_task(testbed.apply(scheduled.fault)))
+        injections.append(asyncio.create_task(injector.apply(scheduled.fault)))
     await asyncio.gather(*injections)
 
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -10,62 +10,25 @@
 from standins.store import StandInStore
 
 from .callers import Caller
-from .faults import (
-    ChangeQuota,
-    ChillUpstream,
-    CorruptResponses,
-    CrashUpstream,
-    CutHomeLink,
-    CutOffInstances,
-    DegradeStore,
-    Depart,
-    DisruptStoreLinks,
-    DisruptUpstreamLink,
-    Evacuate,
-    Fault,
-    Kill,
-    LoseHome,
-    Pause,
-    Publish,
-    Reload,
-    ReplaceUpstream,
-    RestoreStore,
-    SlowUpstream,
-    StateTerms,
-    StoreFault,
-    Terminate,
-)
-from .home_losses import depart, lose_home
 from .instance_log import InstanceLog
-from .instances import PORT_NAMES, Instance, find_domain_homes
-from .link import Link, LinkFault
+from .instances import PORT_NAMES, Instance
+from .link import Link
 from .operator import Operator
 from .plan import FAILURE_DOMAINS, Features
 from .records import (
     ObserverDelay,
-    Quota,
     RunRecord,
-    StoreDisturbance,
-    UpstreamCut,
-    UpstreamDisturbance,
 )
-from .upstreams import NORMAL_PERCENT, SLOW_PERCENT, Upstream
-from .upstreams import TOPIC as UPSTREAM_TOPIC
+from .upstreams import Upstream
 
 SERVICES = ('s1', 's2')
 UPSTREAMS_PER_SERVICE = 3
 CALLER_COUNT = 8
 #: Quotas and limits of cold upstreams are reached with more load only.
 CALLER_COUNT_WITH_LIMITS = 16
-RESTART_SECONDS = 0.2
-DRAIN_SECONDS = 2.0
-STORE_DELAY_SECONDS = 0.3
-PUBLISH_INTERVAL_SECONDS = 0.15
 #: Longer pauses of the soak's own event loop are recorded.
 MIN_OBSERVER_DELAY_SECONDS = 0.1
 LOOP_CHECK_SECONDS = 0.02
-#: Operator and upstreams write again this long after a restore of the store.
-REWRITE_SECONDS = 0.3
 
 
 class Testbed:
@@ -76,6 +39,7 @@
     ) -> None:
         self.run_record = RunRecord(instance_count=instances)
         self.started_at = time.monotonic()
+        self.services = SERVICES
         self.store = StandInStore()
         self.features = features
         self.operator = Operator(
@@ -90,12 +54,6 @@
         self.upstreams: list[Upstream] = []
         self.callers: list[Caller] = []
         self.tasks: list[asyncio.Task[None]] = []
-        #: Leaves one failure domain in service.
-        self.evacuation_lock = asyncio.Lock()
-        #: The end of a cut would also end another one of the same link.
-        self.home_link_lock = asyncio.Lock()
-        #: The end of a loss would also end another one.
-        self.home_loss_lock = asyncio.Lock()
         self.logs: dict[str, InstanceLog] = {}
 
     def now(self) -> float:
@@ -219,62 +177,6 @@
             await upstream.stop()
         await self.store.stop()
 
-    async def apply(self, fault: Fault) -> None:
-        """Inject a fault and remove it after its duration."""
-        match fault:
-            case Kill(instances=numbers, down_seconds=down_seconds):
-                await asyncio.gather(
-                    *(
-                        self.instances[number].kill(down_seconds)
-                        for number in numbers
-                    )
-                )
-            case Terminate(instance=number):
-                await self.instances[number].terminate()
-            case Pause(instance=number, seconds=seconds):
-                await self.instances[number].pause(seconds)
-            case Reload(instance=number, times=times):
-                await self.instances[number].reload(times)
-            case DegradeStore(mode=mode, seconds=seconds):
-                await self._degrade_store(mode, seconds)
-            case RestoreStore(copy_age=copy_age, seconds=seconds):
-                await self._restore_store(copy_age, seconds)
-            case DisruptStoreLinks(
-                instances=numbers, link_fault=link_fault, seconds=seconds
-            ):
-                await self._disrupt_store_links(numbers, link_fault, seconds)
-            case CutOffInstances(
-                instances=numbers, keeps_open=keeps_open, seconds=seconds
-            ):
-                await asyncio.gather(
-                    *(
-                        self._cut_off(number, keeps_open, seconds)
-                        for number in numbers
-                    )
-                )
-            case Publish(count=count):
-                for _ in range(count):
-                    self.operator.publish()
-                    await asyncio.sleep(PUBLISH_INTERVAL_SECONDS)
-            case ChangeQuota(rate=rate, burst=burst):
-                self.operator.change_quota(Quota(rate, burst))
-            case CutHomeLink(link_fault=link_fault, seconds=seconds):
-                async with self.home_link_lock:
-                    await self._cut_home_link(link_fault, seconds)
-            case LoseHome():
-                async with self.home_loss_lock:
-                    await lose_home(self, fault)
-            case Depart(instances=numbers):
-                async with self.home_loss_lock:
-                    await depart(self, numbers)
-            case Evacuate(failure_domain=domain, seconds=seconds):
-                async with self.evacuation_lock:
-                    evacuation = self.operator.evacuate(domain)
-                    await asyncio.sleep(seconds)
-                    self.operator.end_evacuation(evacuation)
-            case _:
-                await self._disturb_upstream(fault)
-
     def running(self) -> list[Instance]:
         """Return the instances that have not left for good."""
         return [one for one in self.instances if not one.has_departed]
@@ -295,145 +197,3 @@
             self.logs[instance.name] = log
         log.read()
         return log
-
-    def _record_store_disturbance(
-        self, start: float, *, is_restore: bool = False
-    ) -> None:
-        self.run_record.store_disturbances.append(
-            StoreDisturbance(start, self.now(), is_restore)
-        )
-
-    async def _degrade_store(self, mode: StoreFault, seconds: float) -> None:
-        store = self.store
-        start = self.now()
-        match mode:
-            case 'refuse':
-                store.is_unavailable = True
-            case 'slow':
-                store.delay = STORE_DELAY_SECONDS
-            case 'lose_answers':
-                store.drop_append_responses = True
-            case 'forget':
-                for topic, _ in tuple(store.partitions):
-                    store.expire_records(topic)
-        await asyncio.sleep(seconds)
-        store.is_unavailable = store.drop_append_responses = False
-        store.delay = 0.0
-        self._record_store_disturbance(start)
-
-    async def _restore_store(self, copy_age: float, seconds: float) -> None:
-        """Lose the latest writes; operator and upstreams write theirs again."""
-        start = self.now()
-        copy = self.store.copy()
-        await asyncio.sleep(copy_age)
-        self.store.is_unavailable = True
-        await asyncio.sleep(seconds)
-        self.store.restore(copy)
-        self.store.is_unavailable = False
-        await asyncio.sleep(REWRITE_SECONDS)
-        self.operator.write_again()
-        self._record_store_disturbance(start, is_restore=True)
-        current_keys = set()
-        for upstream in self.upstreams:
-            upstream.register_again()
-            current_keys.add(upstream.server.key)
-        # The platform removes the entries of servers that have ended.
-        for key in self.store.keys(UPSTREAM_TOPIC) - current_keys:
-            self.store.put(UPSTREAM_TOPIC, key, b'')
-
-    async def _disrupt_store_links(
-        self, numbers: tuple[int, ...], link_fault: LinkFault, seconds: float
-    ) -> None:
-        start = self.now()
-        for number in numbers:
-            self.instances[number].link.apply(link_fault)
-        await asyncio.sleep(seconds)
-        for number in numbers:
-            self.instances[number].link.apply(LinkFault.NONE)
-        self._record_store_disturbance(start)
-
-    async def _cut_home_link(
-        self, link_fault: LinkFault, seconds: float
-    ) -> None:
-        """Cut the link between two domain homes.
-
-        The cut is between any two instances if there is only one domain home.
-        It is not recorded as a disturbance, so all invariants apply: other
-        instances still reach both.
-        """
-        homes = await find_domain_homes(self.instances)
-        if len(homes) < 2:
-            homes = self.random.sample(self.instances, 2)
-        one, other = homes[:2]
-        links = (
-            one.links[other.addresses['internal']],
-            other.links[one.addresses['internal']],
-        )
-        for link in links:
-            link.apply(link_fault)
-        await asyncio.sleep(seconds)
-        for link in links:
-            link.apply(LinkFault.NONE)
-
-    async def _cut_off(
-        self, number: int, keeps_open: bool, seconds: float
-    ) -> None:
-        start = self.now()
-        source = self.instances[number].source
-        self.refused[source] += 1
-        if not keeps_open:
-            for upstream in self.upstreams:
-                upstream.link.abort_from(source)
-        await asyncio.sleep(seconds)
-        self.refused -= Counter((source,))
-        self.run_record.upstream_cuts.append(
-            UpstreamCut(number, start, self.now())
-        )
-
-    async def _disturb_upstream(self, fault: Fault) -> None:
-        start = self.now()
-        match fault:
-            case DisruptUpstreamLink(
-                upstream=number, link_fault=link_fault, seconds=seconds
-            ):
-                upstream = self.upstreams[number]
-                upstream.link.apply(link_fault)
-                await asyncio.sleep(seconds)
-                upstream.link.apply(LinkFault.NONE)
-            case CrashUpstream(upstream=number, down_seconds=down_seconds):
-                await self.upstreams[number].crash(down_seconds)
-            case StateTerms(
-                upstream=number, terms=terms, figure=figure, seconds=seconds
-            ):
-                await self.upstreams[number].state_terms(terms, figure, seconds)
-                return
-            case ChillUpstream(upstream=number, mode='become'):
-                self.upstreams[number].become_cold()
-                return
-            case ChillUpstream(upstream=number, mode=mode):
-                step = len(SERVICES) if mode == 'restart_service' else None
-                await asyncio.gather(
-                    *(
-                        upstream.crash(RESTART_SECONDS)
-                        for upstream in (
-                            self.upstreams[number % step :: step]
-                            if step
-                            else self.upstreams[number : number + 1]
-                        )
-                    )
-                )
-            case ReplaceUpstream(upstream=number):
-                await self.upstreams[number].replace(DRAIN_SECONDS)
-            case CorruptResponses(upstream=number, mode=mode, seconds=seconds):
-                server = self.upstreams[number].server
-                server.response_fault = mode
-                await asyncio.sleep(seconds)
-                server.response_fault = None
-            case SlowUpstream(upstream=number, seconds=seconds):
-                upstream = self.upstreams[number]
-                upstream.set_slowdown(SLOW_PERCENT)
-                await asyncio.sleep(seconds)
-                upstream.set_slowdown(NORMAL_PERCENT)
-        self.run_record.upstream_disturbances.append(
-            UpstreamDisturbance(start, self.now())
-        )
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -26,6 +26,7 @@
             *planner.schedule_cuts(1, 12),
             *planner.schedule_features(1, 1, 1, 12),
             *planner.schedule_quota_faults(1, 1, 12),
+            *planner.schedule_home_losses(1, 1, 12),
         )
     }
     assert drawn_types == set(get_args(Fault))
@@ -71,3 +72,13 @@
         for earlier, later in zip(times, times[1:], strict=False)
     ]
     assert min(intervals) <= 0.2
+
+
+def test_departures_leave_two_instances():
+    """A run without instances would check nothing."""
+    for count in range(1, 6):
+        planner = Planner(7, count, 6)
+        for scheduled in planner.schedule_home_losses(0, 9, 12):
+            assert count - len(scheduled.fault.instances) >= 2
+        losses = planner.schedule_home_losses(3, 0, 12)
+        assert len(losses) == 3
--- a/tests/soak/test_testbed.py
+++ b/tests/soak/test_testbed.py
@@ -3,10 +3,11 @@
 import asyncio
 from types import SimpleNamespace
 
-from soak import testbed
+from soak import injection
 from soak.faults import CutHomeLink
 from soak.link import LinkFault
 from soak.plan import Features
+from soak.testbed import Testbed
 
 
 class RecordedLink:
@@ -29,8 +30,8 @@
     async def find_homes(_):
         return homes
 
-    monkeypatch.setattr(testbed, 'find_domain_homes', find_homes)
-    bed = testbed.Testbed(tmp_path, 2, 1, Features())
+    monkeypatch.setattr(injection, 'find_domain_homes', find_homes)
+    bed = injection.FaultInjector(Testbed(tmp_path, 2, 1, Features()))
 
     async def run():
         await asyncio.gather(
