--- a/tests/soak/test_testbed.py
+++ b/tests/soak/test_testbed.py
@@ -3,11 +3,10 @@
 import asyncio
 from types import SimpleNamespace
 
-from soak import injection
+from soak import injection, testbed
 from soak.faults import CutHomeLink
 from soak.link import LinkFault
 from soak.plan import Features
-from soak.testbed import Testbed
 
 
 class RecordedLink:
@@ -31,7 +30,7 @@
         return homes
 
     monkeypatch.setattr(injection, 'find_domain_homes', find_homes)
-    bed = injection.FaultInjector(Testbed(tmp_path, 2, 1, Features()))
+    bed = injection.FaultInjector(testbed.Testbed(tmp_path, 2, 1, Features()))
 
     async def run():
         await asyncio.gather(
