Search other paths once for each read that is slow and then fails

In a silent outage of the store a read consumed the backoff of failovers twice, after 0.1 s and at its time-out, so other paths were searched twice as often as before the reads were hedged. Found by reading the diff; the new test counts the searches of eight reads.

The log line of a standby reader names the home that is silent, and the application cancels its remaining tasks inside its loop.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -143,14 +143,18 @@
 
 def _close(loop: asyncio.AbstractEventLoop) -> None:
     """Cancel the remaining tasks and close the loop."""
-    tasks = asyncio.all_tasks(loop)
-    for task in tasks:
-        task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.run_until_complete(_cancel_other_tasks())
     loop.run_until_complete(loop.shutdown_asyncgens())
     loop.close()
 
 
+async def _cancel_other_tasks() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def _run_all(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
         try:
--- a/src/crocusproxy/entry/standby_reader.py
+++ b/src/crocusproxy/entry/standby_reader.py
@@ -48,7 +48,9 @@
             self.tasks.cancel()
             log('standby_reading_ended')
             return
-        log('standby_reading_started', home=self.elector.lost_home_name)
+        home = self.elector.home
+        name = self.elector.lost_home_name if home is None else home.name
+        log('standby_reading_started', home=name)
         self.tasks.spawn(self.read_config)
 
     def _is_needed(self) -> bool:
--- a/src/crocusproxy/platform/store_paths.py
+++ b/src/crocusproxy/platform/store_paths.py
@@ -144,19 +144,19 @@
         return self.relay
 
     async def _await_or_hedge(self, read: PendingRead) -> StoreResponse:
-        has_tried_others = not read.wait and await self._hedge(read)
+        is_slow = not read.wait and await self._hedge(read)
         try:
             return await read.task
         except PlatformUnavailableError as error:
             self.history.record_failure(read.relay)
-            if not has_tried_others:
+            if not is_slow:
                 await self._fail_over(read)
             if read.relay != self.relay:
                 raise PathLostError(str(error)) from error
             raise
 
     async def _hedge(self, read: PendingRead) -> bool:
-        """Try other paths if a read takes long; return whether any was tried.
+        """Try other paths if a read takes long; return whether it does.
 
         A silent path would otherwise be noticed only at the timeout. The read
         itself goes on, and is cancelled by a switch to another path.
@@ -171,21 +171,22 @@
         if read.relay != self.relay:
             self.history.record_failure(read.relay)
             raise PathLostError(f'{read.path}: the direct path is silent')
-        return await self._fail_over(read)
+        await self._fail_over(read)
+        return True
 
-    async def _fail_over(self, read: PendingRead) -> bool:
+    async def _fail_over(self, read: PendingRead) -> None:
         """Switch to the first of several other paths that responds.
 
         The store may reject several instances, so trying one path after the
         other would take too long. Nothing changes if ``read`` succeeds first on
         the path in use, or if another read has already switched paths or is
-        about to. Return whether paths were tried.
+        about to.
         """
         if read.relay != self.relay or self.is_failing_over:
-            return False
+            return
         others = [one for one in ('', *self.relays()) if one != read.relay]
         if not others or not self.backoff.allows():
-            return False
+            return
         candidates = self.history.order(others)[:_MAX_FAILOVER_CANDIDATES]
         self.is_failing_over = True
         try:  # noqa: WPS501 - also when cancelled
@@ -196,7 +197,6 @@
             self._switch_to(relay)
         elif not read.has_succeeded:
             self.backoff.grow()
-        return True
 
     async def _first_responding(
         self, candidates: Iterable[str], read: PendingRead
--- a/tests/entry/test_standby_reader.py
+++ b/tests/entry/test_standby_reader.py
@@ -21,6 +21,7 @@
             home_heard_at=self.clock.monotonic(),
             is_home=False,
             leaving=False,
+            home=None,
             lost_home_name='',
         )
         vars(self.elector).update(state)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -404,3 +404,21 @@
             assert read.task.cancelled()
 
     asyncio.run(scenario())
+
+
+def test_silent_outage_is_not_searched_twice_for_each_read():
+    """Each search of other paths loads a store that is about to recover."""
+
+    async def scenario():
+        relay = await StandInStore().start('/store')
+        relay.delay = 3600.0
+        async with running_client(lambda: (relay.address,)) as (store, client):
+            client.timeout = timedelta(milliseconds=150)
+            store.delay = 3600.0
+            for _ in range(8):
+                with pytest.raises(PlatformUnavailableError):
+                    await client.read(TOPIC, START)
+            assert relay.calls == 3
+        await relay.stop()
+
+    asyncio.run(scenario())
