Let the callers of the upgrade test finish before its instances are killed

Cause, by the logs: the test cancels its callers and kills the instances one after the other. A request that is not idempotent goes on when its caller leaves, so the home was killed while it was in flight, and the forwarding instance logged a lost forward before it was killed itself.

The callers now end after their present request. All assertions stay, and the requests that were cancelled before are checked too.

--- a/tests/upgrade/site.py
+++ b/tests/upgrade/site.py
@@ -30,6 +30,8 @@
 #: Longer than the host may leave a process without a core.
 TIMEOUT_MS = 1500
 SETTLE_SECONDS = 3.0
+#: A request has ended long before.
+MAX_REQUEST_SECONDS = 10.0
 SETTINGS = {
     'bounds': {'shutdown': '2s'},
     'validity': f'{VALIDITY_SECONDS}s',
@@ -133,6 +135,7 @@
         self.instances = []
         self.outcomes = {}
         self.callers = []
+        self.is_stopping = False
 
     async def start(self):
         await self.store.start()
@@ -170,6 +173,13 @@
         ]
 
     async def stop(self):
+        """Let the callers finish their requests, and kill all instances.
+
+        A request in flight at a home that is killed would be a lost forward.
+        """
+        self.is_stopping = True
+        if self.callers:
+            await asyncio.wait(self.callers, timeout=MAX_REQUEST_SECONDS)
         for caller in self.callers:
             caller.cancel()
         for instance in self.instances:
@@ -268,7 +278,7 @@
         return [one for one in self.instances if not one.is_replaced]
 
     async def call_steadily(self, domain):
-        while True:
+        while not self.is_stopping:
             await asyncio.sleep(self.random.uniform(*PAUSE_SECONDS))
             address = await self.choose_address(domain)
             kind = self.random.choice(('safe', 'once'))
