--- a/tests/membership/test_feed_source.py
+++ b/tests/membership/test_feed_source.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+from crocusproxy.membership.feed_server import HEARTBEAT_INTERVAL_SECONDS
 from crocusproxy.membership.feed_source import DIRECT_FOLLOWERS, feed_source
 from crocusproxy.protocol.home_feed import Member
 from standins.virtual_time import VirtualLoop
@@ -89,6 +90,22 @@
     run_site(scenario)
 
 
+def test_only_direct_followers_notice_a_silent_home_themselves():
+    """Others would read the store too, and its calls grow with the members."""
+
+    async def scenario(network, nodes):
+        direct_followers = nodes['a0'].elector.server.followers
+        for node in nodes.values():
+            heard_at = node.elector.home_heard_at
+            if node.name in direct_followers:
+                silence = network.loop.time() - heard_at.total_seconds()
+                assert silence < 2 * HEARTBEAT_INTERVAL_SECONDS
+            else:
+                assert heard_at is None
+
+    run_site(scenario)
+
+
 def test_followers_of_a_lost_domain_home_get_changes_again():
     async def scenario(network, nodes):
         lost = domain_home_of(nodes, 'b')
