Let a read that fails wait for the failover of another one

Cause, by the log of the new home n1: both its topics were read over a path that was lost.

A read that fails now waits for a search that is under way. The test of concurrent failures, which now names the errors, fails before the change.

--- a/src/crocusproxy/platform/store_paths.py
+++ b/src/crocusproxy/platform/store_paths.py
@@ -89,7 +89,8 @@
         self.history = PathHistory(clock)
         self.backoff = FailoverBackoff()
         self.relay_reads = 0
-        self.is_failing_over = False
+        self.failover_ended = asyncio.Event()
+        self.failover_ended.set()
         self.response_time = timedelta()
         self.pending: set[PendingRead] = set()
 
@@ -151,6 +152,8 @@
             self.history.record_failure(read.relay)
             if not is_slow:
                 await self._fail_over(read)
+            # Another read may be about to find a path.
+            await self.failover_ended.wait()
             if read.relay != self.relay:
                 raise PathLostError(str(error)) from error
             raise
@@ -182,17 +185,17 @@
         the path in use, or if another read has already switched paths or is
         about to.
         """
-        if read.relay != self.relay or self.is_failing_over:
+        if read.relay != self.relay or not self.failover_ended.is_set():
             return
         others = [one for one in ('', *self.relays()) if one != read.relay]
         if not others or not self.backoff.allows():
             return
         candidates = self.history.order(others)[:_MAX_FAILOVER_CANDIDATES]
-        self.is_failing_over = True
+        self.failover_ended.clear()
         try:  # noqa: WPS501 - also when cancelled
             relay = await self._first_responding(candidates, read)
         finally:
-            self.is_failing_over = False
+            self.failover_ended.set()
         if relay is not None:
             self._switch_to(relay)
         elif not read.has_succeeded:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -188,15 +188,24 @@
 
 
 def test_concurrent_failures_share_one_failover():
+    """The read that had not begun it counted as a failure of the store.
+
+    A new home then delayed removals: 2.9 to 3.4 s instead of 2 s, when the home
+    was stopped and its failure domain was cut off (bench.margins --plan=mix
+    --seed=414, beside other load).
+    """
+
     async def scenario():
         relay = await StandInStore().start('/store')
+        relay.delay = 0.05
         async with running_client(lambda: (relay.address,)) as (store, client):
             store.is_unavailable = True
-            await asyncio.gather(
+            results = await asyncio.gather(
                 client.newest(TOPIC),
                 client.newest('keyed.servers'),
                 return_exceptions=True,
             )
+            assert [type(one) for one in results] == [PathLostError] * 2
             assert client.paths.relay == relay.address
             assert relay.calls == 1
         await relay.stop()
