--- a/soak/home_losses.py
+++ b/soak/home_losses.py
@@ -1,16 +1,11 @@
 """Losses of the home, during which a configuration must be in force in time."""
 
-from __future__ import annotations
-
 import asyncio
-from typing import TYPE_CHECKING
 
 from .faults import LoseHome
 from .instances import Instance
 from .link import LinkFault
-
-if TYPE_CHECKING:
-    from .testbed import Testbed
+from .testbed import Testbed
 
 #: A new configuration is in force on all instances within this time.
 PROPAGATION_SECONDS = 2.0
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -1,10 +1,7 @@
 """Injection of the faults of a run into its processes and stand-ins."""
 
-from __future__ import annotations
-
 import asyncio
 from collections import Counter
-from typing import TYPE_CHECKING
 
 from .faults import (
     ChangeQuota,
@@ -40,12 +37,10 @@
     UpstreamCut,
     UpstreamDisturbance,
 )
+from .testbed import SERVICES, Testbed
 from .upstreams import NORMAL_PERCENT, SLOW_PERCENT
 from .upstreams import TOPIC as UPSTREAM_TOPIC
 
-if TYPE_CHECKING:
-    from .testbed import Testbed
-
 RESTART_SECONDS = 0.2
 DRAIN_SECONDS = 2.0
 STORE_DELAY_SECONDS = 0.3
@@ -239,11 +234,7 @@
                 self.testbed.upstreams[number].become_cold()
                 return
             case ChillUpstream(upstream=number, mode=mode):
-                step = (
-                    len(self.testbed.services)
-                    if mode == 'restart_service'
-                    else None
-                )
+                step = len(SERVICES) if mode == 'restart_service' else None
                 await asyncio.gather(
                     *(
                         upstream.crash(RESTART_SECONDS)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,4 +1,4 @@
-"""The processes and stand-ins of a run, and the injection of faults."""
+"""The processes and stand-ins of a run."""
 
 import asyncio
 import time
@@ -15,10 +15,7 @@
 from .link import Link
 from .operator import Operator
 from .plan import FAILURE_DOMAINS, Features
-from .records import (
-    ObserverDelay,
-    RunRecord,
-)
+from .records import ObserverDelay, RunRecord
 from .upstreams import Upstream
 
 SERVICES = ('s1', 's2')
@@ -39,7 +36,6 @@
     ) -> None:
         self.run_record = RunRecord(instance_count=instances)
         self.started_at = time.monotonic()
-        self.services = SERVICES
         self.store = StandInStore()
         self.features = features
         self.operator = Operator(
@@ -183,11 +179,9 @@
 
     def home(self) -> Instance:
         """Return the instance that has become home last."""
-        taken_over_at = {
-            self.log_of(instance).leading_since(): instance
-            for instance in self.running()
-        }
-        return taken_over_at[max(taken_over_at)]
+        return max(
+            self.running(), key=lambda one: self.log_of(one).leading_since()
+        )
 
     def log_of(self, instance: Instance) -> InstanceLog:
         """Return what an instance has logged so far."""
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -177,7 +177,6 @@
         """Reload the settings; an invalid file changes nothing."""
         self.settings = reload_from_file(self.settings, self.path)
         self.store.address = self.settings.store
-        self.standby_store.address = self.settings.store
         self.dispatcher.hedged_calls.apply_settings(self.settings.hedging)
 
     async def find_addresses(self, failure_domain: str) -> AddressList:
@@ -283,22 +282,20 @@
         self.tasks.spawn(self._close_idle_connections)
         self.tasks.spawn(self.quota_exchange.run)
         self.tasks.spawn(self.config_completion.run)
-        self.tasks.spawn(self._create_standby_reader().run)
-
-    def _create_standby_reader(self) -> StandbyReader:
-        """Create a reader without relays, which would multiply its calls."""
-        self.standby_store = StoreClient(
-            self.session,
-            self.settings.store,
-            _STORE_TIMEOUT,
-            incarnation=self.catalog.store_incarnation,
-            clock=self.clock,
-        )
-        outage = StoreOutage(self.dispatcher.random)
-        watch = ConfigWatch(
-            self.standby_store, self.catalog, self.clock, outage
+        self.tasks.spawn(
+            StandbyReader(
+                self.elector, self.clock, self._read_config_directly
+            ).run
         )
-        return StandbyReader(self.elector, self.clock, watch.run)
+
+    async def _read_config_directly(self) -> None:
+        """Follow the operators' topic; relays would multiply the calls."""
+        await ConfigWatch(
+            self.store.without_relays(),
+            self.catalog,
+            self.clock,
+            StoreOutage(self.dispatcher.random),
+        ).run()
 
     def _create_prober(self) -> Prober:
         return Prober(
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
 from functools import partial
 from random import Random
 
@@ -29,6 +28,8 @@
 from .refusals import (
     EXPIRED,
     NOT_ACCEPTED,
+    SHUTDOWN_RETRY_AFTER,
+    SHUTTING_DOWN,
     TIMED_OUT,
     UPSTREAM_FAILED,
     not_placed,
@@ -50,8 +51,6 @@
 #: Weight of an error response in the moving average of the failure rate.
 ERROR_WEIGHT = 0.1
 
-_SHUTTING_DOWN = Refused('shutting_down', timedelta(milliseconds=10))
-
 #: Called immediately before a request is sent again that may have run.
 Charge = Callable[[RequestContext], None]
 
@@ -134,8 +133,9 @@
 
     def refuse_waiting(self) -> None:
         """Refuse all waiting requests, as this instance ends."""
+        refused = Refused(SHUTTING_DOWN.code, SHUTDOWN_RETRY_AFTER)
         for placer in self.placers.values():
-            placer.refuse_all(_SHUTTING_DOWN)
+            placer.refuse_all(refused)
 
     def end_backoffs(self) -> None:
         """Use upstreams at once whose failures were those of this instance."""
--- a/src/crocusproxy/entry/refusals.py
+++ b/src/crocusproxy/entry/refusals.py
@@ -26,11 +26,13 @@
     'no upstream accepted the request; it was not run',
     timedelta(milliseconds=100),
 )
+#: Another instance serves at once.
+SHUTDOWN_RETRY_AFTER = timedelta(milliseconds=10)
 SHUTTING_DOWN = Refusal(
     503,
     'shutting_down',
     'this instance is about to end; the request was not run',
-    timedelta(milliseconds=10),
+    SHUTDOWN_RETRY_AFTER,
 )
 #: Range of ``Retry-After`` of an instance that reaches no upstream.
 UNREACHABLE_RETRY_SECONDS = (0.1, 0.4)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -58,6 +58,16 @@
         self.timeout = timeout
         self.paths = StorePaths(self._read, relays, clock or SystemClock())
 
+    def without_relays(self) -> 'StoreClient':
+        """Return a client that uses the direct path only."""
+        return StoreClient(
+            self.session,
+            self.address,
+            self.timeout,
+            incarnation=self.incarnation,
+            clock=self.paths.clock,
+        )
+
     async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key.
 
@@ -147,7 +157,7 @@
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta
     ) -> StoreResponse:
-        response = await self.paths.finish(self.paths.begin(path, query, wait))
+        response = await self.paths.get(path, query, wait)
         self._check_incarnation(path, response)
         return response
 
--- a/src/crocusproxy/platform/store_paths.py
+++ b/src/crocusproxy/platform/store_paths.py
@@ -94,25 +94,17 @@
         self.response_time = timedelta()
         self.pending: set[PendingRead] = set()
 
-    def begin(
+    async def get(
         self, path: str, query: Mapping[str, str], wait: timedelta
-    ) -> PendingRead:
-        """Send a read over the path in use."""
-        relay = self._choose_relay(wait)
-        task = asyncio.ensure_future(self.read(relay, path, query, wait))
-        started_at = self.clock.monotonic()
-        read = PendingRead(relay, path, query, wait, started_at, task)
-        self.pending.add(read)
-        return read
-
-    async def finish(self, read: PendingRead) -> StoreResponse:
-        """Return the response; switch to another path if that is faster.
+    ) -> StoreResponse:
+        """Read over the path in use; switch to another one if that is faster.
 
         Raises:
             PlatformUnavailableError: the store did not respond.
             PathLostError: the path was lost, and there is another one.
             ExpiredPositionError: the record to begin with is gone.
         """
+        read = self._begin(path, query, wait)
         try:
             response = await self._await_or_hedge(read)
         except asyncio.CancelledError:
@@ -120,18 +112,28 @@
             if read in self.pending or _is_cancelled():
                 raise
             raise PathLostError(
-                f'{read.path}: cancelled by a switch to another path'
+                f'{path}: cancelled by a switch to another path'
             ) from None
         finally:
             self.pending.discard(read)
             read.task.cancel()
-        if not read.wait:
+        if not wait:
             self.response_time = self.clock.monotonic() - read.started_at
         self.backoff.reset()
         if read.relay != self.relay:
             self._switch_to(read.relay)
         return response
 
+    def _begin(
+        self, path: str, query: Mapping[str, str], wait: timedelta
+    ) -> PendingRead:
+        relay = self._choose_relay(wait)
+        task = asyncio.ensure_future(self.read(relay, path, query, wait))
+        started_at = self.clock.monotonic()
+        read = PendingRead(relay, path, query, wait, started_at, task)
+        self.pending.add(read)
+        return read
+
     def _choose_relay(self, wait: timedelta) -> str:
         """Return the relay of the next read; empty to read directly.
 
@@ -187,8 +189,10 @@
         """
         if read.relay != self.relay or not self.failover_ended.is_set():
             return
+        if not self.backoff.allows():
+            return
         others = [one for one in ('', *self.relays()) if one != read.relay]
-        if not others or not self.backoff.allows():
+        if not others:
             return
         candidates = self.history.order(others)[:_MAX_FAILOVER_CANDIDATES]
         self.failover_ended.clear()
