Log and count connections that end with requests open

From the logs nobody could tell which requests were open when a connection ended, how far each had come, and who ended it; no metric counted them. connection_ended names the cause, the error, the bytes that the caller's system had not acknowledged, and each open request with its stage; crocus_entry_open_requests_total counts them by cause and stage. When connections close is unchanged.

--- a/src/crocusproxy/cli/explain.py
+++ b/src/crocusproxy/cli/explain.py
@@ -69,9 +69,7 @@
         WrongInputError: a file cannot be read.
     """
     lines = sorted(_read_files(files), key=lambda line: line.timestamp)
-    request_lines = [
-        line for line in lines if line.fields['request_id'] == request_id
-    ]
+    request_lines = [line for line in lines if _names(line, request_id)]
     if not request_lines:
         text = f'no log line has request id {request_id}'
         return Result({'lines': []}, text, ExitCode.rejected)
@@ -135,6 +133,14 @@
     )
 
 
+def _names(line: LogLine, request_id: str) -> bool:
+    """Return whether a line is about a request, alone or among others."""
+    others = line.fields.get('requests')
+    if isinstance(others, list):
+        return any(other.get('request_id') == request_id for other in others)
+    return bool(line.fields['request_id'] == request_id)
+
+
 def _is_related(line: LogLine, request_lines: list[LogLine]) -> bool:
     """Return whether an event may have affected the request."""
     if (
--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -25,7 +25,11 @@
 from ..clock import Clock
 from ..logs import log
 from ..routes.model import CallerLimits
+from .caller_request import CallerRequest, RequestStage
+from .connection_end import ConnectionEnd, EndCause, OpenRequest
+from .header_names import HeaderNames
 from .responses import CallerResponse, Refusal
+from .written_responses import WrittenResponses, outstanding_bytes
 
 _MAX_PIPELINED = 64
 _READ_BUFFER_BYTES = 1 << 30  # the configuration limits the body size
@@ -52,62 +56,21 @@
 )
 
 
-class CallerRequest:
-    """One request of a caller.
-
-    ``received_at`` is the monotonic time at which its head arrived.
-    ``earlier_responses_written`` is set once all earlier responses of the
-    connection were written; it is None for a request that need not wait for
-    them. ``caller_disconnected`` is set if the caller disconnects. This cancels
-    the request unless ``is_detached`` is set, as it is while a non-idempotent
-    request may be running at an upstream or the home.
-    """
-
-    __slots__ = (
-        'is_detached',
-        'caller_disconnected',
-        'message',
-        'payload',
-        'received_at',
-        'response',
-        'task',
-        'earlier_responses_written',
-    )
-
-    def __init__(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        received_at: timedelta,
-        earlier_responses_written: asyncio.Event | None,
-    ) -> None:
-        self.message = message
-        self.payload = payload
-        self.received_at = received_at
-        self.response: CallerResponse | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.earlier_responses_written = earlier_responses_written
-        self.is_detached = False
-        self.caller_disconnected = False
-
-    def mark_disconnected(self) -> None:
-        """Record the disconnect and cancel the request unless detached."""
-        self.caller_disconnected = True
-        if self.task is not None and not self.is_detached:
-            self.task.cancel()
-
-
 class GatewayProtocol(Protocol):
     """The part of the gateway that a connection uses."""
 
     clock: Clock
     limits: CallerLimits
+    header_names: HeaderNames
     is_draining: bool
     connections: set['CallerConnection']
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Record a connection that ended with requests open."""
+
 
 class CallerConnection(BaseProtocol):
     """Reads requests, serves them, and writes the responses in order.
@@ -116,17 +79,22 @@
     closes only after the last one of these. ``closes_after_started`` is set
     once no further request may start, and ``ignores_input`` once one has
     arrived that does not start: the caller treats requests without a response
-    before the close as not processed.
+    before the close as not processed. ``end_cause`` is who ends the
+    connection, None while it is open; ``dropped`` are the requests that did not
+    start before the response that closed it.
     """
 
     __slots__ = (
         'last_activity_at',
         'closes_after_started',
+        'dropped',
+        'end_cause',
         'ignores_input',
         'is_finished',
         'head_started_at',
         'pipeline',
         'gateway',
+        'written',
     )
 
     def __init__(
@@ -135,6 +103,9 @@
         super().__init__(loop)
         self.gateway = gateway
         self.pipeline: deque[CallerRequest] = deque()
+        self.written = WrittenResponses()
+        self.end_cause: EndCause | None = None
+        self.dropped: tuple[OpenRequest, ...] = ()
         self.is_finished = False
         self.closes_after_started = False
         self.ignores_input = False
@@ -158,6 +129,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of the connection unless they are detached."""
+        self._record_end(exc)
         super().connection_lost(exc)
         self.gateway.connections.discard(self)
         self.is_finished = True
@@ -169,6 +141,10 @@
                 )
         self.pipeline.clear()
 
+    def eof_received(self) -> None:
+        """Note that the caller ends the connection; it then closes."""
+        self.end_cause = self.end_cause or EndCause.CALLER
+
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
         if self.is_finished or self.ignores_input:
@@ -204,12 +180,14 @@
         if started_at is not None and now - started_at > limits.header_timeout:
             self._reject(TimeoutError('the head took too long'))
         elif now - self.last_activity_at > limits.idle_timeout + _IDLE_MARGIN:
+            self.end_cause = self.end_cause or EndCause.IDLE_TIMEOUT
             self.transport.close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
         if not self.pipeline and self.transport is not None:
             self.is_finished = True
+            self.end_cause = self.end_cause or EndCause.STOP
             self.transport.close()
 
     def has_unsent_bytes(self) -> bool:
@@ -217,6 +195,11 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    def record_stop(self) -> None:
+        """Record the end of a connection that is open as the process ends."""
+        self.end_cause = self.end_cause or EndCause.STOP
+        self._record_end(None)
+
     def has_requests(self) -> bool:
         """Return whether a request has not been answered yet."""
         return bool(self.pipeline)
@@ -245,6 +228,7 @@
         request = CallerRequest(
             message,
             payload,
+            message.headers.get(self.gateway.header_names.request_id, ''),
             self.gateway.clock.monotonic(),
             earlier_responses_written,
         )
@@ -266,6 +250,7 @@
             log('request_not_handled', code='internal_error', error=repr(error))
             refusal = Refusal(500, 'internal_error', 'the request failed')
             request.response = refusal.response(close=True)
+        request.stage = RequestStage.ANSWERED
         self._write_ready_responses()
 
     async def _handle_in_order(self, request: CallerRequest) -> CallerResponse:
@@ -298,15 +283,65 @@
             self.closes_after_started and not self._has_started_requests()
         )
         with_body = request.message.method != 'HEAD'
-        transport.write(response.encode(close=close, with_body=with_body))
+        encoded = response.encode(close=close, with_body=with_body)
+        self._note_written(request.request_id, len(encoded))
+        transport.write(encoded)
         if close:
             self.is_finished = True
+            self.end_cause = (
+                EndCause.STOP if self.gateway.is_draining else EndCause.RESPONSE
+            )
+            self.dropped = self._open_requests()
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
             transport.write_eof()
             self._loop.call_later(_LINGER_SECONDS, transport.close)
 
+    def _note_written(self, request_id: str, byte_count: int) -> None:
+        assert self.transport is not None
+        self.written.add(request_id, byte_count)
+        if len(self.written.ends) > _MAX_PIPELINED:
+            self.written.acknowledge(outstanding_bytes(self.transport))
+
+    def _open_requests(self) -> tuple[OpenRequest, ...]:
+        now = self.gateway.clock.monotonic()
+        return tuple(
+            OpenRequest(
+                request.request_id,
+                request.stage,
+                (now - request.received_at).total_seconds(),
+            )
+            for request in self.pipeline
+        )
+
+    def _record_end(self, error: BaseException | None) -> None:
+        if self.transport is None or self not in self.gateway.connections:
+            return
+        self.gateway.connections.discard(self)
+        outstanding = outstanding_bytes(self.transport)
+        self.written.acknowledge(outstanding)
+        requests = (
+            *(
+                OpenRequest(request_id, RequestStage.ANSWERED)
+                for request_id in self.written.request_ids()
+            ),
+            *self._open_requests(),
+            *self.dropped,
+        )
+        if not requests:
+            return
+        cause = EndCause.CALLER if error is None else EndCause.ERROR
+        self.gateway.record_end(
+            ConnectionEnd(
+                _address_of(self.transport),
+                self.end_cause or cause,
+                '' if error is None else repr(error),
+                outstanding,
+                requests,
+            )
+        )
+
     def _has_started_requests(self) -> bool:
         """Return whether a request in the pipeline may be at an upstream."""
         return any(
@@ -330,6 +365,7 @@
         request = CallerRequest(
             _PLACEHOLDER_HEAD,
             EMPTY_PAYLOAD,
+            '',
             self.gateway.clock.monotonic(),
             None,
         )
@@ -338,6 +374,11 @@
         self._write_ready_responses()
 
 
+def _address_of(transport: asyncio.BaseTransport) -> str:
+    name = transport.get_extra_info('peername')
+    return f'{name[0]}:{name[1]}' if name else ''
+
+
 def _refusal_for(error: BaseException) -> Refusal:
     match error:
         case LineTooLong():
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -167,6 +167,8 @@
     async def stop(self) -> None:
         """Close everything that was opened."""
         self.reload_signal.disconnect()
+        for connection in tuple(self.gateway.connections):
+            connection.record_stop()
         self.tasks.cancel()
         self.role_tasks.cancel()
         await self.listeners.close()
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -22,6 +22,7 @@
     Superseded,
     more_informative,
 )
+from .caller_request import RequestStage
 from .crash_watch import CrashWatch
 from .hedged_call import AttemptSteps, HedgedCalls
 from .metrics import EntryMetrics
@@ -197,6 +198,7 @@
             return upstreams_unreachable(self.random)
         last_result: CallResult | None = None
         while True:
+            context.request.stage = RequestStage.QUEUED
             decision = await self.selector.select(context)
             if isinstance(decision, Refused):
                 return self._failure_response(context, last_result, decision)
@@ -258,6 +260,7 @@
         if context.may_have_run or placed.is_hedge:
             self.charge(context)
         context.send_count += 1
+        context.request.stage = RequestStage.SENT
         if placed.upstream.rate_limit is not None:
             self.metrics.count_limited_send('request')
         if not context.route.idempotent:
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -18,7 +18,9 @@
     RouteConfig,
 )
 from ..routes.table import RouteTable
-from .caller_connection import CallerConnection, CallerRequest
+from .caller_connection import CallerConnection
+from .caller_request import CallerRequest
+from .connection_end import ConnectionEnd
 from .dispatcher import Dispatcher
 from .header_names import HeaderNames
 from .metrics import EntryMetrics
@@ -114,17 +116,21 @@
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
         self.in_flight += 1
-        request_id = self._request_id(request)
         try:  # noqa: WPS501 - also when the caller disconnects
             response = await self._respond(request)
         finally:
             self.in_flight -= 1
         if isinstance(response, Refusal):
             self.metrics.count_refusal(response.code)
-            self.request_log.log_refusal(request_id, response)
-            return self._refusal_response(response, request_id)
+            self.request_log.log_refusal(request.request_id, response)
+            return self._refusal_response(response, request.request_id)
         return response
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Record a connection that ended with requests open."""
+        self.metrics.count_open_requests(end)
+        self.request_log.log_connection_end(end)
+
     async def _respond(
         self, request: CallerRequest
     ) -> CallerResponse | Refusal:
@@ -165,7 +171,7 @@
                 return KEY_UNKNOWN
             identity = current_identity
         outgoing_request = OutgoingRequest(
-            self._request_id(request),
+            request.request_id,
             request.message,
             body,
             route.idempotent,
@@ -180,9 +186,6 @@
             context.deadline = self.ends_at
         return await self.request_server.serve(context)
 
-    def _request_id(self, request: CallerRequest) -> str:
-        return request.message.headers.get(self.header_names.request_id, '')
-
     async def _wait_for_table(self) -> RouteTable | Refusal:
         await self.start_wait.wait()
         return NOT_READY if self.table is None else self.table
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -19,6 +19,7 @@
 )
 from ..placement.hedging import NotSent
 from .call_results import CallResult, outcome_of
+from .connection_end import ConnectionEnd
 
 #: A hedge is abandoned if the caller disconnects.
 HedgeOutcome = Literal['won', 'lost', 'abandoned']
@@ -50,6 +51,12 @@
             ('code',),
             registry=registry,
         )
+        self.open_requests = Counter(
+            'crocus_entry_open_requests',
+            'Requests that were open when their connection ended.',
+            ('cause', 'stage'),
+            registry=registry,
+        )
         self.authentications = Counter(
             'crocus_entry_authentications',
             'Requests by the result of their authentication.',
@@ -120,6 +127,11 @@
         """Count a refusal."""
         self.refusals.labels(code).inc()
 
+    def count_open_requests(self, end: ConnectionEnd) -> None:
+        """Count the requests that were open when a connection ended."""
+        for request in end.requests:
+            self.open_requests.labels(end.cause, request.stage).inc()
+
     def count_authentication(
         self, identity: Identity | Rejected | None
     ) -> None:
--- a/src/crocusproxy/entry/request_context.py
+++ b/src/crocusproxy/entry/request_context.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..routes.model import ClientAccount, RegisteredUpstream, Route
-from .caller_connection import CallerRequest
+from .caller_request import CallerRequest
 from .upstream_call import OutgoingRequest
 
 
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -12,6 +12,7 @@
 from ..logs import log
 from ..placement.requests import Placed
 from .call_results import CallResult, Responded, Superseded, outcome_of
+from .connection_end import ConnectionEnd, OpenRequest
 from .request_context import RequestContext
 from .responses import Refusal
 
@@ -117,6 +118,18 @@
                 reason=reason,
             )
 
+    def log_connection_end(self, end: ConnectionEnd) -> None:
+        """Log a connection of a caller that ended with requests open."""
+        if self._admit(is_failure=True):
+            self._write(
+                'connection_ended',
+                peer=end.peer,
+                cause=end.cause,
+                reason=end.reason,
+                unacknowledged_bytes=end.unacknowledged_bytes,
+                requests=[_open_request_fields(one) for one in end.requests],
+            )
+
     def log_overflow(self, context: RequestContext, address: str) -> None:
         """Log that another domain home has responded to a request."""
         if self._admit(is_failure=False):
@@ -156,6 +169,15 @@
     return round(seconds * _MS_PER_SECOND, 1)
 
 
+def _open_request_fields(request: OpenRequest) -> dict[str, Any]:
+    age = request.age
+    return {
+        'request_id': request.request_id,
+        'stage': request.stage,
+        'age_ms': None if age is None else _milliseconds(age),
+    }
+
+
 def _age(seconds: float) -> float | None:
     """Return an age in milliseconds, None if no load was ever reported."""
     return None if seconds == float('inf') else _milliseconds(seconds)
--- a/src/crocusproxy/entry/request_server.py
+++ b/src/crocusproxy/entry/request_server.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..routes.model import ClientAccount, RegisteredUpstream
 from .call_results import NotRun, ResponseLost
+from .caller_request import RequestStage
 from .dispatcher import Dispatcher
 from .home_forwarder import HomeForwarder
 from .overflow import OverflowTargets
@@ -203,6 +204,7 @@
         If the caller leaves, the connection to the home closes. The home then
         drops the request unless it may be running at an upstream.
         """
+        context.request.stage = RequestStage.FORWARDED
         result = await exchange
         if isinstance(result, NotRun):
             return None
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -53,6 +53,14 @@
     assert 'code=timed_out' in result.text
 
 
+def test_explain_finds_a_request_in_the_end_of_its_connection(tmp_path):
+    path = tmp_path / 'n1.log'
+    requests = [{'request_id': 'r1'}, {'request_id': 'r2'}]
+    path.write_text(line(100.0, 'connection_ended', requests=requests))
+    assert 'connection_ended' in explain('r2', [str(path)]).text
+    assert explain('r3', [str(path)]).exit_code is ExitCode.rejected
+
+
 def test_prefix_of_a_log_collector_is_skipped(tmp_path):
     result = explain('r1', [write_log(tmp_path, '12.5 n1 ')])
     assert len(result.json_value['lines']) == 4
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -9,6 +9,7 @@
 from crocusproxy.entry import caller_connection
 from crocusproxy.entry.caller_connection import CallerConnection
 from crocusproxy.entry.responses import CallerResponse
+from crocusproxy.platform.headers import HEADER_NAMES
 from crocusproxy.routes.model import CallerLimits
 
 from .harness import run_scenario
@@ -26,6 +27,7 @@
     def __init__(self):
         self.clock = ManualClock()
         self.limits = CallerLimits(header_timeout=timedelta(seconds=3))
+        self.header_names = HEADER_NAMES
         self.is_draining = False
         self.connections = set()
         self.release = asyncio.Event()
