End a caller's connection only once it has acknowledged all responses

What callers saw: responses that upstreams had given and that were written were lost, as the connection was reset: on an idle timeout, a second after the last response of a stop, and when a stop closed connections without requests, if the caller sent anything while it still read.

Cause: a connection counted as idle, or as sent, once the transport's buffer was empty; the rest lay in the kernel's send queue. close() on a socket whose peer sends on makes the kernel reset the connection and discard the queue. The linger of a fixed second didn't depend on what the caller had received.

Now one object owns the delivery: it asks the kernel how many bytes are outstanding, a connection with outstanding bytes is neither idle nor closed, the end is a half-close after which input is discarded until the caller closes, and the process stays until all is acknowledged, or until its drain limit. A caller that acknowledges nothing for 30 s is reset and logged (send_timeout).

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -12,15 +12,8 @@
 
 from aiohttp import StreamReader
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import (
-    HttpRequestParser,
-    HttpVersion11,
-    RawRequestMessage,
-)
-from aiohttp.http_exceptions import BadHttpMessage, LineTooLong
-from aiohttp.streams import EMPTY_PAYLOAD
-from multidict import CIMultiDict, CIMultiDictProxy
-from yarl import URL
+from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http_exceptions import BadHttpMessage
 
 from ..clock import Clock
 from ..logs import log
@@ -28,32 +21,16 @@
 from .caller_request import CallerRequest, RequestStage
 from .connection_end import ConnectionEnd, EndCause, OpenRequest
 from .header_names import HeaderNames
+from .rejected_request import rejected_request
+from .response_delivery import ResponseDelivery
 from .responses import CallerResponse, Refusal
-from .written_responses import WrittenResponses, outstanding_bytes
 
 _MAX_PIPELINED = 64
 _READ_BUFFER_BYTES = 1 << 30  # the configuration limits the body size
 _SAFE_METHODS = frozenset(('GET', 'HEAD'))
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_TOO_MANY_HEADERS = 'Too many headers'
 # Added to the idle timeout, since callers may reuse a connection until then.
 _IDLE_MARGIN = timedelta(seconds=1)
-# Closing at once would reset the connection of a caller that is still sending,
-# and the response would be lost.
-_LINGER_SECONDS = 1.0
-#: Used as the head of a request that could not be parsed.
-_PLACEHOLDER_HEAD = RawRequestMessage(
-    'GET',
-    '/',
-    HttpVersion11,
-    CIMultiDictProxy(CIMultiDict()),
-    (),
-    should_close=True,
-    compression=None,
-    upgrade=False,
-    chunked=False,
-    url=URL('/'),
-)
 
 
 class GatewayProtocol(Protocol):
@@ -76,7 +53,9 @@
     """Reads requests, serves them, and writes the responses in order.
 
     A request that has started may be at work at an upstream, so the connection
-    closes only after the last one of these. ``closes_after_started`` is set
+    ends only after the last one of these, and once the caller has acknowledged
+    all responses or is gone; ``is_finished`` is set while the end is under way.
+    ``closes_after_started`` is set
     once no further request may start, and ``ignores_input`` once one has
     arrived that does not start: the caller treats requests without a response
     before the close as not processed. ``end_cause`` is who ends the
@@ -87,6 +66,7 @@
     __slots__ = (
         'last_activity_at',
         'closes_after_started',
+        'delivery',
         'dropped',
         'end_cause',
         'ignores_input',
@@ -94,7 +74,6 @@
         'head_started_at',
         'pipeline',
         'gateway',
-        'written',
     )
 
     def __init__(
@@ -103,7 +82,7 @@
         super().__init__(loop)
         self.gateway = gateway
         self.pipeline: deque[CallerRequest] = deque()
-        self.written = WrittenResponses()
+        self.delivery: ResponseDelivery | None = None
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
         self.is_finished = False
@@ -125,12 +104,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the gateway."""
         super().connection_made(transport)
+        assert self.transport is not None
+        self.delivery = ResponseDelivery(
+            self.transport, self.gateway.clock.monotonic()
+        )
         self.gateway.connections.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of the connection unless they are detached."""
         self._record_end(exc)
         super().connection_lost(exc)
+        self.delivery = None
         self.gateway.connections.discard(self)
         self.is_finished = True
         for request in self.pipeline:
@@ -147,9 +131,11 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
+        self.last_activity_at = self.gateway.clock.monotonic()
+        if self.delivery is not None:
+            self.delivery.received_at = self.last_activity_at
         if self.is_finished or self.ignores_input:
             return
-        self.last_activity_at = self.gateway.clock.monotonic()
         assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -168,32 +154,36 @@
             self._pause_reading_for_buffer()
 
     def enforce_timeouts(self, now: timedelta) -> None:
-        """Close after the header timeout or the idle timeout.
+        """Close if the caller is gone, or after a timeout.
 
         The header timeout counts from the first byte of a head, the idle
-        timeout from the latest received byte or written response.
+        timeout from the latest received byte, or written or acknowledged
+        response.
         """
-        limits = self.gateway.limits
-        if self.pipeline or self.transport is None:
+        delivery = self.delivery
+        if delivery is None:
             return
-        started_at = self.head_started_at
-        if started_at is not None and now - started_at > limits.header_timeout:
-            self._reject(TimeoutError('the head took too long'))
-        elif now - self.last_activity_at > limits.idle_timeout + _IDLE_MARGIN:
-            self.end_cause = self.end_cause or EndCause.IDLE_TIMEOUT
-            self.transport.close()
+        delivery.update(now)
+        if delivery.is_stalled(now):
+            self.end_cause = EndCause.SEND_TIMEOUT
+            delivery.transport.abort()
+        elif delivery.may_close(now):
+            delivery.transport.close()
+        elif not (self.pipeline or self.is_finished):
+            self._enforce_idle_timeouts(delivery, now)
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is in flight."""
-        if not self.pipeline and self.transport is not None:
-            self.is_finished = True
-            self.end_cause = self.end_cause or EndCause.STOP
-            self.transport.close()
-
-    def has_unsent_bytes(self) -> bool:
-        """Return whether the caller has yet to receive bytes of a response."""
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        """End the connection unless a request or a response is under way."""
+        is_idle = not (self.pipeline or self.has_outstanding_bytes())
+        if is_idle and not self.is_finished:
+            self._finish(EndCause.STOP)
+
+    def has_outstanding_bytes(self) -> bool:
+        """Return whether the caller has yet to acknowledge bytes."""
+        if self.delivery is None:
+            return False
+        self.delivery.update(self.gateway.clock.monotonic())
+        return self.delivery.outstanding > 0
 
     def record_stop(self) -> None:
         """Record the end of a connection that is open as the process ends."""
@@ -204,6 +194,19 @@
         """Return whether a request has not been answered yet."""
         return bool(self.pipeline)
 
+    def _enforce_idle_timeouts(
+        self, delivery: ResponseDelivery, now: timedelta
+    ) -> None:
+        limits = self.gateway.limits
+        active_at = max(self.last_activity_at, delivery.acknowledged_at)
+        started_at = self.head_started_at
+        if started_at is not None and now - started_at > limits.header_timeout:
+            self._reject(TimeoutError('the head took too long'))
+        elif delivery.outstanding:
+            return
+        elif now - active_at > limits.idle_timeout + _IDLE_MARGIN:
+            self._finish(EndCause.IDLE_TIMEOUT)
+
     def _accepts_request(self) -> bool:
         """Return whether a request may start behind those in the pipeline."""
         if self.closes_after_started:
@@ -274,8 +277,7 @@
     def _write_response(
         self, request: CallerRequest, response: CallerResponse
     ) -> None:
-        transport = self.transport
-        if transport is None:
+        if self.delivery is None:
             return
         if response.close or self.gateway.is_draining:
             self.closes_after_started = True
@@ -283,26 +285,28 @@
             self.closes_after_started and not self._has_started_requests()
         )
         with_body = request.message.method != 'HEAD'
-        encoded = response.encode(close=close, with_body=with_body)
-        self._note_written(request.request_id, len(encoded))
-        transport.write(encoded)
+        self.delivery.write(
+            request.request_id,
+            response.encode(close=close, with_body=with_body),
+            self.gateway.clock.monotonic(),
+        )
         if close:
-            self.is_finished = True
-            self.end_cause = (
-                EndCause.STOP if self.gateway.is_draining else EndCause.RESPONSE
-            )
             self.dropped = self._open_requests()
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
-            transport.write_eof()
-            self._loop.call_later(_LINGER_SECONDS, transport.close)
+            is_stop = self.gateway.is_draining
+            self._finish(EndCause.STOP if is_stop else EndCause.RESPONSE)
 
-    def _note_written(self, request_id: str, byte_count: int) -> None:
-        assert self.transport is not None
-        self.written.add(request_id, byte_count)
-        if len(self.written.ends) > _MAX_PIPELINED:
-            self.written.acknowledge(outstanding_bytes(self.transport))
+    def _finish(self, cause: EndCause) -> None:
+        """Send no more, and discard what the caller sends until it closes."""
+        if self.delivery is None:
+            return
+        self.is_finished = True
+        self.end_cause = self.end_cause or cause
+        self.delivery.end(self.gateway.clock.monotonic())
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
 
     def _open_requests(self) -> tuple[OpenRequest, ...]:
         now = self.gateway.clock.monotonic()
@@ -316,15 +320,15 @@
         )
 
     def _record_end(self, error: BaseException | None) -> None:
-        if self.transport is None or self not in self.gateway.connections:
+        delivery = self.delivery
+        if delivery is None or self not in self.gateway.connections:
             return
         self.gateway.connections.discard(self)
-        outstanding = outstanding_bytes(self.transport)
-        self.written.acknowledge(outstanding)
+        delivery.update(self.gateway.clock.monotonic())
         requests = (
             *(
                 OpenRequest(request_id, RequestStage.ANSWERED)
-                for request_id in self.written.request_ids()
+                for request_id in delivery.request_ids()
             ),
             *self._open_requests(),
             *self.dropped,
@@ -334,10 +338,10 @@
         cause = EndCause.CALLER if error is None else EndCause.ERROR
         self.gateway.record_end(
             ConnectionEnd(
-                _address_of(self.transport),
+                _address_of(delivery.transport),
                 self.end_cause or cause,
                 '' if error is None else repr(error),
-                outstanding,
+                delivery.outstanding,
                 requests,
             )
         )
@@ -358,18 +362,7 @@
         self.ignores_input = True
         if not self._accepts_request():
             return
-        refusal = _refusal_for(error)
-        # The parser's message quotes the input, which can contain an API key.
-        error_type = type(error).__name__
-        log('request_not_handled', code=refusal.code, error=error_type)
-        request = CallerRequest(
-            _PLACEHOLDER_HEAD,
-            EMPTY_PAYLOAD,
-            '',
-            self.gateway.clock.monotonic(),
-            None,
-        )
-        request.response = refusal.response(close=True)
+        request = rejected_request(error, self.gateway.clock.monotonic())
         self.pipeline.append(request)
         self._write_ready_responses()
 
@@ -377,14 +370,3 @@
 def _address_of(transport: asyncio.BaseTransport) -> str:
     name = transport.get_extra_info('peername')
     return f'{name[0]}:{name[1]}' if name else ''
-
-
-def _refusal_for(error: BaseException) -> Refusal:
-    match error:
-        case LineTooLong():
-            return Refusal(431, 'headers_too_large', 'the head is too large')
-        case TimeoutError():
-            return Refusal(408, 'header_timeout', str(error))
-        case _ if _TOO_MANY_HEADERS in str(error):
-            return Refusal(431, 'headers_too_large', 'too many headers')
-    return Refusal(400, 'malformed_request', 'not a valid HTTP request')
--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -15,6 +15,8 @@
     IDLE_TIMEOUT = 'idle_timeout'
     #: The last response closed the connection, other than for a stop.
     RESPONSE = 'response'
+    #: The caller acknowledged no bytes for too long.
+    SEND_TIMEOUT = 'send_timeout'
     STOP = 'stop'
 
 
--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -23,7 +23,7 @@
     clock: Clock,
     shutdown: timedelta,
 ) -> None:
-    """Close the port of ``server`` and return once all responses are sent.
+    """Close the port of ``server`` and return once callers have all responses.
 
     The process is killed ``shutdown`` after this call. A request that is still
     waiting for an upstream shortly before is refused: it has not run, and
@@ -38,10 +38,24 @@
         shutdown_seconds * (_STOP_LISTENING_SHARE - _ACCEPT_ALL_SHARE)
     )
     server.close()
-    for connection in tuple(gateway.connections):
-        connection.close_if_idle()
     log('port_closed', in_flight=gateway.in_flight)
-    while gateway.has_open_requests() or gateway.has_unsent_bytes():
-        if clock.monotonic().total_seconds() >= gateway.ends_at:
+    while _has_work(gateway, clock):
+        if _is_due(gateway, clock):
             gateway.dispatcher.refuse_waiting()
+        for connection in tuple(gateway.connections):
+            connection.close_if_idle()
         await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
+
+
+def _has_work(gateway: Gateway, clock: Clock) -> bool:
+    """Return whether callers still need this process.
+
+    Those that have all responses are given time to close their connections.
+    """
+    if gateway.has_open_requests() or gateway.has_outstanding_bytes():
+        return True
+    return bool(gateway.connections) and not _is_due(gateway, clock)
+
+
+def _is_due(gateway: Gateway, clock: Clock) -> bool:
+    return clock.monotonic().total_seconds() >= gateway.ends_at
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -103,9 +103,9 @@
             )
         self.request_server.apply_accounts(config.accounts)
 
-    def has_unsent_bytes(self) -> bool:
-        """Return whether a response waits for a caller that reads slowly."""
-        return any(one.has_unsent_bytes() for one in self.connections)
+    def has_outstanding_bytes(self) -> bool:
+        """Return whether a caller has yet to acknowledge a response."""
+        return any(one.has_outstanding_bytes() for one in self.connections)
 
     def has_open_requests(self) -> bool:
         """Return whether a request is at work, or waits behind another one."""
--- /dev/null
+++ b/src/crocusproxy/entry/rejected_request.py
@@ -0,0 +1,54 @@
+"""Requests that could not be parsed, and their refusals."""
+
+from datetime import timedelta
+
+from aiohttp.http import HttpVersion11, RawRequestMessage
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD
+from multidict import CIMultiDict, CIMultiDictProxy
+from yarl import URL
+
+from ..logs import log
+from .caller_request import CallerRequest
+from .responses import Refusal
+
+_TOO_MANY_HEADERS = 'Too many headers'
+#: Used as the head of a request that could not be parsed.
+_PLACEHOLDER_HEAD = RawRequestMessage(
+    'GET',
+    '/',
+    HttpVersion11,
+    CIMultiDictProxy(CIMultiDict()),
+    (),
+    should_close=True,
+    compression=None,
+    upgrade=False,
+    chunked=False,
+    url=URL('/'),
+)
+
+
+def rejected_request(
+    error: BaseException, received_at: timedelta
+) -> CallerRequest:
+    """Return a request with the refusal of the input that raised ``error``."""
+    refusal = _refusal_for(error)
+    # The parser's message quotes the input, which can contain an API key.
+    error_type = type(error).__name__
+    log('request_not_handled', code=refusal.code, error=error_type)
+    request = CallerRequest(
+        _PLACEHOLDER_HEAD, EMPTY_PAYLOAD, '', received_at, None
+    )
+    request.response = refusal.response(close=True)
+    return request
+
+
+def _refusal_for(error: BaseException) -> Refusal:
+    match error:
+        case LineTooLong():
+            return Refusal(431, 'headers_too_large', 'the head is too large')
+        case TimeoutError():
+            return Refusal(408, 'header_timeout', str(error))
+        case _ if _TOO_MANY_HEADERS in str(error):
+            return Refusal(431, 'headers_too_large', 'too many headers')
+    return Refusal(400, 'malformed_request', 'not a valid HTTP request')
--- /dev/null
+++ b/src/crocusproxy/entry/response_delivery.py
@@ -0,0 +1,129 @@
+"""Delivery of written responses until the caller has acknowledged them.
+
+A close while the peer has not acknowledged all bytes, followed by anything that
+the peer sends, makes the kernel reset the connection and discard these bytes.
+RFC 9112, section 9.6, describes the remedy: end only the own direction, and
+read until the peer closes the connection.
+"""
+
+import asyncio
+import fcntl
+import struct
+import termios
+from collections import deque
+from contextlib import suppress
+from datetime import timedelta
+
+#: A peer that acknowledges no byte for this long counts as gone.
+SEND_TIMEOUT = timedelta(seconds=30)
+#: An ended connection closes once the peer, which has acknowledged everything,
+#: has sent nothing for this long.
+LINGER_TIMEOUT = timedelta(seconds=1)
+#: It closes this long after the last acknowledgement, whatever still arrives.
+LINGER_LIMIT = timedelta(seconds=30)
+#: More responses than this are checked for acknowledgements at each write.
+_MAX_UNCHECKED = 64
+_INT = struct.Struct('i')
+
+
+def outstanding_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return how many written bytes the peer has not acknowledged.
+
+    They are in the transport's buffer or in the kernel's send queue. Without a
+    socket, or on a system that can't tell its length, the queue counts as
+    empty.
+    """
+    buffered = transport.get_write_buffer_size()
+    connection = transport.get_extra_info('socket')
+    if connection is None:
+        return buffered
+    queue_length = bytearray(_INT.size)
+    with suppress(OSError):
+        # TIOCOUTQ has the number of SIOCOUTQ, the request for sockets.
+        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, queue_length)
+    return buffered + int(_INT.unpack(queue_length)[0])
+
+
+class ResponseDelivery:
+    """Writes responses to a transport and tracks their acknowledgement.
+
+    Times are monotonic. ``outstanding`` is the number of bytes that the peer
+    had not acknowledged when they were last counted, ``acknowledged_at`` the
+    time at which it last acknowledged some. ``is_ended`` is set once nothing
+    more is sent.
+    """
+
+    __slots__ = (
+        'acknowledged_at',
+        'byte_count',
+        'ends',
+        'is_ended',
+        'outstanding',
+        'received_at',
+        'transport',
+    )
+
+    def __init__(
+        self, transport: asyncio.WriteTransport, now: timedelta
+    ) -> None:
+        self.transport = transport
+        self.acknowledged_at = now
+        self.received_at = now
+        self.byte_count = 0
+        self.outstanding = 0
+        self.is_ended = False
+        #: Request ids, each with the position of its response's last byte.
+        self.ends: deque[tuple[str, int]] = deque()
+
+    def write(self, request_id: str, response: bytes, now: timedelta) -> None:
+        """Write the whole response to a request."""
+        if not self.outstanding:
+            self.acknowledged_at = now
+        self.transport.write(response)
+        self.byte_count += len(response)
+        self.outstanding += len(response)
+        self.ends.append((request_id, self.byte_count))
+        if len(self.ends) > _MAX_UNCHECKED:
+            self.update(now)
+
+    def end(self, now: timedelta) -> None:
+        """End this direction of the connection after what was written."""
+        self.is_ended = True
+        self.received_at = now
+        self.transport.write_eof()
+        # The kernel counts the end as one byte.
+        self.outstanding += 1
+
+    def update(self, now: timedelta) -> None:
+        """Count the outstanding bytes, unless there were none before."""
+        if self.outstanding:
+            outstanding = outstanding_bytes(self.transport)
+            if outstanding != self.outstanding:
+                self.outstanding = outstanding
+                self.acknowledged_at = now
+                self._forget_acknowledged()
+
+    def request_ids(self) -> tuple[str, ...]:
+        """Return the ids of requests whose responses are not acknowledged."""
+        return tuple(request_id for request_id, _ in self.ends)
+
+    def is_stalled(self, now: timedelta) -> bool:
+        """Return whether the peer acknowledges nothing and counts as gone."""
+        silence = now - self.acknowledged_at
+        return self.outstanding > 0 and silence > SEND_TIMEOUT
+
+    def may_close(self, now: timedelta) -> bool:
+        """Return whether an ended connection may be closed.
+
+        The peer has acknowledged everything and has had time to close it.
+        """
+        if self.outstanding or not self.is_ended:
+            return False
+        last_at = max(self.received_at, self.acknowledged_at)
+        is_silent = now - last_at > LINGER_TIMEOUT
+        return is_silent or now - self.acknowledged_at > LINGER_LIMIT
+
+    def _forget_acknowledged(self) -> None:
+        acknowledged = self.byte_count - self.outstanding
+        while self.ends and self.ends[0][1] <= acknowledged:
+            self.ends.popleft()
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -6,8 +6,9 @@
 from unittest.mock import Mock
 
 from crocusproxy.clock import ManualClock
-from crocusproxy.entry import caller_connection
+from crocusproxy.entry import rejected_request
 from crocusproxy.entry.caller_connection import CallerConnection
+from crocusproxy.entry.connection_end import EndCause
 from crocusproxy.entry.responses import CallerResponse
 from crocusproxy.platform.headers import HEADER_NAMES
 from crocusproxy.routes.model import CallerLimits
@@ -33,6 +34,10 @@
         self.release = asyncio.Event()
         self.handled = []
         self.failing = set()
+        self.ends = []
+
+    def record_end(self, end):
+        self.ends.append(end)
 
     async def handle(self, request):
         path = request.message.path
@@ -50,8 +55,14 @@
             self.gateway, asyncio.get_running_loop()
         )
         self.transport = Mock()
+        self.transport.get_extra_info.return_value = None
+        self.set_outstanding(0)
         self.protocol.connection_made(self.transport)
 
+    def set_outstanding(self, byte_count):
+        """Set how many bytes the caller has not acknowledged."""
+        self.transport.get_write_buffer_size.return_value = byte_count
+
     def advance(self, seconds):
         self.gateway.clock.advance(timedelta(seconds=seconds))
         self.protocol.enforce_timeouts(self.gateway.clock.monotonic())
@@ -130,7 +141,7 @@
     """Each further piece was parsed and logged as another failure."""
     events = []
     monkeypatch.setattr(
-        caller_connection, 'log', lambda event, **_: events.append(event)
+        rejected_request, 'log', lambda event, **_: events.append(event)
     )
 
     async def scenario():
@@ -228,6 +239,83 @@
     asyncio.run(scenario())
 
 
+async def answered_connection(outstanding):
+    """Return a connection with one response, which is not acknowledged."""
+    connection = Connection()
+    connection.send(0)
+    connection.set_outstanding(outstanding)
+    await connection.finish()
+    return connection
+
+
+def test_idle_time_counts_from_the_acknowledgement_of_the_response():
+    async def scenario():
+        connection = await answered_connection(outstanding=100)
+        connection.gateway.limits = CallerLimits(
+            idle_timeout=timedelta(seconds=2)
+        )
+        for outstanding in (60, 30, 0):
+            connection.set_outstanding(outstanding)
+            connection.advance(10)
+        assert not connection.protocol.is_finished
+        connection.advance(4)
+        assert connection.protocol.is_finished
+
+    asyncio.run(scenario())
+
+
+def test_connection_stays_open_until_the_closing_response_is_acknowledged():
+    """It closed a second after the response was written."""
+
+    async def scenario():
+        connection = Connection()
+        connection.send(0, headers='Connection: close\r\n')
+        connection.set_outstanding(100)
+        await connection.finish()
+        for outstanding in (60, 30, 1, 0):
+            connection.set_outstanding(outstanding)
+            connection.advance(20)
+            assert not connection.transport.close.called
+        connection.advance(2)
+        assert connection.transport.close.called
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_sends_on_after_the_end_is_not_read_forever():
+    async def scenario():
+        connection = Connection()
+        connection.send(0, headers='Connection: close\r\n')
+        await connection.finish()
+        seconds = 0
+        while not connection.transport.close.called:
+            connection.protocol.data_received(HEAD)
+            connection.advance(0.5)
+            seconds += 0.5
+        assert 5 < seconds < 60
+        assert connection.gateway.handled == ['/0']
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_acknowledges_nothing_counts_as_gone():
+    """It would hold its responses in memory forever."""
+
+    async def scenario():
+        connection = await answered_connection(outstanding=100)
+        connection.advance(1)
+        connection.advance(25)
+        assert not connection.transport.abort.called
+        connection.advance(10)
+        assert connection.transport.abort.called
+        connection.protocol.connection_lost(None)
+        (end,) = connection.gateway.ends
+        assert end.cause is EndCause.SEND_TIMEOUT
+        assert end.unacknowledged_bytes == 100
+
+    asyncio.run(scenario())
+
+
 def test_rejected_request_gets_its_response_over_a_socket():
     async def scenario(system):
         caller = await system.connect()
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -449,10 +449,10 @@
         caller.send('r1', deadline_ms=5000)
         await asyncio.sleep(0.5)
         assert not system.gateway.in_flight
-        assert system.gateway.has_unsent_bytes()
+        assert system.gateway.has_outstanding_bytes()
         assert len((await caller.read())[2]) == len(body)
         await asyncio.sleep(0.05)
-        assert not system.gateway.has_unsent_bytes()
+        assert not system.gateway.has_outstanding_bytes()
         caller.close()
 
     run_scenario(scenario, [make_server()])
