Serve the requests that precede invalid input in one segment

The parser discards the requests that it has read from the same piece of input when it finds an error: GET, POST and then invalid bytes in one segment got a single 400; so did a request with Connection: close and one behind it. Input is now split at the ends of heads, across segments too.

Both tests fail before (statuses [400], nothing handled).

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -20,6 +20,7 @@
 from ..routes.model import CallerLimits
 from .caller_request import CallerRequest, RequestStage
 from .connection_end import ConnectionEnd, EndCause, OpenRequest
+from .head_splitter import HeadSplitter
 from .header_names import HeaderNames
 from .rejected_request import rejected_request
 from .response_delivery import ResponseDelivery
@@ -74,6 +75,7 @@
         'head_started_at',
         'pipeline',
         'gateway',
+        'splitter',
     )
 
     def __init__(
@@ -82,6 +84,7 @@
         super().__init__(loop)
         self.gateway = gateway
         self.pipeline: deque[CallerRequest] = deque()
+        self.splitter = HeadSplitter()
         self.delivery: ResponseDelivery | None = None
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
@@ -134,22 +137,10 @@
         self.last_activity_at = self.gateway.clock.monotonic()
         if self.delivery is not None:
             self.delivery.received_at = self.last_activity_at
-        if self.is_finished or self.ignores_input:
-            return
-        assert self._parser is not None
-        try:
-            messages, upgraded, _ = self._parser.feed_data(data)
-        except Exception as error:  # noqa: BLE001 - any parser fault
-            self._reject(error)
-            return
-        self._note_partial_head(is_partial=not messages and not self.pipeline)
-        for message, payload in messages:
-            if not self._accepts_request():
-                self.ignores_input = True
+        for piece in self.splitter.split(data):
+            if self.is_finished or self.ignores_input:
                 return
-            self._start_request(message, payload)
-        if upgraded:
-            self._reject(BadHttpMessage('protocol switch'))
+            self._parse(piece)
         if len(self.pipeline) > _MAX_PIPELINED:
             self._pause_reading_for_buffer()
 
@@ -194,6 +185,22 @@
         """Return whether a request has not been answered yet."""
         return bool(self.pipeline)
 
+    def _parse(self, piece: bytes) -> None:
+        assert self._parser is not None
+        try:
+            messages, upgraded, _ = self._parser.feed_data(piece)
+        except Exception as error:  # noqa: BLE001 - any parser fault
+            self._reject(error)
+            return
+        self._note_partial_head(is_partial=not messages and not self.pipeline)
+        for message, payload in messages:
+            if not self._accepts_request():
+                self.ignores_input = True
+                return
+            self._start_request(message, payload)
+        if upgraded:
+            self._reject(BadHttpMessage('protocol switch'))
+
     def _enforce_idle_timeouts(
         self, delivery: ResponseDelivery, now: timedelta
     ) -> None:
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -17,6 +17,8 @@
 
 HEAD = b'GET /safe/x HTTP/1.1\r\nHost: a.example\r\n\r\n'
 
+POST_HEAD = b'POST /p HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n'
+
 
 class FakeGateway:
     """Answers each request once ``release`` is set.
@@ -159,6 +161,34 @@
     asyncio.run(scenario())
 
 
+def test_requests_before_invalid_input_of_the_same_segment_are_served():
+    """They were refused with 400, or had no response at all."""
+
+    async def scenario():
+        connection = Connection()
+        connection.protocol.data_received(
+            HEAD + POST_HEAD + b'bodynot a request\r\n\r\n'
+        )
+        await connection.finish()
+        assert connection.gateway.handled == ['/safe/x', '/p']
+        assert connection.statuses == [200, 200, 400]
+
+    asyncio.run(scenario())
+
+
+def test_request_that_closes_the_connection_is_served_before_another_one():
+    """It was refused with 400 if another one was in the same segment."""
+
+    async def scenario():
+        connection = Connection()
+        close = b'Connection: close\r\n\r\n'
+        connection.protocol.data_received(HEAD[:-2] + close + HEAD)
+        await connection.finish()
+        assert connection.statuses == [200]
+
+    asyncio.run(scenario())
+
+
 def pipelined_connection(*methods):
     """Return a connection that has received one request for each method."""
     connection = Connection()
