Add bench.closes, which counts lost requests on any checkout

The same bed is to show which landings lose requests when connections close, and in which form. It starts the instances of a built checkout as its deploy file says, with the store and the upstreams of review/lib. Callers use raw sockets, so bytes that arrived before a reset are counted.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Tests in KNOWN-RED.txt have an open issue; they are printed and deselected.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: help venv format lint test demo bench bench-short search soak margins clean
+.PHONY: help venv format lint test demo bench bench-short search soak margins closes clean
 
 help:
 	@echo 'make demo         run the whole system on loopback for about 20 seconds'
@@ -18,6 +18,7 @@
 	@echo 'make search       run the state machine tests with random examples'
 	@echo 'make soak         run the processes under random faults; SEED=n repeats a run'
 	@echo 'make margins      measure how near real processes come to a bound'
+	@echo 'make closes       count requests that are lost when connections close'
 	@echo 'make format       format the code'
 
 venv: $(STAMP)
@@ -84,5 +85,13 @@
 	  $(if $(REPEATS),--repeats=$(REPEATS)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
 	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY))
 
+# Optional: FORM of the closes (all of them by default), TREE of another checkout that
+# is built, SEED, TIME in seconds, DELAY_MS of the callers and FAULTS=True.
+closes: $(STAMP)
+	@[ -n "$(TREE)" ] || PATH="$(CURDIR)/$(BIN):$$PATH" sh deploy/build.sh
+	$(BIN)/python -m bench.closes $(if $(FORM),--form=$(FORM)) $(if $(TREE),--tree=$(TREE)) \
+	  $(if $(SEED),--seed=$(SEED)) $(if $(TIME),--seconds=$(TIME)) \
+	  $(if $(DELAY_MS),--delay_ms=$(DELAY_MS)) $(if $(FAULTS),--faults=$(FAULTS))
+
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/closes/__init__.py
@@ -0,0 +1,1 @@
+"""Losses of requests when connections close, on any checkout."""
--- /dev/null
+++ b/bench/closes/forms.py
@@ -0,0 +1,55 @@
+"""The forms of closes by their names."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from . import series, slow_readers
+from .report import FormResult, make_result
+from .review_bed import bed
+from .testbed import ClosesTestbed
+
+
+@dataclass(frozen=True, slots=True)
+class Form:
+    """A deployment, and whether its planned work is drawn at random."""
+
+    zones: tuple[str, ...]
+    routes: tuple[tuple, ...]
+
+
+FORMS = {
+    **{
+        name: Form(slow_readers.ZONES, slow_readers.ROUTES)
+        for name in slow_readers.FORMS
+    },
+    'series': Form(series.ZONES, series.ROUTES),
+}
+
+
+async def play_form(
+    name: str,
+    tree: str,
+    logs: Path,
+    random: Random,
+    seed: int,
+    seconds: float,
+    delay_seconds: float,
+    *,
+    faults: bool,
+) -> FormResult:
+    """Play a form once; the record and the logs go to ``logs``."""
+    form = FORMS[name]
+    testbed = ClosesTestbed(
+        logs, form.zones, form.routes, random, delay_seconds
+    )
+    try:
+        if name in slow_readers.FORMS:
+            await slow_readers.FORMS[name](testbed)
+        else:
+            await series.Series(testbed, seconds, faults=faults).play()
+    finally:
+        await testbed.stop()
+    if not testbed.ledger.passed_on():
+        raise bed.CaseFailed('no request was passed on')
+    return make_result(tree, name, seed, testbed.ledger, logs)
