--- a/bench/closes/callers.py
+++ b/bench/closes/callers.py
@@ -1,6 +1,7 @@
 """Callers on raw sockets, which see all bytes that arrive before a reset."""
 
 import asyncio
+import math
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -76,6 +77,7 @@
         self.open_requests: deque[Request] = deque()
         self.is_closed = False
         self.progress = asyncio.Event()
+        self.continued = asyncio.Event()
         self.socket = socket.socket()
         self.socket.setblocking(False)
         if receive_buffer:
@@ -104,6 +106,20 @@
         for request in requests:
             request.sent_at = self.now()
 
+    def expect(self, request: Request) -> None:
+        """Note a request whose last byte the caller of this sends later."""
+        request.is_behind = bool(self.open_requests)
+        request.sent_at = math.inf
+        self.open_requests.append(request)
+        self.ledger.add(request)
+
+    async def wait_continue(self, seconds: float) -> None:
+        """Wait for `100 Continue`, at most so long."""
+        self.continued.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.continued.wait()
+
     async def write(self, message: bytes) -> None:
         loop = asyncio.get_running_loop()
         with suppress(OSError):
@@ -135,14 +151,15 @@
         first, headers = await bed.read_head(self.reader)
         status = int(first.split(' ')[1])
         if status < 200:
-            self.progress.set()
+            self.continued.set()
             return
         has_length = 'content-length' in headers
         if has_length or 'transfer-encoding' in headers:
-            await bed.read_body(self.reader, headers)
+            body = await bed.read_body(self.reader, headers)
         else:
-            await self.reader.read_to_end()
+            body = await self.reader.read_to_end()
         request = self.open_requests.popleft()
+        request.body_bytes = len(body)
         request.status = status
         request.is_upstream_answer = bed.SIGNATURE.lower() in headers
         request.completed_at = self.now()
--- a/bench/closes/forms.py
+++ b/bench/closes/forms.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from random import Random
 
-from . import series, slow_readers
+from . import exchanges, series, slow_readers, trials
 from .report import FormResult, make_result
 from .review_bed import bed
 from .testbed import ClosesTestbed
@@ -24,6 +24,7 @@
         for name in slow_readers.FORMS
     },
     'series': Form(series.ZONES, series.ROUTES),
+    **{name: Form(trials.ZONES, exchanges.ROUTES) for name in trials.TRIALS},
 }
 
 
@@ -46,6 +47,8 @@
     try:
         if name in slow_readers.FORMS:
             await slow_readers.FORMS[name](testbed)
+        elif name in trials.TRIALS:
+            await trials.TRIALS[name].play(testbed, seconds)
         else:
             await series.Series(testbed, seconds, faults=faults).play()
     finally:
--- a/bench/closes/ledger.py
+++ b/bench/closes/ledger.py
@@ -27,6 +27,7 @@
     CUT = 'cut at work'
     REPLACED = 'replaced at work'
     LATE = 'refused late'
+    TRUNCATED = 'cut short'
 
 
 @dataclass(slots=True)
@@ -48,12 +49,19 @@
     #: When its upstream ended or reset the connection.
     broken_at: float | None = None
     status: int | None = None
+    expected_bytes: int | None = None
+    body_bytes: int = 0
     is_upstream_answer: bool = False
     completed_at: float | None = None
     #: When the connection ended without a complete answer, and how.
     ended_at: float | None = None
     end: str = ''
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the answer has the length that was asked for."""
+        return self.expected_bytes in {None, self.body_bytes}
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -103,9 +111,12 @@
 
     ``stops`` are the times of SIGTERM of the instance that took it.
     """
+    if request.broken_at is not None:
+        return None
     if request.completed_at is not None:
-        return _find_replacement(request, stops)
-    if request.ended_at is None or request.broken_at is not None:
+        is_cut = request.is_upstream_answer and not request.is_whole
+        return Loss.TRUNCATED if is_cut else _find_replacement(request, stops)
+    if request.ended_at is None or request.ended_at < request.sent_at:
         return None
     waited = request.ended_at - request.sent_at
     if waited >= request.deadline_seconds - _DEADLINE_SLACK_SECONDS:
--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -6,12 +6,13 @@
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
+from urllib.parse import parse_qsl, urlsplit
 
 from .callers import CallerConnection
 from .delayed_link import DelayedLink
 from .ledger import GRACE_SECONDS, Ledger, Request
 from .review_bed import bed
-from .upstream import Upstream
+from .upstream import ANSWER_BYTES, Upstream
 
 IDLE_TIMEOUT_MS = 15_000
 SETTLE_SECONDS = 1.5
@@ -125,6 +126,7 @@
             connection.instance,
             connection.number,
             deadline_seconds,
+            expected_bytes=_size_of(target),
         )
         all_headers = (
             ('Host', bed.HOST),
@@ -163,3 +165,9 @@
         """Write each loss to the record, with what is known of the request."""
         for request, loss in self.ledger.losses():
             self.record.write(f'LOST ({loss}): {request}')
+
+
+def _size_of(target: str) -> int:
+    """Return the length of the answer that a target asks of an upstream."""
+    query = dict(parse_qsl(urlsplit(target).query))
+    return int(query.get('size', ANSWER_BYTES))
--- a/bench/closes/upstream.py
+++ b/bench/closes/upstream.py
@@ -10,6 +10,8 @@
 
 #: An answer of unknown length or an early one is written in this many parts.
 _PARTS = 5
+#: Length of an answer if the query has no size.
+ANSWER_BYTES = 100
 
 
 class Upstream(bed.Server):
@@ -95,7 +97,7 @@
             work.cancel()
             await asyncio.gather(work, return_exceptions=True)
             return self._drop(request)
-        body = bytes(int(query.get('size', '100')))
+        body = bytes(int(query.get('size', ANSWER_BYTES)))
         headers = (
             (bed.REQUEST_ID, request.id),
             (bed.SIGNATURE, f's.{self.id}'),
--- a/tests/bench/test_closes.py
+++ b/tests/bench/test_closes.py
@@ -1,6 +1,7 @@
 """Guards against losses that the tool does not report, and reports wrongly."""
 
 import json
+import math
 import subprocess
 import sys
 import sysconfig
@@ -69,6 +70,19 @@
     assert find_loss(make_request(**fields), stops=()) is loss
 
 
+def test_answer_that_is_cut_short_but_looks_complete_is_lost():
+    answered = {'completed_at': 1, 'is_upstream_answer': True}
+    cut = make_request(expected_bytes=2, body_bytes=1, **answered)
+    assert find_loss(cut, stops=()) is Loss.TRUNCATED
+    whole = make_request(expected_bytes=2, body_bytes=2, **answered)
+    assert find_loss(whole, stops=()) is None
+
+
+def test_request_that_is_not_sent_completely_is_not_lost():
+    partly = make_request(sent_at=math.inf, arrived_at=0.1, ended_at=1)
+    assert find_loss(partly, stops=()) is None
+
+
 def test_work_in_the_last_sixth_of_the_grace_excuses_an_early_request():
     cut = make_request(sent_at=1.0, arrived_at=1.1, ended_at=5.5)
     assert find_loss(cut, stops=[0.4]) is None
