--- a/bench/closes/report.py
+++ b/bench/closes/report.py
@@ -27,6 +27,7 @@
     events: dict[str, int]
     statuses: dict[str, int]
     first_losses: tuple[str, ...]
+    longest_stall_seconds: float
     folder: str
 
     def line(self) -> str:
@@ -38,7 +39,8 @@
             f'{self.lost:>5} lost of {self.passed_on:>6} passed on, '
             f'{self.answered:>6} answered; {losses}; '
             f'connection_ended: {causes}; {_join(self.events) or "-"}; '
-            f'statuses {_join(self.statuses) or "-"}'
+            f'statuses {_join(self.statuses) or "-"}; '
+            f'stall {self.longest_stall_seconds:.2f} s'
         )
 
 
@@ -64,6 +66,7 @@
             )
         ),
         first_losses=tuple(request.id for request, _ in losses[:_NAMED_LOSSES]),
+        longest_stall_seconds=round(ledger.longest_stall_seconds, 3),
         folder=str(logs),
     )
 
--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -18,6 +18,8 @@
 SETTLE_SECONDS = 1.5
 _EXIT_POLL_SECONDS = 0.02
 _CLOSE_SECONDS = 0.2
+_STALL_CHECK_SECONDS = 0.02
+_NOTED_STALL_SECONDS = 0.1
 
 
 class ClosesTestbed(bed.Bed):
@@ -76,6 +78,19 @@
                 self.addresses[instance.name] = await link.start()
         await self.wait_ready(40)
         await asyncio.sleep(SETTLE_SECONDS)
+        self.tasks.append(asyncio.create_task(self._watch_stalls()))
+
+    async def _watch_stalls(self) -> None:
+        """Note for how long this process stood still, in the record too."""
+        while True:
+            due_at = self.now() + _STALL_CHECK_SECONDS
+            await asyncio.sleep(_STALL_CHECK_SECONDS)
+            stall = self.now() - due_at
+            if stall > _NOTED_STALL_SECONDS:
+                self.record.write(f'the callers stood still for {stall:.2f} s')
+            self.ledger.longest_stall_seconds = max(
+                self.ledger.longest_stall_seconds, stall
+            )
 
     def is_running(self, instance) -> bool:
         return instance.process is not None and instance.process.poll() is None
@@ -146,6 +161,8 @@
         await connection.send(*zip(*made, strict=True))
 
     async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
         for link in self.links.values():
             link.close()
         for instance in self.instances:
