--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -1,6 +1,7 @@
 """Instances of a checkout with upstreams and callers in this process."""
 
 import asyncio
+import json
 import shutil
 import signal
 from collections.abc import Sequence
@@ -18,6 +19,8 @@
 SETTLE_SECONDS = 1.5
 _EXIT_POLL_SECONDS = 0.02
 _CLOSE_SECONDS = 0.2
+#: Offset of the port for other instances from the bed's first port.
+_INTERNAL_PORT = 10
 _STALL_CHECK_SECONDS = 0.02
 _NOTED_STALL_SECONDS = 0.1
 
@@ -46,6 +49,8 @@
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
         self.delay_seconds = delay_seconds
         self.links: dict[str, DelayedLink] = {}
+        #: Links on the way to the instances' ports for one another.
+        self.peer_links: dict[str, bed.Link] = {}
         self.addresses = {one.name: one.front for one in self.instances}
 
     def now(self) -> float:
@@ -92,6 +97,27 @@
                 self.ledger.longest_stall_seconds, stall
             )
 
+    async def link_peers(self) -> None:
+        """Put a link on the way to each instance's port for the others.
+
+        Call it before the start. The tree must have `soak/linked_entry.py`.
+        """
+        path = self.folder / 'links.json'
+        for instance in self.instances:
+            target = f'{instance.ip}:{self.port + _INTERNAL_PORT}'
+            self.peer_links[target] = await bed.Link(target).start()
+        path.write_text(
+            json.dumps(
+                {
+                    target: link.address
+                    for target, link in self.peer_links.items()
+                }
+            )
+        )
+        self.role = self.role | {
+            'run': f'python3 -S -m soak.linked_entry {path}'
+        }
+
     def is_running(self, instance) -> bool:
         return instance.process is not None and instance.process.poll() is None
 
--- a/bench/closes/trials.py
+++ b/bench/closes/trials.py
@@ -86,6 +86,17 @@
         await restart(testbed, home)
 
 
+async def reset_peers(testbed: ClosesTestbed, instance) -> None:
+    """Reset the connections of other instances to one, for a short time."""
+    target = f'{instance.ip}:'
+    for address, link in testbed.peer_links.items():
+        if address.startswith(target):
+            link.set_mode('reset')
+            testbed.ledger.events['resets between instances'] += 1
+            await asyncio.sleep(testbed.random.uniform(0, 0.3))
+            link.set_mode('ok')
+
+
 async def leave_alone(testbed: ClosesTestbed, instance) -> None:
     """Leave connections to the idle timeout."""
     del testbed, instance
@@ -124,6 +135,8 @@
                 'work', zone, slots=self.slots, queue=500
             )
         testbed.idle_timeout_ms = self.idle_timeout_ms
+        if self.work is reset_peers:
+            await testbed.link_peers()
         await testbed.start_all()
         ends_at = testbed.now() + seconds
         callers = [
@@ -182,6 +195,7 @@
     'handover': Trial(read_some, hand_over),
     'young': Trial(read_some, stop_young),
     'reload': Trial(read_some, reload_throughout),
+    'peers': Trial(read_some, reset_peers),
     # Requests wait at the home, as upstreams have half of the slots they need.
     'home': Trial(
         read_some, stop_home, pause_seconds=(0, 0), slots=2, callers=60
