--- a/bench/closes/forms.py
+++ b/bench/closes/forms.py
@@ -23,7 +23,10 @@
         name: Form(slow_readers.ZONES, slow_readers.ROUTES)
         for name in slow_readers.FORMS
     },
-    'series': Form(series.ZONES, series.ROUTES),
+    **{
+        name: Form(series.ZONES, deployment.routes())
+        for name, deployment in series.DEPLOYMENTS.items()
+    },
     **{name: Form(trials.ZONES, exchanges.ROUTES) for name in trials.TRIALS},
 }
 
@@ -50,7 +53,10 @@
         elif name in trials.TRIALS:
             await trials.TRIALS[name].play(testbed, seconds)
         else:
-            await series.Series(testbed, seconds, faults=faults).play()
+            deployment = series.DEPLOYMENTS[name]
+            await series.Series(
+                testbed, deployment, seconds, faults=faults
+            ).play()
     finally:
         await testbed.stop()
     if not testbed.ledger.passed_on():
--- a/bench/closes/series.py
+++ b/bench/closes/series.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -28,7 +29,7 @@
 _NAMED_SECONDS = 1.0
 _DRAIN_SECONDS = 2.5
 _END_SECONDS = 7.0
-_SLOTS, _QUEUE = 6, 24
+_QUEUE = 24
 _FREEZE_SECONDS = (0.2, 2.0)
 
 
@@ -62,17 +63,64 @@
     Kind('/roster/', 'GET', 'ridership', 21.8, 0.55, 6),
     Kind('/board/', 'GET', 'ridership', 17.9, 0.088, 1.2),
 )
-SAFE_KINDS = tuple(kind for kind in KINDS if kind.method == 'GET')
-ROUTES = tuple(kind.route() for kind in KINDS)
-UPSTREAMS = {'dispatch': 16, 'ridership': 11}
+SHORT_KINDS = (
+    Kind('/rundown/', 'GET', 'newsroom', 74.1, 0.06, 0.5),
+    Kind('/publish/', 'POST', 'newsroom', 29.9, 0.078, 0.6, body_bytes=7000),
+    Kind('/cable/', 'GET', 'wire', 31.4, 0.15, 1),
+    Kind('/flash/', 'GET', 'wire', 20, 0.024, 0.25),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The load of a deployment, its upstreams, and its planned work."""
+
+    kinds: tuple[Kind, ...]
+    #: Number of upstreams by service.
+    upstreams: Mapping[str, int]
+    slots: int
+    #: Whether an upstream that is full resets connections.
+    resets: bool
+    #: Whether it has SIGHUP, configurations in quick succession, and changes
+    #: of the idle timeout.
+    has_changes: bool
+
+    def routes(self) -> tuple[tuple, ...]:
+        return tuple(kind.route() for kind in self.kinds)
+
+    def safe_kinds(self) -> tuple[Kind, ...]:
+        return tuple(kind for kind in self.kinds if kind.method == 'GET')
+
+
+LONG_WORK = Deployment(
+    KINDS,
+    {'dispatch': 16, 'ridership': 11},
+    slots=6,
+    resets=True,
+    has_changes=True,
+)
+SHORT_WORK = Deployment(
+    SHORT_KINDS,
+    {'newsroom': 15, 'wire': 12},
+    slots=2,
+    resets=False,
+    has_changes=False,
+)
+DEPLOYMENTS = {'series': LONG_WORK, 'series_short': SHORT_WORK}
 
 
 class Series:
     """Load and planned work of one run; with ``faults`` also kills."""
 
     def __init__(
-        self, testbed: ClosesTestbed, seconds: float, *, faults: bool
+        self,
+        testbed: ClosesTestbed,
+        deployment: Deployment,
+        seconds: float,
+        *,
+        faults: bool,
     ) -> None:
+        self.deployment = deployment
         self.testbed = testbed
         self.random = testbed.random
         self.seconds = seconds
@@ -83,7 +131,7 @@
 
     async def play(self) -> None:
         testbed = self.testbed
-        for service, count in UPSTREAMS.items():
+        for service, count in self.deployment.upstreams.items():
             for number in range(count):
                 await self._add_upstream(service, ZONES[number % len(ZONES)])
         await testbed.start_all()
@@ -109,10 +157,13 @@
     def _draw_work(self):
         choices = [
             (4, self._stop_some),
-            (2, self._reload_some),
-            (2, self._change_idle_timeout),
             (1, self._replace_upstream),
         ]
+        if self.deployment.has_changes:
+            choices += [
+                (2, self._reload_some),
+                (2, self._change_idle_timeout),
+            ]
         if self.faults:
             choices += [
                 (1, self._kill_one),
@@ -169,10 +220,10 @@
     async def _change_configuration(self) -> None:
         """Add and remove a route in quick succession."""
         number = 0
-        while True:
+        while self.deployment.has_changes:
             await asyncio.sleep(CONFIGURATION_SECONDS)
             number += 1
-            extra = (f'/extra-{number % 3}/', 'safe', 'dispatch')
+            extra = (f'/extra-{number % 3}/', 'safe', self.testbed.services[0])
             self.testbed.publish(self.testbed.configuration([extra]))
 
     async def _replace_upstream(self) -> None:
@@ -222,7 +273,11 @@
 
     async def _add_upstream(self, service: str, zone: str) -> None:
         await self.testbed.add_upstream(
-            service, zone, resets=True, slots=_SLOTS, queue=_QUEUE
+            service,
+            zone,
+            resets=self.deployment.resets,
+            slots=self.deployment.slots,
+            queue=_QUEUE,
         )
 
     async def _call(self) -> None:
@@ -256,9 +311,9 @@
 
     async def _send_some(self, connection: CallerConnection) -> None:
         if self.random.random() < PIPELINED_SHARE:
-            kinds = self._draw_kinds(SAFE_KINDS, PIPELINED)
+            kinds = self._draw_kinds(self.deployment.safe_kinds(), PIPELINED)
         else:
-            kinds = self._draw_kinds(KINDS, 1)
+            kinds = self._draw_kinds(self.deployment.kinds, 1)
         made = [self._make(connection, kind) for kind in kinds]
         await connection.send(*zip(*made, strict=True))
 
--- a/tests/bench/test_closes.py
+++ b/tests/bench/test_closes.py
@@ -11,7 +11,7 @@
 
 from bench.closes.ledger import Ledger, Loss, Request, find_loss
 from bench.closes.report import count_causes
-from bench.closes.series import KINDS, ROUTES
+from bench.closes.series import DEPLOYMENTS
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -117,10 +117,11 @@
     assert count_causes([path]) == {'stop/sent': 1, 'stop/answered': 1}
 
 
-def test_only_requests_by_get_are_on_safe_routes():
-    kinds = [route[1] for route in ROUTES]
+@pytest.mark.parametrize('deployment', DEPLOYMENTS.values())
+def test_only_requests_by_get_are_on_safe_routes(deployment):
+    kinds = [route[1] for route in deployment.routes()]
     assert [kind == 'safe' for kind in kinds] == [
-        kind.method == 'GET' for kind in KINDS
+        kind.method == 'GET' for kind in deployment.kinds
     ]
 
 
