--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -78,7 +78,9 @@
         await self.start(self.configuration())
         if self.delay_seconds:
             for instance in self.instances:
-                link = DelayedLink(instance.front, self.delay_seconds)
+                link = DelayedLink(
+                    self.ledger, instance.front, self.delay_seconds
+                )
                 self.links[instance.name] = link
                 self.addresses[instance.name] = await link.start()
         await self.wait_ready(40)
