Let requests wait at the home of bench.closes, and count broken-off ones

The home trial refused most requests at once (9,840 of 10,318, overloaded), so nothing waited there. Requests of the new route may wait until their deadline of 18 s, which is longer than the whole shutdown.

--- a/bench/closes/exchanges.py
+++ b/bench/closes/exchanges.py
@@ -11,8 +11,16 @@
 ROUTES = (
     ('/read/', 'safe', 'work', {'TimeoutMs': 15_000}),
     ('/write/', 'unsafe', 'work', {'TimeoutMs': 15_000}),
+    # Requests may wait for an upstream until their deadline.
+    (
+        '/long/',
+        'safe',
+        'work',
+        {'TimeoutMs': 20_000, 'TargetLatencyMs': 15_000},
+    ),
 )
 DEADLINE_SECONDS = 12.0
+LONG_DEADLINE_SECONDS = 18.0
 DEEP_PIPELINE = 100
 _BODY_PARTS = 6
 _PART_BYTES = 1200
@@ -39,6 +47,15 @@
     )
 
 
+async def read_long(testbed: ClosesTestbed, connection) -> None:
+    """Send a request that has more time than a whole shutdown."""
+    work = testbed.random.uniform(0.5, 5)
+    target = f'/long/x?work={work:.3f}&size=30000'
+    await testbed.send(
+        connection, [target], deadline_seconds=LONG_DEADLINE_SECONDS
+    )
+
+
 async def read_deeply(testbed: ClosesTestbed, connection) -> None:
     """Pipeline more requests than an instance reads at once."""
     targets = [
--- a/bench/closes/ledger.py
+++ b/bench/closes/ledger.py
@@ -101,6 +101,20 @@
             request.arrived_at is not None for request in self.requests.values()
         )
 
+    def broken_off(self) -> int:
+        """Return how many requests at work got an instance's own answer.
+
+        Those whose deadline had passed are left out. They are lost only as
+        `find_loss` says.
+        """
+        return sum(
+            request.dropped_at is not None
+            and request.status is not None
+            and not request.is_upstream_answer
+            and request.dropped_at - request.sent_at < request.deadline_seconds
+            for request in self.requests.values()
+        )
+
     def _is_disturbed(self, request: Request) -> bool:
         end = request.ended_at or request.completed_at
         return end is not None and any(
--- a/bench/closes/report.py
+++ b/bench/closes/report.py
@@ -22,6 +22,7 @@
     passed_on: int
     answered: int
     lost: int
+    broken_off: int
     losses: dict[str, int]
     causes: dict[str, int]
     events: dict[str, int]
@@ -37,7 +38,8 @@
         return (
             f'{self.tree:<15} {self.form:<12}seed {self.seed:<5}'
             f'{self.lost:>5} lost of {self.passed_on:>6} passed on, '
-            f'{self.answered:>6} answered; {losses}; '
+            f'{self.answered:>6} answered, {self.broken_off} broken off; '
+            f'{losses}; '
             f'connection_ended: {causes}; {_join(self.events) or "-"}; '
             f'statuses {_join(self.statuses) or "-"}; '
             f'stall {self.longest_stall_seconds:.2f} s'
@@ -57,6 +59,7 @@
         passed_on=ledger.passed_on(),
         answered=sum(request.completed_at is not None for request in requests),
         lost=len(losses),
+        broken_off=ledger.broken_off(),
         losses=dict(Counter(str(loss) for _, loss in losses)),
         causes=dict(count_causes(logs.glob('front-*.log'))),
         events=dict(ledger.events),
--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -207,7 +207,13 @@
         await asyncio.sleep(_CLOSE_SECONDS)
 
     def write_losses(self) -> None:
-        """Write each loss to the record, with what is known of the request."""
+        """Write each loss to the record, with what is known of the request.
+
+        Requests that an instance answered itself stand before them.
+        """
+        for request in self.ledger.requests.values():
+            if request.status and not request.is_upstream_answer:
+                self.record.write(f'own answer {request.status}: {request}')
         for request, loss in self.ledger.losses():
             self.record.write(f'LOST ({loss}): {request}')
 
--- a/bench/closes/trials.py
+++ b/bench/closes/trials.py
@@ -8,6 +8,7 @@
 from .exchanges import (
     Exchange,
     read_deeply,
+    read_long,
     read_parts,
     read_some,
     write_slowly,
@@ -20,7 +21,8 @@
 CALLERS = 30
 UPSTREAMS = 8
 SLOTS = 12
-_END_SECONDS = 8.0
+#: Requests that were sent last are answered or reach their deadline by then.
+_END_SECONDS = 20.0
 _READY_SECONDS = 20.0
 #: No fewer instances stay, so that callers always find one.
 _MIN_RUNNING = 3
@@ -198,6 +200,6 @@
     'peers': Trial(read_some, reset_peers),
     # Requests wait at the home, as upstreams have half of the slots they need.
     'home': Trial(
-        read_some, stop_home, pause_seconds=(0, 0), slots=2, callers=60
+        read_long, stop_home, pause_seconds=(0, 1), slots=2, callers=32
     ),
 }
