--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -19,7 +19,13 @@
 from ..logs import log
 from ..routes.model import CallerLimits
 from .caller_request import CallerRequest, RequestStage
-from .connection_end import ConnectionEnd, EndCause, OpenRequest
+from .connection_end import (
+    ConnectionEnd,
+    EndCause,
+    OpenRequest,
+    connection_end,
+    open_requests,
+)
 from .head_splitter import HeadSplitter
 from .header_names import HeaderNames
 from .rejected_request import rejected_request
@@ -298,7 +304,9 @@
             self.gateway.clock.monotonic(),
         )
         if close:
-            self.dropped = self._open_requests()
+            self.dropped = open_requests(
+                self.pipeline, self.gateway.clock.monotonic()
+            )
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
@@ -315,43 +323,21 @@
         if self._buffer_paused:
             self._resume_reading_for_buffer()
 
-    def _open_requests(self) -> tuple[OpenRequest, ...]:
-        now = self.gateway.clock.monotonic()
-        return tuple(
-            OpenRequest(
-                request.request_id,
-                request.stage,
-                (now - request.received_at).total_seconds(),
-            )
-            for request in self.pipeline
-        )
-
     def _record_end(self, error: BaseException | None) -> None:
         delivery = self.delivery
         if delivery is None or self not in self.gateway.connections:
             return
         self.gateway.connections.discard(self)
-        delivery.update(self.gateway.clock.monotonic())
-        requests = (
-            *(
-                OpenRequest(request_id, RequestStage.ANSWERED)
-                for request_id in delivery.request_ids()
-            ),
-            *self._open_requests(),
-            *self.dropped,
-        )
-        if not requests:
-            return
-        cause = EndCause.CALLER if error is None else EndCause.ERROR
-        self.gateway.record_end(
-            ConnectionEnd(
-                _address_of(delivery.transport),
-                self.end_cause or cause,
-                '' if error is None else repr(error),
-                delivery.outstanding,
-                requests,
-            )
+        now = self.gateway.clock.monotonic()
+        delivery.update(now)
+        end = connection_end(
+            delivery,
+            (*open_requests(self.pipeline, now), *self.dropped),
+            self.end_cause,
+            error,
         )
+        if end.requests:
+            self.gateway.record_end(end)
 
     def _has_started_requests(self) -> bool:
         """Return whether a request in the pipeline may be at an upstream."""
@@ -372,8 +358,3 @@
         request = rejected_request(error, self.gateway.clock.monotonic())
         self.pipeline.append(request)
         self._write_ready_responses()
-
-
-def _address_of(transport: asyncio.BaseTransport) -> str:
-    name = transport.get_extra_info('peername')
-    return f'{name[0]}:{name[1]}' if name else ''
--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -1,9 +1,12 @@
 """Records of connections of callers that ended with requests open."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import StrEnum
 
-from .caller_request import RequestStage
+from .caller_request import CallerRequest, RequestStage
+from .response_delivery import ResponseDelivery
 
 
 class EndCause(StrEnum):
@@ -46,3 +49,43 @@
     reason: str
     unacknowledged_bytes: int
     requests: tuple[OpenRequest, ...]
+
+
+def open_requests(
+    pipeline: Iterable[CallerRequest], now: timedelta
+) -> tuple[OpenRequest, ...]:
+    """Return how far the requests of a connection have come."""
+    return tuple(
+        OpenRequest(
+            request.request_id,
+            request.stage,
+            (now - request.received_at).total_seconds(),
+        )
+        for request in pipeline
+    )
+
+
+def connection_end(
+    delivery: ResponseDelivery,
+    unanswered: Iterable[OpenRequest],
+    cause: EndCause | None,
+    error: BaseException | None,
+) -> ConnectionEnd:
+    """Return the end of a connection, with the requests open at it.
+
+    Without a ``cause`` on this side, the caller has closed the connection, or
+    the ``error`` has.
+    """
+    unacknowledged = tuple(
+        OpenRequest(request_id, RequestStage.ANSWERED)
+        for request_id in delivery.request_ids()
+    )
+    peer = delivery.transport.get_extra_info('peername')
+    default_cause = EndCause.CALLER if error is None else EndCause.ERROR
+    return ConnectionEnd(
+        f'{peer[0]}:{peer[1]}' if peer else '',
+        cause or default_cause,
+        '' if error is None else repr(error),
+        delivery.outstanding,
+        (*unacknowledged, *unanswered),
+    )
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -24,16 +24,12 @@
 )
 from .caller_request import RequestStage
 from .crash_watch import CrashWatch
+from .failure_response import failure_response
 from .hedged_call import AttemptSteps, HedgedCalls
 from .metrics import EntryMetrics
 from .refusals import (
-    EXPIRED,
-    NOT_ACCEPTED,
     SHUTDOWN_RETRY_AFTER,
     SHUTTING_DOWN,
-    TIMED_OUT,
-    UPSTREAM_FAILED,
-    not_placed,
     upstreams_unreachable,
 )
 from .request_context import RequestContext
@@ -201,7 +197,9 @@
             context.request.stage = RequestStage.QUEUED
             decision = await self.selector.select(context)
             if isinstance(decision, Refused):
-                return self._failure_response(context, last_result, decision)
+                return failure_response(
+                    context, last_result, decision, self._now()
+                )
             if self.hedged_calls.is_enabled:
                 result = await self.hedged_calls.call(context, decision)
             else:
@@ -210,7 +208,7 @@
                 return result.response
             last_result = more_informative(last_result, result)
             if not self._may_retry(context, result):
-                return self._failure_response(context, last_result, None)
+                return failure_response(context, last_result, None, self._now())
 
     def _count_request(self, context: RequestContext, now: float) -> None:
         budget = self.retry_budget(context.service)
@@ -326,23 +324,6 @@
             return False
         return self.retry_budget(context.service).try_spend(now)
 
-    def _failure_response(
-        self,
-        context: RequestContext,
-        last_result: CallResult | None,
-        refusal: Refused | None,
-    ) -> CallerResponse | Refusal:
-        if isinstance(last_result, Responded):
-            return last_result.response
-        if context.may_have_run:
-            is_late = (
-                isinstance(last_result, ResponseLost) and last_result.is_timeout
-            )
-            return TIMED_OUT if is_late else UPSTREAM_FAILED
-        if refusal is not None:
-            return not_placed(refusal.code, refusal.retry_after)
-        return EXPIRED if self._now() >= context.deadline else NOT_ACCEPTED
-
     def _now(self) -> float:
         return self.clock.monotonic().total_seconds()
 
