Deliver all responses of crocus-proxy before its connections close

What callers of crocus-proxy saw: responses were lost with a reset on an idle timeout with bytes outstanding, after a response that closes its connection, a second after a refusal while the body still arrived, and at the end of the process.

Cause: aiohttp's RequestHandler closes a connection as soon as it has written the last response, its idle timeout sees handlers only, its linger lasts a fixed second, and the drain ended once the handlers had returned. The rest lay in the kernel's send queue, and close() with input from the peer discards it.

The delivery of the entry process moves to http_server/ and serves both: the transport that aiohttp gets half-closes in place of a close, discards input and closes after the peer's acknowledgement. All of aiohttp's closes pass through it. The end of a connection no longer fails if the peer resets it in the same step (asyncio's own loop raised ENOTCONN).

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -16,6 +16,7 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from ..clock import Clock
+from ..http_server.response_delivery import ResponseDelivery
 from ..logs import log
 from ..routes.model import CallerLimits
 from .caller_request import CallerRequest, RequestStage
@@ -23,7 +24,6 @@
 from .head_splitter import HeadSplitter
 from .header_names import HeaderNames
 from .rejected_request import rejected_request
-from .response_delivery import ResponseDelivery
 from .responses import CallerResponse, Refusal
 
 _MAX_PIPELINED = 64
--- /dev/null
+++ b/src/crocusproxy/http_server/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of HTTP servers that end without a loss of responses."""
--- a/src/crocusproxy/entry/response_delivery.py
+++ b/src/crocusproxy/http_server/response_delivery.py
@@ -90,18 +90,24 @@
         """End this direction of the connection after what was written."""
         self.is_ended = True
         self.received_at = now
-        self.transport.write_eof()
+        with suppress(OSError):
+            # The peer may have reset the connection in this very step.
+            self.transport.write_eof()
         # The kernel counts the end as one byte.
         self.outstanding += 1
 
     def update(self, now: timedelta) -> None:
         """Count the outstanding bytes, unless there were none before."""
         if self.outstanding:
-            outstanding = outstanding_bytes(self.transport)
-            if outstanding != self.outstanding:
-                self.outstanding = outstanding
-                self.acknowledged_at = now
-                self._forget_acknowledged()
+            self.count(now)
+
+    def count(self, now: timedelta) -> None:
+        """Count the outstanding bytes, also those not written with this."""
+        outstanding = outstanding_bytes(self.transport)
+        if outstanding != self.outstanding:
+            self.outstanding = outstanding
+            self.acknowledged_at = now
+            self._forget_acknowledged()
 
     def request_ids(self) -> tuple[str, ...]:
         """Return the ids of requests whose responses are not acknowledged."""
--- /dev/null
+++ b/src/crocusproxy/http_server/server.py
@@ -0,0 +1,90 @@
+"""An aiohttp server whose connections end without a loss of responses."""
+
+import asyncio
+from typing import Any, cast
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from .transport import DeliveringTransport
+
+_CHECK_SECONDS = 0.02
+
+
+class ServedConnection(RequestHandler):
+    """Closes once the caller has acknowledged all responses.
+
+    aiohttp closes a connection as soon as it has written the last response. A
+    connection with responses that the caller has yet to receive is not idle.
+    """
+
+    __slots__ = ('delivering_transport',)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Replace the transport by one that delivers before it closes."""
+        self.delivering_transport = DeliveringTransport(
+            cast(asyncio.Transport, transport), self._loop
+        )
+        super().connection_made(
+            cast(asyncio.Transport, self.delivering_transport)
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Discard what arrives after the end of this direction."""
+        if self.delivering_transport.is_closing():
+            self.delivering_transport.note_input()
+            return
+        super().data_received(data)
+
+    def _process_keepalive(self) -> None:
+        if self.delivering_transport.has_unread_responses():
+            self._next_keepalive_close_time = (
+                self._loop.time() + self._keepalive_timeout
+            )
+        super()._process_keepalive()
+
+
+class DeliveringServer(web.Server):
+    """Creates the connections of a port and tells when they have ended.
+
+    ``open_connections`` include those that the server has ended and whose
+    callers still receive.
+    """
+
+    connection_type = ServedConnection
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.open_connections: set[ServedConnection] = set()
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return self.connection_type(self, loop=self._loop, **self._kwargs)
+
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Register a new connection."""
+        super().connection_made(handler, transport)
+        self.open_connections.add(cast(ServedConnection, handler))
+
+    def connection_lost(
+        self, handler: RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Remove a connection that has closed."""
+        super().connection_lost(handler, exc)
+        self.open_connections.discard(cast(ServedConnection, handler))
+
+    async def wait_until_delivered(self) -> None:
+        """Wait until all callers have received all responses.
+
+        Connections that were ended are closed then.
+        """
+        while not self._is_delivered():
+            await asyncio.sleep(_CHECK_SECONDS)
+
+    def _is_delivered(self) -> bool:
+        return all(
+            connection.delivering_transport.is_delivered()
+            for connection in self.open_connections
+        )
--- a/src/crocusproxy/proxy/frontend.py
+++ b/src/crocusproxy/proxy/frontend.py
@@ -7,10 +7,11 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage, LineTooLong
-from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+from aiohttp.web_protocol import RequestPayloadError
 
 from ..clock import Clock
 from ..config.model import Service
+from ..http_server.server import DeliveringServer, ServedConnection
 from ..logs import log
 from .dispatch import Dispatcher
 from .forward import Forwarder
@@ -20,9 +21,6 @@
 from .response_writer import ResponseWriter, StreamTruncatedError
 from .settings import ProxyLimits
 
-# The rest of a refused body is read for this long, so that the caller receives
-# the refusal instead of a connection reset.
-_LINGER_SECONDS = 1
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Text of the exception that aiohttp raises above ``max_headers``.
 _TOO_MANY_HEADERS = 'Too many headers'
@@ -176,7 +174,7 @@
             )
 
 
-class _CallerConnection(RequestHandler):
+class _CallerConnection(ServedConnection):
     """Responds to malformed HTTP with a problem document."""
 
     __slots__ = ()
@@ -212,15 +210,14 @@
     return RefusalError('internal_error', 'the request could not be handled')
 
 
-class _CallerServer(web.Server):
-    def __call__(self) -> RequestHandler:
-        return _CallerConnection(self, loop=self._loop, **self._kwargs)
+class _CallerServer(DeliveringServer):
+    connection_type = _CallerConnection
 
 
 def caller_server(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     limits: ProxyLimits,
-) -> web.Server:
+) -> DeliveringServer:
     """Return the HTTP server for callers.
 
     A handler is cancelled when its caller disconnects. Bodies are forwarded
@@ -232,7 +229,8 @@
         'max_line_size': limits.header_field,
         'max_field_size': limits.header_field,
         'max_headers': limits.header_count,
-        'lingering_time': _LINGER_SECONDS,
+        # The connection discards the rest of a refused body after its end.
+        'lingering_time': 0,
         'keepalive_timeout': limits.idle_caller.total_seconds(),
     }
     return _CallerServer(handler, handler_cancellation=True, **options)
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from contextlib import suppress
 from random import SystemRandom
 
 import fire
@@ -32,6 +33,9 @@
 _PROGRAM = 'crocus-proxy'
 _BACKLOG = 1024
 _IDLE_CHECK_SECONDS = 1
+#: Time for callers to receive the end of their connections before the process
+#: ends.
+_CLOSE_SECONDS = 1
 
 
 class ProxyDaemon:
@@ -72,7 +76,7 @@
         await self._listen()
 
     async def drain(self) -> None:
-        """Stop accepting connections and wait for the requests in flight.
+        """Stop accepting connections and wait until callers have responses.
 
         Callers may cache an earlier locate response that lists this instance,
         so the port stays open until such responses have expired.
@@ -82,10 +86,11 @@
         await self.site.stop()
         log('port_closed', in_flight=self.metrics.in_flight)
         await self.core.frontend.idle.wait()
+        await self.server.wait_until_delivered()
 
     async def stop(self) -> None:
         """Stop all tasks and close all ports and connections."""
-        await self.runner.cleanup()
+        await self._close_callers()
         for task in self.tasks:
             task.cancel()
         await self.follower.stop()
@@ -94,6 +99,12 @@
         await self.session.close()
         await self.admin_runner.cleanup()
 
+    async def _close_callers(self) -> None:
+        await self.runner.cleanup()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_CLOSE_SECONDS):
+                await self.server.wait_until_delivered()
+
     def _connect_feeds(self) -> None:
         self.core.drain_broadcaster.connect(self.session)
         self.core.crash_watch.send_report = self._share_crash_report
@@ -156,8 +167,10 @@
         )
         listen = self.settings.admin
         self.admin_runner = await serve(admin, listen.host, listen.port)
-        server = caller_server(self.core.frontend.handle, self.settings.limits)
-        self.runner = web.ServerRunner(server)
+        self.server = caller_server(
+            self.core.frontend.handle, self.settings.limits
+        )
+        self.runner = web.ServerRunner(self.server)
         await self.runner.setup()
         listen = self.settings.listen
         self.site = web.TCPSite(
