Measure the end of stopped instances against their kill

bench.margins knew one family of bounds, the time that changes take. The shutdown time is an option: 3 s as in the soak, or 6 s as deployed.

--- a/Makefile
+++ b/Makefile
@@ -78,11 +78,14 @@
 	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES))
 
 # Optional: PLAN of the losses (mix, alternate, reader, stop, domain, two, both), how
-# many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY.
+# many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY. With
+# BOUND=shutdown, the PLAN of the stops (mix, one, two, four, home, home+one) and the
+# seconds after which a stopped instance would be killed (SHUTDOWN).
 margins: $(STAMP)
 	$(BIN)/python -m bench.margins $(if $(PLAN),--plan=$(PLAN)) \
 	  $(if $(REPEATS),--repeats=$(REPEATS)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
-	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY))
+	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY)) \
+	  $(if $(BOUND),--bound=$(BOUND)) $(if $(SHUTDOWN),--shutdown=$(SHUTDOWN))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/bench/margins/testbed.py
+++ b/bench/margins/testbed.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from soak.instance_log import LogEvent
-from soak.instances import Instance
+from soak.instances import SHUTDOWN_TIMEOUT_SECONDS, Instance
 from soak.link import LinkFault
 from soak.plan import Features
 from soak.testbed import Testbed
@@ -38,19 +38,30 @@
 class MarginTestbed(Testbed):
     """Instances in failure domains of different sizes; no callers."""
 
-    def __init__(self, folder: Path, instance_count: int, seed: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        instance_count: int,
+        seed: int,
+        shutdown_seconds: float = SHUTDOWN_TIMEOUT_SECONDS,
+    ) -> None:
         self.domains = split_into_domains(instance_count)
         super().__init__(
             folder, instance_count, seed, Features(domains=True, homes=True)
         )
+        self.shutdown_seconds = shutdown_seconds
 
     async def start(self) -> None:
         await super().start()
+        await self.wait_ready()
+        self.tasks.append(asyncio.create_task(self._report()))
+
+    async def wait_ready(self) -> None:
+        """Return once all instances are ready."""
         async with asyncio.timeout(READY_TIMEOUT_SECONDS):
             for instance in self.instances:
                 while not await instance.is_ready():
                     await asyncio.sleep(_POLL_SECONDS)
-        self.tasks.append(asyncio.create_task(self._report()))
 
     async def stop(self) -> None:
         await self.stop_load()
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -61,6 +61,7 @@
         self.settings_path = processes.folder / f'{self.name}.yaml'
         self.source = f'127.0.1.{number + 1}'
         self.validity_seconds = 1
+        self.shutdown_seconds = SHUTDOWN_TIMEOUT_SECONDS
         #: Links to the internal ports of other instances, by their addresses.
         self.links: dict[str, Link] = {}
         #: Serializes kills, terminations and pauses.
@@ -87,7 +88,7 @@
             'source': self.source,
             'validity': f'{self.validity_seconds}s',
             'bounds': {
-                'shutdown': f'{SHUTDOWN_TIMEOUT_SECONDS}s',
+                'shutdown': f'{self.shutdown_seconds}s',
                 'budget_slack': 5,
             },
         }
@@ -218,7 +219,7 @@
         process = self.processes.running[self.name]
         process.send_signal(signal.SIGTERM)
         while process.poll() is None:
-            if self.now() - start > SHUTDOWN_TIMEOUT_SECONDS:
+            if self.now() - start > self.shutdown_seconds:
                 self._add_violation(
                     f'did not end after SIGTERM at second {start:.2f}'
                 )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -11,7 +11,7 @@
 
 from .callers import Caller
 from .instance_log import InstanceLog
-from .instances import PORT_NAMES, Instance
+from .instances import PORT_NAMES, SHUTDOWN_TIMEOUT_SECONDS, Instance
 from .link import Link
 from .operator import Operator
 from .plan import FAILURE_DOMAINS, Features
@@ -43,6 +43,7 @@
         )
         self.processes = Processes(folder)
         self.instance_count = instances
+        self.shutdown_seconds = SHUTDOWN_TIMEOUT_SECONDS
         self.random = Random(seed)
         self.instances: list[Instance] = []
         #: Sources of connections that upstreams refuse, by overlapping cuts.
@@ -85,6 +86,7 @@
                 ports[number :: self.instance_count],
                 self._failure_domain(number),
             )
+            instance.shutdown_seconds = self.shutdown_seconds
             self.instances.append(instance)
         if self.features.links:
             await self._start_links()
--- a/tests/bench/test_margins.py
+++ b/tests/bench/test_margins.py
@@ -7,7 +7,13 @@
 import pytest
 
 from bench.margins.config_loss import LossResult, Propagation
-from bench.margins.report import find_margins, write_json
+from bench.margins.report import (
+    find_end_margins,
+    find_margins,
+    write_end_json,
+    write_json,
+)
+from bench.margins.shutdown import EndResult
 from bench.margins.testbed import split_into_domains
 
 
@@ -22,6 +28,12 @@
     )
 
 
+def make_end(exit_seconds, stopped=None):
+    return EndResult(
+        'one:busy', 'n0', 0.0, exit_seconds, 0, 0.0, 2.1, None, stopped
+    )
+
+
 def run_tool(*arguments):
     return subprocess.run(
         (sys.executable, '-m', 'bench.margins', *arguments),
@@ -49,6 +61,31 @@
     assert document['losses'][0]['removal']['slowest'] == 'n2'
 
 
+def test_one_late_end_breaks_the_bound():
+    """A process that is killed before `stopped` has no such log line."""
+    in_time = make_end(2.9, 2.5)
+    assert not any(one.is_broken for one in find_end_margins([in_time], 3.0))
+    end, *parts = find_end_margins([in_time, make_end(3.1)], 3.0)
+    assert end.is_broken
+    assert end.count == 2
+    assert {one.promise: one.count for one in parts} == {
+        'SIGTERM to draining': 2,
+        'port closed to stopped': 1,
+        'stopped to exit': 1,
+    }
+    assert not any(one.is_broken for one in parts)
+    assert find_end_margins([], 3.0) == ()
+
+
+def test_report_has_every_end(tmp_path):
+    path = tmp_path / 'margins.json'
+    write_end_json(path, [make_end(1.5, 1.4)], 3.0)
+    document = json.loads(path.read_text())
+    assert document['margins'][0]['share'] == 0.5
+    assert document['margins'][-1]['share'] is None
+    assert document['ends'][0]['stopped'] == 1.4
+
+
 @pytest.mark.parametrize(
     'arguments',
     [
@@ -58,6 +95,10 @@
         ('--instances=4',),
         ('--instances=61',),
         ('--busy=-1',),
+        ('--bound=none',),
+        ('--shutdown=0',),
+        ('--shutdown=long', '--bound=shutdown'),
+        ('--plan=reader', '--bound=shutdown'),
     ],
 )
 def test_invalid_argument_gets_one_line(arguments):
@@ -79,3 +120,12 @@
     finished = run_tool('--repeats=1', '--instances=5', '--plan=reader')
     assert finished.returncode in {0, 1}, finished.stderr
     assert 'configuration in force' in finished.stdout
+
+
+def test_end_is_measured_with_real_processes():
+    """The tool itself must work; its figures depend on the machine."""
+    finished = run_tool(
+        '--bound=shutdown', '--repeats=1', '--instances=5', '--plan=home+one'
+    )
+    assert finished.returncode in {0, 1}, finished.stderr
+    assert 'end of the process' in finished.stdout
