Add a series of stops and cuts to the margins

Plan series has, in turn: two failure domains with the home cut off, one cut off, the home stopped, its whole failure domain stopped, and the home stopped while its failure domain is cut off.

--- a/bench/margins/config_loss.py
+++ b/bench/margins/config_loss.py
@@ -24,7 +24,7 @@
 _POLL_SECONDS = 0.05
 _KINDS = ('reader', 'stop', 'domain', 'two', 'both')
 #: The series of losses that ``draw_loss`` knows.
-PLANS = ('mix', *_KINDS, 'alternate', 'calm')
+PLANS = ('mix', *_KINDS, 'alternate', 'series', 'calm')
 
 #: Returns whether an event shows that a change is in force.
 IsInForce = Callable[[LogEvent], bool]
@@ -78,7 +78,8 @@
     """Return the loss with a number in a series.
 
     In plan ``alternate``, one failure domain is cut off, and then two that
-    include the home's, in turn; ``mix`` draws one of the other plans.
+    include the home's, in turn; ``mix`` draws one of the other plans, and
+    ``series`` has stops in turn with silent cuts.
 
     Raises:
         ValueError: there is no such plan.
@@ -97,6 +98,8 @@
         case 'both':
             cut = testbed.instances_of((home.failure_domain,))
             return Loss(f'{plan}:{fault}', tuple(cut), (home,), fault)
+        case 'series':
+            return _loss_in_series(testbed, number, random)
         case 'mix':
             return draw_loss(testbed, random.choice(_KINDS), number, random)
         case 'domain':
@@ -114,6 +117,34 @@
     return Loss(name, tuple(testbed.instances_of(lost)), fault=fault)
 
 
+def _loss_in_series(
+    testbed: MarginTestbed, number: int, random: Random
+) -> Loss:
+    """Return a silent cut of two or one failure domains, or a stop.
+
+    The home is in both failure domains that are cut at once. It is stopped
+    alone, with all instances of its failure domain, and while these are cut.
+    """
+    home = testbed.home()
+    domains = sorted(set(testbed.domains))
+    others = [one for one in domains if one != home.failure_domain]
+    match number % 5:
+        case 0:
+            lost = (home.failure_domain, random.choice(others))
+        case 1:
+            lost = (random.choice(domains),)
+        case 2:
+            return Loss('series:stop', stopped=(home,))
+        case 3:
+            stopped = testbed.instances_of((home.failure_domain,))
+            name = f'series:stop:{home.failure_domain}'
+            return Loss(name, stopped=tuple(stopped))
+        case _:
+            cut = testbed.instances_of((home.failure_domain,))
+            return Loss('series:stop+cut', tuple(cut), (home,))
+    return Loss(f'series:{"+".join(lost)}', tuple(testbed.instances_of(lost)))
+
+
 async def measure_loss(
     testbed: MarginTestbed, loss: Loss, random: Random
 ) -> LossResult:
--- a/tests/bench/test_margins.py
+++ b/tests/bench/test_margins.py
@@ -3,10 +3,12 @@
 import json
 import subprocess
 import sys
+from random import Random
+from types import SimpleNamespace
 
 import pytest
 
-from bench.margins.config_loss import LossResult, Propagation
+from bench.margins.config_loss import LossResult, Propagation, draw_loss
 from bench.margins.report import find_margins, write_json
 from bench.margins.testbed import split_into_domains
 
@@ -22,6 +24,21 @@
     )
 
 
+def make_testbed(domains):
+    instances = [
+        SimpleNamespace(name=f'n{number}', failure_domain=domain)
+        for number, domain in enumerate(domains)
+    ]
+    return SimpleNamespace(
+        domains=domains,
+        instances=instances,
+        home=lambda: instances[0],
+        instances_of=lambda lost: [
+            one for one in instances if one.failure_domain in lost
+        ],
+    )
+
+
 def run_tool(*arguments):
     return subprocess.run(
         (sys.executable, '-m', 'bench.margins', *arguments),
@@ -74,6 +91,21 @@
     assert len(set(domains)) == 3
 
 
+def test_series_stops_the_home_in_turn_with_cuts():
+    """Stops were late only after other losses, and no plan had both."""
+    testbed = make_testbed(split_into_domains(14))
+    home = testbed.home()
+    losses = [draw_loss(testbed, 'series', one, Random(1)) for one in range(5)]
+    two, one, stop, domain_stop, both = losses
+    assert home in two.cut
+    assert len({instance.failure_domain for instance in two.cut}) == 2
+    assert len({instance.failure_domain for instance in one.cut}) == 1
+    assert (stop.stopped, stop.cut) == ((home,), ())
+    assert domain_stop.stopped == tuple(testbed.instances[:5])
+    assert domain_stop.cut == ()
+    assert (both.stopped, both.cut) == ((home,), domain_stop.stopped)
+
+
 def test_loss_is_measured_with_real_processes():
     """The tool itself must work; its figures depend on the machine."""
     finished = run_tool('--repeats=1', '--instances=5', '--plan=reader')
