Give the margins' failure domains homes of their own

All upstreams of the margins testbed were in one failure domain, so no run had domain homes, and every instance followed the home itself. A site with enough slots in each failure domain has members that follow their domain home. One loss removes one upstream; two of each service in each failure domain leave enough slots for a domain home.

--- a/bench/margins/testbed.py
+++ b/bench/margins/testbed.py
@@ -36,7 +36,13 @@
 
 
 class MarginTestbed(Testbed):
-    """Instances in failure domains of different sizes; no callers."""
+    """Instances in failure domains of different sizes; no callers.
+
+    Each failure domain has upstreams for a home of its own, also without one of
+    them.
+    """
+
+    upstreams_per_service = 2 * len(DOMAIN_SHARES)
 
     def __init__(self, folder: Path, instance_count: int, seed: int) -> None:
         self.domains = split_into_domains(instance_count)
@@ -79,3 +85,7 @@
 
     def _failure_domain(self, number: int) -> str:
         return self.domains[number % len(self.domains)]
+
+    def _upstream_domain(self, number: int) -> str:
+        domains = sorted(set(self.domains))
+        return domains[number % len(domains)]
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -31,6 +31,8 @@
 class Testbed:
     """Runs store, upstreams and callers here, and instances as processes."""
 
+    upstreams_per_service = UPSTREAMS_PER_SERVICE
+
     def __init__(
         self, folder: Path, instances: int, seed: int, features: Features
     ) -> None:
@@ -60,7 +62,7 @@
         """Start the stand-ins and the instances, without awaiting readiness."""
         await self.store.start()
         self.operator.publish()
-        for number in range(UPSTREAMS_PER_SERVICE * len(SERVICES)):
+        for number in range(self.upstreams_per_service * len(SERVICES)):
             service = SERVICES[number % len(SERVICES)]
             upstream = Upstream(
                 number,
@@ -70,7 +72,7 @@
                 self.now,
                 self.refused,
                 self.features,
-                self._failure_domain(number // len(SERVICES)),
+                self._upstream_domain(number // len(SERVICES)),
             )
             self.upstreams.append(await upstream.start())
         # Separate calls could return the same port, as none is bound yet.
@@ -116,6 +118,10 @@
         domains = FAILURE_DOMAINS if self.features.domains else ('a',)
         return domains[number % len(domains)]
 
+    def _upstream_domain(self, number: int) -> str:
+        """Return the failure domain of one upstream of each service."""
+        return self._failure_domain(number)
+
     def new_caller(self, name: str, failure_domain: str = '') -> Caller:
         return Caller(
             name,
