--- a/src/crocusproxy/membership/feed_source.py
+++ b/src/crocusproxy/membership/feed_source.py
@@ -6,12 +6,21 @@
 """
 
 from collections.abc import Iterable
+from datetime import timedelta
 
-from ..protocol.home_feed import Member
+from ..clock import Clock
+from ..protocol.home_feed import DomainHomes, Member
+from .domain_homes import DomainHomeTable
+from .member_list import MemberList
 
 #: Members of a failure domain that follow the home itself. The next domain home
 #: is chosen among them.
 DIRECT_FOLLOWERS = 4
+#: After this many failures in a row of a domain home, the home is followed.
+_MAX_SOURCE_FAILURES = 5
+#: The same after this time if it can't be reached. Five time-outs took 4 s, in
+#: which the directory went on naming the lost domain home.
+_MAX_UNREACHABLE_TIME = timedelta(seconds=1)
 
 
 def feed_source(
@@ -48,3 +57,70 @@
         and member.rank < own.rank
     ]
     return len(better_members) < DIRECT_FOLLOWERS
+
+
+class FeedSources:
+    """Chooses the members to follow, by the feeds that were lost before.
+
+    ``avoided`` is the name of a domain home whose feed was lost, ``failures``
+    the number of feeds in a row that did not begin, and ``failing_since`` the
+    time of the first of these attempts.
+    """
+
+    def __init__(
+        self,
+        member_list: MemberList,
+        domain_homes: DomainHomeTable,
+        clock: Clock,
+    ) -> None:
+        self.member_list = member_list
+        self.domain_homes = domain_homes
+        self.clock = clock
+        self.avoided = ''
+        self.failures = 0
+        self.failing_since = timedelta()
+        domain_homes.on_change.append(self._clear_avoided)
+
+    def first(self, member: Member) -> Member:
+        """Return the member to follow first after an election of ``member``."""
+        if not self.failures:
+            self.failing_since = self.clock.monotonic()
+        domain_home = self._usable_domain_home()
+        if domain_home is None:
+            return member
+        return first_source(self.member_list.own, member, domain_home)
+
+    def preferred(self, home: Member) -> Member:
+        """Return the member to follow while ``home`` is known."""
+        domain_home = self._usable_domain_home()
+        if domain_home is None:
+            return home
+        own = self.member_list.own
+        return feed_source(own, home, domain_home, self.member_list.all())
+
+    def after_loss(self, lost: Member, home: Member | None) -> Member | None:
+        """Return the home if only a domain home was lost."""
+        if home is None or lost.name == home.name:
+            return None
+        self.avoided = lost.name
+        return home
+
+    def note_failure(self, source: Member, *, is_unreachable: bool) -> None:
+        """Avoid a domain home that does not become able to serve a feed."""
+        self.failures += 1
+        tried_for = self.clock.monotonic() - self.failing_since
+        if self.failures >= _MAX_SOURCE_FAILURES or (
+            is_unreachable and tried_for >= _MAX_UNREACHABLE_TIME
+        ):
+            self.failures = 0
+            self.avoided = source.name
+
+    def _usable_domain_home(self) -> Member | None:
+        own = self.member_list.own
+        domain_home = self.domain_homes.home_of(own.failure_domain)
+        if domain_home is None or domain_home.name == self.avoided:
+            return None
+        return domain_home
+
+    def _clear_avoided(self, _: DomainHomes) -> None:
+        self.avoided = ''
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -12,7 +12,6 @@
 from ..protocol.home_feed import (
     CrashReport,
     Departure,
-    DomainHomes,
     FeedMessage,
     Member,
     MemberState,
@@ -24,7 +23,7 @@
 from .election import Attach, Lead
 from .election_rounds import ElectionRounds
 from .feed_server import HomeFeedServer
-from .feed_source import feed_source, first_source
+from .feed_source import FeedSources
 from .home_check import HomeCheck
 from .member_client import MemberClient
 from .member_list import MemberList
@@ -33,24 +32,16 @@
 RETRY_INTERVAL_SECONDS = 0.1
 #: Interval at which a home queries one member that does not follow it.
 CHECK_INTERVAL_SECONDS = 1.0
-#: After this many failures in a row of a domain home, the home is followed.
-_MAX_SOURCE_FAILURES = 5
-#: The same after this time if it can't be reached. Five time-outs took 4 s, in
-#: which the directory went on naming the lost domain home.
-_MAX_UNREACHABLE_TIME = timedelta(seconds=1)
 
 
 class HomeElector:
     """Finds the home, follows its feed, and takes over if there is none.
 
     ``on_started_leading`` is called when this instance becomes home and
-    ``on_stopped_leading`` when it is no longer one. ``avoided_source`` is the
-    name of a domain home whose feed was lost, ``home_heard_at`` the time of the
-    latest message of a home's own feed, None at a member that follows a domain
-    home or was never attached, ``source_failures`` the number of
-    feeds in a row that did not begin, and ``source_failing_since`` the time of
-    the first of these attempts. ``find_unreached`` returns the upstreams that
-    this instance can't connect to, if it may be cut off.
+    ``on_stopped_leading`` when it is no longer one. ``home_heard_at`` is the
+    time of the latest message of a home's own feed, None at a member that
+    follows a domain home or was never attached. ``find_unreached`` returns the
+    upstreams that this instance can't connect to, if it may be cut off.
     """
 
     def __init__(
@@ -96,11 +87,8 @@
         self.leaving = False
         self.lost_home_name = ''
         self.home_heard_at: timedelta | None = None
-        self.avoided_source = ''
-        self.source_failures = 0
-        self.source_failing_since = timedelta()
+        self.sources = FeedSources(member_list, self.domain_homes, clock)
         self.on_crash_report: list[Callable[[CrashReport], None]] = []
-        self.domain_homes.on_change.append(self._clear_avoided_source)
 
     def view(self) -> MemberView:
         """Return this member's own view of its state and home."""
@@ -177,9 +165,7 @@
 
     async def _follow(self, member: Member) -> None:
         reason = 'ended'
-        if not self.source_failures:
-            self.source_failing_since = self.clock.monotonic()
-        source: Member | None = self._first_source(member)
+        source: Member | None = self.sources.first(member)
         while source is not None:
             followed = source
             is_unreachable = False
@@ -189,13 +175,13 @@
                 reason = str(error)
                 is_unreachable = isinstance(error, NotReachableError)
                 source = None
-            source = source or self._source_after_loss(followed)
+            source = source or self.sources.after_loss(followed, self.home)
         if self.home is None:
             # The member declined or failed before its first message.
-            self._note_source_failure(followed, is_unreachable=is_unreachable)
+            self.sources.note_failure(followed, is_unreachable=is_unreachable)
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             return
-        self.source_failures = 0
+        self.sources.failures = 0
         log('home_lost', home=self.home.name, reason=reason)
         self.lost_home_name = self.home.name
         self._set_home(None)
@@ -228,40 +214,7 @@
         is_relevant = message.members or message.domain_homes is not None
         if self.home is None or not is_relevant:
             return None
-        own = self.member_list.own
-        domain_home = self.domain_homes.home_of(own.failure_domain)
-        if domain_home is None or domain_home.name == self.avoided_source:
-            return self.home
-        return feed_source(own, self.home, domain_home, self.member_list.all())
-
-    def _first_source(self, member: Member) -> Member:
-        own = self.member_list.own
-        domain_home = self.domain_homes.home_of(own.failure_domain)
-        if domain_home is None or domain_home.name == self.avoided_source:
-            return member
-        return first_source(own, member, domain_home)
-
-    def _note_source_failure(
-        self, source: Member, *, is_unreachable: bool
-    ) -> None:
-        """Avoid a domain home that does not become able to serve a feed."""
-        self.source_failures += 1
-        tried_for = self.clock.monotonic() - self.source_failing_since
-        if self.source_failures >= _MAX_SOURCE_FAILURES or (
-            is_unreachable and tried_for >= _MAX_UNREACHABLE_TIME
-        ):
-            self.source_failures = 0
-            self.avoided_source = source.name
-
-    def _source_after_loss(self, lost: Member) -> Member | None:
-        """Return the home if only a domain home was lost."""
-        if self.home is None or lost.name == self.home.name:
-            return None
-        self.avoided_source = lost.name
-        return self.home
-
-    def _clear_avoided_source(self, _: DomainHomes) -> None:
-        self.avoided_source = ''
+        return self.sources.preferred(self.home)
 
     def _apply_message(self, message: FeedMessage) -> None:
         if message.home is not None:
