--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from ..http_server.response_delivery import ResponseDelivery
 from .caller_request import CallerRequest, RequestStage
-from .response_delivery import ResponseDelivery
 
 
 class EndCause(StrEnum):
