--- a/tests/entry/test_unread_responses.py
+++ b/tests/entry/test_unread_responses.py
@@ -35,8 +35,10 @@
         for number in range(REQUEST_COUNT):
             caller.send(f'r{number}', deadline_ms=9000)
         await wait_until(
-            lambda: len(server.runs) == REQUEST_COUNT
-            and not system.gateway.in_flight
+            lambda: (
+                len(server.runs) == REQUEST_COUNT
+                and not system.gateway.in_flight
+            )
         )
         (connection,) = system.gateway.connections
         await wait_until(lambda: not connection.has_outstanding_bytes())
