Run async tests of all packages on an event loop

tests/http_server/test_transport.py landed with a runner that only tests/proxy had, so its tests failed to start. The test of a close in the step of a reset fails without the guard of the end (OSError 107, asyncio's own loop).

--- a/src/crocusproxy/http_server/transport.py
+++ b/src/crocusproxy/http_server/transport.py
@@ -39,9 +39,9 @@
 
         A connection that has ended counts until it is closed.
         """
-        self.delivery.count(self._now())
         if self.transport.is_closing():
             return True
+        self.delivery.count(self._now())
         return not (self.delivery.is_ended or self.delivery.outstanding)
 
     def close(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,16 +1,20 @@
-"""Hypothesis profiles and the connections of all tests.
+"""Hypothesis profiles, event loops and connections of all tests.
 
 By default the examples are the same in each run; ``make search`` generates
 random ones instead.
 """
 
 import asyncio
+import inspect
 import os
 from collections import defaultdict
 
 import pytest
 from hypothesis import settings
 
+# No passing test that is an async function takes several seconds.
+_TIMEOUT_SECONDS = 20
+
 settings.register_profile('repeatable', derandomize=True, deadline=None)
 settings.register_profile('search', deadline=None, print_blob=True)
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'repeatable'))
@@ -42,3 +46,19 @@
 
     monkeypatch.setattr(asyncio.StreamWriter, '__init__', create_owned)
     monkeypatch.setattr(asyncio.SelectorEventLoop, 'close', close_owned)
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    """Run an ``async`` test on its own event loop, with a timeout."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = pyfuncitem._fixtureinfo.argnames
+    arguments = {name: pyfuncitem.funcargs[name] for name in names}
+
+    async def run_with_timeout():
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            await pyfuncitem.obj(**arguments)
+
+    asyncio.run(run_with_timeout())
+    return True
--- a/tests/http_server/test_transport.py
+++ b/tests/http_server/test_transport.py
@@ -11,13 +11,15 @@
 
 
 class Protocol(asyncio.Protocol):
-    def __init__(self):
+    def __init__(self, made):
+        self.made = made
         self.lost = asyncio.get_running_loop().create_future()
         self.received = b''
 
     def connection_made(self, transport):
         loop = asyncio.get_running_loop()
         self.transport = DeliveringTransport(transport, loop)
+        self.made.set_result(self)
 
     def data_received(self, data):
         self.received += data
@@ -30,17 +32,11 @@
 async def connected():
     """Yield the server's side of a connection and the peer's socket."""
     loop = asyncio.get_running_loop()
-    accepted = loop.create_future()
-
-    def accept():
-        protocol = Protocol()
-        accepted.set_result(protocol)
-        return protocol
-
-    server = await loop.create_server(accept, '127.0.0.1', 0)
+    made = loop.create_future()
+    server = await loop.create_server(lambda: Protocol(made), '127.0.0.1', 0)
     peer = socket.create_connection(server.sockets[0].getsockname())
     peer.setblocking(False)
-    yield await accepted, peer
+    yield await made, peer
     peer.close()
     server.close()
 
