Check in each soak run that connections end after their responses

The soak's callers sent one request at a time and read at once, so no bytes of a response were outstanding when a connection closed, and no run could see the loss. New callers pipeline, read some 50 kB a second with a small receive buffer, or are behind a link of 8 ms each way. Three are in every run; PLANNED, SLOW and PIPELINES add overlapping planned work and more callers. The schedules and other callers of existing seeds stay, as the draws have their own Random.

The invariant replaces "a planned shutdown interrupts no running request": a request that an upstream got may be cut only by a kill or freeze of the instance that its caller used, and no longer by a faulty upstream, by another instance's fault or in the 3 s after one. The test that allowed a cut by a faulty upstream now forbids it.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,8 @@
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
 # of the store, TERMS of upstreams, CUTS of instances, changes of keys of client
 # ACCOUNTS, EVACUATIONS, COLD upstreams, changes of QUOTAS, cut LINKS between
-# domain homes, LOSSES of the home or its store and DEPARTURES of instances for good
+# domain homes, LOSSES of the home or its store and DEPARTURES of instances for good,
+# series of PLANNED work, SLOW callers and callers with PIPELINES
 # in each run; with HOMES=True, SILENT=True
 # and FAULTS=False also homes of failure domains, upstreams that ignore requests that
 # they have no slot for, and only the faults that are listed here.
@@ -75,7 +76,9 @@
 	  $(if $(QUOTAS),--quotas=$(QUOTAS)) $(if $(LINKS),--links=$(LINKS)) \
 	  $(if $(HOMES),--homes=$(HOMES)) $(if $(SILENT),--silent=$(SILENT)) \
 	  $(if $(FAULTS),--faults=$(FAULTS)) \
-	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES))
+	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES)) \
+	  $(if $(PLANNED),--planned=$(PLANNED)) $(if $(SLOW),--slow=$(SLOW)) \
+	  $(if $(PIPELINES),--pipelines=$(PIPELINES))
 
 # Optional: PLAN of the losses (mix, alternate, reader, stop, domain, two, both), how
 # many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY.
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,9 @@
     links: int = 0,
     losses: int = 0,
     departures: int = 0,
+    planned: int = 0,
+    slow: int = 0,
+    pipelines: int = 0,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -50,6 +53,9 @@
         links: how often the link between two domain homes is cut.
         losses: how often the home, the store for its domain, or both are lost.
         departures: how many instances leave for good; then the home is killed.
+        planned: number of series of planned work, which overlap.
+        slow: number of callers that read slowly, half of them distant.
+        pipelines: number of callers that pipeline, half of them distant.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
@@ -72,6 +78,9 @@
                 links,
                 losses,
                 departures,
+                planned,
+                slow,
+                pipelines,
             )
         )
         report(verdict)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Protocol
 
 from standins.slot_server import REQUEST_ID, SIGNATURE
 
@@ -21,7 +22,7 @@
 ABANDON_SHARE = 0.04
 #: The timeout of the route is shorter than the deadline of the request.
 RESPONSE_TIMEOUT_SECONDS = TIMEOUT_MS / 1000 + RESPONSE_SLACK_SECONDS
-_CONNECTION_ERRORS = (asyncio.IncompleteReadError, OSError, ValueError)
+CONNECTION_ERRORS = (asyncio.IncompleteReadError, OSError, ValueError)
 
 
 class Caller:
@@ -59,14 +60,14 @@
         """Send requests until cancelled."""
         while True:
             await asyncio.sleep(self.random.uniform(*PAUSE_SECONDS))
-            await self.send(self._random_path())
+            await self.send(self.random_path())
 
     async def send(self, path: str, address: str = '') -> SentRequest | None:
         """Send a request; return None if no instance could be reached.
 
         Without ``address``, a resolved address is used.
         """
-        if not await self._connect(address):
+        if not await self.connect(address):
             return None
         self.request_count += 1
         request = SentRequest(
@@ -85,7 +86,7 @@
         except TimeoutError:
             request.outcome = 'left' if is_abandoned else 'late'
             self.close()
-        except _CONNECTION_ERRORS:
+        except CONNECTION_ERRORS:
             request.outcome = 'cut'
             self.close()
         request.ended_at = self.now()
@@ -96,7 +97,7 @@
             self.connection[1].close()
         self.connection = None
 
-    def _random_path(self) -> str:
+    def random_path(self) -> str:
         version = self.operator.version - self.random.randrange(2)
         return self.random.choice(
             ('/safe/', '/unsafe/', '/unsafe/', '/move/', f'/only{version}/')
@@ -107,12 +108,12 @@
             return MAIN_KEY
         return self.operator.random_key(self.random)
 
-    async def _connect(self, address: str) -> bool:
+    async def connect(self, address: str) -> bool:
         if (
             not address
             and self.now() - self.resolved_at > ADDRESS_VALIDITY_SECONDS
         ):
-            await self._resolve()
+            await self.resolve()
         candidates = (address,) if address else self.addresses
         if self.connection is not None and self.address in candidates:
             return True
@@ -120,16 +121,21 @@
         if not candidates:
             return False
         self.address = self.random.choice(candidates)
-        host, _, port = self.address.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                self.connection = await asyncio.open_connection(host, port)
+                self.connection = await self.open_connection(self.address)
         except OSError:
             self.resolved_at = float('-inf')
             return False
         return True
 
-    async def _resolve(self) -> None:
+    async def open_connection(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = address.rpartition(':')
+        return await asyncio.open_connection(host, port)
+
+    async def resolve(self) -> None:
         """Request addresses from up to three directories until one responds."""
         for directory in self.random.sample(
             self.directories, min(3, len(self.directories))
@@ -140,7 +146,7 @@
                         directory,
                         f'/-/resolve?Name=a&Zone={self.failure_domain}',
                     )
-            except (*_CONNECTION_ERRORS, TimeoutError, IndexError):
+            except (*CONNECTION_ERRORS, TimeoutError, IndexError):
                 continue
             if response[0] == 200:
                 self.addresses = tuple(json.loads(response[1])['Addresses'])
@@ -150,26 +156,31 @@
     async def _exchange(self, request: SentRequest) -> None:
         assert self.connection is not None
         reader, writer = self.connection
+        writer.write(self.encode(request))
+        await writer.drain()
+        status, headers, body = await read_response(reader)
+        request.status = status
+        request.body = body.decode()
+        request.is_signed = SIGNATURE.lower() in headers
+        request.outcome = 'answered'
+        if headers.get('connection') == 'close':
+            self.close()
+
+    def encode(self, request: SentRequest, extra: str = '') -> bytes:
+        """Return the head of a request, with ``extra`` header lines."""
         method = 'GET' if request.idempotent else 'POST'
-        extra = '' if request.idempotent else 'Content-Length: 0\r\n'
+        if not request.idempotent:
+            extra += 'Content-Length: 0\r\n'
         if request.key:
             extra += f'Authorization: Bearer {request.key}\r\n'
         if self.operator.features.accounts:
             extra += f'{ACCOUNT}: forged\r\n'
-        writer.write(
+        return (
             f'{method} {request.path} HTTP/1.1\r\nHost: {HOST}\r\n{extra}'
             f'{REQUEST_ID}: {request.request_id}\r\n'
             'X-Crocusproxy-Deadline-Milliseconds: '
             f'{DEADLINE_SECONDS * 1000:.0f}\r\n\r\n'.encode()
         )
-        await writer.drain()
-        status, headers, body = await read_response(reader)
-        request.status = status
-        request.body = body.decode()
-        request.is_signed = SIGNATURE.lower() in headers
-        request.outcome = 'answered'
-        if headers.get('connection') == 'close':
-            self.close()
 
 
 async def http_get(address: str, path: str) -> tuple[int, bytes]:
@@ -185,8 +196,18 @@
     return status, body
 
 
+class ResponseReader(Protocol):
+    """The part of a stream reader that a response needs."""
+
+    async def readuntil(self, separator: bytes) -> bytes:
+        """Return bytes up to the end of ``separator``."""
+
+    async def readexactly(self, n: int) -> bytes:
+        """Return ``n`` bytes."""
+
+
 async def read_response(
-    reader: asyncio.StreamReader,
+    reader: ResponseReader,
 ) -> tuple[int, dict[str, str], bytes]:
     """Return the status, the headers with lowercase names, and the body."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,24 @@
     instance: int
 
 
+@dataclass(frozen=True, slots=True)
+class TerminateTwice:
+    """SIGTERM to instances, and another one ``seconds`` later.
+
+    Each restarts after its exit.
+    """
+
+    instances: tuple[int, ...]
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class SetIdleTimeout:
+    """The operator publishes another idle timeout of callers' connections."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Pause:
     """SIGSTOP to one instance, and SIGCONT after ``seconds``."""
@@ -206,6 +224,8 @@
 Fault = (
     Kill
     | Terminate
+    | TerminateTwice
+    | SetIdleTimeout
     | Pause
     | Reload
     | DegradeStore
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -23,10 +23,12 @@
     Reload,
     ReplaceUpstream,
     RestoreStore,
+    SetIdleTimeout,
     SlowUpstream,
     StateTerms,
     StoreFault,
     Terminate,
+    TerminateTwice,
 )
 from .home_losses import depart, lose_home
 from .instances import find_domain_homes
@@ -73,6 +75,15 @@
                 )
             case Terminate(instance=number):
                 await self.testbed.instances[number].terminate()
+            case TerminateTwice(instances=numbers, seconds=seconds):
+                await asyncio.gather(
+                    *(
+                        self.testbed.instances[number].terminate(seconds)
+                        for number in numbers
+                    )
+                )
+            case SetIdleTimeout(seconds=seconds):
+                self.testbed.operator.set_idle_timeout(seconds)
             case Pause(instance=number, seconds=seconds):
                 await self.testbed.instances[number].pause(seconds)
             case Reload(instance=number, times=times):
--- a/soak/instance_log.py
+++ b/soak/instance_log.py
@@ -1,11 +1,13 @@
 """Reads what an instance logs while it runs."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from .records import ConnectionEnd
+
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
@@ -42,6 +44,20 @@
                     )
                 )
 
+    def connection_ends(self, instance: int) -> Iterator[ConnectionEnd]:
+        """Yield the connections that ended with requests open."""
+        for event in self.events:
+            if event.kind == 'connection_ended':
+                yield ConnectionEnd(
+                    instance,
+                    event.fields['cause'],
+                    event.fields['reason'],
+                    tuple(
+                        (request['request_id'], request['stage'])
+                        for request in event.fields['requests']
+                    ),
+                )
+
     def leading_since(self) -> float:
         """Return when the instance became home, 0 if it is none."""
         for event in reversed(self.events):
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -46,11 +46,13 @@
         now: Callable[[], float],
         ports: Sequence[int],
         failure_domain: str = 'a',
+        shutdown_seconds: float = SHUTDOWN_TIMEOUT_SECONDS,
     ) -> None:
         self.number = number
         self.name = f'n{number}'
         self.failure_domain = failure_domain
         self.processes = processes
+        self.shutdown_seconds = shutdown_seconds
         self.link = Link(store)
         self.run_record = run
         self.now = now
@@ -87,7 +89,7 @@
             'source': self.source,
             'validity': f'{self.validity_seconds}s',
             'bounds': {
-                'shutdown': f'{SHUTDOWN_TIMEOUT_SECONDS}s',
+                'shutdown': f'{self.shutdown_seconds}s',
                 'budget_slack': 5,
             },
         }
@@ -127,14 +129,14 @@
             self.spawn()
             await self._record_disturbance(start, is_planned=False)
 
-    async def terminate(self) -> None:
-        """Send SIGTERM and restart.
+    async def terminate(self, second_after: float | None = None) -> None:
+        """Send SIGTERM, another one ``second_after`` seconds, and restart.
 
         A timeout and a nonzero exit status are violations.
         """
         async with self.lock:
             start = self.now()
-            await self._end(start)
+            await self._end(start, second_after)
             self.spawn()
             await self._record_disturbance(start, is_planned=True)
 
@@ -213,12 +215,17 @@
             if any(text in line for text in FORBIDDEN_LOG_TEXTS):
                 self._add_violation(line)
 
-    async def _end(self, start: float) -> None:
+    async def _end(
+        self, start: float, second_after: float | None = None
+    ) -> None:
         self.check_exit()
         process = self.processes.running[self.name]
         process.send_signal(signal.SIGTERM)
         while process.poll() is None:
-            if self.now() - start > SHUTDOWN_TIMEOUT_SECONDS:
+            if second_after is not None and self.now() - start > second_after:
+                process.send_signal(signal.SIGTERM)
+                second_after = None
+            if self.now() - start > self.shutdown_seconds:
                 self._add_violation(
                     f'did not end after SIGTERM at second {start:.2f}'
                 )
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -13,6 +13,7 @@
     wrong_accounts,
     wrong_rejections,
 )
+from .delivery_invariants import lost_by_log, lost_responses
 from .placement_invariants import cold_bursts, evacuated_arrivals
 from .propagation import is_excused, unplanned_disturbances
 from .records import RunRecord, SentRequest
@@ -29,8 +30,6 @@
 BUDGET_SLACK = 5
 BUDGET_WINDOW_SECONDS = 10.0
 REVERT_SLACK_SECONDS = 0.25
-#: A request may be cut off during a fault or within this time after it.
-INTERRUPTION_GRACE_SECONDS = 3.0
 #: A response may arrive this long after the timeout of its request.
 RESPONSE_SLACK_SECONDS = 0.5
 #: Callers of an instance without upstreams are served from this time on.
@@ -51,7 +50,6 @@
         _mismatched_responses,
         _misrouted_requests,
         _late_responses,
-        _interrupted_requests,
         _excess_retries,
         _config_rollbacks,
         exceeded_limits,
@@ -64,6 +62,8 @@
         exceeded_quotas,
         evacuated_arrivals,
         cold_bursts,
+        lost_responses,
+        lost_by_log,
     )
     return [*run.violations, *(line for check in checks for line in check(run))]
 
@@ -140,26 +140,6 @@
     )
 
 
-def _interrupted_requests(run: RunRecord) -> Iterator[str]:
-    """Check that a planned shutdown interrupts no running request."""
-    executed_ids = {
-        arrival.request_id for arrival in run.arrivals if arrival.has_run
-    }
-    for request in run.requests:
-        if request.outcome != 'cut' or request.request_id not in executed_ids:
-            continue
-        start = request.sent_at - INTERRUPTION_GRACE_SECONDS
-        is_disturbed = any(
-            disturbance.start <= request.ended_at and disturbance.end >= start
-            for disturbance in (
-                *run.upstream_disturbances,
-                *unplanned_disturbances(run),
-            )
-        )
-        if not is_disturbed:
-            yield f'cut off while it ran: {request.request_id}'
-
-
 def _excess_retries(run: RunRecord) -> Iterator[str]:
     seen_ids: set[str] = set()
     retry_times: dict[str, list[float]] = defaultdict(list)
--- a/soak/link.py
+++ b/soak/link.py
@@ -1,6 +1,8 @@
 """A loopback TCP proxy that injects network faults."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Collection
 from contextlib import suppress
 from enum import StrEnum
@@ -61,11 +63,8 @@
         if self.fault is LinkFault.RESET or _source(writer) in self.refused:
             writer.transport.abort()
             return
-        host, _, port = self.target.rpartition(':')
         try:
-            target_reader, target_writer = await asyncio.open_connection(
-                host, port
-            )
+            target_reader, target_writer = await self.connect_to_target()
         except OSError:
             writer.transport.abort()
             return
@@ -73,8 +72,8 @@
         self.open_writers |= writers
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, LinkFault.SILENT),
-                self._forward(
+                self.forward(reader, target_writer, LinkFault.SILENT),
+                self.forward(
                     target_reader, writer, LinkFault.SILENT, LinkFault.ONE_WAY
                 ),
             )
@@ -83,7 +82,13 @@
             for connection_writer in writers:
                 connection_writer.close()
 
-    async def _forward(
+    async def connect_to_target(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.target.rpartition(':')
+        return await asyncio.open_connection(host, port)
+
+    async def forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -112,6 +117,71 @@
             writer.transport.abort()
 
 
+class DistantLink(Link):
+    """A link with a delay each way and a bounded window.
+
+    At most ``window_bytes`` are under way in a direction. The rest stays in the
+    send queue of the sender, whose connection ends as the other side's does:
+    each direction for itself, or by a reset.
+    """
+
+    def __init__(
+        self, target: str, delay_seconds: float, window_bytes: int
+    ) -> None:
+        super().__init__(target)
+        self.delay_seconds = delay_seconds
+        self.window_bytes = window_bytes
+
+    async def connect_to_target(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await connect_with_window(self.target, self.window_bytes)
+
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *dropping_faults: LinkFault,
+    ) -> None:
+        try:
+            while chunk := await reader.read(self.window_bytes):
+                await asyncio.sleep(self.delay_seconds)
+                writer.write(chunk)
+                await writer.drain()
+            await asyncio.sleep(self.delay_seconds)
+            writer.write_eof()
+        except OSError:
+            reset(writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the peer gets a reset."""
+    connection = writer.get_extra_info('socket')
+    # A transport that has closed has no socket any more.
+    if not writer.is_closing():
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
+async def connect_with_window(
+    address: str, window_bytes: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection on which little is received that nobody reads."""
+    host, _, port = address.rpartition(':')
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.sock_connect(connection, (host, int(port)))
+    except BaseException:
+        connection.close()
+        raise
+    return await asyncio.open_connection(sock=connection, limit=window_bytes)
+
+
 def _source(writer: asyncio.StreamWriter) -> str:
     peer = writer.get_extra_info('peername')
     return str(peer[0]) if peer else ''
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -47,6 +47,7 @@
         self.now = now
         self.version = 0
         self.quota = QUOTA
+        self.limits = dict(LIMITS)
         if features.accounts:
             run.keys[MAIN_KEY] = KeyPeriod('main')
             run.keys[LIMITED_KEY] = KeyPeriod('limited')
@@ -74,7 +75,7 @@
                 }
                 for name in ('s1', 's2')
             ],
-            'Limits': LIMITS,
+            'Limits': self.limits,
         }
         if self.features.accounts:
             document['Tenants'] = self._accounts()
@@ -97,6 +98,11 @@
         self.run_record.quota_changes.append(change)
         self.publish()
 
+    def set_idle_timeout(self, seconds: float) -> None:
+        """Publish a version with another idle timeout of callers."""
+        self.limits['IdleTimeoutMs'] = round(seconds * 1000)
+        self.publish()
+
     def evacuate(self, domain: str) -> Evacuation:
         self.store.put(TOPIC, f'evacuate/{domain}', b'1')
         evacuation = Evacuation(domain, self.now())
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,8 +45,9 @@
 
     Client accounts; two failure domains, with slots for a home each and callers
     in both, if ``homes``; upstreams that are cold after a start; upstreams that
-    never respond to requests that they have no slot for; and links between the
-    internal ports of instances.
+    never respond to requests that they have no slot for; links between the
+    internal ports of instances; and ``slow`` and ``pipelines`` callers that
+    read slowly or pipeline, besides the usual ones.
     """
 
     accounts: bool = False
@@ -55,6 +56,8 @@
     cold: bool = False
     silent: bool = False
     links: bool = False
+    slow: int = 0
+    pipelines: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/records.py
+++ b/soak/records.py
@@ -160,6 +160,19 @@
     told_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionEnd:
+    """A caller's connection that an instance logged as ended.
+
+    ``stages`` has the stage of each request that was open, by request id.
+    """
+
+    instance: int
+    cause: str
+    reason: str
+    stages: tuple[tuple[str, str], ...]
+
+
 @dataclass(slots=True)
 class RunRecord:
     """The observations of a run against which the invariants are checked."""
@@ -192,5 +205,6 @@
     cold_periods: list[ColdPeriod] = field(default_factory=list)
     #: Services to which any configuration routed a path, by path.
     allowed_services: dict[str, set[str]] = field(default_factory=dict)
+    connection_ends: list[ConnectionEnd] = field(default_factory=list)
     #: Unexpected exits, forbidden log lines and failed recovery checks.
     violations: list[str] = field(default_factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from .injection import FaultInjector
 from .invariants import find_violations
 from .plan import Features, Planner
+from .planned_work import PlannedWorkPlanner
 from .records import RunRecord
 from .testbed import SERVICES, UPSTREAMS_PER_SERVICE, Testbed
 
@@ -51,6 +52,9 @@
     links: int = 0,
     losses: int = 0,
     departures: int = 0,
+    planned: int = 0,
+    slow: int = 0,
+    pipelines: int = 0,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
@@ -62,7 +66,9 @@
     The quota of an account changes ``quotas`` times, and the link between two
     domain homes is cut ``links`` times. The home, the store's links of its
     failure domain, or both are lost ``losses`` times, and ``departures``
-    instances leave for good before the home is killed. See ``Features`` for
+    instances leave for good before the home is killed. There are ``planned``
+    series of planned work, and ``slow`` and ``pipelines`` more callers that
+    read slowly or pipeline requests. See ``Features`` for
     ``homes`` and ``silent``.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
@@ -73,9 +79,13 @@
         bool(cold),
         silent,
         bool(links),
+        slow,
+        pipelines,
     )
     testbed = Testbed(folder, instances, seed, features)
-    planner = Planner(seed, instances, len(SERVICES) * UPSTREAMS_PER_SERVICE)
+    upstreams = len(SERVICES) * UPSTREAMS_PER_SERVICE
+    planner = Planner(seed, instances, upstreams)
+    planned_work = PlannedWorkPlanner(seed, instances, upstreams)
     schedule = sorted(
         (
             *(planner.schedule(seconds) if faults else ()),
@@ -85,6 +95,7 @@
             *planner.schedule_features(accounts, evacuations, cold, seconds),
             *planner.schedule_quota_faults(quotas, links, seconds),
             *planner.schedule_home_losses(losses, departures, seconds),
+            *planned_work.schedule(planned, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
@@ -95,6 +106,9 @@
         await _check_recovery(testbed)
         for instance in testbed.instances:
             instance.check()
+            testbed.run_record.connection_ends.extend(
+                testbed.log_of(instance).connection_ends(instance.number)
+            )
     finally:
         await testbed.stop()
         await asyncio.sleep(SETTLE_SECONDS)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -11,9 +11,24 @@
 
 from .callers import Caller
 from .instance_log import InstanceLog
-from .instances import PORT_NAMES, Instance
-from .link import Link
+from .instances import (
+    PORT_NAMES,
+    SHUTDOWN_TIMEOUT_SECONDS,
+    Instance,
+)
+from .link import DistantLink, Link
 from .operator import Operator
+from .pipelining_callers import (
+    DISTANCE_SECONDS,
+    DISTANT,
+    DISTANT_SLOW,
+    PIPELINING,
+    SLOW,
+    USUAL_KINDS,
+    WINDOW_BYTES,
+    CallerKind,
+    PipeliningCaller,
+)
 from .plan import FAILURE_DOMAINS, Features
 from .records import ObserverDelay, RunRecord
 from .upstreams import Upstream
@@ -23,6 +38,9 @@
 CALLER_COUNT = 8
 #: Quotas and limits of cold upstreams are reached with more load only.
 CALLER_COUNT_WITH_LIMITS = 16
+#: Callers that read slowly need this long for the responses of a batch that
+#: they sent before they noticed the stop.
+SHUTDOWN_WITH_SLOW_SECONDS = 6.0
 #: Longer pauses of the soak's own event loop are recorded.
 MIN_OBSERVER_DELAY_SECONDS = 0.1
 LOOP_CHECK_SECONDS = 0.02
@@ -44,6 +62,10 @@
         self.processes = Processes(folder)
         self.instance_count = instances
         self.random = Random(seed)
+        # Separate, so that the other callers of a seed stay the same.
+        self.pipelining_random = Random(f'pipelining-{seed}')
+        #: Links of distant callers to instances, by the addresses of these.
+        self.distant_links: dict[str, DistantLink] = {}
         self.instances: list[Instance] = []
         #: Sources of connections that upstreams refuse, by overlapping cuts.
         self.refused: Counter[str] = Counter()
@@ -84,6 +106,9 @@
                 self.now,
                 ports[number :: self.instance_count],
                 self._failure_domain(number),
+                SHUTDOWN_WITH_SLOW_SECONDS
+                if self.features.slow
+                else SHUTDOWN_TIMEOUT_SECONDS,
             )
             self.instances.append(instance)
         if self.features.links:
@@ -105,6 +130,29 @@
             )
         ]
 
+        await self._start_distant_links()
+        self.callers.extend(
+            self._new_pipelining_caller(f'p{number}', kind)
+            for number, kind in enumerate(self._pipelining_kinds())
+        )
+
+    def _pipelining_kinds(self) -> tuple[CallerKind, ...]:
+        """Return the usual kinds and those asked for; half are distant."""
+        slow_kinds = (SLOW, DISTANT_SLOW) * self.features.slow
+        pipelining_kinds = (PIPELINING, DISTANT) * self.features.pipelines
+        return (
+            *USUAL_KINDS,
+            *slow_kinds[: self.features.slow],
+            *pipelining_kinds[: self.features.pipelines],
+        )
+
+    async def _start_distant_links(self) -> None:
+        for instance in self.instances:
+            target = instance.addresses['callers']
+            link = DistantLink(target, DISTANCE_SECONDS, WINDOW_BYTES)
+            self.distant_links[target] = link
+            await link.start()
+
     async def _start_links(self) -> None:
         for instance in self.instances:
             for other in self.instances:
@@ -118,6 +166,29 @@
 
     def new_caller(self, name: str, failure_domain: str = '') -> Caller:
         return Caller(
+            *self._caller_details(name),
+            Random(self.random.random()),
+            failure_domain,
+        )
+
+    def _new_pipelining_caller(
+        self, name: str, kind: CallerKind
+    ) -> PipeliningCaller:
+        links = {}
+        if kind.is_distant:
+            links = {
+                address: link.address
+                for address, link in self.distant_links.items()
+            }
+        return PipeliningCaller(
+            kind,
+            links,
+            *self._caller_details(name),
+            Random(self.pipelining_random.random()),
+        )
+
+    def _caller_details(self, name: str) -> tuple:
+        return (
             name,
             [instance.addresses['directory'] for instance in self.instances],
             {
@@ -127,8 +198,6 @@
             self.operator,
             self.run_record,
             self.now,
-            Random(self.random.random()),
-            failure_domain,
         )
 
     def start_load(self) -> None:
@@ -169,6 +238,8 @@
         for instance in self.instances:
             for link in (instance.link, *instance.links.values()):
                 await link.stop()
+        for distant_link in self.distant_links.values():
+            await distant_link.stop()
         for upstream in self.upstreams:
             await upstream.stop()
         await self.store.stop()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -22,6 +22,9 @@
 SLOTS_WITH_HOMES = 32
 WARM_UP_REMAINING = 'X-Crocusproxy-Warmup-Remaining'
 ACCOUNT = 'X-Crocusproxy-Tenant-Name'
+#: A request states the size of its response's body in this header.
+BODY_BYTES = 'X-Body-Bytes'
+BODY_PADDING = b'.'
 #: Service time of a slow upstream in percent of the normal one.
 SLOW_PERCENT = 500
 NORMAL_PERCENT = 100
@@ -50,6 +53,8 @@
         self.response_fault: ResponseFault | None = None
         self.response_script = self.faulty_response
         self.statement: Statement | None = None
+        #: Minimum sizes of the bodies of responses, by request id.
+        self.body_bytes: dict[str, int] = {}
 
     def stop(self):
         super().stop()
@@ -88,6 +93,7 @@
                 if self.cold_period.told_at is None:
                     self.cold_period.told_at = self.now()
             return
+        self._note_body_bytes(head)
         arrived_at = self.now()
         response_task = asyncio.ensure_future(
             super().answer(head, reader, writer)
@@ -103,6 +109,7 @@
             statement.told_at = self.now()
 
     def response(self, request_id, body, health=False, status='200 OK'):
+        body = body.ljust(self.body_bytes.get(request_id, 0), BODY_PADDING)
         response = super().response(request_id, body, health, status)
         if not health or not self.warm_up_remaining_ms:
             return response
@@ -111,6 +118,11 @@
             b'\r\n\r\n', f'\r\n{remaining}\r\n\r\n'.encode(), 1
         )
 
+    def _note_body_bytes(self, head: str) -> None:
+        body_bytes = _header(head, BODY_BYTES)
+        if body_bytes:
+            self.body_bytes[_header(head, REQUEST_ID)] = int(body_bytes)
+
     def _is_overfull(self) -> bool:
         return (
             self.is_silent
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -92,13 +92,15 @@
     assert find_violations(run)
 
 
-def test_faulty_upstream_may_cut_off_request():
+def test_faulty_upstream_may_not_cut_off_request():
+    """Its caller gets an error, and keeps the connection."""
     run = record(
         sent_request(outcome='cut'),
         arrival(),
         upstream_disturbances=[UpstreamDisturbance(9, 11)],
     )
-    assert not find_violations(run)
+    (line,) = find_violations(run)
+    assert 'cut off' in line
 
 
 def test_retries_beyond_budget_are_reported():
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from soak.link import DELAY_SECONDS, Link, LinkFault
+from soak.link import DELAY_SECONDS, DistantLink, Link, LinkFault, reset
+
+DISTANCE = 0.02
+WINDOW = 4096
 
 
 async def echo(reader, writer):
@@ -83,3 +86,63 @@
             await exchange(await connect(link))
 
     run_scenario(scenario)
+
+
+def run_distant_scenario(serve, scenario):
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        link = await DistantLink(f'127.0.0.1:{port}', DISTANCE, WINDOW).start()
+        try:
+            return await scenario(link)
+        finally:
+            await link.stop()
+            server.close()
+
+    return asyncio.run(run())
+
+
+def test_distant_link_delays_each_way():
+    async def scenario(link):
+        started_at = asyncio.get_running_loop().time()
+        assert await exchange(await connect(link), 2) == b'x'
+        assert asyncio.get_running_loop().time() - started_at >= 2 * DISTANCE
+
+    run_distant_scenario(echo, scenario)
+
+
+def test_distant_link_ends_each_direction_for_itself():
+    """A full close at the first end would lose what is still under way."""
+
+    async def serve(reader, writer):
+        writer.write_eof()
+        received.append(await reader.read())
+        writer.close()
+
+    async def scenario(link):
+        reader, writer = await connect(link)
+        assert await reader.read() == b''
+        writer.write(b'late')
+        writer.write_eof()
+        while not received:
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    received = []
+    run_distant_scenario(serve, scenario)
+    assert received == [b'late']
+
+
+def test_distant_link_passes_on_a_reset():
+    """A caller would take a response that was cut for a whole one."""
+
+    async def serve(reader, writer):
+        await reader.read(1)
+        reset(writer)
+
+    async def scenario(link):
+        connection = await connect(link)
+        with pytest.raises(ConnectionError):
+            await exchange(connection, 2)
+
+    run_distant_scenario(serve, scenario)
