Close the ports of an instance at the same time

Cause, one part: the ports closed one after the other, each for up to 0.1 s while another instance's long poll is open on it, after the drain and without a bound for all of them.

The test holds each port's closing until all have begun; before the change it failed with a TimeoutError.

--- a/src/crocusproxy/entry/listeners.py
+++ b/src/crocusproxy/entry/listeners.py
@@ -1,5 +1,6 @@
 """HTTP ports of an entry instance other than the port for requests."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -76,9 +77,8 @@
         self.runners.append(runner)
 
     async def close(self) -> None:
-        """Close all ports."""
-        for runner in self.runners:
-            await runner.cleanup()
+        """Close all ports at the same time."""
+        await asyncio.gather(*(runner.cleanup() for runner in self.runners))
 
     async def _resolve(self, request: web.Request) -> web.Response:
         address_list = await self.addresses(
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -36,6 +36,23 @@
     asyncio.run(scenario())
 
 
+def test_ports_close_at_the_same_time():
+    """Each port with a long poll added 0.1 s to the end of the process."""
+
+    class Runner:
+        async def cleanup(self):
+            await barrier.wait()
+
+    async def scenario():
+        listeners = Listeners(DIRECTORY_API, lambda: None, lambda: '')
+        listeners.runners = [Runner() for _ in range(barrier.parties)]
+        async with asyncio.timeout(LONG_POLL_SECONDS):
+            await listeners.close()
+
+    barrier = asyncio.Barrier(3)
+    asyncio.run(scenario())
+
+
 def query_directory(addresses):
     """Return the status and body of a query by a caller in ``b``."""
 
