Tell followers of a domain home that it has lost the home

A stopped process accepts connections, so they noticed only at the timeout of that feed, 0.7 s later. Until then they named the stopped home as theirs, and an election waits up to 1 s for members that still follow the lost home: it was lost at 0.42 s, the last two members gave it up at 1.14 s, and the next home was there at 1.35 s. Nobody reads the upstreams' topic meanwhile, and these two members get no configuration.

The last message of a feed now has the name of the home that its sender has lost. The followers search at once, together with all others. If the home is well and only the domain home was cut off from it, the home answers the first query and is followed.

test_all_notice_a_silent_home_when_its_direct_followers_do failed before: its followers of domain homes noticed 0.35 s after the others (0.7 s with real connections, which a stopped process accepts).

--- a/src/crocusproxy/membership/feed_source.py
+++ b/src/crocusproxy/membership/feed_source.py
@@ -64,7 +64,8 @@
 
     ``avoided`` is the name of a domain home whose feed was lost, ``failures``
     the number of feeds in a row that did not begin, and ``failing_since`` the
-    time of the first of these attempts.
+    time of the first of these attempts. ``reported_loss`` is the name of the
+    home that the domain home has lost, as the end of its feed said.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.avoided = ''
         self.failures = 0
         self.failing_since = timedelta()
+        self.reported_loss = ''
         domain_homes.on_change.append(self._clear_avoided)
 
     def first(self, member: Member) -> Member:
@@ -99,11 +101,18 @@
         return feed_source(own, home, domain_home, self.member_list.all())
 
     def after_loss(self, lost: Member, home: Member | None) -> Member | None:
-        """Return the home if only a domain home was lost."""
+        """Return the home if only a domain home was lost.
+
+        If the domain home has lost the home, that is to be elected anew. A
+        stopped home accepts connections, so following it would take until the
+        timeout of its feed, in which this member would still name it as home.
+        """
         if home is None or lost.name == home.name:
             return None
         self.avoided = lost.name
-        return home
+        is_home_lost = home.name == self.reported_loss
+        self.reported_loss = ''
+        return None if is_home_lost else home
 
     def note_failure(self, source: Member, *, is_unreachable: bool) -> None:
         """Avoid a domain home that does not become able to serve a feed."""
--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -186,6 +186,7 @@
         self.lost_home_name = self.home.name
         self._set_home(None)
         # Followers of this member would otherwise keep reporting the lost home.
+        self.server.publish(FeedMessage(lost_home=self.lost_home_name))
         self.server.end_feeds()
 
     async def _read_feed(self, source: Member) -> Member | None:
@@ -198,6 +199,9 @@
             async for message in messages:
                 if message.leaving:
                     return None
+                if message.lost_home:
+                    self.sources.reported_loss = message.lost_home
+                    raise NotReachableError(f'lost by {source.name}')
                 self._apply_message(message)
                 self._note_contact(source)
                 preferred = self._preferred_source(message)
--- a/src/crocusproxy/protocol/home_feed.py
+++ b/src/crocusproxy/protocol/home_feed.py
@@ -156,7 +156,8 @@
     ``full``, ``changes`` hold all upstreams. Without ``domain_homes``, the
     latest ones stay in force. ``store_incarnation`` is -1 if not known.
     ``evacuated`` holds all evacuated failure domains; without it, the latest
-    set stays in force. ``departed`` holds members to forget.
+    set stays in force. ``departed`` holds members to forget. ``lost_home`` is
+    the name of the home that the sender has just lost; its feed ends with this.
     """
 
     epoch: int = 0
@@ -173,3 +174,4 @@
     terms: tuple[StatedTerms, ...] = ()
     evacuated: tuple[str, ...] | None = None
     departed: tuple[Departure, ...] = ()
+    lost_home: str = ''
--- a/tests/membership/test_feed_source.py
+++ b/tests/membership/test_feed_source.py
@@ -7,6 +7,7 @@
 
 from crocusproxy.membership.feed_server import HEARTBEAT_INTERVAL_SECONDS
 from crocusproxy.membership.feed_source import DIRECT_FOLLOWERS, feed_source
+from crocusproxy.membership.member_client import FEED_TIMEOUT_SECONDS
 from crocusproxy.protocol.home_feed import Member
 from standins.virtual_time import VirtualLoop
 
@@ -183,3 +184,44 @@
         assert versions == {network.stored_version}
 
     run_site(scenario)
+
+
+def test_all_notice_a_silent_home_when_its_direct_followers_do():
+    """Followers of domain homes would wait for the feed of the stopped home.
+
+    They then name it as their home, so that nobody leads meanwhile.
+    """
+
+    async def scenario(network, nodes):
+        others = [node for node in network.running() if node.name != 'a0']
+        network.isolate('a0')
+        lost_at = {}
+        while len(lost_at) < len(others):
+            await asyncio.sleep(0.01)
+            for node in others:
+                if node.home != 'a0':
+                    lost_at.setdefault(node.name, network.loop.time())
+        direct = [f'{one}{number}' for one in 'ab' for number in range(4)]
+        direct.remove('a0')
+        latest = max(lost_at[name] for name in direct)
+        assert max(lost_at.values()) - latest < 0.05
+
+    run_site(scenario)
+
+
+def test_followers_leave_a_domain_home_that_alone_has_lost_the_home():
+    """They must not elect another home, nor wait for the domain home."""
+
+    async def scenario(network, nodes):
+        lost = domain_home_of(nodes, 'b')
+        network.cuts.add(frozenset(('a0', lost)))
+        await asyncio.sleep(FEED_TIMEOUT_SECONDS + 0.6)
+        network.publish()
+        await asyncio.sleep(0.1)
+        tier = [f'b{number}' for number in range(DIRECT_FOLLOWERS, 8)]
+        for name in tier:
+            assert nodes[name].home == 'a0'
+            assert nodes[name].versions[-1] == network.stored_version
+        assert nodes['a0'].elector.epoch == 1
+
+    run_site(scenario)
