--- a/Makefile
+++ b/Makefile
@@ -92,12 +92,14 @@
 	  $(if $(BOUND),--bound=$(BOUND)) $(if $(SHUTDOWN),--shutdown=$(SHUTDOWN))
 
 # Optional: FORM of the closes (all of them by default), TREE of another checkout that
-# is built, SEED, TIME in seconds, DELAY_MS of the callers and FAULTS=True.
+# is built, SEED, TIME in seconds, DELAY_MS of the callers, the share of SLOW ones
+# and FAULTS=True.
 closes: $(STAMP)
 	@[ -n "$(TREE)" ] || PATH="$(CURDIR)/$(BIN):$$PATH" sh deploy/build.sh
 	$(BIN)/python -m bench.closes $(if $(FORM),--form=$(FORM)) $(if $(TREE),--tree=$(TREE)) \
 	  $(if $(SEED),--seed=$(SEED)) $(if $(TIME),--seconds=$(TIME)) \
-	  $(if $(DELAY_MS),--delay_ms=$(DELAY_MS)) $(if $(FAULTS),--faults=$(FAULTS))
+	  $(if $(DELAY_MS),--delay_ms=$(DELAY_MS)) $(if $(FAULTS),--faults=$(FAULTS)) \
+	  $(if $(SLOW),--slow_share=$(SLOW))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/bench/closes/__main__.py
+++ b/bench/closes/__main__.py
@@ -31,6 +31,7 @@
     seconds: float = 45,
     delay_ms: float = 0,
     faults: bool = False,
+    slow_share: float = 0,
     json: str = '',
     folder: str = '',
 ) -> None:
@@ -43,6 +44,7 @@
         seconds: time of planned work in the random forms.
         delay_ms: one-way latency of the callers.
         faults: whether the series also has kills, freezes and link faults.
+        slow_share: share of the series' connections that are read slowly.
         json: path of a JSON file for the results.
         folder: where the record and the logs go; by default a new folder.
     """
@@ -72,6 +74,7 @@
                     seconds,
                     delay_ms / 1000,
                     faults=faults,
+                    slow_share=slow_share,
                 )
             )
         except Exception as error:
--- a/bench/closes/forms.py
+++ b/bench/closes/forms.py
@@ -41,6 +41,7 @@
     delay_seconds: float,
     *,
     faults: bool,
+    slow_share: float = 0,
 ) -> FormResult:
     """Play a form once; the record and the logs go to ``logs``."""
     form = FORMS[name]
@@ -55,7 +56,11 @@
         else:
             deployment = series.DEPLOYMENTS[name]
             await series.Series(
-                testbed, deployment, seconds, faults=faults
+                testbed,
+                deployment,
+                seconds,
+                faults=faults,
+                slow_share=slow_share,
             ).play()
     finally:
         await testbed.stop()
--- a/bench/closes/report.py
+++ b/bench/closes/report.py
@@ -36,7 +36,7 @@
         losses = _join(self.losses) or '-'
         causes = _join(self.causes) or '-'
         return (
-            f'{self.tree:<15} {self.form:<12}seed {self.seed:<5}'
+            f'{self.tree:<15} {self.form:<13}seed {self.seed:<5}'
             f'{self.lost:>5} lost of {self.passed_on:>6} passed on, '
             f'{self.answered:>6} answered, {self.broken_off} broken off; '
             f'{losses}; '
--- a/bench/closes/series.py
+++ b/bench/closes/series.py
@@ -24,6 +24,8 @@
 IDLE_TIMEOUTS_MS = (300, 500, 1000, 2000)
 #: At least this many instances are neither stopping nor starting.
 MIN_RUNNING = 7
+#: How a slow caller reads.
+SLOW_OPTIONS = {'bytes_per_second': 50_000, 'receive_buffer': 4096}
 _THINK_SECONDS = (0.0, 0.25)
 #: Callers still open connections to an instance this long after its SIGTERM.
 _NAMED_SECONDS = 1.0
@@ -119,7 +121,9 @@
         seconds: float,
         *,
         faults: bool,
+        slow_share: float = 0,
     ) -> None:
+        self.slow_share = slow_share
         self.deployment = deployment
         self.testbed = testbed
         self.random = testbed.random
@@ -293,8 +297,11 @@
 
     async def _connect(self) -> CallerConnection | None:
         instance = self.random.choice(self._named())
+        options = {}
+        if self.random.random() < self.slow_share:
+            options = SLOW_OPTIONS
         with suppress(OSError, TimeoutError):
-            return await self.testbed.connect(instance)
+            return await self.testbed.connect(instance, **options)
         await asyncio.sleep(0.05)
         return None
 
