--- a/bench/closes/testbed.py
+++ b/bench/closes/testbed.py
@@ -209,9 +209,12 @@
     def write_losses(self) -> None:
         """Write each loss to the record, with what is known of the request.
 
-        Requests that an instance answered itself stand before them.
+        Requests that ended unanswered, or that an instance answered itself,
+        stand before them.
         """
         for request in self.ledger.requests.values():
+            if request.end:
+                self.record.write(f'ended unanswered: {request}')
             if request.status and not request.is_upstream_answer:
                 self.record.write(f'own answer {request.status}: {request}')
         for request, loss in self.ledger.losses():
