--- a/bench/closes/trials.py
+++ b/bench/closes/trials.py
@@ -129,13 +129,22 @@
     pause_seconds: tuple[float, float] = (0, 0.3)
     slots: int = SLOTS
     callers: int = CALLERS
+    #: Upstreams reset connections beyond so many requests, though they say
+    #: that they have more slots.
+    full_at: int | None = None
 
     async def play(self, testbed: ClosesTestbed, seconds: float) -> None:
         for number in range(UPSTREAMS):
             zone = ZONES[number % len(ZONES)]
-            await testbed.add_upstream(
-                'work', zone, slots=self.slots, queue=500
+            upstream = await testbed.add_upstream(
+                'work',
+                zone,
+                resets=self.full_at is not None,
+                slots=self.slots,
+                queue=500 if self.full_at is None else 1,
             )
+            if self.full_at is not None:
+                upstream.free = asyncio.Semaphore(self.full_at)
         testbed.idle_timeout_ms = self.idle_timeout_ms
         if self.work is reset_peers:
             await testbed.link_peers()
@@ -197,6 +206,7 @@
     'handover': Trial(read_some, hand_over),
     'young': Trial(read_some, stop_young),
     'reload': Trial(read_some, reload_throughout),
+    'full': Trial(read_some, restart, full_at=2),
     'peers': Trial(read_some, reset_peers),
     # Requests wait at the home, as upstreams have half of the slots they need.
     'home': Trial(
--- a/bench/closes/upstream.py
+++ b/bench/closes/upstream.py
@@ -75,6 +75,8 @@
     async def _refuse(self, rid, expected, headers, reader, writer):
         self.ledger.events['refused by upstreams'] += 1
         if expected == self.id and self.resets:
+            # It had the request, so the caller must get an answer.
+            self.ledger.requests[rid].arrived_at = self.record.now()
             linger = struct.pack('ii', 1, 0)
             writer.get_extra_info('socket').setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, linger
