--- a/src/crocusproxy/entry/head_splitter.py
+++ b/src/crocusproxy/entry/head_splitter.py
@@ -4,6 +4,8 @@
 
 HEAD_END = b'\r\n\r\n'
 _OVERLAP = len(HEAD_END) - 1
+#: The rest of a segment is one piece, as a body may have many ends of heads.
+_MAX_PIECES = 64
 
 
 class HeadSplitter:
@@ -19,6 +21,8 @@
     [3]
     >>> [len(piece) for piece in splitter.split(HEAD_END[3:] + b'rest')]
     [1, 4]
+    >>> len(list(splitter.split(HEAD_END * 10_000)))
+    65
     """
 
     __slots__ = ('tail',)
@@ -32,13 +36,16 @@
         start = 0
         end = self._end_across_segments(segment)
         self.tail = (self.tail + segment[-_OVERLAP:])[-_OVERLAP:]
-        while start < len(segment):
+        for _ in range(_MAX_PIECES):
             if not end:
-                end = segment.find(HEAD_END, start) + len(HEAD_END)
-                if end < len(HEAD_END):
-                    end = len(segment)
+                found_at = segment.find(HEAD_END, start)
+                if found_at < 0:
+                    break
+                end = found_at + len(HEAD_END)
             yield segment[start:end]
             start, end = end, 0
+        if start < len(segment):
+            yield segment[start:]
 
     def _end_across_segments(self, segment: bytes) -> int:
         """Return where a head ends that ended in the tail but for its end."""
