--- a/soak/instances.py
+++ b/soak/instances.py
@@ -63,7 +63,6 @@
         self.settings_path = processes.folder / f'{self.name}.yaml'
         self.source = f'127.0.1.{number + 1}'
         self.validity_seconds = 1
-        self.shutdown_seconds = SHUTDOWN_TIMEOUT_SECONDS
         #: Links to the internal ports of other instances, by their addresses.
         self.links: dict[str, Link] = {}
         #: Serializes kills, terminations and pauses.
--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -67,13 +67,15 @@
     arrived that does not start: the caller treats requests without a response
     before the close as not processed. ``end_cause`` is who ends the
     connection, None while it is open; ``dropped`` are the requests that did not
-    start before the response that closed it.
+    start before the response that closed it, and ``discarded_bytes`` counts the
+    input that arrived too late for one.
     """
 
     __slots__ = (
         'last_activity_at',
         'closes_after_started',
         'delivery',
+        'discarded_bytes',
         'dropped',
         'end_cause',
         'ignores_input',
@@ -94,6 +96,7 @@
         self.delivery: ResponseDelivery | None = None
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
+        self.discarded_bytes = 0
         self.is_finished = False
         self.closes_after_started = False
         self.ignores_input = False
@@ -136,17 +139,17 @@
 
     def eof_received(self) -> None:
         """Note that the caller ends the connection; it then closes."""
-        self.end_cause = self.end_cause or EndCause.CALLER
+        if self.end_cause is None or self.has_outstanding_bytes():
+            self.end_cause = EndCause.CALLER
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
         self.last_activity_at = self.gateway.clock.monotonic()
-        if self.delivery is not None:
-            self.delivery.received_at = self.last_activity_at
         for piece in self.splitter.split(data):
             if self.is_finished or self.ignores_input:
-                return
-            self._parse(piece)
+                self.discarded_bytes += len(piece)
+            else:
+                self._parse(piece)
         if len(self.pipeline) > _MAX_PIPELINED:
             self._pause_reading_for_buffer()
 
@@ -169,11 +172,20 @@
         elif not (self.pipeline or self.is_finished):
             self._enforce_idle_timeouts(delivery, now)
 
-    def close_if_idle(self) -> None:
-        """End the connection unless a request or a response is under way."""
-        is_idle = not (self.pipeline or self.has_outstanding_bytes())
-        if is_idle and not self.is_finished:
+    def end_if_idle(self, now: timedelta) -> bool:
+        """End the connection unless a request or a response is under way.
+
+        Return whether the caller still waits for, receives or reads responses.
+        """
+        delivery = self.delivery
+        if delivery is None:
+            return False
+        if self.pipeline:
+            return True
+        delivery.update(now)
+        if not (self.is_finished or delivery.outstanding):
             self._finish(EndCause.STOP)
+        return delivery.is_receiving(now)
 
     def has_outstanding_bytes(self) -> bool:
         """Return whether the caller has yet to acknowledge bytes."""
@@ -335,8 +347,9 @@
             (*open_requests(self.pipeline, now), *self.dropped),
             self.end_cause,
             error,
+            self.discarded_bytes,
         )
-        if end.requests:
+        if end.requests or end.discarded_bytes:
             self.gateway.record_end(end)
 
     def _has_started_requests(self) -> bool:
--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -40,14 +40,16 @@
 class ConnectionEnd:
     """The end of a connection to ``peer``, with the requests open then.
 
-    ``unacknowledged_bytes`` counts those of responses. ``reason`` is the error,
-    or empty.
+    ``unacknowledged_bytes`` counts those of responses, ``discarded_bytes`` the
+    input that was not served, as the end was under way. ``reason`` is the
+    error, or empty.
     """
 
     peer: str
     cause: EndCause
     reason: str
     unacknowledged_bytes: int
+    discarded_bytes: int
     requests: tuple[OpenRequest, ...]
 
 
@@ -70,22 +72,25 @@
     unanswered: Iterable[OpenRequest],
     cause: EndCause | None,
     error: BaseException | None,
+    discarded_bytes: int,
 ) -> ConnectionEnd:
     """Return the end of a connection, with the requests open at it.
 
-    Without a ``cause`` on this side, the caller has closed the connection, or
-    the ``error`` has.
+    An ``error`` ends the connection whatever its ``cause`` would have been;
+    without both, the caller has closed it.
     """
     unacknowledged = tuple(
         OpenRequest(request_id, RequestStage.ANSWERED)
         for request_id in delivery.request_ids()
     )
     peer = delivery.transport.get_extra_info('peername')
-    default_cause = EndCause.CALLER if error is None else EndCause.ERROR
+    if error is not None:
+        cause = EndCause.ERROR
     return ConnectionEnd(
         f'{peer[0]}:{peer[1]}' if peer else '',
-        cause or default_cause,
+        cause or EndCause.CALLER,
         '' if error is None else repr(error),
         delivery.outstanding,
+        discarded_bytes,
         (*unacknowledged, *unanswered),
     )
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -369,6 +369,4 @@
         while True:
             await asyncio.sleep(_CLOSE_IDLE_INTERVAL_SECONDS)
             self.pool.close_idle()
-            now = self.clock.monotonic()
-            for connection in tuple(self.gateway.connections):
-                connection.enforce_timeouts(now)
+            await self.gateway.enforce_timeouts()
--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -14,7 +14,7 @@
 _LAST_RESPONSE_MARGIN_SECONDS = 0.5
 #: Share of the shutdown time after which new connections are refused.
 _STOP_LISTENING_SHARE = 0.7
-_IN_FLIGHT_CHECK_SECONDS = 0.02
+_CHECK_SECONDS = 0.05
 
 
 async def drain_callers(
@@ -42,19 +42,19 @@
     while _has_work(gateway, clock):
         if _is_due(gateway, clock):
             gateway.dispatcher.refuse_waiting()
-        for connection in tuple(gateway.connections):
-            connection.close_if_idle()
-        await asyncio.sleep(_IN_FLIGHT_CHECK_SECONDS)
+        await asyncio.sleep(_CHECK_SECONDS)
 
 
 def _has_work(gateway: Gateway, clock: Clock) -> bool:
-    """Return whether callers still need this process.
+    """End idle connections, and return whether callers need this process.
 
-    Those that have all responses are given time to close their connections.
+    After the last possible response, only requests that are at work keep it.
+    The kernel goes on sending what is outstanding then.
     """
-    if gateway.has_open_requests() or gateway.has_outstanding_bytes():
+    are_receiving = gateway.end_idle_connections()
+    if gateway.has_open_requests():
         return True
-    return bool(gateway.connections) and not _is_due(gateway, clock)
+    return are_receiving and not _is_due(gateway, clock)
 
 
 def _is_due(gateway: Gateway, clock: Clock) -> bool:
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests: routing, authentication and checks."""
 
+import asyncio
 from math import inf
 
 from ..accounts.directory import (
@@ -46,6 +47,10 @@
 )
 from .warm_up_watch import WarmUpWatch
 
+#: Connections that are checked before other work may run, as thousands at once
+#: would delay requests by tens of milliseconds.
+_CHECKED_AT_ONCE = 64
+
 
 class Gateway:
     """Serves the requests of all callers of this process.
@@ -103,9 +108,22 @@
             )
         self.request_server.apply_accounts(config.accounts)
 
-    def has_outstanding_bytes(self) -> bool:
-        """Return whether a caller has yet to acknowledge a response."""
-        return any(one.has_outstanding_bytes() for one in self.connections)
+    async def enforce_timeouts(self) -> None:
+        """Close connections after a timeout, some at a time."""
+        connections = tuple(self.connections)
+        for number, connection in enumerate(connections, 1):
+            connection.enforce_timeouts(self.clock.monotonic())
+            if not number % _CHECKED_AT_ONCE:
+                await asyncio.sleep(0)
+
+    def end_idle_connections(self) -> bool:
+        """End idle connections; return whether callers still receive."""
+        now = self.clock.monotonic()
+        are_receiving = False
+        for connection in tuple(self.connections):
+            if connection.end_if_idle(now):
+                are_receiving = True
+        return are_receiving
 
     def has_open_requests(self) -> bool:
         """Return whether a request is at work, or waits behind another one."""
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -127,6 +127,7 @@
                 cause=end.cause,
                 reason=end.reason,
                 unacknowledged_bytes=end.unacknowledged_bytes,
+                discarded_bytes=end.discarded_bytes,
                 requests=[_open_request_fields(one) for one in end.requests],
             )
 
--- a/src/crocusproxy/http_server/response_delivery.py
+++ b/src/crocusproxy/http_server/response_delivery.py
@@ -16,11 +16,12 @@
 
 #: A peer that acknowledges no byte for this long counts as gone.
 SEND_TIMEOUT = timedelta(seconds=30)
-#: An ended connection closes once the peer, which has acknowledged everything,
-#: has sent nothing for this long.
-LINGER_TIMEOUT = timedelta(seconds=1)
-#: It closes this long after the last acknowledgement, whatever still arrives.
+#: An ended connection closes this long after the peer has acknowledged
+#: everything, if the peer does not close it. Its system may hold responses that
+#: it has yet to read, and would discard them at the reset that follows a close.
 LINGER_LIMIT = timedelta(seconds=30)
+#: A process that ends leaves a caller this time to read its last response.
+READ_TIME = timedelta(seconds=1)
 #: More responses than this are checked for acknowledgements at each write.
 _MAX_UNCHECKED = 64
 _INT = struct.Struct('i')
@@ -49,17 +50,18 @@
 
     Times are monotonic. ``outstanding`` is the number of bytes that the peer
     had not acknowledged when they were last counted, ``acknowledged_at`` the
-    time at which it last acknowledged some. ``is_ended`` is set once nothing
-    more is sent.
+    time at which it last acknowledged some, and ``delivered_at`` the time at
+    which it last acknowledged the end of a response. ``is_ended`` is set once
+    nothing more is sent.
     """
 
     __slots__ = (
         'acknowledged_at',
         'byte_count',
+        'delivered_at',
         'ends',
         'is_ended',
         'outstanding',
-        'received_at',
         'transport',
     )
 
@@ -68,8 +70,8 @@
     ) -> None:
         self.transport = transport
         self.acknowledged_at = now
-        self.received_at = now
         self.byte_count = 0
+        self.delivered_at: timedelta | None = None
         self.outstanding = 0
         self.is_ended = False
         #: Request ids, each with the position of its response's last byte.
@@ -89,11 +91,11 @@
     def end(self, now: timedelta) -> None:
         """End this direction of the connection after what was written."""
         self.is_ended = True
-        self.received_at = now
+        if not self.outstanding:
+            self.acknowledged_at = now
         with suppress(OSError):
             # The peer may have reset the connection in this very step.
             self.transport.write_eof()
-        # The kernel counts the end as one byte.
         self.outstanding += 1
 
     def update(self, now: timedelta) -> None:
@@ -107,7 +109,7 @@
         if outstanding != self.outstanding:
             self.outstanding = outstanding
             self.acknowledged_at = now
-            self._forget_acknowledged()
+            self._forget_acknowledged(now)
 
     def request_ids(self) -> tuple[str, ...]:
         """Return the ids of requests whose responses are not acknowledged."""
@@ -125,11 +127,19 @@
         """
         if self.outstanding or not self.is_ended:
             return False
-        last_at = max(self.received_at, self.acknowledged_at)
-        is_silent = now - last_at > LINGER_TIMEOUT
-        return is_silent or now - self.acknowledged_at > LINGER_LIMIT
+        return now - self.acknowledged_at > LINGER_LIMIT
 
-    def _forget_acknowledged(self) -> None:
-        acknowledged = self.byte_count - self.outstanding
+    def is_receiving(self, now: timedelta) -> bool:
+        """Return whether the peer receives or may still read responses."""
+        if self.outstanding:
+            return True
+        delivered_at = self.delivered_at
+        return delivered_at is not None and now - delivered_at <= READ_TIME
+
+    def _forget_acknowledged(self, now: timedelta) -> None:
+        # The kernel counts the end of the stream as one byte.
+        written = self.byte_count + self.is_ended
+        acknowledged = written - self.outstanding
         while self.ends and self.ends[0][1] <= acknowledged:
             self.ends.popleft()
+            self.delivered_at = now
--- a/src/crocusproxy/http_server/server.py
+++ b/src/crocusproxy/http_server/server.py
@@ -31,10 +31,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Discard what arrives after the end of this direction."""
-        if self.delivering_transport.is_closing():
-            self.delivering_transport.note_input()
-            return
-        super().data_received(data)
+        if not self.delivering_transport.is_closing():
+            super().data_received(data)
 
     def _process_keepalive(self) -> None:
         if self.delivering_transport.has_unread_responses():
@@ -75,16 +73,19 @@
         super().connection_lost(handler, exc)
         self.open_connections.discard(cast(ServedConnection, handler))
 
-    async def wait_until_delivered(self) -> None:
-        """Wait until all callers have received all responses.
+    async def wait_until_acknowledged(self) -> None:
+        """Wait until all callers have acknowledged all responses."""
+        while any(
+            transport.has_unread_responses() for transport in self._transports()
+        ):
+            await asyncio.sleep(_CHECK_SECONDS)
 
-        Connections that were ended are closed then.
-        """
-        while not self._is_delivered():
+    async def wait_until_delivered(self) -> None:
+        """Wait as above, and until all ended connections are closed."""
+        while not all(
+            transport.is_delivered() for transport in self._transports()
+        ):
             await asyncio.sleep(_CHECK_SECONDS)
 
-    def _is_delivered(self) -> bool:
-        return all(
-            connection.delivering_transport.is_delivered()
-            for connection in self.open_connections
-        )
+    def _transports(self) -> list[DeliveringTransport]:
+        return [one.delivering_transport for one in self.open_connections]
--- a/src/crocusproxy/http_server/transport.py
+++ b/src/crocusproxy/http_server/transport.py
@@ -55,10 +55,6 @@
             self.transport.resume_reading()
         self._check()
 
-    def note_input(self) -> None:
-        """Note that the peer of an ended connection has sent something."""
-        self.delivery.received_at = self._now()
-
     def has_unread_responses(self) -> bool:
         """Return whether the peer still receives; abort if it is gone."""
         now = self._now()
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -86,7 +86,7 @@
         await self.site.stop()
         log('port_closed', in_flight=self.metrics.in_flight)
         await self.core.frontend.idle.wait()
-        await self.server.wait_until_delivered()
+        await self.server.wait_until_acknowledged()
 
     async def stop(self) -> None:
         """Stop all tasks and close all ports and connections."""
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -69,6 +69,9 @@
         self.gateway.clock.advance(timedelta(seconds=seconds))
         self.protocol.enforce_timeouts(self.gateway.clock.monotonic())
 
+    def end_if_idle(self):
+        return self.protocol.end_if_idle(self.gateway.clock.monotonic())
+
     def send(self, number, method='GET', headers=''):
         head = f'{method} /{number} HTTP/1.1\r\nHost: a.example\r\n{headers}'
         self.protocol.data_received(f'{head}\r\n'.encode())
@@ -306,12 +309,57 @@
             connection.set_outstanding(outstanding)
             connection.advance(20)
             assert not connection.transport.close.called
-        connection.advance(2)
+        connection.advance(31)
         assert connection.transport.close.called
 
     asyncio.run(scenario())
 
 
+def test_end_after_a_long_idle_time_resets_no_connection():
+    """The idle time counted as time in which nothing was acknowledged."""
+
+    async def scenario():
+        connection = await answered_connection(outstanding=0)
+        connection.advance(0)
+        connection.advance(300)
+        assert connection.protocol.is_finished
+        connection.set_outstanding(1)
+        connection.advance(0.02)
+        assert not connection.transport.abort.called
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_never_closes_its_side_holds_no_stop():
+    """Pools that don't watch idle connections made each stop last longer."""
+
+    async def scenario():
+        connection = await answered_connection(outstanding=0)
+        connection.advance(0)
+        connection.advance(5)
+        connection.set_outstanding(1)
+        assert connection.end_if_idle()
+        connection.set_outstanding(0)
+        assert not connection.end_if_idle()
+
+    asyncio.run(scenario())
+
+
+def test_stop_leaves_the_caller_time_to_read_the_last_response():
+    async def scenario():
+        connection = await answered_connection(outstanding=50)
+        connection.advance(5)
+        assert connection.end_if_idle()
+        assert not connection.protocol.is_finished
+        connection.set_outstanding(0)
+        assert connection.end_if_idle()
+        assert connection.protocol.is_finished
+        connection.advance(2)
+        assert not connection.end_if_idle()
+
+    asyncio.run(scenario())
+
+
 def test_caller_that_sends_on_after_the_end_is_not_read_forever():
     async def scenario():
         connection = Connection()
--- a/tests/entry/test_connection_end.py
+++ b/tests/entry/test_connection_end.py
@@ -1,6 +1,8 @@
 """Guards against connections whose end leaves no trace of their requests."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from prometheus_client import CollectorRegistry
@@ -54,9 +56,14 @@
         caller = await system.connect()
         caller.send('r1')
         await wait_until(lambda: server.runs == ['r1'])
+        caller.writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
         caller.writer.transport.abort()
         await wait_until(lambda: ends(system))
-        assert ends(system)[0][1] == ['sent']
+        assert ends(system) == [('error', ['sent'])]
+        fields = dict(system.log_lines)['connection_ended']
+        assert 'reset' in fields['reason']
 
     run_scenario(scenario, [make_server(work=30)])
 
@@ -94,7 +101,7 @@
     registry = CollectorRegistry()
     metrics = EntryMetrics(registry)
     requests = (OpenRequest('r1', RequestStage.SENT, 1.0),) * 2
-    metrics.count_open_requests(ConnectionEnd('', cause, '', 0, requests))
+    metrics.count_open_requests(ConnectionEnd('', cause, '', 0, 0, requests))
     labels = {'cause': cause, 'stage': 'sent'}
     name = 'crocus_entry_open_requests_total'
     assert registry.get_sample_value(name, labels) == 2
@@ -117,3 +124,21 @@
         assert server.runs == ['r1']
 
     run_scenario(scenario, [make_server(work=0.2)])
+
+
+def test_request_that_crosses_the_end_of_its_connection_leaves_a_line():
+    """It was read and discarded, which no line told."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        caller.send('r1', headers=('Connection: close',))
+        assert (await caller.read())[0] == 200
+        caller.send('r2')
+        await asyncio.sleep(0.05)
+        caller.close()
+        await wait_until(lambda: ends(system))
+        fields = dict(system.log_lines)['connection_ended']
+        assert fields['requests'] == []
+        assert fields['discarded_bytes'] > 0
+
+    run_scenario(scenario, [make_server()])
--- a/tests/entry/test_end_records.py
+++ b/tests/entry/test_end_records.py
@@ -75,7 +75,7 @@
         (connection,) = system.gateway.connections
         reset(caller)
         caller.close()
-        connection.close_if_idle()
+        system.gateway.end_idle_connections()
         await wait_until(lambda: not system.gateway.connections)
 
     run_scenario(scenario)
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -449,10 +449,12 @@
         caller.send('r1', deadline_ms=5000)
         await asyncio.sleep(0.5)
         assert not system.gateway.in_flight
-        assert system.gateway.has_outstanding_bytes()
+        (connection,) = system.gateway.connections
+        assert connection.has_outstanding_bytes()
+        assert system.gateway.end_idle_connections()
         assert len((await caller.read())[2]) == len(body)
         await asyncio.sleep(0.05)
-        assert not system.gateway.has_outstanding_bytes()
+        assert not connection.has_outstanding_bytes()
         caller.close()
 
     run_scenario(scenario, [make_server()])
--- a/tests/entry/test_outstanding_responses.py
+++ b/tests/entry/test_outstanding_responses.py
@@ -12,11 +12,13 @@
 BODY = b'x' * 30_000
 REQUEST_COUNT = 6
 RECEIVE_BUFFER_BYTES = 4096
-SHUTDOWN = timedelta(seconds=1.5)
+SHUTDOWN = timedelta(seconds=4)
 #: Longer than any linger after the last response of a connection.
 LATE_SECONDS = 1.3
 IDLE_TIMEOUT = timedelta(seconds=0.5)
 AFTER_IDLE_TIMEOUT = timedelta(seconds=2)
+#: After the port was closed, and before the last possible response.
+AFTER_CLOSE_SECONDS = 3.0
 CONFIG = make_config(timeout=10.0, idle_timeout=IDLE_TIMEOUT)
 
 
@@ -126,7 +128,7 @@
                 system.gateway, system.listener, system.clock, SHUTDOWN
             )
         )
-        await asyncio.sleep(LATE_SECONDS)
+        await asyncio.sleep(AFTER_CLOSE_SECONDS)
         caller.send('next')
         await caller.writer.drain()
         assert not draining.done()
--- a/tests/http_server/test_transport.py
+++ b/tests/http_server/test_transport.py
@@ -4,7 +4,9 @@
 import socket
 import struct
 from contextlib import asynccontextmanager
+from datetime import timedelta
 
+from crocusproxy.http_server import response_delivery
 from crocusproxy.http_server.transport import DeliveringTransport
 
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -67,7 +69,10 @@
         assert protocol.transport.is_delivered()
 
 
-async def test_connection_closes_without_a_close_of_the_peer():
+async def test_connection_closes_without_a_close_of_the_peer(monkeypatch):
+    monkeypatch.setattr(
+        response_delivery, 'LINGER_LIMIT', timedelta(seconds=0.2)
+    )
     async with connected() as (protocol, _):
         protocol.transport.close()
         assert await protocol.lost is None
