Deliver responses of the ports for control and configuration as they close

A peer that sends on while it reads a response lost the rest of it with a reset when the port closed: aiohttp closes the connection, and the kernel discards what the peer has not acknowledged. The system's own clients only read then, and lost nothing (second test, green before). All programs' ports now have the connections of http_server/.

Evidence: the first test of tests/http_server/test_server.py failed before. tests of application, config, console, locator, entry process and listeners pass.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 
+from .http_server.server import DeliveringRunner
 from .logs import log
 
 Hook = Callable[[], Awaitable[None]]
@@ -173,7 +174,7 @@
 
     The clean-up waits for requests in progress for up to ``shutdown_timeout``.
     """
-    runner = web.AppRunner(
+    runner = DeliveringRunner(
         handler,
         access_log=None,
         shutdown_timeout=shutdown_timeout.total_seconds(),
--- a/src/crocusproxy/http_server/server.py
+++ b/src/crocusproxy/http_server/server.py
@@ -88,3 +88,16 @@
             connection.delivering_transport.is_delivered()
             for connection in self.open_connections
         )
+
+
+class DeliveringRunner(web.AppRunner):
+    """Serves an application with connections that lose no response."""
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return DeliveringServer(
+            server.request_handler,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **self._kwargs,
+        )
