Forward no request over a connection that the home may be closing

With an idle timeout below 4 s, a caller got a 502 for a non-idempotent request that had not run: the instance in front reused a connection to the home for 5 s, while the home closes it after the idle timeout of the configuration and a second.

Connections are now reused for at most the idle timeout, a second before the home may close them. A limit of zero no longer stands for the pool's own.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -142,6 +142,7 @@
             self.role,
             self.observer,
             self.dispatcher.random,
+            self.catalog,
         )
         add_gauges(
             self.metrics,
--- a/src/crocusproxy/entry/forwarding_connection.py
+++ b/src/crocusproxy/entry/forwarding_connection.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from ..clock import Clock
+from ..membership.catalog import Catalog
 from ..proxy.pool import ConnectionPool
 from .dispatch_role import DispatchRole
 from .home_forwarder import HomeForwarder
@@ -20,15 +21,18 @@
     role: DispatchRole,
     observer: ResponseObserver,
     random: Random,
+    catalog: Catalog,
 ) -> None:
     """Let requests be forwarded to the instances that dispatch them."""
-    request_server.forwarder = HomeForwarder(
+    forwarder = HomeForwarder(
         pool,
         messages,
         clock,
         role.forwarding_address,
         observer.observe_relayed,
     )
+    catalog.on_config.append(forwarder.apply_config)
+    request_server.forwarder = forwarder
     request_server.overflow_targets = OverflowTargets(
         role.other_domain_homes, random, role.is_shared
     )
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -7,11 +7,13 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 from aiohttp.http import RawResponseMessage
 
 from ..clock import Clock
 from ..proxy.pool import ConnectionPool
+from ..routes.model import RouteConfig
 from .call_results import NotRun, ResponseLost
 from .exchange import exchange_over
 from .responses import CallerResponse
@@ -28,14 +30,15 @@
 #: older than that of the forwarding instance, or it has no spare slot.
 DECLINED_STATUS = 425
 _CONNECT_TIMEOUT_SECONDS = 0.1
-_IDLE_LIMIT_SECONDS = 5.0
+_MAX_IDLE_SECONDS = 5.0
 
 
 class HomeForwarder:
     """Sends requests to the instance that dispatches their service.
 
     ``home_address`` returns its address for a service, empty if there is none.
-    ``on_response`` receives each response of a home.
+    ``on_response`` receives each response of a home. A home closes connections
+    that were idle for longer than ``idle_timeout_seconds``.
     """
 
     def __init__(
@@ -51,6 +54,15 @@
         self.clock = clock
         self.home_address = home_address
         self.on_response = on_response
+        self.idle_timeout_seconds = inf
+
+    def apply_config(self, config: RouteConfig) -> None:
+        """Reuse no connection that a home may be closing.
+
+        A non-idempotent request on it would get no response.
+        """
+        timeout = config.limits.idle_timeout
+        self.idle_timeout_seconds = timeout.total_seconds()
 
     async def forward(
         self,
@@ -106,7 +118,7 @@
             address,
             outgoing_request.request_id,
             _CONNECT_TIMEOUT_SECONDS,
-            _IDLE_LIMIT_SECONDS,
+            min(self.idle_timeout_seconds, _MAX_IDLE_SECONDS),
             lambda connection: self._exchange(
                 connection, outgoing_request, deadline, headers
             ),
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -79,7 +79,9 @@
         if peer is None:
             return None
         loop = asyncio.get_running_loop()
-        min_idle_since = loop.time() - (idle_limit or self.idle_limit_seconds)
+        if idle_limit is None:
+            idle_limit = self.idle_limit_seconds
+        min_idle_since = loop.time() - idle_limit
         while peer.idle_connections:
             connection = peer.idle_connections.pop()
             if (
--- a/tests/entry/test_home_forwarder.py
+++ b/tests/entry/test_home_forwarder.py
@@ -2,16 +2,22 @@
 
 import asyncio
 from dataclasses import replace
+from datetime import timedelta
 
 from crocusproxy.entry.home_forwarder import HomeForwarder
 
 from .harness import GatewaySystem, make_config, make_server, run_scenario
 
+#: Later than any idle timeout of these tests.
+IDLE_END = timedelta(seconds=2)
+
 
 async def set_home(system, home_address):
-    system.gateway.request_server.forwarder = HomeForwarder(
+    forwarder = HomeForwarder(
         system.pool, system.messages, system.clock, lambda _: home_address
     )
+    forwarder.apply_config(system.gateway.table.config)
+    system.gateway.request_server.forwarder = forwarder
 
 
 def with_home(scenario, home_config=None, work=0.0, own_config=None):
@@ -184,3 +190,26 @@
     routes = tuple(replace(route, attempts=1) for route in config.routes)
     single = replace(config, routes=routes)
     with_home(scenario, single, work=0.4, own_config=single)
+
+
+def test_request_is_not_forwarded_over_a_connection_that_the_home_ends():
+    """It got a 502 although it had not run."""
+    idle_timeout = timedelta(milliseconds=200)
+    configuration = make_config(idle_timeout=idle_timeout)
+
+    async def scenario(system, home):
+        assert (await system.request('r1'))[2] == b'r1'
+        (connection,) = home.gateway.connections
+        connection.enforce_timeouts(system.clock.monotonic())
+        await asyncio.sleep(idle_timeout.total_seconds())
+        caller = await system.connect()
+        (server_side,) = system.gateway.connections
+        caller.send('r2', '/once/x', 'POST', b'x')
+        while not server_side.pipeline:
+            await asyncio.sleep(0)
+        # The end arrives after the instance has chosen a connection.
+        connection.enforce_timeouts(system.clock.monotonic() + IDLE_END)
+        assert connection.is_finished
+        assert (await caller.read())[2] == b'r2'
+
+    with_home(scenario, configuration, own_config=configuration)
