--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Tests in KNOWN-RED.txt have an open issue; they are printed and deselected.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: help venv format lint test demo bench bench-short search soak margins clean
+.PHONY: help venv format lint test demo bench bench-short search soak margins closes clean
 
 help:
 	@echo 'make demo         run the whole system on loopback for about 20 seconds'
@@ -18,6 +18,7 @@
 	@echo 'make search       run the state machine tests with random examples'
 	@echo 'make soak         run the processes under random faults; SEED=n repeats a run'
 	@echo 'make margins      measure how near real processes come to a bound'
+	@echo 'make closes       count requests that are lost when connections close'
 	@echo 'make format       format the code'
 
 venv: $(STAMP)
@@ -62,7 +63,8 @@
 # Optional: SEED (random by default), RUNS, TIME in seconds, INSTANCES, RESTORES
 # of the store, TERMS of upstreams, CUTS of instances, changes of keys of client
 # ACCOUNTS, EVACUATIONS, COLD upstreams, changes of QUOTAS, cut LINKS between
-# domain homes, LOSSES of the home or its store and DEPARTURES of instances for good
+# domain homes, LOSSES of the home or its store and DEPARTURES of instances for good,
+# series of PLANNED work, SLOW callers and callers with PIPELINES
 # in each run; with HOMES=True, SILENT=True
 # and FAULTS=False also homes of failure domains, upstreams that ignore requests that
 # they have no slot for, and only the faults that are listed here.
@@ -75,14 +77,27 @@
 	  $(if $(QUOTAS),--quotas=$(QUOTAS)) $(if $(LINKS),--links=$(LINKS)) \
 	  $(if $(HOMES),--homes=$(HOMES)) $(if $(SILENT),--silent=$(SILENT)) \
 	  $(if $(FAULTS),--faults=$(FAULTS)) \
-	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES))
+	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES)) \
+	  $(if $(PLANNED),--planned=$(PLANNED)) $(if $(SLOW),--slow=$(SLOW)) \
+	  $(if $(PIPELINES),--pipelines=$(PIPELINES))
 
 # Optional: PLAN of the losses (mix, alternate, reader, stop, domain, two, both), how
-# many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY.
+# many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY. With
+# BOUND=shutdown, the PLAN of the stops (mix, one, two, four, home, home+one) and the
+# seconds after which a stopped instance would be killed (SHUTDOWN).
 margins: $(STAMP)
 	$(BIN)/python -m bench.margins $(if $(PLAN),--plan=$(PLAN)) \
 	  $(if $(REPEATS),--repeats=$(REPEATS)) $(if $(INSTANCES),--instances=$(INSTANCES)) \
-	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY))
+	  $(if $(SEED),--seed=$(SEED)) $(if $(BUSY),--busy=$(BUSY)) \
+	  $(if $(BOUND),--bound=$(BOUND)) $(if $(SHUTDOWN),--shutdown=$(SHUTDOWN))
+
+# Optional: FORM of the closes (all of them by default), TREE of another checkout that
+# is built, SEED, TIME in seconds, DELAY_MS of the callers and FAULTS=True.
+closes: $(STAMP)
+	@[ -n "$(TREE)" ] || PATH="$(CURDIR)/$(BIN):$$PATH" sh deploy/build.sh
+	$(BIN)/python -m bench.closes $(if $(FORM),--form=$(FORM)) $(if $(TREE),--tree=$(TREE)) \
+	  $(if $(SEED),--seed=$(SEED)) $(if $(TIME),--seconds=$(TIME)) \
+	  $(if $(DELAY_MS),--delay_ms=$(DELAY_MS)) $(if $(FAULTS),--faults=$(FAULTS))
 
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
