--- a/tests/entry/test_authentication.py
+++ b/tests/entry/test_authentication.py
@@ -234,7 +234,7 @@
     """The parser's error message quotes the line that it can't read."""
     lines = []
     monkeypatch.setattr(
-        'crocusproxy.entry.caller_connection.log',
+        'crocusproxy.entry.rejected_request.log',
         lambda event, **fields: lines.append(str(fields)),
     )
 
