Refuse a request whose body stops arriving at its deadline

A caller that sent a head and a part of the body got no response, ever: nothing limited the time of the body, and a request that is open keeps a stop from its end until the drain limit. The body is now read until the request's deadline; then the caller gets 503 expired, as the request has not run, and the connection closes.

Evidence: test_request_whose_body_stops_arriving_ends_at_its_deadline failed before (no response within 2 s with a deadline of 1 s).

--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests: routing, authentication and checks."""
 
+import asyncio
 from math import inf
 
 from ..accounts.directory import (
@@ -27,6 +28,7 @@
 from .refusals import (
     BODY_TOO_LARGE,
     CONFIG_BEHIND,
+    EXPIRED,
     INVALID_DEADLINE,
     KEY_UNKNOWN,
     NO_ROUTE,
@@ -161,9 +163,10 @@
         except ValueError:
             return INVALID_DEADLINE
         directory = self.directory
-        body = await self._read_body(request)
-        if body is None:
-            return BODY_TOO_LARGE
+        deadline = _deadline_of(request, caller_timeout, route)
+        body = await self._read_body_until(deadline, request)
+        if isinstance(body, Refusal):
+            return body
         if self.directory is not directory:
             # The key may have been removed while the body arrived.
             current_identity = self._identify(request, route)
@@ -207,7 +210,7 @@
             _service_of(request, route) or table.service_for(route),
             table.config.version,
             received_at,
-            received_at + _time_limit(caller_timeout, route),
+            _deadline_of(request, caller_timeout, route),
             received_at
             + timing.seconds_to_target(route, caller_timeout, received_at),
             account=_account_of(outgoing_request.identity),
@@ -231,6 +234,21 @@
         route = table.find(headers.get('Host', ''), request.message.path)
         return NO_ROUTE if route is None else route
 
+    async def _read_body_until(
+        self, deadline: float, request: CallerRequest
+    ) -> bytes | Refusal:
+        """Return the whole body, or the refusal of the request.
+
+        A caller that sends no more would keep the request open forever.
+        """
+        remaining = deadline - self.clock.monotonic().total_seconds()
+        try:
+            async with asyncio.timeout(remaining):
+                body = await self._read_body(request)
+        except TimeoutError:
+            return EXPIRED
+        return BODY_TOO_LARGE if body is None else body
+
     async def _read_body(self, request: CallerRequest) -> bytes | None:
         """Return the whole body, or None if it is too large."""
         limit = self.limits.body_bytes
@@ -271,10 +289,14 @@
     return service if is_part else ''
 
 
-def _time_limit(caller_timeout: float | None, route: Route) -> float:
-    """Return the seconds within which a response is due."""
+def _deadline_of(
+    request: CallerRequest, caller_timeout: float | None, route: Route
+) -> float:
+    """Return the monotonic second at which a response is due."""
     timeout = route.timeout.total_seconds()
-    return timeout if caller_timeout is None else min(caller_timeout, timeout)
+    if caller_timeout is not None:
+        timeout = min(caller_timeout, timeout)
+    return request.received_at.total_seconds() + timeout
 
 
 def _parse_timeout(text: str | None) -> float | None:
--- /dev/null
+++ b/tests/entry/test_request_ends.py
@@ -0,0 +1,55 @@
+"""Guards against requests that end without a response, or never end."""
+
+import asyncio
+
+from .harness import HOST, make_config, make_server, run_scenario
+
+BODY = b'payload'
+WAIT_SECONDS = 2
+LARGE_BODY_BYTES = 100_000
+
+
+def post_head(request_id, *headers, length=len(BODY)):
+    lines = (
+        'POST /once/x HTTP/1.1',
+        f'Host: {HOST}',
+        f'X-Crocusproxy-Request-Id: {request_id}',
+        'X-Crocusproxy-Deadline-Milliseconds: 1000',
+        f'Content-Length: {length}',
+        *headers,
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+def test_refusal_arrives_although_the_caller_sends_its_body_for_seconds():
+    async def scenario(system):
+        caller = await system.connect()
+        caller.writer.write(post_head('r1', length=LARGE_BODY_BYTES))
+        for _ in range(20):
+            caller.writer.write(b'x' * 1000)
+            await caller.writer.drain()
+            await asyncio.sleep(0.1)
+        status, headers, body = await caller.read()
+        assert status == 413
+        assert headers['connection'] == 'close'
+        assert await caller.reader.read() == b''
+        caller.close()
+
+    run_scenario(scenario, [make_server()], make_config(body_bytes=1000))
+
+
+def test_request_whose_body_stops_arriving_ends_at_its_deadline():
+    """It stayed open forever, and kept a stop from its end."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        caller.writer.write(post_head('r1') + BODY[:1])
+        async with asyncio.timeout(WAIT_SECONDS):
+            status, headers, body = await caller.read()
+        assert status == 503
+        assert b'expired' in body
+        assert headers['connection'] == 'close'
+        assert not system.gateway.in_flight
+        caller.close()
+
+    run_scenario(scenario, [make_server()])
