Let the kernel deliver responses after the process has ended

Seen in a test: a process that ends while a socket has input that nobody has read resets the connection, and the caller loses what the kernel had yet to deliver of a written response. An instance does so at its drain limit, if a slow reader is still sending requests or reading is paused.

Change: as its last step, right before the end, the process reads and discards the input of the connections that are still open. The kernel then delivers the rest after the end. What is in the transport's own buffer is lost as before, and a caller that sends after the end resets the connection itself.

No run with real instances has shown a loss by this.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -46,6 +46,7 @@
 from .reach_check import ReachCheck, ReachQueries
 from .reload_signal import ReloadSignal
 from .reloading import reload_from_file
+from .remaining_connections import RemainingConnections
 from .request_log import RequestLog
 from .response_observer import ResponseObserver
 from .role_tasks import RoleTasks
@@ -73,6 +74,7 @@
         self.path = path
         self.reload_signal = reload_signal
         self.clock = SystemClock()
+        self.remaining_connections = RemainingConnections()
         self.application = create_application(
             settings.bounds.shutdown, self.clock
         )
@@ -175,8 +177,7 @@
         would get a response of this instance.
         """
         self.reload_signal.disconnect()
-        for connection in tuple(self.gateway.connections):
-            connection.record_stop()
+        self.remaining_connections.record(self.gateway.connections)
         self.tasks.cancel()
         self.role_tasks.cancel()
         await asyncio.gather(self.listeners.close(), self.session.close())
@@ -322,6 +323,7 @@
         self.application.on_start.append(self.start)
         self.application.on_drain.append(self.drain)
         self.application.on_stop.append(self.stop)
+        self.application.on_exit.append(self.remaining_connections.leave)
 
     def _connect_callbacks(self) -> None:
         """Register the callbacks of the components."""
