--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -71,6 +71,23 @@
     assert verdict.outcomes['answered 200'] > verdict.request_count / 2
 
 
+def test_run_with_planned_work_and_callers_that_read_slowly():
+    """Connections closed while responses lay in the kernel's send queue."""
+    verdict = asyncio.run(
+        run_seed(
+            25,
+            SECONDS,
+            INSTANCES + 1,
+            faults=False,
+            planned=5,
+            slow=8,
+            pipelines=2,
+        )
+    )
+    assert not verdict.violations
+    assert verdict.outcomes['answered 200'] > verdict.request_count / 3
+
+
 #: The cause of the past failure, by seed.
 REGRESSION_SEEDS = {
     1: 'a lost follower of the feed was an unhandled error of the home',
