Tell how long a process that ends late waited for a processor

The violation now has the wait of the process's main thread since the SIGTERM, as the kernel counts it.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,6 +13,7 @@
 
 from .callers import http_get
 from .link import Link
+from .processor_time import processor_wait
 from .records import InstanceDisturbance, RunRecord
 
 PORT_NAMES = (
@@ -220,14 +221,17 @@
     ) -> None:
         self.check_exit()
         process = self.processes.running[self.name]
+        waited_before = processor_wait(process.pid)
         process.send_signal(signal.SIGTERM)
         while process.poll() is None:
             if second_after is not None and self.now() - start > second_after:
                 process.send_signal(signal.SIGTERM)
                 second_after = None
             if self.now() - start > self.shutdown_seconds:
+                waited = processor_wait(process.pid) - waited_before
                 self._add_violation(
-                    f'did not end after SIGTERM at second {start:.2f}'
+                    f'did not end after SIGTERM at second {start:.2f}, '
+                    f'waited {waited:.2f} s for a processor'
                 )
                 # Writes the stacks of all threads to the log.
                 process.send_signal(signal.SIGABRT)
--- a/tests/soak/test_instances.py
+++ b/tests/soak/test_instances.py
@@ -11,6 +11,7 @@
 
 
 class Process:
+    pid = 0
     returncode = None
 
     def __init__(self):
