Let no election wait for members that have no feed

When the home and a domain home are stopped together, the members of another failure domain that follow this domain home turn to the stopped home. Until the timeout of its feed they named it as their home, and the election waits up to 1 s for members that still follow the lost home; configurations and removals wait with it.

Between the loss of the domain home and the first message of the home, a member's view now says that it starts, which no election waits for.

test_election_does_not_wait_for_members_without_a_feed failed before: the next home led only after these members had given up the stopped one (home '' in place of a0). The test network's new stop() accepts connections and sends nothing, as a stopped process; feeds of a frozen member now time out after the feed's timeout there, not after that of a query.

--- a/src/crocusproxy/membership/home_elector.py
+++ b/src/crocusproxy/membership/home_elector.py
@@ -40,8 +40,10 @@
     ``on_started_leading`` is called when this instance becomes home and
     ``on_stopped_leading`` when it is no longer one. ``home_heard_at`` is the
     time of the latest message of a home's own feed, None at a member that
-    follows a domain home or was never attached. ``find_unreached`` returns the
-    upstreams that this instance can't connect to, if it may be cut off.
+    follows a domain home or was never attached. ``has_lost_source`` is set from
+    the loss of a domain home until the feed of the home begins.
+    ``find_unreached`` returns the upstreams that this instance can't connect
+    to, if it may be cut off.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.is_home = False
         self.leaving = False
         self.lost_home_name = ''
+        self.has_lost_source = False
         self.home_heard_at: timedelta | None = None
         self.sources = FeedSources(member_list, self.domain_homes, clock)
         self.on_crash_report: list[Callable[[CrashReport], None]] = []
@@ -152,9 +155,12 @@
             return 'leaving'
         if self.is_home:
             return 'home'
-        if self.home is not None:
+        if self.home is not None and not self.has_lost_source:
             return 'attached'
-        return 'searching' if self.is_electing else 'starting'
+        # A member without a feed can't tell whether its home is well, so the
+        # others must not wait for it; and it does not elect yet.
+        is_searching = self.is_electing and self.home is None
+        return 'searching' if is_searching else 'starting'
 
     def _set_home(self, home: Member | None) -> None:
         self.home = home
@@ -175,7 +181,9 @@
                 reason = str(error)
                 is_unreachable = isinstance(error, NotReachableError)
                 source = None
-            source = source or self.sources.after_loss(followed, self.home)
+            if source is None:
+                source = self.sources.after_loss(followed, self.home)
+                self.has_lost_source = source is not None
         if self.home is None:
             # The member declined or failed before its first message.
             self.sources.note_failure(followed, is_unreachable=is_unreachable)
@@ -210,6 +218,7 @@
         return None
 
     def _note_contact(self, source: Member) -> None:
+        self.has_lost_source = False
         is_home = self.home is not None and source.name == self.home.name
         self.home_heard_at = self.clock.monotonic() if is_home else None
 
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -85,6 +85,11 @@
             frozenset((name, other)) for other in self.nodes if other != name
         )
 
+    def stop(self, name):
+        """Stop a process: it accepts connections and sends nothing on any."""
+        self.isolate(name)
+        self.frozen.add(name)
+
     def cut_power(self, name):
         """Silence a node for good; its task stays, but calls nobody."""
         self.isolate(name)
@@ -293,8 +298,11 @@
         return node.elector.member_list.all()
 
     async def feed(self, member, own):
+        is_frozen = member.name in self.network.frozen
         node = await self.network.connect(
-            self.name, member.internal, REQUEST_TIMEOUT_SECONDS
+            self.name,
+            member.internal,
+            FEED_TIMEOUT_SECONDS if is_frozen else REQUEST_TIMEOUT_SECONDS,
         )
         server = node.elector.server
         if not server.accepts(own):
--- a/tests/membership/test_feed_source.py
+++ b/tests/membership/test_feed_source.py
@@ -43,11 +43,11 @@
     assert {source_of(f'a{number}') for number in range(4, 8)} == {'a1'}
 
 
-def run_site(scenario, domains='ab'):
+def run_site(scenario, domains='ab', upstream_domains=''):
     """Run ``scenario`` with failure domains of eight members each."""
     loop = VirtualLoop()
     network = Network(loop)
-    network.upstreams = make_upstreams(domains)
+    network.upstreams = make_upstreams(upstream_domains or domains)
     names = [f'{domain}{number}' for domain in domains for number in range(8)]
     nodes = {name: network.add(name, name[0]) for name in names}
     for node in nodes.values():
@@ -194,7 +194,7 @@
 
     async def scenario(network, nodes):
         others = [node for node in network.running() if node.name != 'a0']
-        network.isolate('a0')
+        network.stop('a0')
         lost_at = {}
         while len(lost_at) < len(others):
             await asyncio.sleep(0.01)
@@ -225,3 +225,30 @@
         assert nodes['a0'].elector.epoch == 1
 
     run_site(scenario)
+
+
+async def stop_domain_of_home(network, nodes):
+    """Stop the home's failure domain, in which domain c has its home."""
+    assert domain_home_of(nodes, 'c') == 'a1'
+    for number in range(8):
+        network.stop(f'a{number}')
+    return network.loop.time()
+
+
+def test_election_does_not_wait_for_members_without_a_feed():
+    """They would name the stopped home until the timeout of its feed.
+
+    Their domain home was stopped too, and could not tell them.
+    """
+
+    async def scenario(network, nodes):
+        await stop_domain_of_home(network, nodes)
+        await wait_until_led(nodes, 'b0')
+        assert {nodes[f'c{number}'].home for number in range(4, 8)} == {'a0'}
+
+    run_site(scenario, 'abc', 'ab')
+
+
+async def wait_until_led(nodes, name):
+    while not nodes[name].elector.is_home:
+        await asyncio.sleep(0.01)
