Mend two records of the soak's callers that mislead its checks

And a pipelining caller used a connection again that its instance had ended, so whole batches were cut unsent.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -82,14 +82,16 @@
         is_abandoned = not address and self.random.random() < ABANDON_SHARE
         timeout_seconds = 0.01 if is_abandoned else RESPONSE_TIMEOUT_SECONDS
         try:
-            await wait_in_own_time(self._exchange(request), timeout_seconds)
+            await wait_in_own_time(self.exchange(request), timeout_seconds)
         except TimeoutError:
             request.outcome = 'left' if is_abandoned else 'late'
             self.close()
         except CONNECTION_ERRORS:
             request.outcome = 'cut'
             self.close()
-        request.ended_at = self.now()
+        finally:
+            # The response may be complete in the step of a cancellation.
+            request.ended_at = self.now()
         return request
 
     def close(self) -> None:
@@ -153,7 +155,7 @@
                 self.resolved_at = self.now()
                 return
 
-    async def _exchange(self, request: SentRequest) -> None:
+    async def exchange(self, request: SentRequest) -> None:
         assert self.connection is not None
         reader, writer = self.connection
         writer.write(self.encode(request))
--- a/soak/pipelining_callers.py
+++ b/soak/pipelining_callers.py
@@ -128,7 +128,9 @@
                 await self.exchange_batch()
 
     async def connect(self, address: str) -> bool:
-        if self.kind.keeps_connections and self._is_open():
+        if not self._is_open():
+            self.close()
+        elif self.kind.keeps_connections:
             return True
         return await super().connect(address)
 
