--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -16,14 +16,20 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from ..clock import Clock
+from ..http_server.response_delivery import ResponseDelivery
 from ..logs import log
 from ..routes.model import CallerLimits
 from .caller_request import CallerRequest, RequestStage
-from .connection_end import ConnectionEnd, EndCause, OpenRequest
+from .connection_end import (
+    ConnectionEnd,
+    EndCause,
+    OpenRequest,
+    connection_end,
+    open_requests,
+)
 from .head_splitter import HeadSplitter
 from .header_names import HeaderNames
 from .rejected_request import rejected_request
-from .response_delivery import ResponseDelivery
 from .responses import CallerResponse, Refusal
 
 _MAX_PIPELINED = 64
@@ -61,13 +67,15 @@
     arrived that does not start: the caller treats requests without a response
     before the close as not processed. ``end_cause`` is who ends the
     connection, None while it is open; ``dropped`` are the requests that did not
-    start before the response that closed it.
+    start before the response that closed it, and ``discarded_bytes`` counts the
+    input that arrived too late for one.
     """
 
     __slots__ = (
         'last_activity_at',
         'closes_after_started',
         'delivery',
+        'discarded_bytes',
         'dropped',
         'end_cause',
         'ignores_input',
@@ -88,6 +96,7 @@
         self.delivery: ResponseDelivery | None = None
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
+        self.discarded_bytes = 0
         self.is_finished = False
         self.closes_after_started = False
         self.ignores_input = False
@@ -130,17 +139,17 @@
 
     def eof_received(self) -> None:
         """Note that the caller ends the connection; it then closes."""
-        self.end_cause = self.end_cause or EndCause.CALLER
+        if self.end_cause is None or self.has_outstanding_bytes():
+            self.end_cause = EndCause.CALLER
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Start to serve each request whose head is complete."""
         self.last_activity_at = self.gateway.clock.monotonic()
-        if self.delivery is not None:
-            self.delivery.received_at = self.last_activity_at
         for piece in self.splitter.split(data):
             if self.is_finished or self.ignores_input:
-                return
-            self._parse(piece)
+                self.discarded_bytes += len(piece)
+            else:
+                self._parse(piece)
         if len(self.pipeline) > _MAX_PIPELINED:
             self._pause_reading_for_buffer()
 
@@ -163,11 +172,20 @@
         elif not (self.pipeline or self.is_finished):
             self._enforce_idle_timeouts(delivery, now)
 
-    def close_if_idle(self) -> None:
-        """End the connection unless a request or a response is under way."""
-        is_idle = not (self.pipeline or self.has_outstanding_bytes())
-        if is_idle and not self.is_finished:
+    def end_if_idle(self, now: timedelta) -> bool:
+        """End the connection unless a request or a response is under way.
+
+        Return whether the caller still waits for, receives or reads responses.
+        """
+        delivery = self.delivery
+        if delivery is None:
+            return False
+        if self.pipeline:
+            return True
+        delivery.update(now)
+        if not (self.is_finished or delivery.outstanding):
             self._finish(EndCause.STOP)
+        return delivery.is_receiving(now)
 
     def has_outstanding_bytes(self) -> bool:
         """Return whether the caller has yet to acknowledge bytes."""
@@ -298,7 +316,9 @@
             self.gateway.clock.monotonic(),
         )
         if close:
-            self.dropped = self._open_requests()
+            self.dropped = open_requests(
+                self.pipeline, self.gateway.clock.monotonic()
+            )
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
@@ -315,43 +335,22 @@
         if self._buffer_paused:
             self._resume_reading_for_buffer()
 
-    def _open_requests(self) -> tuple[OpenRequest, ...]:
-        now = self.gateway.clock.monotonic()
-        return tuple(
-            OpenRequest(
-                request.request_id,
-                request.stage,
-                (now - request.received_at).total_seconds(),
-            )
-            for request in self.pipeline
-        )
-
     def _record_end(self, error: BaseException | None) -> None:
         delivery = self.delivery
         if delivery is None or self not in self.gateway.connections:
             return
         self.gateway.connections.discard(self)
-        delivery.update(self.gateway.clock.monotonic())
-        requests = (
-            *(
-                OpenRequest(request_id, RequestStage.ANSWERED)
-                for request_id in delivery.request_ids()
-            ),
-            *self._open_requests(),
-            *self.dropped,
-        )
-        if not requests:
-            return
-        cause = EndCause.CALLER if error is None else EndCause.ERROR
-        self.gateway.record_end(
-            ConnectionEnd(
-                _address_of(delivery.transport),
-                self.end_cause or cause,
-                '' if error is None else repr(error),
-                delivery.outstanding,
-                requests,
-            )
+        now = self.gateway.clock.monotonic()
+        delivery.update(now)
+        end = connection_end(
+            delivery,
+            (*open_requests(self.pipeline, now), *self.dropped),
+            self.end_cause,
+            error,
+            self.discarded_bytes,
         )
+        if end.requests or end.discarded_bytes:
+            self.gateway.record_end(end)
 
     def _has_started_requests(self) -> bool:
         """Return whether a request in the pipeline may be at an upstream."""
@@ -372,8 +371,3 @@
         request = rejected_request(error, self.gateway.clock.monotonic())
         self.pipeline.append(request)
         self._write_ready_responses()
-
-
-def _address_of(transport: asyncio.BaseTransport) -> str:
-    name = transport.get_extra_info('peername')
-    return f'{name[0]}:{name[1]}' if name else ''
--- a/tests/membership/test_feed_source.py
+++ b/tests/membership/test_feed_source.py
@@ -7,6 +7,7 @@
 
 from crocusproxy.membership.feed_server import HEARTBEAT_INTERVAL_SECONDS
 from crocusproxy.membership.feed_source import DIRECT_FOLLOWERS, feed_source
+from crocusproxy.membership.member_client import FEED_TIMEOUT_SECONDS
 from crocusproxy.protocol.home_feed import Member
 from standins.virtual_time import VirtualLoop
 
@@ -42,11 +43,11 @@
     assert {source_of(f'a{number}') for number in range(4, 8)} == {'a1'}
 
 
-def run_site(scenario, domains='ab'):
+def run_site(scenario, domains='ab', upstream_domains=''):
     """Run ``scenario`` with failure domains of eight members each."""
     loop = VirtualLoop()
     network = Network(loop)
-    network.upstreams = make_upstreams(domains)
+    network.upstreams = make_upstreams(upstream_domains or domains)
     names = [f'{domain}{number}' for domain in domains for number in range(8)]
     nodes = {name: network.add(name, name[0]) for name in names}
     for node in nodes.values():
@@ -183,3 +184,89 @@
         assert versions == {network.stored_version}
 
     run_site(scenario)
+
+
+def test_all_notice_a_silent_home_when_its_direct_followers_do():
+    """Followers of domain homes would wait for the feed of the stopped home.
+
+    They then name it as their home, so that nobody leads meanwhile.
+    """
+
+    async def scenario(network, nodes):
+        others = [node for node in network.running() if node.name != 'a0']
+        network.stop('a0')
+        lost_at = {}
+        while len(lost_at) < len(others):
+            await asyncio.sleep(0.01)
+            for node in others:
+                if node.home != 'a0':
+                    lost_at.setdefault(node.name, network.loop.time())
+        direct = [f'{one}{number}' for one in 'ab' for number in range(4)]
+        direct.remove('a0')
+        latest = max(lost_at[name] for name in direct)
+        assert max(lost_at.values()) - latest < 0.05
+
+    run_site(scenario)
+
+
+def test_followers_leave_a_domain_home_that_alone_has_lost_the_home():
+    """They must not elect another home, nor wait for the domain home."""
+
+    async def scenario(network, nodes):
+        lost = domain_home_of(nodes, 'b')
+        network.cuts.add(frozenset(('a0', lost)))
+        await asyncio.sleep(FEED_TIMEOUT_SECONDS + 0.6)
+        network.publish()
+        await asyncio.sleep(0.1)
+        tier = [f'b{number}' for number in range(DIRECT_FOLLOWERS, 8)]
+        for name in tier:
+            assert nodes[name].home == 'a0'
+            assert nodes[name].versions[-1] == network.stored_version
+        assert nodes['a0'].elector.epoch == 1
+
+    run_site(scenario)
+
+
+async def stop_domain_of_home(network, nodes):
+    """Stop the home's failure domain, in which domain c has its home."""
+    assert domain_home_of(nodes, 'c') == 'a1'
+    for number in range(8):
+        network.stop(f'a{number}')
+    return network.loop.time()
+
+
+def test_election_does_not_wait_for_members_without_a_feed():
+    """They would name the stopped home until the timeout of its feed.
+
+    Their domain home was stopped too, and could not tell them.
+    """
+
+    async def scenario(network, nodes):
+        await stop_domain_of_home(network, nodes)
+        await wait_until_led(nodes, 'b0')
+        assert {nodes[f'c{number}'].home for number in range(4, 8)} == {'a0'}
+
+    run_site(scenario, 'abc', 'ab')
+
+
+async def wait_until_led(nodes, name):
+    while not nodes[name].elector.is_home:
+        await asyncio.sleep(0.01)
+
+
+def test_all_find_the_next_home_soon_after_the_loss_of_a_domain():
+    """Members beyond the candidates queried the lost ones in turn: 3.3 s."""
+
+    async def scenario(network, nodes):
+        stopped_at = await stop_domain_of_home(network, nodes)
+        network.publish()
+        remaining = [
+            node for node in network.running() if node.failure_domain != 'a'
+        ]
+        while any(
+            node.versions[-1] != network.stored_version for node in remaining
+        ):
+            await asyncio.sleep(0.01)
+        assert network.loop.time() - stopped_at < 2
+
+    run_site(scenario, 'abc', 'ab')
