Close a stand-in server's connection when its task is cancelled

The slot server closed the connection on a lost one only, and not when the end of the loop cancelled its task.

--- a/standins/slot_server.py
+++ b/standins/slot_server.py
@@ -69,9 +69,10 @@
                 await self.answer(head.decode(), reader, writer)
                 self.closed_while_running += reader.at_eof()
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+            return
         finally:
             self.writers.discard(writer)
+            writer.close()
 
     async def answer(self, head, reader, writer):
         headers = dict(
