Let the soak's link end each direction for itself, or reset both

The link between instances, and to upstreams and the store, closed the whole connection as soon as one side had ended its direction. With bytes outstanding and more input its kernel reset the other side: a loss that no instance had caused, now that instances half-close. A reset arrived as an orderly end, which hides what a caller of the other side would see.

--- a/soak/link.py
+++ b/soak/link.py
@@ -4,7 +4,6 @@
 import socket
 import struct
 from collections.abc import Collection
-from contextlib import suppress
 from enum import StrEnum
 
 CHUNK_BYTES = 65_536
@@ -94,8 +93,9 @@
         writer: asyncio.StreamWriter,
         *dropping_faults: LinkFault,
     ) -> None:
+        """Forward bytes, and the end of this direction or a reset."""
         is_dropping = False
-        with suppress(OSError):
+        try:
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.fault is LinkFault.DELAYED:
                     await asyncio.sleep(DELAY_SECONDS)
@@ -103,8 +103,11 @@
                 if not is_dropping:
                     writer.write(chunk)
                     await writer.drain()
-        if not is_dropping:
-            writer.close()
+            if not is_dropping:
+                writer.write_eof()
+        except OSError:
+            if not is_dropping:
+                reset(writer)
 
     def abort_from(self, source: str) -> None:
         """Reset the open connections from an IP address."""
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from soak.link import DELAY_SECONDS, DistantLink, Link, LinkFault, reset
+from soak.link import (
+    DELAY_SECONDS,
+    DistantLink,
+    Link,
+    LinkFault,
+    connect_with_window,
+    reset,
+)
 
 DISTANCE = 0.02
 WINDOW = 4096
@@ -146,3 +153,54 @@
             await exchange(connection, 2)
 
     run_distant_scenario(serve, scenario)
+
+
+def test_link_delivers_what_was_sent_before_the_end_of_one_direction():
+    """The link reset a caller that sent on, as if an instance had done so."""
+    body = b'x' * 300_000
+
+    async def serve(reader, writer):
+        await reader.read(1)
+        writer.write(body)
+        writer.write_eof()
+        # As an instance does: the caller may send until it has read all.
+        await reader.read()
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        link = await Link(f'127.0.0.1:{port}').start()
+        reader, writer = await connect_with_window(link.address, WINDOW)
+        writer.write(b'x')
+        await asyncio.sleep(DISTANCE * 10)
+        writer.write(b'next')
+        await asyncio.sleep(DISTANCE * 5)
+        received = await reader.read()
+        writer.close()
+        await link.stop()
+        server.close()
+        return received
+
+    assert asyncio.run(run()) == body
+
+
+def test_reset_of_one_side_reaches_the_other_as_a_reset():
+    """It arrived as an orderly end, which a lost response looks unlike."""
+
+    async def serve(reader, writer):
+        await reader.read(1)
+        reset(writer)
+
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        link = await Link(f'127.0.0.1:{port}').start()
+        try:
+            with pytest.raises(ConnectionResetError):
+                await exchange(await connect(link))
+        finally:
+            await link.stop()
+            server.close()
+
+    asyncio.run(run())
