--- a/tests/entry/test_request_ends.py
+++ b/tests/entry/test_request_ends.py
@@ -1,8 +1,17 @@
 """Guards against requests that end without a response, or never end."""
 
 import asyncio
+from dataclasses import replace
 
-from .harness import HOST, make_config, make_server, run_scenario
+from crocusproxy.entry.home_forwarder import HomeForwarder
+
+from .harness import (
+    HOST,
+    GatewaySystem,
+    make_config,
+    make_server,
+    run_scenario,
+)
 
 BODY = b'payload'
 WAIT_SECONDS = 2
@@ -53,3 +62,55 @@
         caller.close()
 
     run_scenario(scenario, [make_server()])
+
+
+def test_request_at_work_gets_its_answer_after_its_route_is_removed():
+    async def scenario(system):
+        tasks = [
+            asyncio.create_task(system.request('r1')),
+            asyncio.create_task(system.request('r2', '/once/x', 'POST', BODY)),
+        ]
+        await asyncio.sleep(0.1)
+        system.catalog.apply_config(replace(make_config(2), routes=()))
+        bodies = [(await task)[2] for task in tasks]
+        assert bodies == [b'r1', b'r2']
+        assert (await system.request('r3'))[0] == 404
+
+    run_scenario(scenario, [make_server(work=0.3)])
+
+
+def test_answer_counts_that_arrives_with_the_end_of_its_connection():
+    """The end must not be taken for that of a request without an answer."""
+
+    async def scenario(system):
+        (server,) = system.servers
+
+        def answer_and_end(request_id):
+            for writer in server.writers:
+                writer.write(server.response(request_id, request_id.encode()))
+                writer.close()
+            return b''
+
+        server.response_script = answer_and_end
+        for number in range(3):
+            response = await system.request(f'r{number}', '/once/x', 'POST')
+            assert response[2] == f'r{number}'.encode()
+        assert len(server.runs) == 3
+
+    run_scenario(scenario, [make_server()])
+
+
+def test_forwarded_answer_counts_that_arrives_with_the_end_of_the_home():
+    async def scenario(system):
+        home = await GatewaySystem().start([make_server('i-2', work=0.1)])
+        home.gateway.is_draining = True
+        system.gateway.request_server.forwarder = HomeForwarder(
+            system.pool, system.messages, system.clock, lambda _: home.address
+        )
+        for number in range(3):
+            response = await system.request(f'r{number}', '/once/x', 'POST')
+            assert response[2] == f'r{number}'.encode()
+        assert len(home.servers[0].runs) == 3
+        await home.stop()
+
+    run_scenario(scenario, [make_server('i-1')])
