--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -1,9 +1,12 @@
 """Records of connections of callers that ended with requests open."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import StrEnum
 
-from .caller_request import RequestStage
+from ..http_server.response_delivery import ResponseDelivery
+from .caller_request import CallerRequest, RequestStage
 
 
 class EndCause(StrEnum):
@@ -37,12 +40,57 @@
 class ConnectionEnd:
     """The end of a connection to ``peer``, with the requests open then.
 
-    ``unacknowledged_bytes`` counts those of responses. ``reason`` is the error,
-    or empty.
+    ``unacknowledged_bytes`` counts those of responses, ``discarded_bytes`` the
+    input that was not served, as the end was under way. ``reason`` is the
+    error, or empty.
     """
 
     peer: str
     cause: EndCause
     reason: str
     unacknowledged_bytes: int
+    discarded_bytes: int
     requests: tuple[OpenRequest, ...]
+
+
+def open_requests(
+    pipeline: Iterable[CallerRequest], now: timedelta
+) -> tuple[OpenRequest, ...]:
+    """Return how far the requests of a connection have come."""
+    return tuple(
+        OpenRequest(
+            request.request_id,
+            request.stage,
+            (now - request.received_at).total_seconds(),
+        )
+        for request in pipeline
+    )
+
+
+def connection_end(
+    delivery: ResponseDelivery,
+    unanswered: Iterable[OpenRequest],
+    cause: EndCause | None,
+    error: BaseException | None,
+    discarded_bytes: int,
+) -> ConnectionEnd:
+    """Return the end of a connection, with the requests open at it.
+
+    An ``error`` ends the connection whatever its ``cause`` would have been;
+    without both, the caller has closed it.
+    """
+    unacknowledged = tuple(
+        OpenRequest(request_id, RequestStage.ANSWERED)
+        for request_id in delivery.request_ids()
+    )
+    peer = delivery.transport.get_extra_info('peername')
+    if error is not None:
+        cause = EndCause.ERROR
+    return ConnectionEnd(
+        f'{peer[0]}:{peer[1]}' if peer else '',
+        cause or EndCause.CALLER,
+        '' if error is None else repr(error),
+        delivery.outstanding,
+        discarded_bytes,
+        (*unacknowledged, *unanswered),
+    )
