Refuse waiting requests although the drain was cut off, and test closes on uvloop

By reading, a loop that stands still between the last possible response and the drain limit (0.2 s) ends the drain before it has refused what waits. The stop now refuses it once more. The new test fails without it, as no other step does so. Tests of closes run on both loops, since the processes run on uvloop.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -31,7 +31,7 @@
 from .crash_watch import CrashWatch
 from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
-from .draining import drain_callers
+from .draining import drain_callers, refuse_remaining
 from .entry_gauges import add_gauges
 from .forwarding_connection import connect_forwarding
 from .gateway import Gateway
@@ -178,6 +178,7 @@
         would get a response of this instance.
         """
         self.reload_signal.disconnect()
+        await refuse_remaining(self.gateway)
         self.remaining_connections.record(self.gateway.connections)
         self.tasks.cancel()
         self.role_tasks.cancel()
--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -15,6 +15,8 @@
 #: Share of the shutdown time after which new connections are refused.
 _STOP_LISTENING_SHARE = 0.7
 _CHECK_SECONDS = 0.05
+#: Time in which refusals are written.
+_REFUSAL_SECONDS = 0.01
 
 
 async def drain_callers(
@@ -45,6 +47,15 @@
         await asyncio.sleep(_CHECK_SECONDS)
 
 
+async def refuse_remaining(gateway: Gateway) -> None:
+    """Refuse what still waits for an upstream as the process ends.
+
+    On a busy host the drain can be over before it has refused these.
+    """
+    gateway.dispatcher.refuse_waiting()
+    await asyncio.sleep(_REFUSAL_SECONDS)
+
+
 def _has_work(gateway: Gateway, clock: Clock) -> bool:
     """End idle connections, and return whether callers need this process.
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -227,8 +227,8 @@
         self.writer.close()
 
 
-def run_scenario(scenario, servers=(), configuration=None):
-    """Run ``scenario`` with a started gateway."""
+def run_scenario(scenario, servers=(), configuration=None, loop_factory=None):
+    """Run ``scenario`` with a started gateway, on asyncio's loop by default."""
 
     async def run():
         system = await GatewaySystem().start(servers, configuration)
@@ -240,7 +240,8 @@
             queue_task.cancel()
             await system.stop()
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(run())
 
 
 def make_server(key='i-1', **options):
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -3,7 +3,7 @@
 import asyncio
 from datetime import timedelta
 
-from crocusproxy.entry.draining import drain_callers
+from crocusproxy.entry.draining import drain_callers, refuse_remaining
 from crocusproxy.platform.headers import HEADER_NAMES
 
 from .harness import make_config, make_server, run_scenario
@@ -54,6 +54,26 @@
     run_scenario(scenario, [make_server(work=60, slots=1)], LONG_CONFIG)
 
 
+def test_waiting_request_is_refused_though_the_drain_was_cut_off():
+    """It ended without a response if the loop stood still at that moment."""
+
+    async def scenario(system):
+        (server,) = system.servers
+        at_work = send(system, 'r1')
+        await wait_until(lambda: server.runs == ['r1'])
+        waiting = send(system, 'r2')
+        placer = system.dispatcher.placer('s')
+        await wait_until(lambda: len(placer.queue) == 1)
+        await refuse_remaining(system.gateway)
+        status, _, body = await waiting
+        assert status == 503
+        assert b'shutting_down' in body
+        at_work.cancel()
+        await asyncio.wait((at_work,))
+
+    run_scenario(scenario, [make_server(work=60, slots=1)], LONG_CONFIG)
+
+
 def test_upstream_is_given_only_the_time_until_the_end():
     """It worked on after the end, and its response reached nobody."""
 
--- a/tests/entry/test_linger.py
+++ b/tests/entry/test_linger.py
@@ -5,6 +5,7 @@
 from .harness import make_server, run_scenario
 from .test_outstanding_responses import (
     BODY,
+    BOTH_LOOPS,
     CONFIG,
     REQUEST_COUNT,
     all_ran,
@@ -29,7 +30,10 @@
             connection.enforce_timeouts(now)
 
 
-def test_linger_of_a_stop_cuts_no_response_that_is_still_being_read():
+@BOTH_LOOPS
+def test_linger_of_a_stop_cuts_no_response_that_is_still_being_read(
+    loop_factory,
+):
     """The tests of closes run no timer, so none closed the connection."""
 
     async def scenario(system):
@@ -48,4 +52,4 @@
         timer.cancel()
 
     server = make_server(slots=REQUEST_COUNT, work=0.1)
-    run_scenario(scenario, [server], CONFIG)
+    run_scenario(scenario, [server], CONFIG, loop_factory)
--- a/tests/entry/test_outstanding_responses.py
+++ b/tests/entry/test_outstanding_responses.py
@@ -4,6 +4,9 @@
 import socket
 from datetime import timedelta
 
+import pytest
+import uvloop
+
 from crocusproxy.entry.draining import drain_callers
 
 from .harness import Caller, make_config, make_server, run_scenario
@@ -19,6 +22,12 @@
 AFTER_IDLE_TIMEOUT = timedelta(seconds=2)
 #: After the port was closed, and before the last possible response.
 AFTER_CLOSE_SECONDS = 3.0
+#: The processes run on uvloop, the other tests on asyncio's loop.
+BOTH_LOOPS = pytest.mark.parametrize(
+    'loop_factory',
+    [asyncio.new_event_loop, uvloop.new_event_loop],
+    ids=['asyncio', 'uvloop'],
+)
 CONFIG = make_config(timeout=10.0, idle_timeout=IDLE_TIMEOUT)
 
 
@@ -66,7 +75,7 @@
     return bodies
 
 
-def run_with_answers(scenario):
+def run_with_answers(scenario, loop_factory):
     """Run a scenario after an upstream has answered all requests.
 
     The caller has read none of the responses.
@@ -83,10 +92,12 @@
         await scenario(system, caller)
         caller.close()
 
-    run_scenario(run, [make_server(slots=REQUEST_COUNT)], CONFIG)
+    server = make_server(slots=REQUEST_COUNT)
+    run_scenario(run, [server], CONFIG, loop_factory)
 
 
-def test_idle_timeout_cuts_no_response_that_is_still_being_read():
+@BOTH_LOOPS
+def test_idle_timeout_cuts_no_response_that_is_still_being_read(loop_factory):
     """The kernel discarded the rest when the caller sent one more request."""
 
     async def scenario(system, caller):
@@ -97,10 +108,11 @@
         await caller.writer.drain()
         assert await read_all(caller) == [BODY] * REQUEST_COUNT
 
-    run_with_answers(scenario)
+    run_with_answers(scenario, loop_factory)
 
 
-def test_closing_response_is_sent_to_a_caller_that_reads_slowly():
+@BOTH_LOOPS
+def test_closing_response_is_sent_to_a_caller_that_reads_slowly(loop_factory):
     """The connection closed a second after the last response was written."""
 
     async def scenario(system):
@@ -117,10 +129,11 @@
         caller.close()
 
     server = make_server(slots=REQUEST_COUNT, work=0.1)
-    run_scenario(scenario, [server], CONFIG)
+    run_scenario(scenario, [server], CONFIG, loop_factory)
 
 
-def test_stop_cuts_no_response_on_a_connection_without_requests():
+@BOTH_LOOPS
+def test_stop_cuts_no_response_on_a_connection_without_requests(loop_factory):
     async def scenario(system, caller):
         system.gateway.is_draining = True
         draining = asyncio.create_task(
@@ -136,4 +149,4 @@
         caller.close()
         await draining
 
-    run_with_answers(scenario)
+    run_with_answers(scenario, loop_factory)
