Send 100 Continue to pipelined requests that wait for it

A request with Expect: 100-continue behind another one of its connection got no 100 and no response: the caller waited for the 100 and the instance for the body. Such a request now waits for the earlier responses, and the 100 follows them.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -19,7 +19,11 @@
 from ..http_server.response_delivery import ResponseDelivery
 from ..logs import log
 from ..routes.model import CallerLimits
-from .caller_request import CallerRequest, RequestStage
+from .caller_request import (
+    CallerRequest,
+    RequestStage,
+    expects_continue,
+)
 from .connection_end import (
     ConnectionEnd,
     EndCause,
@@ -237,9 +241,10 @@
     ) -> None:
         self.closes_after_started = message.should_close
         earlier_responses_written = None
-        if self.pipeline and message.method not in _SAFE_METHODS:
+        is_unsafe = message.method not in _SAFE_METHODS
+        if self.pipeline and (is_unsafe or expects_continue(message)):
             # An unsafe request must not run if the connection is closed after
-            # an earlier response.
+            # an earlier response, and a 100 comes after the earlier responses.
             earlier_responses_written = asyncio.Event()
         request = CallerRequest(
             message,
@@ -248,10 +253,6 @@
             self.gateway.clock.monotonic(),
             earlier_responses_written,
         )
-        expect = message.headers.get('Expect', '')
-        if expect.lower() == '100-continue' and not self.pipeline:
-            assert self.transport is not None
-            self.transport.write(_CONTINUE)
         self.pipeline.append(request)
         request.task = self._loop.create_task(self._serve(request))
 
@@ -272,6 +273,8 @@
     async def _handle_in_order(self, request: CallerRequest) -> CallerResponse:
         if request.earlier_responses_written is not None:
             await request.earlier_responses_written.wait()
+        if expects_continue(request.message) and self.transport is not None:
+            self.transport.write(_CONTINUE)
         return await self.gateway.handle(request)
 
     def _write_ready_responses(self) -> None:
--- a/src/crocusproxy/entry/caller_request.py
+++ b/src/crocusproxy/entry/caller_request.py
@@ -73,3 +73,8 @@
         self.caller_disconnected = True
         if self.task is not None and not self.is_detached:
             self.task.cancel()
+
+
+def expects_continue(message: RawRequestMessage) -> bool:
+    """Return whether the caller sends the body only after a 100."""
+    return message.headers.get('Expect', '').lower() == '100-continue'
--- a/tests/entry/test_request_ends.py
+++ b/tests/entry/test_request_ends.py
@@ -7,6 +7,7 @@
 BODY = b'payload'
 WAIT_SECONDS = 2
 LARGE_BODY_BYTES = 100_000
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 def post_head(request_id, *headers, length=len(BODY)):
@@ -21,6 +22,24 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
+def test_pipelined_request_that_waits_for_100_continue_is_told_to_go_on():
+    """It waited for its caller, and the caller for it, forever."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        caller.send('r1')
+        caller.writer.write(post_head('r2', 'Expect: 100-continue'))
+        assert (await caller.read())[2] == b'r1'
+        async with asyncio.timeout(WAIT_SECONDS):
+            received = await caller.reader.readexactly(len(CONTINUE))
+        assert received == CONTINUE
+        caller.writer.write(BODY)
+        assert (await caller.read())[2] == b'r2'
+        caller.close()
+
+    run_scenario(scenario, [make_server(work=0.1)])
+
+
 def test_refusal_arrives_although_the_caller_sends_its_body_for_seconds():
     async def scenario(system):
         caller = await system.connect()
