--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,9 +1,11 @@
 """Guards against programs that end late, or without their clean-up."""
 
+import asyncio
 import atexit
 import os
 import signal
 import threading
+from contextlib import suppress
 from datetime import timedelta
 from multiprocessing import get_context
 
@@ -11,6 +13,7 @@
 
 from crocusproxy import application as module
 from crocusproxy.application import Application
+from crocusproxy.clock import ManualClock
 
 
 def run_program(pipe, stage):
@@ -58,6 +61,52 @@
     pipe.send('end')
 
 
+def run_past_its_limits(pipe, _):
+    """Run an application with endless hooks that starts its drain too late."""
+    clock = ManualClock()
+    application = Application('test', clock=clock)
+
+    async def stop():
+        os.kill(os.getpid(), signal.SIGTERM)
+        clock.advance(application.drain_limit + application.close_limit)
+
+    def endless(name):
+        async def run():
+            pipe.send(name)
+            await asyncio.Event().wait()
+
+        return run
+
+    application.on_ready.append(stop)
+    application.on_drain.append(endless('drain'))
+    application.on_stop.append(endless('stop'))
+    application.run()
+    pipe.send('end')
+
+
+def run_with_endless_clean_up(pipe, _):
+    """Run an application that a task, and then the interpreter, keep alive."""
+    application = Application('test', ends_process=True)
+    tasks = []
+
+    async def resist_cancellation():
+        while True:
+            with suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+
+    async def stop():
+        tasks.append(asyncio.create_task(resist_cancellation()))
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def fail():
+        raise RuntimeError
+
+    application.on_ready.append(stop)
+    application.on_exit += [fail, lambda: pipe.send('exit')]
+    atexit.register(threading.Event().wait)
+    application.run()
+
+
 def signal_between_runs(application):
     """Send SIGTERM between the loop runs for the start and for the wait."""
     original = module._LifeCycle.__init__
@@ -112,3 +161,16 @@
     over (soak seeds 3012 and 8007).
     """
     assert run_child(run_without_threads, late_signal) == (0, ['end'])
+
+
+def test_shutdown_time_runs_from_the_signal_and_bounds_all_hooks():
+    """A home under load started its drain 0.17 s after the signal.
+
+    It ended as much later, and the hooks after the drain had no bound.
+    """
+    assert run_child(run_past_its_limits, None) == (0, ['drain', 'stop', 'end'])
+
+
+def test_process_ends_without_the_clean_up_of_loop_and_interpreter():
+    """Beside busy processes the clean-up took 1.1 s (bench.margins, seed 2)."""
+    assert run_child(run_with_endless_clean_up, None) == (0, ['exit'])
