--- a/src/crocusproxy/http_server/response_delivery.py
+++ b/src/crocusproxy/http_server/response_delivery.py
@@ -39,7 +39,8 @@
     if connection is None:
         return buffered
     queue_length = bytearray(_INT.size)
-    with suppress(OSError):
+    # A transport that has closed has no descriptor, which is a ValueError.
+    with suppress(OSError, ValueError):
         # TIOCOUTQ has the number of SIOCOUTQ, the request for sockets.
         fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, queue_length)
     return buffered + int(_INT.unpack(queue_length)[0])
