--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -66,13 +66,13 @@
     A request that has started may be at work at an upstream, so the connection
     ends only after the last one of these, and once the caller has acknowledged
     all responses or is gone; ``is_finished`` is set while the end is under way.
-    ``closes_after_started`` is set
-    once no further request may start, and ``ignores_input`` once one has
-    arrived that does not start: the caller treats requests without a response
-    before the close as not processed. ``end_cause`` is who ends the
-    connection, None while it is open; ``dropped`` are the requests that did not
-    start before the response that closed it, and ``discarded_bytes`` counts the
-    input that arrived too late for one.
+    ``closes_after_started`` is set once no further request may start, and
+    ``ignores_input`` once one has arrived that does not start: the caller
+    treats requests without a response before the close as not processed.
+
+    ``end_cause`` is who ends the connection, None while it is open. ``dropped``
+    are the requests that did not start before the response that closed it, and
+    ``discarded_bytes`` counts the input that arrived too late for one.
     """
 
     __slots__ = (
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -258,7 +258,9 @@
 
         A caller that sends no more would keep the request open forever.
         """
-        remaining = deadline - self.clock.monotonic().total_seconds()
+        remaining = None
+        if not request.payload.is_eof():
+            remaining = deadline - self.clock.monotonic().total_seconds()
         try:
             async with asyncio.timeout(remaining):
                 body = await self._read_body(request)
