--- a/bench/closes/__main__.py
+++ b/bench/closes/__main__.py
@@ -96,11 +96,11 @@
     for name in names:
         if name not in FORMS:
             return f'--form: no form {name!r}; choose of {", ".join(FORMS)}'
-    if not (tree / 'target/deps/crocusproxy').exists():
-        return f'--tree: {tree} is not built; run `sh deploy/build.sh` there'
     for option, number in (('--seconds', seconds), ('--delay_ms', delay_ms)):
         if not isinstance(number, int | float) or number < 0:
             return f'{option}: {number!r} is no positive number'
+    if not (tree / 'target/deps/crocusproxy').exists():
+        return f'--tree: {tree} is not built; run `sh deploy/build.sh` there'
     return ''
 
 
