Write the check of an ended connection and the test of a stop once

Read once more: both branches of a check scheduled the next one, and two tests of a stop had the same steps. No assertion, bound or wait changes; the 19 tests of the touched modules pass.

--- a/src/crocusproxy/http_server/transport.py
+++ b/src/crocusproxy/http_server/transport.py
@@ -66,9 +66,8 @@
     def _check(self) -> None:
         if self.transport.is_closing():
             return
-        if self.has_unread_responses():
-            self.loop.call_later(_CHECK_SECONDS, self._check)
-        elif self.delivery.may_close(self._now()):
+        is_receiving = self.has_unread_responses()
+        if not is_receiving and self.delivery.may_close(self._now()):
             self.transport.close()
         else:
             self.loop.call_later(_CHECK_SECONDS, self._check)
--- a/tests/entry/test_linger.py
+++ b/tests/entry/test_linger.py
@@ -4,16 +4,10 @@
 
 from .harness import make_server, run_scenario
 from .test_outstanding_responses import (
-    BODY,
     BOTH_LOOPS,
     CONFIG,
     REQUEST_COUNT,
-    all_ran,
-    answer_with_body,
-    connect_slow,
-    read_all,
-    send_pipelined,
-    wait_until,
+    expect_all_after_a_stop,
 )
 
 TICK_SECONDS = 0.1
@@ -37,18 +31,8 @@
     """The tests of closes run no timer, so none closed the connection."""
 
     async def scenario(system):
-        (server,) = system.servers
-        answer_with_body(server)
         timer = asyncio.create_task(enforce_timeouts(system))
-        caller = await connect_slow(system)
-        send_pipelined(caller)
-        await wait_until(lambda: all_ran(server))
-        system.gateway.is_draining = True
-        await asyncio.sleep(LATE_SECONDS)
-        caller.send('next')
-        await caller.writer.drain()
-        assert await read_all(caller) == [BODY] * REQUEST_COUNT
-        caller.close()
+        await expect_all_after_a_stop(system, LATE_SECONDS)
         timer.cancel()
 
     server = make_server(slots=REQUEST_COUNT, work=0.1)
--- a/tests/entry/test_outstanding_responses.py
+++ b/tests/entry/test_outstanding_responses.py
@@ -75,6 +75,21 @@
     return bodies
 
 
+async def expect_all_after_a_stop(system, late_seconds):
+    """Stop while all requests are at work, and send one more before reading."""
+    (server,) = system.servers
+    answer_with_body(server)
+    caller = await connect_slow(system)
+    send_pipelined(caller)
+    await wait_until(lambda: all_ran(server))
+    system.gateway.is_draining = True
+    await asyncio.sleep(late_seconds)
+    caller.send('next')
+    await caller.writer.drain()
+    assert await read_all(caller) == [BODY] * REQUEST_COUNT
+    caller.close()
+
+
 def run_with_answers(scenario, loop_factory):
     """Run a scenario after an upstream has answered all requests.
 
@@ -116,17 +131,7 @@
     """The connection closed a second after the last response was written."""
 
     async def scenario(system):
-        (server,) = system.servers
-        answer_with_body(server)
-        caller = await connect_slow(system)
-        send_pipelined(caller)
-        await wait_until(lambda: all_ran(server))
-        system.gateway.is_draining = True
-        await asyncio.sleep(LATE_SECONDS)
-        caller.send('next')
-        await caller.writer.drain()
-        assert await read_all(caller) == [BODY] * REQUEST_COUNT
-        caller.close()
+        await expect_all_after_a_stop(system, LATE_SECONDS)
 
     server = make_server(slots=REQUEST_COUNT, work=0.1)
     run_scenario(scenario, [server], CONFIG, loop_factory)
