Measure pauses of the event loop, and input that is unread at a close

From logs and metrics nobody could tell whether a request was lost in a pause of the instance, nor what the pause was. crocus_loop_lateness_seconds has how late the loop ran a timer, loop_paused names each pause of more than 0.1 s with the processor time, the collector's part and the longest step, and crocus_entry_unread_ends_total counts connections that this side ended while the kernel held input nobody had read. No decision changes.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -16,6 +16,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 
 from .clock import Clock, SystemClock
+from .event_loop.pause_monitor import PauseMonitor
 from .http_server.server import DeliveringRunner
 from .logs import log
 
@@ -57,9 +58,15 @@
     readiness: list[ReadinessCheck] = field(default_factory=list)
     draining: bool = False
     stop_requested_at: timedelta | None = None
+    pauses: PauseMonitor = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the monitor, which observes the loop from the start on."""
+        self.pauses = PauseMonitor(self.clock)
 
     async def start(self) -> None:
         """Run the start hooks and then the ready hooks."""
+        self.pauses.start()
         for hook in (*self.on_start, *self.on_ready):
             await hook()
         _freeze_startup_objects()
@@ -77,6 +84,7 @@
             reversed(self.on_stop),
             'close_limit_passed',
         )
+        self.pauses.stop()
         log('stopped')
 
     def request_stop(self) -> None:
--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -17,6 +17,7 @@
 
 from ..clock import Clock
 from ..http_server.response_delivery import ResponseDelivery
+from ..http_server.socket_queues import unread_bytes
 from ..logs import log
 from ..routes.model import CallerLimits
 from .caller_request import (
@@ -72,7 +73,8 @@
 
     ``end_cause`` is who ends the connection, None while it is open. ``dropped``
     are the requests that did not start before the response that closed it, and
-    ``discarded_bytes`` counts the input that arrived too late for one.
+    ``discarded_bytes`` counts the input that arrived too late for one;
+    ``unread_bytes`` of it were in the kernel when the end began.
     """
 
     __slots__ = (
@@ -88,6 +90,7 @@
         'pipeline',
         'gateway',
         'splitter',
+        'unread_bytes',
     )
 
     def __init__(
@@ -101,6 +104,7 @@
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
         self.discarded_bytes = 0
+        self.unread_bytes = 0
         self.is_finished = False
         self.closes_after_started = False
         self.ignores_input = False
@@ -334,6 +338,7 @@
             return
         self.is_finished = True
         self.end_cause = self.end_cause or cause
+        self.unread_bytes = unread_bytes(self.delivery.transport)
         self.delivery.end(self.gateway.clock.monotonic())
         if self._buffer_paused:
             self._resume_reading_for_buffer()
@@ -351,6 +356,7 @@
             self.end_cause,
             error,
             self.discarded_bytes,
+            self.unread_bytes,
         )
         if end.requests or end.discarded_bytes:
             self.gateway.record_end(end)
--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -41,8 +41,9 @@
     """The end of a connection to ``peer``, with the requests open then.
 
     ``unacknowledged_bytes`` counts those of responses, ``discarded_bytes`` the
-    input that was not served, as the end was under way. ``reason`` is the
-    error, or empty.
+    input that was not served, as the end was under way, and ``unread_bytes``
+    what the kernel held of it when this side ended. ``reason`` is the error, or
+    empty.
     """
 
     peer: str
@@ -51,6 +52,7 @@
     unacknowledged_bytes: int
     discarded_bytes: int
     requests: tuple[OpenRequest, ...]
+    unread_bytes: int = 0
 
 
 def open_requests(
@@ -73,6 +75,7 @@
     cause: EndCause | None,
     error: BaseException | None,
     discarded_bytes: int,
+    unread_bytes: int = 0,
 ) -> ConnectionEnd:
     """Return the end of a connection, with the requests open at it.
 
@@ -93,4 +96,5 @@
         delivery.outstanding,
         discarded_bytes,
         (*unacknowledged, *unanswered),
+        unread_bytes,
     )
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -187,7 +187,8 @@
 
     def reload(self) -> None:
         """Reload the settings; an invalid file changes nothing."""
-        self.settings = reload_from_file(self.settings, self.path)
+        with self.application.pauses.step('reload'):
+            self.settings = reload_from_file(self.settings, self.path)
         self.store.address = self.settings.store
         self.dispatcher.hedged_calls.apply_settings(self.settings.hedging)
 
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -57,6 +57,12 @@
             ('cause', 'stage'),
             registry=registry,
         )
+        self.unread_ends = Counter(
+            'crocus_entry_unread_ends',
+            'Connections that were ended while the kernel held unread input.',
+            ('cause',),
+            registry=registry,
+        )
         self.authentications = Counter(
             'crocus_entry_authentications',
             'Requests by the result of their authentication.',
@@ -131,6 +137,8 @@
         """Count the requests that were open when a connection ended."""
         for request in end.requests:
             self.open_requests.labels(end.cause, request.stage).inc()
+        if end.unread_bytes:
+            self.unread_ends.labels(end.cause).inc()
 
     def count_authentication(
         self, identity: Identity | Rejected | None
--- a/src/crocusproxy/entry/request_log.py
+++ b/src/crocusproxy/entry/request_log.py
@@ -128,6 +128,7 @@
                 reason=end.reason,
                 unacknowledged_bytes=end.unacknowledged_bytes,
                 discarded_bytes=end.discarded_bytes,
+                unread_bytes=end.unread_bytes,
                 requests=[_open_request_fields(one) for one in end.requests],
             )
 
--- /dev/null
+++ b/src/crocusproxy/event_loop/__init__.py
@@ -0,0 +1,1 @@
+"""Observation of the event loop on which a program runs."""
--- a/src/crocusproxy/http_server/response_delivery.py
+++ b/src/crocusproxy/http_server/response_delivery.py
@@ -7,13 +7,12 @@
 """
 
 import asyncio
-import fcntl
-import struct
-import termios
 from collections import deque
 from contextlib import suppress
 from datetime import timedelta
 
+from .socket_queues import outstanding_bytes
+
 #: A peer that acknowledges no byte for this long counts as gone.
 SEND_TIMEOUT = timedelta(seconds=30)
 #: An ended connection closes this long after the peer has acknowledged
@@ -24,26 +23,6 @@
 READ_TIME = timedelta(seconds=1)
 #: More responses than this are checked for acknowledgements at each write.
 _MAX_UNCHECKED = 64
-_INT = struct.Struct('i')
-
-
-def outstanding_bytes(transport: asyncio.WriteTransport) -> int:
-    """Return how many written bytes the peer has not acknowledged.
-
-    They are in the transport's buffer or in the kernel's send queue. Without a
-    socket, or on a system that can't tell its length, the queue counts as
-    empty.
-    """
-    buffered = transport.get_write_buffer_size()
-    connection = transport.get_extra_info('socket')
-    if connection is None:
-        return buffered
-    queue_length = bytearray(_INT.size)
-    # A transport that has closed has no descriptor, which is a ValueError.
-    with suppress(OSError, ValueError):
-        # TIOCOUTQ has the number of SIOCOUTQ, the request for sockets.
-        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, queue_length)
-    return buffered + int(_INT.unpack(queue_length)[0])
 
 
 class ResponseDelivery:
