Let timers act only after input that arrived in a pause was read

uvloop runs due timers before it polls. After a pause, each timer decided against callers and peers whose bytes the kernel had held for long: a connection was idle with a request unread, a response in time counted as late.

--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -11,11 +11,11 @@
 from typing import NoReturn
 
 import aiomisc
-import uvloop
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 
 from .clock import Clock, SystemClock
+from .event_loop.input_first_loop import InputFirstLoop
 from .event_loop.pause_monitor import PauseMonitor
 from .http_server.server import DeliveringRunner
 from .logs import log
@@ -119,7 +119,8 @@
         pool, which no program uses. On a busy host that took up to 0.8 s, and
         the platform kills a process that ends late.
         """
-        loop = uvloop.new_event_loop()
+        loop = InputFirstLoop()
+        loop.pauses = self.pauses
         asyncio.set_event_loop(loop)
         service = _LifeCycle(self)
         try:  # noqa: WPS501 - also after a failed start
--- a/src/crocusproxy/event_loop/pause_monitor.py
+++ b/src/crocusproxy/event_loop/pause_monitor.py
@@ -21,6 +21,10 @@
 LOGGED_SECONDS = 0.1
 #: Shorter delays are usual and do not count as pauses.
 MIN_PAUSE_SECONDS = 0.02
+#: Runs of the loop after a pause until all input that arrived in it was read. A
+#: new connection is accepted in the first one and read in the second one; tasks
+#: need some more to take what has arrived.
+CATCH_UP_RUNS = 6
 
 _LATENESS = Histogram(
     'crocus_loop_lateness_seconds',
@@ -45,6 +49,7 @@
         self.write = write
         self.processor_time = processor_time
         self.paused_seconds = float()
+        self.catch_up_runs = 0
         self.due_at: float | None = None
         self.processor_seconds = float()
         self.collector_seconds = float()
@@ -85,15 +90,27 @@
                 self.longest_step = name
                 self.step_seconds = seconds
 
+    def is_ending(self) -> bool:
+        """Return whether the loop has yet to read what arrived in a pause."""
+        return self.catch_up_runs > 0 or self._current_pause() > 0
+
     def _check(self, loop: asyncio.AbstractEventLoop) -> None:
         assert self.due_at is not None
         _LATENESS.observe(max(self._now() - self.due_at, 0))
         seconds = self._current_pause()
-        self.paused_seconds += seconds
+        if seconds:
+            self.paused_seconds += seconds
+            self.catch_up_runs = CATCH_UP_RUNS
+            loop.call_soon(self._count_run, loop)
         if seconds > LOGGED_SECONDS:
             self._log_pause(seconds)
         self._schedule(loop)
 
+    def _count_run(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.catch_up_runs -= 1
+        if self.catch_up_runs:
+            loop.call_soon(self._count_run, loop)
+
     def _current_pause(self) -> float:
         if self.due_at is None:
             return 0
