Reproduce losses after pauses with real processes

bench.closes has forms in which an instance gets no processor for 0.35, 0.5 and 1 s at a step while callers send on kept or new connections.

--- /dev/null
+++ b/bench/closes/pauses.py
@@ -0,0 +1,172 @@
+"""Forms in which an instance gets no processor while callers send."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .callers import CallerConnection
+from .ledger import GRACE_SECONDS
+from .testbed import ClosesTestbed
+
+CALLERS = 20
+#: One instance pauses for each length.
+PAUSES_SECONDS = (0.35, 0.5, 1.0)
+ZONES = ('d0', 'd1', 'd2', 'd0')
+UPSTREAMS = 6
+SLOTS = 12
+#: The pause begins so long before the step of the instance.
+_LEAD_SECONDS = 0.1
+_STOPPED_SECONDS = 0.05
+_IDLE_TIMEOUT_MS = 500
+#: The instance allows callers this much beyond the idle timeout.
+_IDLE_MARGIN_SECONDS = 1.0
+_TARGET = '/read/x?work=0.05&size=300'
+_DEADLINE_SECONDS = 1.4
+_ANSWER_LIMIT_SECONDS = 4.0
+
+
+class Connections(StrEnum):
+    """On which connections the callers send in the pause."""
+
+    KEPT = 'kept'
+    NEW = 'new'
+
+
+class Signal(StrEnum):
+    """What the instance gets before the pause."""
+
+    STOP = 'stop'
+    RELOAD = 'reload'
+    NONE = 'none'
+
+
+@dataclass(frozen=True, slots=True)
+class PausedClose:
+    """A pause near a step of an instance, ``step_seconds`` after a signal.
+
+    With ``is_idle``, the step is the idle timeout of the kept connections.
+    With ``is_configured``, a configuration is sent as the pause begins.
+    """
+
+    connections: Connections
+    signal: Signal = Signal.STOP
+    step_seconds: float = 0.7 * GRACE_SECONDS
+    is_idle: bool = False
+    is_configured: bool = False
+
+    async def play(self, testbed: ClosesTestbed) -> None:
+        for number in range(UPSTREAMS):
+            zone = ZONES[number % len(ZONES)]
+            await testbed.add_upstream('reads', zone, slots=SLOTS, queue=200)
+        if self.is_idle:
+            testbed.idle_timeout_ms = _IDLE_TIMEOUT_MS
+        await testbed.start_all()
+        for instance, seconds in zip(
+            testbed.instances, PAUSES_SECONDS, strict=False
+        ):
+            await self._pause_one(testbed, instance, seconds)
+
+    async def _pause_one(self, testbed, instance, seconds: float) -> None:
+        kept = await self._open_kept(testbed, instance)
+        self._signal(testbed, instance)
+        await asyncio.sleep(max(self._step_seconds() - _LEAD_SECONDS, 0))
+        instance.send_signal(signal.SIGSTOP)
+        # What arrives before the process has stopped is read with its events.
+        await asyncio.sleep(_STOPPED_SECONDS)
+        try:
+            connections = kept or await _open(testbed, instance, CALLERS)
+            await asyncio.gather(
+                *(_send(testbed, connection) for connection in connections)
+            )
+            if self.is_configured:
+                testbed.publish(testbed.configuration())
+            await asyncio.sleep(seconds)
+        finally:
+            instance.send_signal(signal.SIGCONT)
+        await asyncio.gather(*map(_wait_and_close, connections))
+        if self.signal is Signal.STOP:
+            await testbed.wait_ended(instance)
+
+    async def _open_kept(
+        self, testbed, instance
+    ) -> tuple[CallerConnection, ...]:
+        """Return connections that were used once, over a second if idle.
+
+        To send on new ones, there are none; the one that was used is closed.
+        """
+        is_kept = self.connections is Connections.KEPT
+        used = await _open(testbed, instance, CALLERS if is_kept else 1)
+        for connection in used:
+            await _send(testbed, connection)
+            await connection.wait_answered()
+            if self.is_idle:
+                await asyncio.sleep(_IDLE_MARGIN_SECONDS / CALLERS)
+        if is_kept:
+            return used
+        await used[0].close()
+        return ()
+
+    def _signal(self, testbed, instance) -> None:
+        match self.signal:
+            case Signal.STOP:
+                testbed.terminate(instance)
+            case Signal.RELOAD:
+                testbed.reload(instance)
+
+    def _step_seconds(self) -> float:
+        if self.is_idle:
+            return _IDLE_TIMEOUT_MS / 1000 + _LEAD_SECONDS
+        return self.step_seconds
+
+
+async def _open(testbed, instance, count) -> tuple[CallerConnection, ...]:
+    opened = [testbed.connect(instance) for _ in range(count)]
+    return tuple(await asyncio.gather(*opened))
+
+
+async def _send(testbed, connection) -> None:
+    await testbed.send(
+        connection, [_TARGET], deadline_seconds=_DEADLINE_SECONDS
+    )
+
+
+async def _wait_and_close(connection) -> None:
+    with suppress(TimeoutError):
+        async with asyncio.timeout(_ANSWER_LIMIT_SECONDS):
+            await connection.wait_answered()
+    await connection.close()
+
+
+FORMS: dict[str, Callable] = {
+    'paused_kept': PausedClose(Connections.KEPT).play,
+    'paused_new': PausedClose(Connections.NEW).play,
+    'paused_idle': PausedClose(
+        Connections.KEPT, signal=Signal.NONE, is_idle=True
+    ).play,
+    'paused_term_kept': PausedClose(Connections.KEPT, step_seconds=0).play,
+    'paused_term_new': PausedClose(Connections.NEW, step_seconds=0).play,
+    'paused_refusing_kept': PausedClose(
+        Connections.KEPT, step_seconds=0.4 * GRACE_SECONDS
+    ).play,
+    'paused_reload_kept': PausedClose(
+        Connections.KEPT, signal=Signal.RELOAD, step_seconds=0
+    ).play,
+    'paused_reload_new': PausedClose(
+        Connections.NEW, signal=Signal.RELOAD, step_seconds=0
+    ).play,
+    'paused_config_idle': PausedClose(
+        Connections.KEPT,
+        signal=Signal.NONE,
+        is_idle=True,
+        is_configured=True,
+    ).play,
+    'paused_config_new': PausedClose(
+        Connections.NEW,
+        signal=Signal.NONE,
+        step_seconds=0,
+        is_configured=True,
+    ).play,
+}
