--- a/src/crocusproxy/application.py
+++ b/src/crocusproxy/application.py
@@ -107,7 +107,7 @@
     def admin_routes(self) -> list[web.RouteDef]:
         """Return the routes for /metrics, /healthz and /readyz."""
         return [
-            web.get('/metrics', _metrics),
+            web.get('/metrics', self._metrics),
             web.get('/healthz', _health),
             web.get('/readyz', self._ready),
         ]
@@ -143,6 +143,13 @@
         except TimeoutError:
             log(event)
 
+    async def _metrics(self, _: web.Request) -> web.Response:
+        with self.pauses.step('metrics'):
+            body = generate_latest(REGISTRY)
+        return web.Response(
+            body=body, headers={'Content-Type': CONTENT_TYPE_LATEST}
+        )
+
     async def _ready(self, _: web.Request) -> web.Response:
         reasons = self.not_ready_reasons()
         status = _SERVICE_UNAVAILABLE if reasons else web.HTTPOk.status_code
@@ -257,12 +264,5 @@
     return runner
 
 
-async def _metrics(_: web.Request) -> web.Response:
-    return web.Response(
-        body=generate_latest(REGISTRY),
-        headers={'Content-Type': CONTENT_TYPE_LATEST},
-    )
-
-
 async def _health(_: web.Request) -> web.Response:
     return web.json_response({'status': 'ok'})
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -80,6 +80,7 @@
         )
         self._add_hooks()
         self.catalog = Catalog()
+        self.catalog.step = self.application.pauses.step
         self.metrics = EntryMetrics()
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.reach = UpstreamReach(self.clock)
--- a/src/crocusproxy/membership/catalog.py
+++ b/src/crocusproxy/membership/catalog.py
@@ -1,6 +1,7 @@
 """The configuration and the upstreams that an instance knows."""
 
 from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 
 from ..logs import log
@@ -11,6 +12,8 @@
 
 #: Receives all evacuated failure domains.
 EvacuationListener = Callable[[frozenset[str]], None]
+#: Encloses a step that may take long, with its name.
+Step = Callable[[str], AbstractContextManager[object]]
 #: Number of removed upstreams whose late reports are still recognized.
 MAX_REMOVED_UPSTREAMS = 10_000
 
@@ -26,6 +29,7 @@
     stated. ``evacuated`` holds the failure domains whose upstreams get no new
     requests. ``revision`` grows with each report and change of terms.
     ``complete_config`` receives configurations that older builds passed on.
+    ``step`` observes how long changes take.
     """
 
     def __init__(self) -> None:
@@ -34,6 +38,7 @@
         self.removed_upstreams: dict[str, RegisteredUpstream] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.is_complete = False
+        self.step: Step = nullcontext
         self.revision = 0
         self.store_incarnation = StoreIncarnation()
         self.terms = TermsTable()
@@ -74,8 +79,9 @@
             previous=current.version if current else None,
             routes=len(config.routes),
         )
-        for listener in self.on_config:
-            listener(config)
+        with self.step('configuration'):
+            for listener in self.on_config:
+                listener(config)
 
     def apply_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replace the set of evacuated failure domains."""
@@ -98,12 +104,13 @@
     def apply_list(self, entries: tuple[RegisteredUpstream, ...]) -> None:
         """Apply the full list of upstreams and remove all others."""
         listed_keys = {entry.key for entry in entries}
-        for key in tuple(self.upstreams):
-            if key not in listed_keys:
-                self.apply_change(UpstreamChange(key))
-        for entry in entries:
-            self.apply_change(UpstreamChange(entry.key, entry))
-        self.mark_complete()
+        with self.step('upstreams'):
+            for key in tuple(self.upstreams):
+                if key not in listed_keys:
+                    self.apply_change(UpstreamChange(key))
+            for entry in entries:
+                self.apply_change(UpstreamChange(entry.key, entry))
+            self.mark_complete()
 
     def mark_complete(self) -> None:
         """Mark the list of upstreams as complete.
