--- a/src/crocusproxy/entry/crash_watch.py
+++ b/src/crocusproxy/entry/crash_watch.py
@@ -10,7 +10,7 @@
 from ..logs import log
 from ..placement.upstream_reach import UpstreamReach
 from ..protocol.home_feed import CrashReport
-from ..routing.crash import Crash, CrashSuspects, latest_ages, sent_times
+from ..routing.crash import CrashSuspects, latest_ages, reported_crash
 from .upstream_call import OutgoingRequest, SentRequest
 
 #: Crashes that are retracted if they turn out to be one loss of all upstreams.
@@ -76,11 +76,8 @@
                 self.tracker.answered(one)
             return
         now = self.clock.monotonic()
-        crash = Crash(
-            report.upstream,
-            frozenset(report.fingerprints),
-            now,
-            sent_times(report.fingerprints, report.ages, now),
+        crash = reported_crash(
+            report.upstream, report.fingerprints, report.ages, now
         )
         confirmed = self.tracker.crashed(crash)
         log(
--- a/src/crocusproxy/proxy/crashes.py
+++ b/src/crocusproxy/proxy/crashes.py
@@ -16,7 +16,7 @@
 from ..membership.view import Instance
 from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.crashes import CrashReport
-from ..routing.crash import Crash, CrashSuspects, latest_ages, sent_times
+from ..routing.crash import CrashSuspects, latest_ages, reported_crash
 from .inbound import InboundRequest
 from .problems import RefusalError
 
@@ -90,11 +90,8 @@
     def apply_report(self, report: CrashReport) -> None:
         """Apply a crash that this or another instance has detected."""
         now = self.clock.monotonic()
-        crash = Crash(
-            report.upstream,
-            frozenset(report.fingerprints),
-            now,
-            sent_times(report.fingerprints, report.ages, now),
+        crash = reported_crash(
+            report.upstream, report.fingerprints, report.ages, now
         )
         confirmed = self.tracker.crashed(crash)
         log(
--- a/src/crocusproxy/routing/crash.py
+++ b/src/crocusproxy/routing/crash.py
@@ -1,6 +1,6 @@
 """Detection of requests that crash upstreams."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -159,14 +159,19 @@
     }
 
 
-def sent_times(
-    fingerprints: Iterable[str], ages: Iterable[timedelta], at: timedelta
-) -> dict[str, timedelta]:
-    """Return when requests were sent, from their ages at the crash.
+def reported_crash(
+    upstream: str,
+    fingerprints: Sequence[str],
+    ages: Sequence[timedelta],
+    at: timedelta,
+) -> Crash:
+    """Return the crash of a report that arrived ``at`` a monotonic time.
 
-    A build that reports no ages has them confirmed as if just sent.
+    ``ages`` are those of the requests at the crash. A build that reports none
+    has them confirmed as if just sent.
     """
-    return {
+    sent_at = {
         fingerprint: at - age
         for fingerprint, age in zip(fingerprints, ages, strict=False)
     }
+    return Crash(upstream, frozenset(fingerprints), at, sent_at)
