Accept what waits in the kernel before the callers' port closes

Callers that connected and sent a request while an instance paused got a reset if the port closed at the end of the pause: libuv accepts one connection in each run of the loop, and the kernel resets the rest of the backlog.

A duplicate of the listening socket outlives the server's close. It is accepted from until nothing waits and closed in the next system call. Compared with creating the socket ourselves, the servers stay as they are; compared with more runs of the loop before the close, no connection made meanwhile is left out.

--- a/src/crocusproxy/entry/draining.py
+++ b/src/crocusproxy/entry/draining.py
@@ -4,7 +4,9 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from ..http_server.port_close import close_port
 from ..logs import log
+from .caller_connection import CallerConnection
 from .gateway import Gateway
 
 #: Share of the shutdown time during which every request is accepted; afterwards
@@ -39,14 +41,20 @@
     await asyncio.sleep(
         shutdown_seconds * (_STOP_LISTENING_SHARE - _ACCEPT_ALL_SHARE)
     )
-    server.close()
-    log('port_closed', in_flight=gateway.in_flight)
+    await _close_port(gateway, server)
     while _has_work(gateway, clock):
         if _is_due(gateway, clock):
             gateway.dispatcher.refuse_waiting()
         await asyncio.sleep(_CHECK_SECONDS)
 
 
+async def _close_port(gateway: Gateway, server: asyncio.AbstractServer) -> None:
+    """Refuse new connections; the ones that callers have made are served."""
+    loop = asyncio.get_running_loop()
+    accepted = await close_port(server, lambda: CallerConnection(gateway, loop))
+    log('port_closed', in_flight=gateway.in_flight, accepted=accepted)
+
+
 async def refuse_remaining(gateway: Gateway) -> None:
     """Refuse what still waits for an upstream as the process ends.
 
