End connections only while nothing unread waits on them

A request that the kernel held when an instance ended its idle connection was discarded: at the step of a stop, at the idle timeout and, for the rest of a head, at the header timeout. uvloop's write_eof acts a run of the loop later, so even a check before it left a gap.

A connection with nothing left to write is now ended by shutdown(2) in the system call after the check. Input that is unread is read first; a head that goes on without an end is refused after twice its time.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -191,8 +191,9 @@
         if self.pipeline:
             return True
         delivery.update(now)
-        if not (self.is_finished or delivery.outstanding):
-            self._finish(EndCause.STOP)
+        is_idle = not (self.is_finished or delivery.outstanding)
+        if is_idle and self._end_unless_unread(delivery, EndCause.STOP, now):
+            return True
         return delivery.is_receiving(now)
 
     def has_outstanding_bytes(self) -> bool:
@@ -232,13 +233,26 @@
     ) -> None:
         limits = self.gateway.limits
         active_at = max(self.last_activity_at, delivery.acknowledged_at)
-        started_at = self.head_started_at
-        if started_at is not None and now - started_at > limits.header_timeout:
+        if self._is_head_late(delivery, now):
             self._reject(TimeoutError('the head took too long'))
         elif delivery.outstanding:
             return
         elif now - active_at > limits.idle_timeout + _IDLE_MARGIN:
-            self._finish(EndCause.IDLE_TIMEOUT)
+            self._end_unless_unread(delivery, EndCause.IDLE_TIMEOUT, now)
+
+    def _is_head_late(self, delivery: ResponseDelivery, now: timedelta) -> bool:
+        """Return whether a head is not complete after its time.
+
+        What is unread may be the rest. It counts for as long again, as a caller
+        may go on sending one without an end.
+        """
+        if self.head_started_at is None:
+            return False
+        header_timeout = self.gateway.limits.header_timeout
+        excess = now - self.head_started_at - header_timeout
+        if excess <= timedelta() or excess > header_timeout:
+            return excess > timedelta()
+        return not unread_bytes(delivery.transport)
 
     def _accepts_request(self) -> bool:
         """Return whether a request may start behind those in the pipeline."""
@@ -336,10 +350,25 @@
         """Send no more, and discard what the caller sends until it closes."""
         if self.delivery is None:
             return
-        self.is_finished = True
-        self.end_cause = self.end_cause or cause
         self.unread_bytes = unread_bytes(self.delivery.transport)
         self.delivery.end(self.gateway.clock.monotonic())
+        self._note_finish(cause)
+
+    def _end_unless_unread(
+        self, delivery: ResponseDelivery, cause: EndCause, now: timedelta
+    ) -> bool:
+        """End the connection, unless the caller's input is still unread.
+
+        Return whether it is.
+        """
+        is_ended = delivery.end_unless_unread(now)
+        if is_ended:
+            self._note_finish(cause)
+        return not is_ended
+
+    def _note_finish(self, cause: EndCause) -> None:
+        self.is_finished = True
+        self.end_cause = self.end_cause or cause
         if self._buffer_paused:
             self._resume_reading_for_buffer()
 
--- a/src/crocusproxy/http_server/response_delivery.py
+++ b/src/crocusproxy/http_server/response_delivery.py
@@ -8,10 +8,10 @@
 
 import asyncio
 from collections import deque
-from contextlib import suppress
 from datetime import timedelta
 
 from .socket_queues import outstanding_bytes
+from .write_end import end_unless_unread, end_writing
 
 #: A peer that acknowledges no byte for this long counts as gone.
 SEND_TIMEOUT = timedelta(seconds=30)
@@ -70,13 +70,19 @@
 
     def end(self, now: timedelta) -> None:
         """End this direction of the connection after what was written."""
-        self.is_ended = True
-        if not self.outstanding:
-            self.acknowledged_at = now
-        with suppress(OSError):
-            # The peer may have reset the connection in this very step.
-            self.transport.write_eof()
-        self.outstanding += 1
+        end_writing(self.transport)
+        self._note_end(now)
+
+    def end_unless_unread(self, now: timedelta) -> bool:
+        """End this direction if the peer has sent nothing that is unread.
+
+        Return whether it ended. The peer counts on what it has sent: it did so
+        before it could know of the end.
+        """
+        if not end_unless_unread(self.transport):
+            return False
+        self._note_end(now)
+        return True
 
     def update(self, now: timedelta) -> None:
         """Count the outstanding bytes, unless there were none before."""
@@ -116,6 +122,12 @@
         delivered_at = self.delivered_at
         return delivered_at is not None and now - delivered_at <= READ_TIME
 
+    def _note_end(self, now: timedelta) -> None:
+        self.is_ended = True
+        if not self.outstanding:
+            self.acknowledged_at = now
+        self.outstanding += 1
+
     def _forget_acknowledged(self, now: timedelta) -> None:
         # The kernel counts the end of the stream as one byte.
         written = self.byte_count + self.is_ended
--- a/src/crocusproxy/http_server/socket_queues.py
+++ b/src/crocusproxy/http_server/socket_queues.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from contextlib import suppress
@@ -29,10 +30,17 @@
     return _queue_length(transport, termios.FIONREAD)
 
 
+def queued_input(connection: socket.socket) -> int:
+    """Return the same of a socket."""
+    return _length(connection, termios.FIONREAD)
+
+
 def _queue_length(transport: asyncio.BaseTransport, request: int) -> int:
     connection = transport.get_extra_info('socket')
-    if connection is None:
-        return 0
+    return 0 if connection is None else _length(connection, request)
+
+
+def _length(connection: socket.socket, request: int) -> int:
     length = bytearray(_INT.size)
     # A transport that has closed has no descriptor, which is a ValueError.
     with suppress(OSError, ValueError):
