--- a/tests/event_loop/test_input_first_loop.py
+++ b/tests/event_loop/test_input_first_loop.py
@@ -7,33 +7,10 @@
 import pytest
 import uvloop
 
-from crocusproxy.clock import SystemClock
-from crocusproxy.event_loop.input_first_loop import InputFirstLoop
-from crocusproxy.event_loop.pause_monitor import PauseMonitor
+from .observed_loop import run
 
 PAUSE_SECONDS = 0.3
 TIMEOUT_SECONDS = 0.25
-SETTLE_SECONDS = 0.12
-
-
-def run(scenario):
-    """Run a scenario on the loop that all programs use."""
-    pauses = PauseMonitor(SystemClock(), lambda event, **fields: None)
-
-    async def observed():
-        pauses.start()
-        await asyncio.sleep(SETTLE_SECONDS)
-        try:
-            return await scenario()
-        finally:
-            pauses.stop()
-
-    loop = InputFirstLoop()
-    loop.pauses = pauses
-    try:
-        return loop.run_until_complete(observed())
-    finally:
-        loop.close()
 
 
 async def read_in_a_pause(timeout=TIMEOUT_SECONDS):
