Exclude own pauses from the time for a connection to open

ConnectionPool.open now uses PeerTimeout; a request's remaining time is the limit of the extension, so deadlines of callers are not extended.

Tests: run_scenario of tests/entry/harness.py observes its loop, as programs do. The fake of test_successor takes the new argument.

--- a/src/crocusproxy/entry/exchange.py
+++ b/src/crocusproxy/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from math import inf
 from typing import TypeVar
 
 from ..placement.upstream_reach import UpstreamReach
@@ -21,17 +22,19 @@
     idle_limit: float | None,
     exchange: Callable[[MatchingConnection], Awaitable[_Response]],
     on_not_opened: Callable[[], None] | None = None,
+    limit: float = inf,
 ) -> _Response | NotRun | ResponseLost:
     """Take or open a connection and return the result of ``exchange``.
 
     An idle connection is reused if it was idle for less than ``idle_limit``
     seconds and its last request had another ``request_id``; a new one must open
-    within ``timeout`` seconds, or ``on_not_opened`` is called. Without a
-    connection the request did not run; after a broken exchange it may have.
+    within ``timeout`` seconds, or ``on_not_opened`` is called. Pauses of this
+    process extend that time, to at most ``limit`` seconds. Without a connection
+    the request did not run; after a broken exchange it may have.
     """
     try:
         connection = await pool.take_or_open(
-            address, request_id, timeout, idle_limit
+            address, request_id, timeout, idle_limit, limit
         )
     except NotOpenedError as error:
         if on_not_opened is not None:
--- a/src/crocusproxy/entry/home_forwarder.py
+++ b/src/crocusproxy/entry/home_forwarder.py
@@ -122,6 +122,7 @@
             lambda connection: self._exchange(
                 connection, outgoing_request, deadline, headers
             ),
+            limit=deadline - self.clock.monotonic().total_seconds(),
         )
 
     async def _exchange(
--- a/src/crocusproxy/entry/upstream_call.py
+++ b/src/crocusproxy/entry/upstream_call.py
@@ -95,6 +95,7 @@
                 connection, upstream, outgoing_request, deadline, before_send
             ),
             on_not_opened,
+            limit=remaining,
         )
 
     async def _exchange(
--- a/src/crocusproxy/event_loop/peer_timeout.py
+++ b/src/crocusproxy/event_loop/peer_timeout.py
@@ -53,9 +53,10 @@
         self.callback = callback
         self.pauses = pauses or getattr(loop, 'pauses', None)
         self.extensions_left = MAX_EXTENSIONS
-        self.started_at = loop.time()
         self.paused_before = self._paused_seconds()
         self.handle = loop.call_later(seconds, self._check)
+        # uvloop brings its time up to date when it starts a timer.
+        self.started_at = loop.time()
 
     def cancel(self) -> None:
         """Call back no more."""
--- a/src/crocusproxy/proxy/exchange.py
+++ b/src/crocusproxy/proxy/exchange.py
@@ -49,11 +49,13 @@
         """
         idle_limit = _KEYED_MAX_IDLE_SECONDS if self.inbound.key else None
         remaining = self.inbound.deadline - clock.monotonic()
+        seconds = remaining.total_seconds()
         self.connection = await self.pool.take_or_open(
             self.address,
             self.inbound.request_id,
-            remaining.total_seconds(),
+            seconds,
             idle_limit,
+            limit=seconds,
         )
 
     async def send(
--- a/src/crocusproxy/proxy/pool.py
+++ b/src/crocusproxy/proxy/pool.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from math import inf
 from typing import Any
 
+from ..event_loop.peer_timeout import PeerTimeout
 from .connection import UpstreamConnection
 
 #: Called with the address and the tags of the requests that were in flight.
@@ -99,20 +101,25 @@
         request_id: str,
         timeout: float,
         idle_limit: float | None = None,
+        limit: float = inf,
     ) -> UpstreamConnection:
-        """Return an idle connection, or open one within ``timeout`` seconds.
+        """Return an idle connection, or open one as ``open`` does.
 
         Raises:
             NotOpenedError: no connection could be opened.
         """
         connection = self.take_idle(address, request_id, idle_limit)
         if connection is None:
-            connection = await self.open(address, timeout)
+            connection = await self.open(address, timeout, limit)
         return connection
 
-    async def open(self, address: str, timeout: float) -> UpstreamConnection:
+    async def open(
+        self, address: str, timeout: float, limit: float = inf
+    ) -> UpstreamConnection:
         """Open a connection within ``timeout`` seconds and the pool's limit.
 
+        Pauses of this process extend both, but not beyond ``limit`` seconds.
+
         Raises:
             NotOpenedError: no connection could be opened.
         """
@@ -124,8 +131,8 @@
             self._handle_lost(address, peer, connection)
 
         try:
-            async with asyncio.timeout(
-                min(timeout, self.connect_timeout_seconds)
+            async with PeerTimeout(
+                min(timeout, self.connect_timeout_seconds), limit=limit
             ):
                 _, connection = await loop.create_connection(
                     lambda: self.connection_type(loop, on_lost),
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -34,6 +34,7 @@
     WeightedService,
 )
 from standins.slot_server import SlotServer
+from tests.event_loop.observed_loop import observed_pauses
 
 HOST = 'a.example'
 #: As with the default of 256 MB of memory.
@@ -240,8 +241,12 @@
             queue_task.cancel()
             await system.stop()
 
+    async def run_observed():
+        with observed_pauses():
+            await run()
+
     with asyncio.Runner(loop_factory=loop_factory) as runner:
-        runner.run(run())
+        runner.run(run_observed())
 
 
 def make_server(key='i-1', **options):
--- a/tests/entry/test_successor.py
+++ b/tests/entry/test_successor.py
@@ -60,7 +60,7 @@
     async def scenario(system, takeover):
         open_connection = system.pool.open
 
-        async def fail_once(address, timeout):
+        async def fail_once(address, *timeouts):
             system.pool.open = open_connection
             takeover.begin()
             raise NotOpenedError(address)
--- a/tests/event_loop/observed_loop.py
+++ b/tests/event_loop/observed_loop.py
@@ -1,6 +1,7 @@
-"""The event loop of all programs, with its monitor of pauses."""
+"""Event loops with the monitor of pauses that all programs have."""
 
 import asyncio
+from contextlib import contextmanager
 
 from crocusproxy.clock import SystemClock
 from crocusproxy.event_loop.input_first_loop import InputFirstLoop
@@ -9,26 +10,25 @@
 SETTLE_SECONDS = 0.12
 
 
-def observed_loop():
-    """Return a new loop of the kind that programs use."""
-    loop = InputFirstLoop()
+@contextmanager
+def observed_pauses():
+    """Let a monitor observe the running loop, as programs do."""
+    loop = asyncio.get_running_loop()
     loop.pauses = PauseMonitor(SystemClock(), lambda event, **fields: None)
-    return loop
+    loop.pauses.start()
+    try:
+        yield
+    finally:
+        loop.pauses.stop()
 
 
-def run(scenario):
-    """Run a scenario on the loop that all programs use."""
-    loop = observed_loop()
+def run(scenario, loop_factory=InputFirstLoop):
+    """Run a scenario on the loop that all programs use, or another one."""
 
     async def observed():
-        loop.pauses.start()
-        await asyncio.sleep(SETTLE_SECONDS)
-        try:
+        with observed_pauses():
+            await asyncio.sleep(SETTLE_SECONDS)
             return await scenario()
-        finally:
-            loop.pauses.stop()
 
-    try:
-        return loop.run_until_complete(observed())
-    finally:
-        loop.close()
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        return runner.run(observed())
--- a/tests/proxy/test_pool.py
+++ b/tests/proxy/test_pool.py
@@ -1,12 +1,14 @@
 """Guards against connections that the pool no longer tracks."""
 
 import asyncio
+import time
 from datetime import timedelta
 
 import pytest
 
 from crocusproxy.proxy.connection import MAX_REFUSALS
 from crocusproxy.proxy.pool import ConnectionPool, NotOpenedError
+from tests.event_loop.observed_loop import run
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: u\r\n\r\n'
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -114,3 +116,63 @@
         assert connection.is_aborted
 
     run_pool_scenario(scenario)
+
+
+PAUSE_SECONDS = 0.4
+CONNECT_SECONDS = 0.25
+
+
+def open_paused(timeout, limit):
+    """Open a connection while the process pauses.
+
+    The way to the peer takes 0.15 s, as a far one, simulated in the loop.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, '127.0.0.1', 0)
+        address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        create = loop.create_connection
+
+        async def create_slowly(*args, **options):
+            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.1)
+            return await create(*args, **options)
+
+        loop.create_connection = create_slowly
+        pool = ConnectionPool(timedelta(seconds=5), timedelta(seconds=5))
+        loop.call_later(0.02, time.sleep, PAUSE_SECONDS)
+        try:
+            return await pool.open(address, timeout, limit)
+        finally:
+            pool.close()
+            server.close()
+
+    return run(scenario)
+
+
+def test_own_pause_does_not_count_against_a_peer_that_accepts():
+    """It "timed out", and no other upstream was left."""
+    open_paused(CONNECT_SECONDS, 5)
+
+
+def test_own_pause_does_not_extend_the_deadline_of_a_caller():
+    with pytest.raises(NotOpenedError):
+        open_paused(CONNECT_SECONDS, CONNECT_SECONDS)
+
+
+def test_peer_that_does_not_accept_is_given_up_in_time():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+
+        async def never(*_, **options):
+            await loop.create_future()
+
+        loop.create_connection = never
+        pool = ConnectionPool(timedelta(seconds=5), timedelta(seconds=5))
+        started_at = loop.time()
+        with pytest.raises(NotOpenedError):
+            await pool.open('127.0.0.1:1', 0.1)
+        return loop.time() - started_at
+
+    assert run(scenario) < 0.2
