--- a/src/crocusproxy/platform/relay.py
+++ b/src/crocusproxy/platform/relay.py
@@ -4,6 +4,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ..event_loop.peer_timeout import PeerTimeout
 from ..logs import log
 from .store import INCARNATION_HEADER, RELAY_PREFIX
 
@@ -40,11 +41,14 @@
         wait = timedelta(milliseconds=int(wait_ms))
         total = (self.timeout + wait).total_seconds()
         try:
-            async with self.session.get(
-                f'http://{self.address}/-/{name}',
-                params=request.query,
-                timeout=ClientTimeout(total=total),
-            ) as response:
+            async with (
+                PeerTimeout(total),
+                self.session.get(
+                    f'http://{self.address}/-/{name}',
+                    params=request.query,
+                    timeout=ClientTimeout(),
+                ) as response,
+            ):
                 body = await response.read()
         except (ClientError, TimeoutError) as error:
             log('store_relay_failed', error=repr(error))
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -11,6 +11,7 @@
     AppendRejectedError,
     PlatformUnavailableError,
 )
+from ..event_loop.peer_timeout import PeerTimeout
 from ..logs import log
 from ..membership.store_incarnation import StoreIncarnation
 from .store_paths import StorePaths, StoreResponse
@@ -37,10 +38,11 @@
     """Reads and writes keyed topics at ``address``.
 
     Only partition 0 of a topic (``part`` in a query) is used. ``timeout``
-    bounds each call, not counting a read's own wait time. The store may reject
-    single instances; ``relays`` returns the internal addresses of other
-    instances that it may still serve, and ``paths`` chooses among these and the
-    direct path. ``incarnation`` is the newest one that any response had.
+    bounds each call, not counting a read's own wait time and pauses of this
+    process. The store may reject single instances; ``relays`` returns the
+    internal addresses of other instances that it may still serve, and ``paths``
+    chooses among these and the direct path. ``incarnation`` is the newest one
+    that any response had.
     """
 
     def __init__(
@@ -137,12 +139,15 @@
             AppendRejectedError: the store does not accept the record.
         """
         try:
-            async with self.session.post(
-                f'http://{self.address}/-/log-append',
-                params={'Topic': topic, 'part': '0'},
-                data=encode_record(key, content),
-                timeout=ClientTimeout(total=self.timeout.total_seconds()),
-            ) as response:
+            async with (
+                PeerTimeout(self.timeout.total_seconds()),
+                self.session.post(
+                    f'http://{self.address}/-/log-append',
+                    params={'Topic': topic, 'part': '0'},
+                    data=encode_record(key, content),
+                    timeout=ClientTimeout(),
+                ) as response,
+            ):
                 await response.read()
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'append: {error!r}') from error
@@ -172,13 +177,14 @@
     ) -> StoreResponse:
         base = f'{relay}{RELAY_PREFIX}' if relay else self.address
         try:
-            async with self.session.get(
-                f'http://{base}{path}',
-                params=query,
-                timeout=ClientTimeout(
-                    total=(self.timeout + wait).total_seconds()
-                ),
-            ) as response:
+            async with (
+                PeerTimeout((self.timeout + wait).total_seconds()),
+                self.session.get(
+                    f'http://{base}{path}',
+                    params=query,
+                    timeout=ClientTimeout(),
+                ) as response,
+            ):
                 body = await response.read()
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'{path}: {error!r}') from error
--- a/src/crocusproxy/platform/store_paths.py
+++ b/src/crocusproxy/platform/store_paths.py
@@ -14,6 +14,7 @@
 
 from ..clock import Clock
 from ..errors import PlatformUnavailableError
+from ..event_loop.peer_timeout import PeerTimeout
 from ..logs import log
 from .path_history import FailoverBackoff, PathHistory
 from .store_records import ExpiredPositionError
@@ -170,7 +171,9 @@
             PathLostError: the path is not the one in use, and is slow.
         """
         delay = max(MIN_HEDGE_DELAY, self.response_time * _HEDGE_DELAY_FACTOR)
-        await asyncio.wait((read.task,), timeout=delay.total_seconds())
+        with suppress(TimeoutError):
+            async with PeerTimeout(delay.total_seconds()):
+                await asyncio.wait((read.task,))
         if read.task.done():
             return False
         if read.relay != self.relay:
