Exclude own pauses from the time for other members

A call of a member failed if this process paused between its start and the sending, and the feed of a home that paused at the same time as this member, as on a busy host, was lost. Calls and silence of feeds use PeerTimeout. The feed is read in the parts that arrive, as aiohttp's sock_read counted any byte; a line that is too long is a malformed message now (it raised ValueError). The time until the response begins includes that of the connection: 0.7 s in all, where it was 0.35 and 0.7 s.

Evidence: pytest -q tests/membership/test_paused_member.py: the call and the feed of a home that paused too failed before and pass now; heartbeats that arrive in an own pause, a feed that begins after one and probes of upstreams (tests/entry/test_paused_probe.py) were not affected, since their bytes are read before the timer acts. A silent home is noticed after 0.7 s without a pause.

--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -1,12 +1,19 @@
 """Client of the other members' internal ports."""
 
-import asyncio
-from collections.abc import AsyncGenerator
-
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from collections.abc import AsyncGenerator, Awaitable
+from contextlib import aclosing
+
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    StreamReader,
+)
 
 from ..errors import NotReachableError
-from ..protocol.codec import decode, encode
+from ..event_loop.peer_timeout import PeerTimeout
+from ..protocol.codec import MalformedMessageError, decode, encode
 from ..protocol.home_feed import (
     CrashReport,
     Departure,
@@ -29,6 +36,8 @@
 REQUEST_TIMEOUT_SECONDS = 0.35
 #: A feed that sends nothing for longer is treated as lost.
 FEED_TIMEOUT_SECONDS = 0.7
+#: A connection opens in the kernel, also while this process pauses.
+_FEED_TIMEOUT = ClientTimeout(sock_connect=REQUEST_TIMEOUT_SECONDS)
 
 
 class UnknownMessageError(NotReachableError):
@@ -98,21 +107,14 @@
         self, member: Member, own: Member
     ) -> AsyncGenerator[FeedMessage, None]:
         """Yield the messages of a member's feed; none if it declines."""
-        timeout = ClientTimeout(
-            total=None,
-            sock_connect=REQUEST_TIMEOUT_SECONDS,
-            sock_read=FEED_TIMEOUT_SECONDS,
+        opening = self.session.post(
+            f'http://{member.internal}{FEED_PATH}?compressed',
+            data=encode(own),
+            timeout=_FEED_TIMEOUT,
         )
         try:
-            async with self.session.post(
-                f'http://{member.internal}{FEED_PATH}?compressed',
-                data=encode(own),
-                timeout=timeout,
-                read_bufsize=MAX_LINE_BYTES,
-            ) as response:
-                if response.status != _OK:
-                    return
-                async for line in response.content:
+            async with aclosing(_lines(opening)) as lines:
+                async for line in lines:
                     yield decode_line(line)
         except (ClientError, OSError, TimeoutError) as error:
             raise NotReachableError(f'{member.name}: {error!r}') from error
@@ -122,7 +124,7 @@
     ) -> bytes:
         try:
             async with (
-                asyncio.timeout(REQUEST_TIMEOUT_SECONDS),
+                PeerTimeout(REQUEST_TIMEOUT_SECONDS),
                 self.session.request(
                     method, f'http://{address}{path}', data=body
                 ) as response,
@@ -133,3 +135,44 @@
         if response.status == _NOT_FOUND:
             raise UnknownMessageError(f'{address} does not know {path}')
         return content
+
+
+async def _lines(
+    opening: Awaitable[ClientResponse],
+) -> AsyncGenerator[bytes, None]:
+    """Yield the lines of a feed; none if the member declines.
+
+    Raises:
+        MalformedMessageError: a line is too long.
+        TimeoutError: the feed is silent.
+    """
+    async with PeerTimeout(FEED_TIMEOUT_SECONDS):
+        response = await opening
+    async with response, aclosing(_split_lines(response.content)) as lines:
+        if response.status != _OK:
+            return
+        async for line in lines:
+            yield line
+
+
+async def _split_lines(content: StreamReader) -> AsyncGenerator[bytes, None]:
+    """Yield lines, each without its end."""
+    parts: list[bytes] = []
+    size = 0
+    while received := await _receive(content):
+        first, *others = received.split(b'\n')
+        parts.append(first)
+        size += len(first)
+        for part in others:
+            yield b''.join(parts)
+            parts = [part]
+            size = len(part)
+        if size > MAX_LINE_BYTES:
+            raise MalformedMessageError('a line of the feed is too long')
+    if size:
+        yield b''.join(parts)
+
+
+async def _receive(content: StreamReader) -> bytes:
+    async with PeerTimeout(FEED_TIMEOUT_SECONDS):
+        return await content.readany()
