Read what waits before ports of aiohttp close

The ports for the directory, control and other instances, and crocus-proxy's port for callers, reset what waited in their backlog at a close and discarded requests that nobody had read, at a stop and at the idle timeout.

Their ports close as the one for callers does; connections are read before they end, for at most 100 runs of the loop, as a caller may go on sending.

--- a/src/crocusproxy/http_server/server.py
+++ b/src/crocusproxy/http_server/server.py
@@ -6,16 +6,21 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from .port_close import close_port
 from .transport import DeliveringTransport
 
 _CHECK_SECONDS = 0.02
+#: Runs of the loop in which connections are read before they end; a caller may
+#: go on sending.
+_MAX_READ_RUNS = 100
 
 
 class ServedConnection(RequestHandler):
     """Closes once the caller has acknowledged all responses.
 
     aiohttp closes a connection as soon as it has written the last response. A
-    connection with responses that the caller has yet to receive is not idle.
+    connection is not idle with responses that the caller has yet to receive, or
+    with input that nobody has read.
     """
 
     __slots__ = ('delivering_transport',)
@@ -35,7 +40,8 @@
             super().data_received(data)
 
     def _process_keepalive(self) -> None:
-        if self.delivering_transport.has_unread_responses():
+        transport = self.delivering_transport
+        if transport.has_unread_input() or transport.has_unread_responses():
             self._next_keepalive_close_time = (
                 self._loop.time() + self._keepalive_timeout
             )
@@ -73,6 +79,21 @@
         super().connection_lost(handler, exc)
         self.open_connections.discard(cast(ServedConnection, handler))
 
+    async def close_port(self, site: web.BaseSite) -> None:
+        """Close the port of a site, and read what callers have sent to it."""
+        listening = site._server  # noqa: SLF001, WPS437 - not public
+        if listening is not None:
+            await close_port(listening, self)
+        await site.stop()
+        await self.wait_until_read()
+
+    async def wait_until_read(self) -> None:
+        """Wait until all callers' input was read, at least for one run."""
+        for _ in range(_MAX_READ_RUNS):
+            await asyncio.sleep(0)
+            if not any(one.has_unread_input() for one in self._transports()):
+                return
+
     async def wait_until_acknowledged(self) -> None:
         """Wait until all callers have acknowledged all responses."""
         while any(
@@ -94,6 +115,13 @@
 class DeliveringRunner(web.AppRunner):
     """Serves an application with connections that lose no response."""
 
+    async def cleanup(self) -> None:
+        """Close the ports and connections; what callers have sent is served."""
+        if isinstance(self.server, DeliveringServer):
+            for site in tuple(self.sites):
+                await self.server.close_port(site)
+        await super().cleanup()
+
     async def _make_server(self) -> web.Server:
         server = await super()._make_server()
         return DeliveringServer(
--- a/src/crocusproxy/http_server/transport.py
+++ b/src/crocusproxy/http_server/transport.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .response_delivery import ResponseDelivery
+from .socket_queues import unread_bytes
 
 _CHECK_SECONDS = 0.05
 
@@ -63,6 +64,12 @@
             self.transport.abort()
         return self.delivery.outstanding > 0
 
+    def has_unread_input(self) -> bool:
+        """Return whether the peer's input waits although it is being read."""
+        if self.is_closing() or not self.transport.is_reading():
+            return False
+        return unread_bytes(self.transport) > 0
+
     def _check(self) -> None:
         if self.transport.is_closing():
             return
--- a/src/crocusproxy/proxy/main.py
+++ b/src/crocusproxy/proxy/main.py
@@ -83,7 +83,7 @@
         """
         self.core.frontend.is_draining = True
         await self.clock.sleep(self.settings.locate_validity)
-        await self.site.stop()
+        await self.server.close_port(self.site)
         log('port_closed', in_flight=self.metrics.in_flight)
         await self.core.frontend.idle.wait()
         await self.server.wait_until_acknowledged()
@@ -100,6 +100,7 @@
         await self.admin_runner.cleanup()
 
     async def _close_callers(self) -> None:
+        await self.server.wait_until_read()
         await self.runner.cleanup()
         with suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_SECONDS):
