Test deadlines that pass in a pause, and measure more steps of a stop

A response that arrives in time during a pause is passed on, and a body that does is read: both tests fail on a loop that does not read first (504 in place of the response; the connection ended).

New forms of bench.closes: pauses in which last responses arrive, and idle timeouts that are lowered in quick succession.

--- a/bench/closes/pauses.py
+++ b/bench/closes/pauses.py
@@ -23,7 +23,16 @@
 _IDLE_TIMEOUT_MS = 500
 #: The instance allows callers this much beyond the idle timeout.
 _IDLE_MARGIN_SECONDS = 1.0
+#: Idle timeouts that follow one another, and the time between them.
+_FIRST_IDLE_TIMEOUT_MS = 2500
+_LOWERED_IDLE_TIMEOUTS_MS = (2000, 1000, 500)
+_CONFIGURATION_SECONDS = 0.06
+#: Share of the first idle timeout for which the connections are idle.
+_IDLE_SHARE = 0.8
 _TARGET = '/read/x?work=0.05&size=300'
+#: A long request that was sent before the pause is answered in it.
+_LONG_WORK_SECONDS = 1.2
+_LONG_LEAD_SECONDS = 1.0
 _DEADLINE_SECONDS = 1.4
 _ANSWER_LIMIT_SECONDS = 4.0
 
@@ -58,9 +67,7 @@
     is_configured: bool = False
 
     async def play(self, testbed: ClosesTestbed) -> None:
-        for number in range(UPSTREAMS):
-            zone = ZONES[number % len(ZONES)]
-            await testbed.add_upstream('reads', zone, slots=SLOTS, queue=200)
+        await _add_upstreams(testbed)
         if self.is_idle:
             testbed.idle_timeout_ms = _IDLE_TIMEOUT_MS
         await testbed.start_all()
@@ -122,6 +129,93 @@
         return self.step_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class PausedLastResponse:
+    """A pause in which responses arrive, ``step_seconds`` after a SIGTERM."""
+
+    step_seconds: float
+
+    async def play(self, testbed: ClosesTestbed) -> None:
+        await _add_upstreams(testbed)
+        await testbed.start_all()
+        for instance, seconds in zip(
+            testbed.instances, PAUSES_SECONDS, strict=False
+        ):
+            connections = await _open(testbed, instance, CALLERS)
+            testbed.terminate(instance)
+            await asyncio.sleep(self.step_seconds - _LONG_LEAD_SECONDS)
+            await asyncio.gather(
+                *(
+                    testbed.send(
+                        connection,
+                        [f'/read/x?work={_LONG_WORK_SECONDS}&size=300'],
+                        deadline_seconds=_DEADLINE_SECONDS,
+                    )
+                    for connection in connections
+                )
+            )
+            await asyncio.sleep(_LONG_LEAD_SECONDS)
+            await _pause(instance, seconds)
+            await asyncio.gather(*map(_wait_and_close, connections))
+            await testbed.wait_ended(instance)
+
+
+@dataclass(frozen=True, slots=True)
+class LoweredIdleTimeout:
+    """Configurations that lower the idle timeout of idle connections."""
+
+    is_paused: bool
+
+    async def play(self, testbed: ClosesTestbed) -> None:
+        await _add_upstreams(testbed)
+        testbed.idle_timeout_ms = _FIRST_IDLE_TIMEOUT_MS
+        await testbed.start_all()
+        for instance, seconds in zip(
+            testbed.instances, PAUSES_SECONDS, strict=False
+        ):
+            await self._lower(testbed, instance, seconds)
+
+    async def _lower(self, testbed, instance, seconds: float) -> None:
+        testbed.idle_timeout_ms = _FIRST_IDLE_TIMEOUT_MS
+        testbed.publish(testbed.configuration())
+        connections = await _open(testbed, instance, CALLERS)
+        for connection in connections:
+            await _send(testbed, connection)
+            await connection.wait_answered()
+        await asyncio.sleep(_FIRST_IDLE_TIMEOUT_MS / 1000 * _IDLE_SHARE)
+        for milliseconds in _LOWERED_IDLE_TIMEOUTS_MS:
+            testbed.idle_timeout_ms = milliseconds
+            testbed.publish(testbed.configuration())
+            await asyncio.sleep(_CONFIGURATION_SECONDS)
+        sending = asyncio.create_task(_send_spread(testbed, connections))
+        if self.is_paused:
+            await _pause(instance, seconds)
+        await sending
+        await asyncio.gather(*map(_wait_and_close, connections))
+
+
+async def _send_spread(testbed, connections) -> None:
+    """Send on one connection after another, over the interval of checks."""
+    await asyncio.sleep(_STOPPED_SECONDS)
+    for connection in connections:
+        await _send(testbed, connection)
+        await asyncio.sleep(_IDLE_MARGIN_SECONDS / CALLERS)
+
+
+async def _pause(instance, seconds: float) -> None:
+    instance.send_signal(signal.SIGSTOP)
+    try:
+        await asyncio.sleep(seconds)
+    finally:
+        instance.send_signal(signal.SIGCONT)
+
+
+async def _add_upstreams(testbed) -> None:
+    for number in range(UPSTREAMS):
+        zone = ZONES[number % len(ZONES)]
+        await testbed.add_upstream('reads', zone, slots=SLOTS, queue=200)
+
+
 async def _open(testbed, instance, count) -> tuple[CallerConnection, ...]:
     opened = [testbed.connect(instance) for _ in range(count)]
     return tuple(await asyncio.gather(*opened))
@@ -163,6 +257,10 @@
         is_idle=True,
         is_configured=True,
     ).play,
+    'paused_last_response': PausedLastResponse(0.75 * GRACE_SECONDS).play,
+    'paused_before_end': PausedLastResponse(0.8 * GRACE_SECONDS).play,
+    'lowered_idle': LoweredIdleTimeout(is_paused=False).play,
+    'paused_lowered_idle': LoweredIdleTimeout(is_paused=True).play,
     'paused_config_new': PausedClose(
         Connections.NEW,
         signal=Signal.NONE,
