Pause instances briefly in the soak, and name pauses beside violations

A pause is no disturbance: no invariant leaves it out. Only the time in which the process that must answer is stopped does not count for its callers' timeout and for its time to end, as RULES.md asks for a time bound only of a machine whose "processes ran, with no [...] freeze".

A new invariant, in every run: a request that was sent over 0.2 s before its connection ended has an answer, also if no upstream had it.

Violations beside a pause of the soak's own process say so, with the time it waited for a processor; no check is relaxed. Its pauses are now noted during the checks at the end too. Pauses that instances logged without a fault are printed with the processor time they used.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 	  $(if $(FAULTS),--faults=$(FAULTS)) \
 	  $(if $(LOSSES),--losses=$(LOSSES)) $(if $(DEPARTURES),--departures=$(DEPARTURES)) \
 	  $(if $(PLANNED),--planned=$(PLANNED)) $(if $(SLOW),--slow=$(SLOW)) \
-	  $(if $(PIPELINES),--pipelines=$(PIPELINES))
+	  $(if $(PIPELINES),--pipelines=$(PIPELINES)) $(if $(PAUSES),--pauses=$(PAUSES))
 
 # Optional: PLAN of the losses (mix, alternate, reader, stop, domain, two, both), how
 # many (REPEATS), INSTANCES, SEED and how many processes keep cores BUSY. With
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 from .run import Verdict, run_seed
 
 _SEED_LIMIT = 1_000_000
+_SHOWN_PAUSES = 5
 
 
 def soak(
@@ -32,6 +33,7 @@
     planned: int = 0,
     slow: int = 0,
     pipelines: int = 0,
+    pauses: int = 0,
 ) -> None:
     """Run the soak and exit with 1 if a run violated an invariant.
 
@@ -56,6 +58,7 @@
         planned: number of series of planned work, which overlap.
         slow: number of callers that read slowly, half of them distant.
         pipelines: number of callers that pipeline, half of them distant.
+        pauses: number of series of brief pauses, which overlap.
     """
     first_seed = SystemRandom().randrange(_SEED_LIMIT) if seed is None else seed
     failed_runs = 0
@@ -81,6 +84,7 @@
                 planned,
                 slow,
                 pipelines,
+                pauses,
             )
         )
         report(verdict)
@@ -105,6 +109,10 @@
     if verdict.longest_delay:
         seconds = f'{verdict.longest_delay:.2f} s'
         print(f"  the soak's own process stalled for {seconds}")
+    if verdict.instance_pauses:
+        print(f'  instances paused {len(verdict.instance_pauses)} times')
+    for pause in verdict.instance_pauses[:_SHOWN_PAUSES]:
+        print(f'  {pause}')
     for line in verdict.violations:
         print(f'  {line[:300]}')
     if verdict.log_folder is not None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -82,7 +82,9 @@
         is_abandoned = not address and self.random.random() < ABANDON_SHARE
         timeout_seconds = 0.01 if is_abandoned else RESPONSE_TIMEOUT_SECONDS
         try:
-            await wait_in_own_time(self.exchange(request), timeout_seconds)
+            await wait_in_own_time(
+                self.exchange(request), timeout_seconds, self.is_stopped
+            )
         except TimeoutError:
             request.outcome = 'left' if is_abandoned else 'late'
             self.close()
@@ -94,6 +96,16 @@
             request.ended_at = self.now()
         return request
 
+    def is_stopped(self) -> bool:
+        """Return whether the process that must answer is stopped now.
+
+        RULES.md: "Rules with a time bound hold only for machines in touch",
+        and one is in touch if "its processes ran, with no [...] freeze". A
+        stopped process can't answer, so its callers wait that much longer.
+        A request that it passed on to a stopped one has its usual time.
+        """
+        return self.run_record.is_stopped(self.instances[self.address])
+
     def close(self) -> None:
         if self.connection is not None:
             self.connection[1].close()
--- a/soak/delivery_invariants.py
+++ b/soak/delivery_invariants.py
@@ -11,6 +11,8 @@
 
 #: Causes with which an instance ends a connection by itself.
 OWN_CAUSES = frozenset(('stop', 'idle_timeout', 'response', 'send_timeout'))
+#: A request that waited longer in the kernel must get an answer.
+LOSS_SLACK_SECONDS = 0.2
 #: Stages in which a request has been passed on.
 PASSED_ON_STAGES = frozenset(('forwarded', 'sent', 'answered'))
 
@@ -31,6 +33,30 @@
             )
 
 
+def lost_unread(run: RunRecord) -> Iterator[str]:
+    """Check that a connection does not end on a request that waited.
+
+    Its bytes had long arrived, read or not. It does not count behind another
+    request on its connection, which it may have crossed. A pause of the
+    instance is no excuse: the request can be answered after it.
+    """
+    passed_on = {arrival.request_id for arrival in run.arrivals}
+    for request in run.requests:
+        waited = request.ended_at - request.sent_at
+        is_lost = (
+            request.outcome == 'cut'
+            and request.request_id not in passed_on
+            and not request.is_behind
+            and waited > LOSS_SLACK_SECONDS
+        )
+        if is_lost and not _was_own_instance_disturbed(run, request):
+            yield (
+                f'cut off {waited:.2f} s after it was sent: '
+                f'{request.request_id} at n{request.instance} '
+                f'before second {request.ended_at:.2f}'
+            )
+
+
 def lost_by_log(run: RunRecord) -> Iterator[str]:
     """Check connections that instances logged as ended by themselves.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,20 @@
 Chill = Literal['become', 'restart', 'restart_service']
 Terms = Literal['limit', 'leave', 'backoff']
 ResponseFault = Literal['mute', 'error', 'extra', 'unsigned']
+#: When an instance pauses: without planned work, near the idle timeout, with
+#: SIGTERM, at a step of the shutdown, or with SIGHUP or a configuration.
+PauseStep = Literal[
+    'calm',
+    'idle',
+    'stop',
+    'refusing',
+    'listening_end',
+    'last_response',
+    'end',
+    'reload',
+    'publish',
+]
+PauseRole = Literal['drawn', 'draining', 'home', 'domain_home']
 #: The home is stopped or killed; with `store`, its failure domain is also, or
 #: only, cut off from the store.
 HomeLoss = Literal['stop', 'kill', 'store', 'store_and_stop']
@@ -56,6 +70,22 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class PauseBriefly:
+    """SIGSTOP to an instance at a step of its work, and SIGCONT soon after.
+
+    It is no disturbance: the invariants hold in it. The instance is the drawn
+    one unless another one has the ``role`` then. The pause begins ``lead`` of
+    its ``seconds`` before the step. Callers send to the instance meanwhile.
+    """
+
+    instance: int
+    role: PauseRole
+    step: PauseStep
+    lead: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Reload:
     """Changed settings and SIGHUP, ``times`` times in succession."""
@@ -227,6 +257,7 @@
     | TerminateTwice
     | SetIdleTimeout
     | Pause
+    | PauseBriefly
     | Reload
     | DegradeStore
     | RestoreStore
--- a/soak/home_losses.py
+++ b/soak/home_losses.py
@@ -72,7 +72,8 @@
     await asyncio.sleep(stalled)
     testbed.run_record.violations.extend(
         f'{instance.name}: old configuration {PROPAGATION_SECONDS} s '
-        f'after version {version}, with loss {loss}'
+        f'after version {version}, with loss {loss}, '
+        f'before second {testbed.now():.2f}'
         for instance in instances
         if testbed.log_of(instance).config_version() < version
     )
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+from .brief_pauses import pause_briefly
 from .faults import (
     ChangeQuota,
     ChillUpstream,
@@ -19,6 +20,7 @@
     Kill,
     LoseHome,
     Pause,
+    PauseBriefly,
     Publish,
     Reload,
     ReplaceUpstream,
@@ -86,6 +88,8 @@
                 self.testbed.operator.set_idle_timeout(seconds)
             case Pause(instance=number, seconds=seconds):
                 await self.testbed.instances[number].pause(seconds)
+            case PauseBriefly():
+                await pause_briefly(self.testbed, fault)
             case Reload(instance=number, times=times):
                 await self.testbed.instances[number].reload(times)
             case DegradeStore(mode=mode, seconds=seconds):
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -5,16 +5,18 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
 from math import inf
 from pathlib import Path
+from typing import Any
 
 from standins.processes import Processes
 
 from .callers import http_get
 from .link import Link
 from .processor_time import processor_wait
-from .records import InstanceDisturbance, RunRecord
+from .records import BriefPause, InstanceDisturbance, RunRecord
 
 PORT_NAMES = (
     'callers',
@@ -31,6 +33,7 @@
 #: The interpreter has no signal handlers before this, whatever the program
 #: does.
 INTERPRETER_START_SECONDS = 0.3
+Step = Callable[[], Coroutine[Any, Any, None]]
 #: Log texts that no external fault may cause.
 FORBIDDEN_LOG_TEXTS = ('"task_failed"', 'Traceback')
 
@@ -70,6 +73,9 @@
         self.lock = asyncio.Lock()
         #: Serializes reloads, which may happen during a kill or a pause.
         self.reload_lock = asyncio.Lock()
+        #: Serializes brief pauses, which may happen in anything else.
+        self.pause_lock = asyncio.Lock()
+        self.is_draining = False
         self.reported_exit: subprocess.Popen | None = None
         self.has_departed = False
 
@@ -130,14 +136,25 @@
             self.spawn()
             await self._record_disturbance(start, is_planned=False)
 
-    async def terminate(self, second_after: float | None = None) -> None:
+    async def terminate(
+        self,
+        second_after: float | None = None,
+        prepare: Step | None = None,
+        accompany: Step | None = None,
+    ) -> None:
         """Send SIGTERM, another one ``second_after`` seconds, and restart.
 
-        A timeout and a nonzero exit status are violations.
+        ``prepare`` runs before it and ``accompany`` from it on. A timeout and a
+        nonzero exit status are violations.
         """
         async with self.lock:
+            if prepare is not None:
+                await prepare()
             start = self.now()
+            companion = accompany and asyncio.ensure_future(accompany())
             await self._end(start, second_after)
+            if companion is not None:
+                await companion
             self.spawn()
             await self._record_disturbance(start, is_planned=True)
 
@@ -161,6 +178,27 @@
             process.send_signal(signal.SIGCONT)
             await self._record_disturbance(start, is_planned=False)
 
+    async def pause_briefly(self, seconds: float, meanwhile: Step) -> None:
+        """Send SIGSTOP, run ``meanwhile``, and SIGCONT after ``seconds``.
+
+        No disturbance is recorded, as invariants hold in such a pause.
+        """
+        async with self.pause_lock:
+            process = self.processes.running.get(self.name)
+            if process is None:
+                return
+            process.send_signal(signal.SIGSTOP)
+            pause = BriefPause(self.number, self.now())
+            self.run_record.brief_pauses.append(pause)
+            try:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(seconds):
+                        await meanwhile()
+                        await asyncio.sleep(seconds)
+            finally:
+                process.send_signal(signal.SIGCONT)
+                pause.end = self.now()
+
     async def reload(self, times: int) -> None:
         """Change the settings file and send SIGHUP, ``times`` times."""
         async with self.reload_lock:
@@ -223,11 +261,12 @@
         process = self.processes.running[self.name]
         waited_before = processor_wait(process.pid)
         process.send_signal(signal.SIGTERM)
+        self.is_draining = True
         while process.poll() is None:
             if second_after is not None and self.now() - start > second_after:
                 process.send_signal(signal.SIGTERM)
                 second_after = None
-            if self.now() - start > self.shutdown_seconds:
+            if self._running_seconds(start) > self.shutdown_seconds:
                 waited = processor_wait(process.pid) - waited_before
                 self._add_violation(
                     f'did not end after SIGTERM at second {start:.2f}, '
@@ -240,8 +279,18 @@
             await asyncio.sleep(_POLL_SECONDS)
         if (process.poll() or 0) not in {0, -signal.SIGABRT}:
             self._add_violation(f'ended with {process.returncode}')
+        self.is_draining = False
         self.processes.kill(self.name)
 
+    def _running_seconds(self, start: float) -> float:
+        """Return the time since ``start`` without that of brief pauses.
+
+        A stopped process can't exit.
+        """
+        now = self.now()
+        stopped = self.run_record.stopped_seconds(self.number, start, now)
+        return now - start - stopped
+
     async def _record_disturbance(
         self, start: float, *, is_planned: bool
     ) -> None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -13,7 +13,8 @@
     wrong_accounts,
     wrong_rejections,
 )
-from .delivery_invariants import lost_by_log, lost_responses
+from .delivery_invariants import lost_by_log, lost_responses, lost_unread
+from .own_pauses import with_own_pause
 from .placement_invariants import cold_bursts, evacuated_arrivals
 from .propagation import is_excused, unplanned_disturbances
 from .records import RunRecord, SentRequest
@@ -63,9 +64,14 @@
         evacuated_arrivals,
         cold_bursts,
         lost_responses,
+        lost_unread,
         lost_by_log,
     )
-    return [*run.violations, *(line for check in checks for line in check(run))]
+    lines = [
+        *run.violations,
+        *(line for check in checks for line in check(run)),
+    ]
+    return [with_own_pause(run, line) for line in lines]
 
 
 def _duplicate_runs(run: RunRecord) -> Iterator[str]:
--- a/soak/own_time.py
+++ b/soak/own_time.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 #: The loop is checked this often. A longer check counts as two of these.
@@ -13,10 +13,14 @@
 
 
 async def wait_in_own_time(
-    work: Coroutine[Any, Any, None], seconds: float
+    work: Coroutine[Any, Any, None],
+    seconds: float,
+    is_stopped: Callable[[], bool] = bool,
 ) -> None:
     """Await ``work`` for ``seconds`` in which the event loop runs.
 
+    Time in which ``is_stopped`` does not count either.
+
     Raises:
         TimeoutError: the work has taken longer, and is cancelled.
     """
@@ -27,7 +31,8 @@
         while remaining > 0 and not task.done():
             started_at = loop.time()
             await asyncio.wait((task,), timeout=min(remaining, SLICE_SECONDS))
-            remaining -= min(loop.time() - started_at, 2 * SLICE_SECONDS)
+            if not is_stopped():
+                remaining -= min(loop.time() - started_at, 2 * SLICE_SECONDS)
         if not task.done():
             raise TimeoutError
         await task
--- a/soak/pipelining_callers.py
+++ b/soak/pipelining_callers.py
@@ -154,7 +154,9 @@
             self._send_one(writer, pending, self._body_bytes(depth))
         late_request = asyncio.create_task(self._send_late(writer, pending))
         try:
-            await wait_in_own_time(self._read(pending), self._time_limit())
+            await wait_in_own_time(
+                self._read(pending), self._time_limit(), self.is_stopped
+            )
         except TimeoutError:
             self._give_up(pending, 'late')
         except CONNECTION_ERRORS:
@@ -201,6 +203,7 @@
             self.instances[self.address],
             self.now(),
             key=MAIN_KEY if self.operator.features.accounts else '',
+            is_behind=bool(pending),
         )
         self.body_bytes[request.request_id] = body_bytes
         self.run_record.requests.append(request)
--- a/soak/records.py
+++ b/soak/records.py
@@ -29,6 +29,8 @@
     is_signed: bool = False
     #: The API key that the request contained, if any.
     key: str = ''
+    #: Sent while an earlier request on the connection had no response.
+    is_behind: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,15 @@
     is_planned: bool
 
 
+@dataclass(slots=True)
+class BriefPause:
+    """A period in which an instance was stopped; ``end`` is inf meanwhile."""
+
+    instance: int
+    start: float
+    end: float = inf
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamDisturbance:
     """A period in which an upstream or the link to it was faulty."""
@@ -71,10 +82,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ObserverDelay:
-    """A period in which the soak's own process did not run its callers."""
+    """A period in which the soak's own process did not run its callers.
+
+    It was ready to run and had no processor for ``waited`` seconds of it.
+    """
 
     start: float
     end: float
+    waited: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +200,7 @@
     instance_disturbances: list[InstanceDisturbance] = field(
         default_factory=list
     )
+    brief_pauses: list[BriefPause] = field(default_factory=list)
     upstream_disturbances: list[UpstreamDisturbance] = field(
         default_factory=list
     )
@@ -208,3 +224,18 @@
     connection_ends: list[ConnectionEnd] = field(default_factory=list)
     #: Unexpected exits, forbidden log lines and failed recovery checks.
     violations: list[str] = field(default_factory=list)
+
+    def is_stopped(self, instance: int) -> bool:
+        """Return whether an instance is in a brief pause now."""
+        return any(
+            pause.instance == instance and pause.end == inf
+            for pause in self.brief_pauses
+        )
+
+    def stopped_seconds(self, instance: int, start: float, end: float) -> float:
+        """Return how long an instance was in brief pauses in a period."""
+        return sum(
+            max(min(pause.end, end) - max(pause.start, start), 0)
+            for pause in self.brief_pauses
+            if pause.instance == instance
+        )
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,13 +3,16 @@
 import asyncio
 import shutil
 import tempfile
+import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
 from .home_losses import PROPAGATION_SECONDS, serves_path
 from .injection import FaultInjector
+from .instance_pauses import InstancePause, own_pauses
 from .invariants import find_violations
+from .pause_plan import PausePlanner
 from .plan import Features, Planner
 from .planned_work import PlannedWorkPlanner
 from .records import RunRecord
@@ -33,6 +36,8 @@
     fault_count: int
     log_folder: Path | None
     longest_delay: float = 0
+    #: Pauses of instances that no fault caused, the longest ones first.
+    instance_pauses: tuple[InstancePause, ...] = ()
 
 
 async def run_seed(
@@ -55,6 +60,7 @@
     planned: int = 0,
     slow: int = 0,
     pipelines: int = 0,
+    pauses: int = 0,
 ) -> Verdict:
     """Run the faults of a seed and check the invariants.
 
@@ -68,7 +74,8 @@
     failure domain, or both are lost ``losses`` times, and ``departures``
     instances leave for good before the home is killed. There are ``planned``
     series of planned work, and ``slow`` and ``pipelines`` more callers that
-    read slowly or pipeline requests. See ``Features`` for
+    read slowly or pipeline requests. There are ``pauses`` series of brief
+    pauses of instances, which are no disturbance. See ``Features`` for
     ``homes`` and ``silent``.
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
@@ -96,6 +103,7 @@
             *planner.schedule_quota_faults(quotas, links, seconds),
             *planner.schedule_home_losses(losses, departures, seconds),
             *planned_work.schedule(planned, seconds),
+            *PausePlanner(seed, instances).schedule(pauses, seconds),
         ),
         key=lambda scheduled: scheduled.at,
     )
@@ -113,6 +121,7 @@
         await testbed.stop()
         await asyncio.sleep(SETTLE_SECONDS)
     violations = tuple(find_violations(testbed.run_record))
+    instance_pauses = _instance_pauses(testbed)
     if not violations:
         shutil.rmtree(folder)
     return Verdict(
@@ -129,9 +138,26 @@
             ),
             default=0,
         ),
+        instance_pauses,
     )
 
 
+def _instance_pauses(testbed: Testbed) -> tuple[InstancePause, ...]:
+    run_started_at = time.time() - testbed.now()
+    pauses = [
+        pause
+        for instance in testbed.instances
+        for pause in own_pauses(
+            testbed.run_record,
+            testbed.log_of(instance),
+            instance.number,
+            run_started_at,
+        )
+    ]
+    pauses.sort(key=lambda pause: pause.seconds, reverse=True)
+    return tuple(pauses)
+
+
 async def _inject_faults(testbed: Testbed, schedule) -> None:
     testbed.start_load()
     start = testbed.now()
@@ -157,7 +183,7 @@
         if not await serves_path(testbed, instance, path):
             testbed.run_record.violations.append(
                 f'{instance.name}: old configuration after '
-                f'{PROPAGATION_SECONDS} s'
+                f'{PROPAGATION_SECONDS} s before second {testbed.now():.2f}'
             )
 
 
@@ -167,7 +193,8 @@
         while not await instance.is_ready():
             if testbed.now() > deadline:
                 testbed.run_record.violations.append(
-                    f'{instance.name}: {message}'
+                    f'{instance.name}: {message}, '
+                    f'before second {testbed.now():.2f}'
                 )
                 return
             await asyncio.sleep(_POLL_SECONDS)
@@ -184,7 +211,8 @@
             while not await serves_path(testbed, instance, path):
                 if testbed.now() > deadline:
                     testbed.run_record.violations.append(
-                        f'{instance.name}: does not serve {path}'
+                        f'{instance.name}: does not serve {path} '
+                        f'before second {testbed.now():.2f}'
                     )
                     break
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,6 +1,7 @@
 """The processes and stand-ins of a run."""
 
 import asyncio
+import os
 import time
 from collections import Counter
 from pathlib import Path
@@ -31,6 +32,7 @@
     PipeliningCaller,
 )
 from .plan import FAILURE_DOMAINS, Features
+from .processor_time import processor_wait
 from .records import ObserverDelay, RunRecord
 from .upstreams import Upstream
 
@@ -80,6 +82,7 @@
         self.upstreams: list[Upstream] = []
         self.callers: list[Caller] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.observer: asyncio.Task[None] | None = None
         self.logs: dict[str, InstanceLog] = {}
 
     def now(self) -> float:
@@ -176,7 +179,7 @@
 
     def new_caller(self, name: str, failure_domain: str = '') -> Caller:
         return Caller(
-            *self._caller_details(name),
+            *self.caller_details(name),
             Random(self.random.random()),
             failure_domain,
         )
@@ -193,11 +196,11 @@
         return PipeliningCaller(
             kind,
             links,
-            *self._caller_details(name),
+            *self.caller_details(name),
             Random(self.pipelining_random.random()),
         )
 
-    def _caller_details(self, name: str) -> tuple:
+    def caller_details(self, name: str) -> tuple:
         return (
             name,
             [instance.addresses['directory'] for instance in self.instances],
@@ -216,7 +219,7 @@
         self.tasks = [
             asyncio.create_task(caller.run()) for caller in self.callers
         ]
-        self.tasks.append(asyncio.create_task(self._record_delays()))
+        self.observer = asyncio.create_task(self._record_delays())
         self.tasks.extend(
             asyncio.create_task(instance.watch_exits())
             for instance in self.instances
@@ -226,10 +229,12 @@
         """Record when this process, and so the callers, did not run."""
         while True:
             start = self.now()
+            waited_before = processor_wait(os.getpid())
             await asyncio.sleep(LOOP_CHECK_SECONDS)
             if self.now() - start > MIN_OBSERVER_DELAY_SECONDS:
+                waited = processor_wait(os.getpid()) - waited_before
                 self.run_record.observer_delays.append(
-                    ObserverDelay(start, self.now())
+                    ObserverDelay(start, self.now(), waited)
                 )
 
     async def stop_load(self) -> None:
@@ -241,6 +246,8 @@
             caller.close()
 
     async def stop(self) -> None:
+        if self.observer is not None:
+            self.observer.cancel()
         unfinished = self.processes.stop_all()
         self.run_record.violations.extend(
             f'{name}: did not end' for name in unfinished
--- a/tests/soak/test_delivery_invariants.py
+++ b/tests/soak/test_delivery_invariants.py
@@ -2,9 +2,15 @@
 
 import pytest
 
-from soak.delivery_invariants import lost_by_log, lost_responses
+from soak.delivery_invariants import (
+    LOSS_SLACK_SECONDS,
+    lost_by_log,
+    lost_responses,
+    lost_unread,
+)
 from soak.records import (
     Arrival,
+    BriefPause,
     ConnectionEnd,
     InstanceDisturbance,
     RunRecord,
@@ -59,6 +65,52 @@
     assert list(lost_responses(run))
 
 
+def unread_run(waited=LOSS_SLACK_SECONDS + 0.1, outcome='cut', **fields):
+    request = SentRequest('r1', '/', True, 0, 10.0, outcome, 10.0 + waited)
+    return RunRecord(requests=[request], **fields)
+
+
+def test_end_of_a_connection_on_a_request_that_waited_is_reported():
+    (line,) = lost_unread(unread_run())
+    assert 'cut off 0.30 s after it was sent: r1 at n0' in line
+
+
+def test_pause_of_the_instance_does_not_excuse_a_lost_request():
+    """It can be answered after the pause."""
+    pauses = [BriefPause(0, 9.9, 10.29)]
+    assert list(lost_unread(unread_run(brief_pauses=pauses)))
+
+
+def test_pause_does_not_excuse_a_cut_after_a_request_was_passed_on():
+    pauses = [BriefPause(0, 9.9, 10.09)]
+    assert list(
+        lost_responses(cut_run(arrivals=[arrival()], brief_pauses=pauses))
+    )
+
+
+@pytest.mark.parametrize(
+    'run',
+    [
+        unread_run(LOSS_SLACK_SECONDS - 0.1),
+        unread_run(outcome='left'),
+        unread_run(outcome='answered'),
+        unread_run(
+            instance_disturbances=[InstanceDisturbance(0, 9.9, 10.1, False)]
+        ),
+    ],
+)
+def test_end_that_the_request_crossed_or_a_kill_caused_is_allowed(run):
+    assert not list(lost_unread(run))
+
+
+def test_request_behind_another_may_be_cut_unless_it_was_passed_on():
+    run = unread_run(arrivals=[])
+    run.requests[0].is_behind = True
+    assert not list(lost_unread(run))
+    run.arrivals.append(arrival())
+    assert list(lost_responses(run))
+
+
 def ended(cause, stage, request_id='r1'):
     return ConnectionEnd(0, cause, '', ((request_id, stage),))
 
--- a/tests/soak/test_instances.py
+++ b/tests/soak/test_instances.py
@@ -1,13 +1,14 @@
 """Guards against exits that a run overlooks and against overlapping reloads."""
 
 import asyncio
+import signal
 from contextlib import suppress
 
 import pytest
 
 from soak import instances
 from soak.instances import PORT_NAMES, Instance
-from soak.records import RunRecord
+from soak.records import BriefPause, RunRecord
 
 
 class Process:
@@ -16,11 +17,13 @@
 
     def __init__(self):
         self.signalled_by = []
+        self.signals = []
 
     def poll(self):
         return self.returncode
 
-    def send_signal(self, _):
+    def send_signal(self, number):
+        self.signals.append(number)
         self.signalled_by.append(asyncio.current_task().get_name())
 
 
@@ -92,3 +95,69 @@
     asyncio.run(scenario())
     process = instance.processes.running['n0']
     assert process.signalled_by == ['first', 'first', 'second', 'second']
+
+
+async def nothing():
+    """Do nothing in a pause."""
+
+
+def test_brief_pause_is_no_disturbance_and_always_ends(instance):
+    """An instance that stayed stopped would fail every later check."""
+
+    async def fail():
+        assert instance.run_record.is_stopped(0)
+        raise ConnectionError
+
+    with pytest.raises(ConnectionError):
+        asyncio.run(instance.pause_briefly(1, fail))
+    process = instance.processes.running['n0']
+    assert process.signals == [signal.SIGSTOP, signal.SIGCONT]
+    assert not instance.run_record.is_stopped(0)
+    assert not instance.run_record.instance_disturbances
+
+
+def test_brief_pauses_of_an_instance_follow_each_other(instance):
+    """The SIGCONT of the first one would end the second one."""
+
+    async def scenario():
+        await asyncio.gather(
+            *(instance.pause_briefly(0.01, nothing) for _ in range(2))
+        )
+
+    asyncio.run(scenario())
+    process = instance.processes.running['n0']
+    assert process.signals == [signal.SIGSTOP, signal.SIGCONT] * 2
+
+
+@pytest.mark.parametrize(('end', 'is_late'), [(1.5, True), (2.5, False)])
+def test_stopped_process_has_the_time_of_the_stop_besides(
+    instance, end, is_late
+):
+    """It has 3 s in which it runs to end after SIGTERM."""
+    instance.run_record.brief_pauses.append(BriefPause(0, 0.5, end))
+    times = iter((0.0, 4.9))
+    instance.now = lambda: next(times, 4.9)
+    process = instance.processes.running['n0']
+    polls = iter((None, None))
+    process.poll = lambda: next(polls, 0)
+    asyncio.run(instance.terminate())
+    assert bool(instance.run_record.violations) is is_late
+
+
+def test_work_beside_a_stop_begins_before_the_signal_and_with_it(instance):
+    async def note(name):
+        steps.append((name, len(process.signals)))
+
+    steps = []
+    process = instance.processes.running['n0']
+    process.send_signal = lambda number: (
+        process.signals.append(number),
+        setattr(process, 'returncode', 0),
+    )
+    asyncio.run(
+        instance.terminate(
+            prepare=lambda: note('prepare'),
+            accompany=lambda: note('accompany'),
+        )
+    )
+    assert steps == [('prepare', 0), ('accompany', 1)]
--- a/tests/soak/test_own_time.py
+++ b/tests/soak/test_own_time.py
@@ -37,6 +37,36 @@
     asyncio.run(scenario())
 
 
+def test_time_in_which_the_other_side_is_stopped_does_not_count():
+    async def scenario():
+        response = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        continues_at = loop.time() + 2 * TIMEOUT_SECONDS
+        loop.call_later(2.5 * TIMEOUT_SECONDS, response.set)
+        await wait_in_own_time(
+            response.wait(),
+            TIMEOUT_SECONDS,
+            lambda: loop.time() < continues_at,
+        )
+
+    asyncio.run(scenario())
+
+
+def test_response_is_late_after_a_stop_of_the_other_side():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        with pytest.raises(TimeoutError):
+            await wait_in_own_time(
+                asyncio.Event().wait(),
+                TIMEOUT_SECONDS,
+                lambda: loop.time() < started_at + TIMEOUT_SECONDS,
+            )
+        assert loop.time() - started_at < 3 * TIMEOUT_SECONDS
+
+    asyncio.run(scenario())
+
+
 def test_error_of_the_work_is_raised():
     async def fail():
         raise ConnectionError
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -3,6 +3,7 @@
 from typing import get_args
 
 from soak.faults import Fault
+from soak.pause_plan import PausePlanner
 from soak.plan import Planner
 from soak.planned_work import PlannedWorkPlanner
 
@@ -29,6 +30,7 @@
             *planner.schedule_quota_faults(1, 1, 12),
             *planner.schedule_home_losses(1, 1, 12),
             *PlannedWorkPlanner(seed, 4, 6).schedule(1, 12),
+            *PausePlanner(seed, 4).schedule(1, 12),
         )
     }
     assert drawn_types == set(get_args(Fault))
