Leave own pauses out of the slowness and silence of upstreams

With three requests in flight at an upstream, one pause of the instance made it count as slow for 3 s, and all others as well; the learned limits of requests in flight took the pause for load. After three failed connections, a pause longer than 0.5 s made the instance refuse requests at once, as if upstreams had been silent. A request's duration excludes the pause, but is at least the expected one, as it is not known when in the pause the response came.

Not changed: route durations and quantiles for hedges still contain pauses.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientSession, TCPConnector
 
 from ..clock import SystemClock
+from ..event_loop.peer_timeout import own_paused_seconds
 from ..membership.catalog import Catalog
 from ..membership.crash_exchange import CrashExchange
 from ..membership.domain_homes import DomainHomeTable
@@ -83,7 +84,9 @@
         self.catalog.step = self.application.pauses.step
         self.metrics = EntryMetrics()
         self.messages = UpstreamMessages(HEADER_NAMES)
-        self.reach = UpstreamReach(self.clock)
+        self.reach = UpstreamReach(
+            self.clock, paused_seconds=own_paused_seconds
+        )
         self.catalog.on_upstream.append(self.reach.apply_change)
         self.catalog.on_evacuation.append(self.reach.apply_evacuated)
         self.crash_watch = CrashWatch(self.clock, self.reach)
--- a/src/crocusproxy/entry/dispatcher.py
+++ b/src/crocusproxy/entry/dispatcher.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from ..clock import Clock
+from ..event_loop.peer_timeout import own_paused_seconds
 from ..limits.shared_retry_budget import SharedRetryBudget
 from ..placement.placer import ServicePlacer
 from ..placement.requests import Placed, Refused
@@ -158,6 +159,7 @@
                 self.clock,
                 self.random,
                 self.terms_table,
+                own_paused_seconds,
             )
             apply_role(placer, self.role, is_exclusive=self.is_exclusive)
             placer.apply_evacuated(self.evacuated)
--- a/src/crocusproxy/event_loop/peer_timeout.py
+++ b/src/crocusproxy/event_loop/peer_timeout.py
@@ -18,6 +18,12 @@
 _DUE_NOW = float()
 
 
+def own_paused_seconds() -> float:
+    """Return the sum of all pauses of the running loop, 0 if unknown."""
+    pauses = getattr(asyncio.get_running_loop(), 'pauses', None)
+    return 0 if pauses is None else float(pauses.total_seconds())
+
+
 class PeerTimer:
     """Calls ``callback`` once the loop has run for ``seconds``.
 
--- a/src/crocusproxy/placement/placer.py
+++ b/src/crocusproxy/placement/placer.py
@@ -50,7 +50,9 @@
         clock: Clock,
         random: Random,
         terms_table: TermsTable | None = None,
+        paused_seconds: Callable[[], float] = float,
     ) -> None:
+        self.paused_seconds = paused_seconds
         self.service = service
         self.failure_domain = failure_domain
         self.clock = clock
@@ -199,24 +201,26 @@
         """Free the slot of an ended request."""
         now = self.now()
         observed = placed.upstream.observed
-        observed.end(placed.ticket, now, answered=answered)
+        ended_at = placed.ended_at(now, self.paused_seconds)
+        observed.end(placed.ticket, ended_at, answered=answered)
         self.upstream_set.index.note_change(placed.upstream)
         # Only the faster hedges are answered, so they are left out.
         is_sample = answered and not placed.is_hedge
-        self._end(placed, now, is_sample=is_sample)
+        self._end(placed, now, ended_at, is_sample=is_sample)
 
     def supersede(self, placed: Placed) -> None:
         """Free the slot of a request that another attempt has answered."""
         now = self.now()
+        ended_at = placed.ended_at(now, self.paused_seconds)
         observed = placed.upstream.observed
         if placed.is_hedge:
             # Its age is short and says little about its upstream.
             observed.discard(placed.ticket)
         else:
-            observed.supersede(placed.ticket, now)
+            observed.supersede(placed.ticket, ended_at)
         self.upstream_set.index.note_change(placed.upstream)
         # The first attempt has taken longer than most, so its age is a sample.
-        self._end(placed, now, is_sample=not placed.is_hedge)
+        self._end(placed, now, ended_at, is_sample=not placed.is_hedge)
 
     def process_queue(self) -> None:
         """Place queued requests, then refuse excess ones.
@@ -263,8 +267,10 @@
         for late in changes.late:
             self.refusals.refuse_if_expiring(late, now)
 
-    def _end(self, placed: Placed, now: float, *, is_sample: bool) -> None:
-        self.concurrency.end(placed.sample, now, answered=is_sample)
+    def _end(
+        self, placed: Placed, now: float, ended_at: float, *, is_sample: bool
+    ) -> None:
+        self.concurrency.end(placed.sample, ended_at, answered=is_sample)
         self.choice.released_at = now
         self.admission.ended.count(now)
         if not self.queue:
@@ -328,7 +334,7 @@
         state.terms.count_request(now)
         ticket = state.observed.start(now, expected)
         self.upstream_set.index.note_change(state)
-        return Placed(state, ticket, sample)
+        return Placed(state, ticket, sample, self.paused_seconds())
 
 
 def _ignore_decision(decision: Decision) -> None:
--- a/src/crocusproxy/placement/requests.py
+++ b/src/crocusproxy/placement/requests.py
@@ -43,13 +43,30 @@
     """The request is sent to ``upstream`` and holds a slot until released.
 
     A hedge is a second attempt of a request whose first one is in flight.
+    ``paused_before`` is the sum of this process's pauses at the start.
     """
 
     upstream: UpstreamState
     ticket: int
     sample: LoadSample
+    paused_before: float = 0
     is_hedge: bool = False
 
+    def ended_at(
+        self, now: float, paused_seconds: Callable[[], float]
+    ) -> float:
+        """Return when a request ended that is read to be complete at ``now``.
+
+        ``paused_seconds`` returns the sum of this process's pauses. A response
+        may have arrived early or late in a pause, so a request that was not
+        slower than that counts as neither slow nor fast.
+        """
+        usual_end = self.sample.started_at + self.sample.usual_seconds
+        if now <= usual_end:
+            return now
+        paused = paused_seconds() - self.paused_before
+        return max(now - max(paused, 0), usual_end)
+
 
 @dataclass(frozen=True, slots=True)
 class Refused:
--- a/src/crocusproxy/placement/upstream_reach.py
+++ b/src/crocusproxy/placement/upstream_reach.py
@@ -46,7 +46,14 @@
     domains may be shut down, which is no loss.
     """
 
-    def __init__(self, clock: Clock, write: Callable[..., None] = log) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        write: Callable[..., None] = log,
+        paused_seconds: Callable[[], float] = float,
+    ) -> None:
+        self.paused_seconds = paused_seconds
+        self.paused_before = float()
         self.clock = clock
         self.write = write
         self.entries: dict[str, RegisteredUpstream] = {}
@@ -109,6 +116,7 @@
             and self._failed_since(self.heard_at) >= MIN_UNREACHED
         ):
             self.silent_since = now
+            self.paused_before = self.paused_seconds()
             for listener in self.on_silence:
                 listener()
         if not self.is_doubt_logged and self.is_doubtful():
@@ -138,11 +146,13 @@
     def silent_seconds(self) -> float:
         """Return for how long upstreams have failed and none has responded.
 
-        It is zero if none was tried lately, as they may be back.
+        It is zero if none was tried lately, as they may be back. Pauses of this
+        process are left out: it has heard none in them.
         """
         if self.silent_since is None or not self.unreached():
             return 0
-        return self._now() - self.silent_since
+        paused = self.paused_seconds() - self.paused_before
+        return self._now() - self.silent_since - paused
 
     def is_doubtful(self) -> bool:
         """Return whether this instance may be cut off from upstreams.
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -20,6 +20,7 @@
 from crocusproxy.entry.upstream_call import UpstreamClient
 from crocusproxy.entry.upstream_connection import MatchingConnection
 from crocusproxy.entry.upstream_messages import UpstreamMessages
+from crocusproxy.event_loop.peer_timeout import own_paused_seconds
 from crocusproxy.membership.catalog import Catalog
 from crocusproxy.placement.upstream_reach import UpstreamReach
 from crocusproxy.platform.headers import HEADER_NAMES
@@ -91,7 +92,7 @@
         )
         self.messages = UpstreamMessages(HEADER_NAMES)
         self.clock = SystemClock()
-        self.reach = UpstreamReach(self.clock, self.log)
+        self.reach = UpstreamReach(self.clock, self.log, own_paused_seconds)
         self.catalog.on_upstream.append(self.reach.apply_change)
         self.catalog.on_evacuation.append(self.reach.apply_evacuated)
         self.crash_watch = CrashWatch(self.clock, self.reach)
--- a/tests/entry/test_paused_instance.py
+++ b/tests/entry/test_paused_instance.py
@@ -40,3 +40,26 @@
         caller.close()
 
     run_scenario(scenario, [make_server(slots=4)], loop_factory=loop_factory)
+
+
+def test_pause_while_requests_run_does_not_make_an_upstream_slow():
+    """All upstreams with requests in flight counted as slow for 3 s."""
+
+    async def scenario(system):
+        caller = await system.connect()
+        await asyncio.sleep(SETTLE_SECONDS)
+        for number in range(4):
+            caller.send(f'r{number}')
+        await asyncio.sleep(0.03)
+        time.sleep(2 * PAUSE_SECONDS)
+        for _ in range(4):
+            assert (await caller.read())[0] == 200
+        placer = system.dispatcher.placer('s')
+        observed = placer.upstreams['i-1'].observed
+        assert len(observed.ratios) >= 3
+        assert observed.slowdown(placer.now()) == 1
+        caller.close()
+
+    run_scenario(
+        scenario, [make_server(work=0.06, slots=4)], loop_factory=InputFirstLoop
+    )
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -331,3 +331,27 @@
     placing.place()
     placing.place()
     assert not placing.placer.has_spare_slots()
+
+
+def end_after_a_pause(seconds, paused):
+    """Return how slow an upstream seems after requests in a pause."""
+    placing = Placing(entry('1', slots=4))
+    pauses = [5.0]
+    placing.placer.paused_seconds = lambda: pauses[-1]
+    placed = [placing.place()[0] for _ in range(4)]
+    pauses.append(5.0 + paused)
+    placing.clock.advance(timedelta(seconds=seconds))
+    for one in placed:
+        placing.placer.release(one, answered=True)
+    return placing.placer.upstreams['1'].observed.slowdown(placing.placer.now())
+
+
+def test_upstreams_are_not_slow_for_an_own_pause():
+    """All upstreams with requests in flight counted as slow for seconds."""
+    assert end_after_a_pause(0.56, 0.5) == 1
+    assert end_after_a_pause(0.5, 0.52) == 1
+
+
+def test_slow_upstream_is_noticed_with_and_without_a_pause():
+    assert end_after_a_pause(0.6, 0) > 2
+    assert end_after_a_pause(1.1, 0.5) > 2
--- a/tests/placement/test_upstream_reach.py
+++ b/tests/placement/test_upstream_reach.py
@@ -5,6 +5,7 @@
 import pytest
 
 from crocusproxy.clock import ManualClock
+from crocusproxy.entry.silence_breaker import SilenceBreaker
 from crocusproxy.placement.upstream_reach import (
     FAILURE_MEMORY_SECONDS,
     UpstreamReach,
@@ -132,3 +133,20 @@
             one.reach.responded(key, is_new_connection=True)
         one.wait(0.01)
     assert len(one.events) <= 2
+
+
+def test_own_pause_is_no_silence_of_upstreams():
+    """Requests were refused at once, as if no upstream had responded."""
+    one = Reach()
+    pauses = [7.0]
+    one.reach.paused_seconds = lambda: pauses[-1]
+    one.fail('i-0', 'i-1', 'i-2')
+    one.wait(0.1)
+    assert one.reach.silent_seconds() == pytest.approx(0.1)
+    pauses.append(7.6)
+    one.wait(0.6)
+    assert one.reach.silent_seconds() == pytest.approx(0.1)
+    assert not SilenceBreaker(one.reach).refuses(0)
+    one.wait(0.5)
+    assert one.reach.silent_seconds() == pytest.approx(0.6)
+    assert SilenceBreaker(one.reach).refuses(-1)
