Accept from the port itself before its close

A duplicate of the listening socket needs one more descriptor, and a platform that redirects sockets may end the queue with the first descriptor.

New forms: pauses from the close of the port until after the last response is due.

--- a/bench/closes/pauses.py
+++ b/bench/closes/pauses.py
@@ -35,6 +35,9 @@
 _LONG_LEAD_SECONDS = 1.0
 _DEADLINE_SECONDS = 1.4
 _ANSWER_LIMIT_SECONDS = 4.0
+#: From the close of the port until the last response is due, and later.
+_PAUSES_UNTIL_END_SECONDS = (1.25, 1.35, 1.5)
+_LONG_DEADLINE_SECONDS = 4.0
 
 
 class Connections(StrEnum):
@@ -65,6 +68,8 @@
     step_seconds: float = 0.7 * GRACE_SECONDS
     is_idle: bool = False
     is_configured: bool = False
+    pauses_seconds: tuple[float, ...] = PAUSES_SECONDS
+    deadline_seconds: float = _DEADLINE_SECONDS
 
     async def play(self, testbed: ClosesTestbed) -> None:
         await _add_upstreams(testbed)
@@ -72,7 +77,7 @@
             testbed.idle_timeout_ms = _IDLE_TIMEOUT_MS
         await testbed.start_all()
         for instance, seconds in zip(
-            testbed.instances, PAUSES_SECONDS, strict=False
+            testbed.instances, self.pauses_seconds, strict=False
         ):
             await self._pause_one(testbed, instance, seconds)
 
@@ -86,7 +91,10 @@
         try:
             connections = kept or await _open(testbed, instance, CALLERS)
             await asyncio.gather(
-                *(_send(testbed, connection) for connection in connections)
+                *(
+                    _send(testbed, connection, self.deadline_seconds)
+                    for connection in connections
+                )
             )
             if self.is_configured:
                 testbed.publish(testbed.configuration())
@@ -221,10 +229,10 @@
     return tuple(await asyncio.gather(*opened))
 
 
-async def _send(testbed, connection) -> None:
-    await testbed.send(
-        connection, [_TARGET], deadline_seconds=_DEADLINE_SECONDS
-    )
+async def _send(
+    testbed, connection, deadline_seconds: float = _DEADLINE_SECONDS
+) -> None:
+    await testbed.send(connection, [_TARGET], deadline_seconds=deadline_seconds)
 
 
 async def _wait_and_close(connection) -> None:
@@ -257,6 +265,16 @@
         is_idle=True,
         is_configured=True,
     ).play,
+    'paused_until_end_kept': PausedClose(
+        Connections.KEPT,
+        pauses_seconds=_PAUSES_UNTIL_END_SECONDS,
+        deadline_seconds=_LONG_DEADLINE_SECONDS,
+    ).play,
+    'paused_until_end_new': PausedClose(
+        Connections.NEW,
+        pauses_seconds=_PAUSES_UNTIL_END_SECONDS,
+        deadline_seconds=_LONG_DEADLINE_SECONDS,
+    ).play,
     'paused_last_response': PausedLastResponse(0.75 * GRACE_SECONDS).play,
     'paused_before_end': PausedLastResponse(0.8 * GRACE_SECONDS).play,
     'lowered_idle': LoweredIdleTimeout(is_paused=False).play,
--- a/src/crocusproxy/http_server/port_close.py
+++ b/src/crocusproxy/http_server/port_close.py
@@ -1,7 +1,6 @@
 """Close of a port that serves all connections made before it."""
 
 import asyncio
-import os
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -19,29 +18,26 @@
     The kernel resets connections that wait for ``accept`` when the port closes.
     A loop accepts few of them in a run, so after a pause there may be many.
     """
-    ports = [_duplicate(one) for one in getattr(server, 'sockets', ())]
-    server.close()
     connections: list[socket.socket] = []
-    for port in ports:
-        _accept_all(port, connections)
+    for port in getattr(server, 'sockets', ()):
+        _accept_all(port.fileno(), connections)
+    # Nothing runs between the last accept and the close.
+    server.close()
     await asyncio.gather(
         *(_serve(connection, create_protocol) for connection in connections)
     )
     return len(connections)
 
 
-def _duplicate(listening: socket.socket) -> socket.socket:
-    """Return a socket that keeps the port open after the server's close."""
-    port = socket.socket(fileno=os.dup(listening.fileno()))
+def _accept_all(descriptor: int, connections: list[socket.socket]) -> None:
+    """Accept until no connection waits."""
+    # The socket of a server may lack the method.
+    port = socket.socket(fileno=descriptor)
     port.setblocking(False)
-    return port
-
-
-def _accept_all(port: socket.socket, connections: list[socket.socket]) -> None:
-    """Accept until none waits, and close the port in the next system call."""
-    with port, suppress(OSError):
+    with suppress(OSError):
         while len(connections) < _MAX_ACCEPTED:
             connections.append(port.accept()[0])
+    port.detach()
 
 
 async def _serve(
