Start the requests of a burst in small parts, as far as there is room

Callers saw: beside ten connections that each send 2,000 small requests and read nothing, others waited for seconds or had 503 or nothing.

Cause, by the stacks of a profile: the loop started all requests of a read (up to 1,700) as tasks in one run, each as costly as a served one (0.3 ms) though the queue refused most; answers went into memory without a limit. The last piece of HeadSplitter held all requests behind the 64th, so that invalid bytes behind them discarded them without an answer.

Change: RequestIntake parses at most 64 requests, keeps the rest of a read and pauses reading. It starts none while the caller reads no responses, while those at work may add over 512 KB, or while 8 of the connection wait for a slot. Turns starts a few requests in a run of the loop, round robin. The end of a connection that isn't read is asked of the kernel (TCP_INFO).

FakeGateway of test_caller_connection.py has the new parts of the gateway; register() of test_process.py takes a sequence. No check was changed.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -6,14 +6,11 @@
 """
 
 import asyncio
-from collections import deque
 from datetime import timedelta
 from typing import Protocol
 
 from aiohttp import StreamReader
-from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpRequestParser, RawRequestMessage
-from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.http import RawRequestMessage
 
 from ..clock import Clock
 from ..http_server.response_delivery import ResponseDelivery
@@ -32,13 +29,12 @@
     connection_end,
     open_requests,
 )
-from .head_splitter import HeadSplitter
 from .header_names import HeaderNames
-from .rejected_request import rejected_request
+from .request_intake import RequestIntake
 from .responses import CallerResponse, Refusal
+from .turns import Turns
+from .unread_responses import UnreadResponses
 
-_MAX_PIPELINED = 64
-_READ_BUFFER_BYTES = 1 << 30  # the configuration limits the body size
 _SAFE_METHODS = frozenset(('GET', 'HEAD'))
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Added to the idle timeout, since callers may reuse a connection until then.
@@ -53,6 +49,8 @@
     header_names: HeaderNames
     is_draining: bool
     connections: set['CallerConnection']
+    turns: Turns
+    unread_responses: UnreadResponses
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
@@ -61,7 +59,7 @@
         """Record a connection that ended with requests open."""
 
 
-class CallerConnection(BaseProtocol):
+class CallerConnection(RequestIntake):
     """Reads requests, serves them, and writes the responses in order.
 
     A request that has started may be at work at an upstream, so the connection
@@ -78,48 +76,22 @@
     """
 
     __slots__ = (
-        'last_activity_at',
-        'closes_after_started',
         'delivery',
-        'discarded_bytes',
         'dropped',
         'end_cause',
-        'ignores_input',
-        'is_finished',
-        'head_started_at',
-        'pipeline',
-        'gateway',
-        'splitter',
         'unread_bytes',
     )
 
+    gateway: GatewayProtocol
+
     def __init__(
         self, gateway: GatewayProtocol, loop: asyncio.AbstractEventLoop
     ) -> None:
-        super().__init__(loop)
-        self.gateway = gateway
-        self.pipeline: deque[CallerRequest] = deque()
-        self.splitter = HeadSplitter()
+        super().__init__(gateway, loop)
         self.delivery: ResponseDelivery | None = None
         self.end_cause: EndCause | None = None
         self.dropped: tuple[OpenRequest, ...] = ()
-        self.discarded_bytes = 0
         self.unread_bytes = 0
-        self.is_finished = False
-        self.closes_after_started = False
-        self.ignores_input = False
-        self.head_started_at: timedelta | None = None
-        self.last_activity_at = gateway.clock.monotonic()
-        max_header_bytes = gateway.limits.header_bytes
-        self._parser = HttpRequestParser(
-            self,
-            loop,
-            _READ_BUFFER_BYTES,
-            max_line_size=max_header_bytes,
-            max_field_size=max_header_bytes,
-            payload_exception=ConnectionError,
-            auto_decompress=False,
-        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the gateway."""
@@ -133,6 +105,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of the connection unless they are detached."""
         self._record_end(exc)
+        self.gateway.unread_responses.forget(self)
         super().connection_lost(exc)
         self.delivery = None
         self.gateway.connections.discard(self)
@@ -150,16 +123,30 @@
         if self.end_cause is None or self.has_outstanding_bytes():
             self.end_cause = EndCause.CALLER
 
-    def data_received(self, data: bytes) -> None:  # noqa: WPS110
-        """Start to serve each request whose head is complete."""
-        self.last_activity_at = self.gateway.clock.monotonic()
-        for piece in self.splitter.split(data):
-            if self.is_finished or self.ignores_input:
-                self.discarded_bytes += len(piece)
-            else:
-                self._parse(piece)
-        if len(self.pipeline) > _MAX_PIPELINED:
-            self._pause_reading_for_buffer()
+    def resume_writing(self) -> None:
+        """Go on with the input once the caller has read responses."""
+        super().resume_writing()
+        self.gateway.unread_responses.forget(self)
+        self.gateway.turns.wait(self, self._loop)
+
+    def held_bytes(self) -> int:
+        """Return the bytes that this process holds for the caller."""
+        if self.delivery is None:
+            return 0
+        return self.delivery.transport.get_write_buffer_size()
+
+    def silence(self, now: timedelta) -> timedelta:
+        """Return for how long the caller has acknowledged nothing."""
+        if self.delivery is None:
+            return timedelta()
+        self.delivery.update(now)
+        return now - self.delivery.acknowledged_at
+
+    def end_for_memory(self) -> None:
+        """End the connection without the responses that it holds."""
+        if self.delivery is not None:
+            self.end_cause = EndCause.MEMORY
+            self.delivery.transport.abort()
 
     def enforce_timeouts(self, now: timedelta) -> None:
         """Close if the caller is gone, or after a timeout.
@@ -177,7 +164,7 @@
             delivery.transport.abort()
         elif delivery.may_close(now):
             delivery.transport.close()
-        elif not (self.pipeline or self.is_finished):
+        elif not (self.pipeline or self.is_finished or self.has_kept_input()):
             self._enforce_idle_timeouts(delivery, now)
 
     def end_if_idle(self, now: timedelta) -> bool:
@@ -188,7 +175,7 @@
         delivery = self.delivery
         if delivery is None:
             return False
-        if self.pipeline:
+        if self.pipeline or self.waits_for_turn():
             return True
         delivery.update(now)
         is_idle = not (self.is_finished or delivery.outstanding)
@@ -212,22 +199,6 @@
         """Return whether a request has not been answered yet."""
         return bool(self.pipeline)
 
-    def _parse(self, piece: bytes) -> None:
-        assert self._parser is not None
-        try:
-            messages, upgraded, _ = self._parser.feed_data(piece)
-        except Exception as error:  # noqa: BLE001 - any parser fault
-            self._reject(error)
-            return
-        self._note_partial_head(is_partial=not messages and not self.pipeline)
-        for message, payload in messages:
-            if not self._accepts_request():
-                self.ignores_input = True
-                return
-            self._start_request(message, payload)
-        if upgraded:
-            self._reject(BadHttpMessage('protocol switch'))
-
     def _enforce_idle_timeouts(
         self, delivery: ResponseDelivery, now: timedelta
     ) -> None:
@@ -254,18 +225,6 @@
             return excess > timedelta()
         return not unread_bytes(delivery.transport)
 
-    def _accepts_request(self) -> bool:
-        """Return whether a request may start behind those in the pipeline."""
-        if self.closes_after_started:
-            return False
-        return not (self.gateway.is_draining and self.pipeline)
-
-    def _note_partial_head(self, *, is_partial: bool) -> None:
-        if not is_partial:
-            self.head_started_at = None
-        elif self.head_started_at is None:
-            self.head_started_at = self.last_activity_at
-
     def _start_request(
         self, message: RawRequestMessage, payload: StreamReader
     ) -> None:
@@ -317,8 +276,8 @@
             self.pipeline.popleft()
             self._write_response(request, request.response)
         self.last_activity_at = self.gateway.clock.monotonic()
-        if self._buffer_paused and len(self.pipeline) < _MAX_PIPELINED:
-            self._resume_reading_for_buffer()
+        if self.splitter.segment:
+            self.gateway.turns.wait(self, self._loop)
 
     def _write_response(
         self, request: CallerRequest, response: CallerResponse
@@ -331,11 +290,12 @@
             self.closes_after_started and not self._has_started_requests()
         )
         with_body = request.message.method != 'HEAD'
-        self.delivery.write(
-            request.request_id,
-            response.encode(close=close, with_body=with_body),
-            self.gateway.clock.monotonic(),
-        )
+        encoded = response.encode(close=close, with_body=with_body)
+        self.last_response_bytes = len(encoded)
+        now = self.gateway.clock.monotonic()
+        self.delivery.write(request.request_id, encoded, now)
+        if self._paused:
+            self.gateway.unread_responses.note(self, now)
         if close:
             self.dropped = open_requests(
                 self.pipeline, self.gateway.clock.monotonic()
@@ -369,8 +329,8 @@
     def _note_finish(self, cause: EndCause) -> None:
         self.is_finished = True
         self.end_cause = self.end_cause or cause
-        if self._buffer_paused:
-            self._resume_reading_for_buffer()
+        self.discarded_bytes += self.splitter.discard()
+        self._update_reading()
 
     def _record_end(self, error: BaseException | None) -> None:
         delivery = self.delivery
@@ -396,16 +356,3 @@
             request.earlier_responses_written is None
             for request in self.pipeline
         )
-
-    def _reject(self, error: BaseException) -> None:
-        """Refuse invalid input once all earlier responses were written.
-
-        There is no refusal if the connection closes after these.
-        """
-        # The parser can't continue after invalid input.
-        self.ignores_input = True
-        if not self._accepts_request():
-            return
-        request = rejected_request(error, self.gateway.clock.monotonic())
-        self.pipeline.append(request)
-        self._write_ready_responses()
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -53,6 +53,7 @@
 from .role_tasks import RoleTasks
 from .settings import EntrySettings
 from .standby_reader import StandbyReader
+from .unread_responses import budget_of as unread_budget_of
 from .upstream_call import UpstreamClient
 from .upstream_messages import UpstreamMessages
 from .upstream_pool import create_pool
@@ -103,6 +104,9 @@
             self.metrics,
             self.dispatcher.request_log,
         )
+        self.gateway.unread_responses = unread_budget_of(
+            settings.capacity.memory_mb
+        )
         self.quotas = connect_quotas(
             self.settings.bounds,
             self.clock,
--- a/src/crocusproxy/entry/gateway.py
+++ b/src/crocusproxy/entry/gateway.py
@@ -40,6 +40,8 @@
 from .request_server import RequestServer
 from .responses import CallerResponse, Refusal
 from .start_wait import StartWait
+from .turns import Turns
+from .unread_responses import UnreadResponses
 from .upstream_call import OutgoingRequest
 from .upstream_messages import (
     HOP_HEADER,
@@ -82,6 +84,8 @@
         self.ends_at = inf
         self.refuses_late = False
         self.connections: set[CallerConnection] = set()
+        self.turns = Turns()
+        self.unread_responses = UnreadResponses()
         self.table: RouteTable | None = None
         self.directory: AccountDirectory | None = None
         self.in_flight = 0
--- a/src/crocusproxy/entry/head_splitter.py
+++ b/src/crocusproxy/entry/head_splitter.py
@@ -1,54 +1,85 @@
 """Splits received bytes at the ends of request heads."""
 
-from collections.abc import Iterator
-
 HEAD_END = b'\r\n\r\n'
 _OVERLAP = len(HEAD_END) - 1
-#: The rest of a segment is one piece, as a body may have many ends of heads.
-_MAX_PIECES = 64
+#: The parser takes a few milliseconds for so many bytes of tiny chunks.
+MAX_PIECE_BYTES = 16_384
 
 
 class HeadSplitter:
-    """Splits bytes so that each piece has the end of one head at most.
+    """Keeps received bytes, and splits them when they are taken.
 
-    A parser that finds invalid bytes discards the requests that it has read
-    from the same piece. Bodies may be split as well.
+    Each piece has the end of one head at most, so that at most one request is
+    started for it. A parser that finds invalid bytes discards the requests that
+    it has read from the same piece. Bodies may be split as well.
 
     >>> splitter = HeadSplitter()
-    >>> [len(piece) for piece in splitter.split(HEAD_END * 2 + b'rest')]
-    [4, 4, 4]
-    >>> [len(piece) for piece in splitter.split(HEAD_END[:3])]
-    [3]
-    >>> [len(piece) for piece in splitter.split(HEAD_END[3:] + b'rest')]
-    [1, 4]
-    >>> len(list(splitter.split(HEAD_END * 10_000)))
-    65
+    >>> splitter.feed(HEAD_END * 2 + b'rest')
+    >>> [len(splitter.take()) for _ in range(4)]
+    [4, 4, 4, 0]
+    >>> splitter.feed(HEAD_END[:3])
+    >>> len(splitter.take())
+    3
+    >>> splitter.feed(HEAD_END[3:] + b'rest')
+    >>> [len(splitter.take()) for _ in range(3)]
+    [1, 4, 0]
+    >>> splitter.feed(b'x' * (MAX_PIECE_BYTES + 1))
+    >>> splitter.kept_bytes()
+    16385
+    >>> [len(splitter.take()) for _ in range(2)]
+    [16384, 1]
     """
 
-    __slots__ = ('tail',)
+    __slots__ = ('position', 'segment', 'tail')
 
     def __init__(self) -> None:
-        #: The last bytes of the segment before, which may begin a head's end.
+        self.segment = b''
+        #: Where the bytes of the segment begin that were not taken.
+        self.position = 0
+        #: The last bytes that were taken, which may begin a head's end.
         self.tail = b''
 
-    def split(self, segment: bytes) -> Iterator[bytes]:
-        """Return the non-empty pieces of a segment in order."""
-        start = 0
-        end = self._end_across_segments(segment)
-        self.tail = (self.tail + segment[-_OVERLAP:])[-_OVERLAP:]
-        for _ in range(_MAX_PIECES):
-            if not end:
-                found_at = segment.find(HEAD_END, start)
-                if found_at < 0:
-                    break
-                end = found_at + len(HEAD_END)
-            yield segment[start:end]
-            start, end = end, 0
-        if start < len(segment):
-            yield segment[start:]
-
-    def _end_across_segments(self, segment: bytes) -> int:
-        """Return where a head ends that ended in the tail but for its end."""
-        joined = self.tail + segment[:_OVERLAP]
+    def feed(self, segment: bytes) -> None:
+        """Add received bytes."""
+        if self.position < len(self.segment):
+            segment = self.segment[self.position :] + segment
+        self.segment = segment
+        self.position = 0
+
+    def kept_bytes(self) -> int:
+        """Return how many bytes were not taken."""
+        return len(self.segment) - self.position
+
+    def take(self) -> bytes:
+        """Return the next piece, empty if there is none."""
+        start = self.position
+        segment = self.segment
+        end = min(self._end_of_head(), start + MAX_PIECE_BYTES)
+        piece = segment[start:end]
+        joined = self.tail + piece[-len(HEAD_END) :]
+        is_end = joined.endswith(HEAD_END)
+        self.tail = b'' if is_end else joined[-_OVERLAP:]
+        if end < len(segment):
+            self.position = end
+        else:
+            self.discard()
+        return piece
+
+    def discard(self) -> int:
+        """Forget what was not taken, and return how many bytes it had."""
+        discarded_bytes = self.kept_bytes()
+        self.segment = b''
+        self.position = 0
+        return discarded_bytes
+
+    def _end_of_head(self) -> int:
+        """Return where the next head ends, or the end of the segment."""
+        start = self.position
+        joined = self.tail + self.segment[start : start + _OVERLAP]
         found_at = joined.find(HEAD_END)
-        return found_at + len(HEAD_END) - len(self.tail) if found_at >= 0 else 0
+        if found_at >= 0:
+            return start + found_at + len(HEAD_END) - len(self.tail)
+        found_at = self.segment.find(HEAD_END, start, start + MAX_PIECE_BYTES)
+        if found_at < 0:
+            return len(self.segment)
+        return found_at + len(HEAD_END)
--- /dev/null
+++ b/src/crocusproxy/entry/request_intake.py
@@ -0,0 +1,214 @@
+"""Reading of the requests of one connection, as far as there is room."""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+from typing import Protocol
+
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http_exceptions import BadHttpMessage
+
+from ..clock import Clock
+from ..http_server.socket_queues import has_peer_left
+from ..routes.model import CallerLimits
+from .caller_request import CallerRequest, RequestStage
+from .head_splitter import HeadSplitter
+from .rejected_request import rejected_request
+from .turns import REQUESTS_PER_TURN, Turns
+
+#: Requests of a connection that are parsed and not answered.
+_MAX_PIPELINED = 64
+#: Responses that the requests at work may add to those that are unread, if
+#: each is as long as the last one.
+_MAX_EXPECTED_BYTES = 512 * 1024
+#: Requests of a connection that wait for a slot of an upstream. More would
+#: take the places of other callers in the queue.
+_MAX_QUEUED = 8
+_MAX_PIECES_PER_TURN = 16
+_READ_BUFFER_BYTES = 1 << 30  # the configuration limits the body size
+
+
+class IntakeGateway(Protocol):
+    """The part of the gateway that the reading of requests uses."""
+
+    clock: Clock
+    limits: CallerLimits
+    is_draining: bool
+    turns: Turns
+
+
+class RequestIntake(BaseProtocol):
+    """Parses received bytes in turns, and starts requests.
+
+    Input that may not be served yet is kept, at most that of one read, and no
+    more is read meanwhile. ``pipeline`` has the requests that are not answered,
+    and ``last_response_bytes`` is the length of the last response.
+    """
+
+    __slots__ = (
+        'last_activity_at',
+        'last_response_bytes',
+        'closes_after_started',
+        'discarded_bytes',
+        'ignores_input',
+        'is_finished',
+        'head_started_at',
+        'pipeline',
+        'gateway',
+        'splitter',
+    )
+
+    def __init__(
+        self, gateway: IntakeGateway, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(loop)
+        self.gateway = gateway
+        self.pipeline: deque[CallerRequest] = deque()
+        self.splitter = HeadSplitter()
+        self.discarded_bytes = 0
+        self.last_response_bytes = 0
+        self.is_finished = False
+        self.closes_after_started = False
+        self.ignores_input = False
+        self.head_started_at: timedelta | None = None
+        self.last_activity_at = gateway.clock.monotonic()
+        max_header_bytes = gateway.limits.header_bytes
+        self._parser = HttpRequestParser(
+            self,
+            loop,
+            _READ_BUFFER_BYTES,
+            max_line_size=max_header_bytes,
+            max_field_size=max_header_bytes,
+            payload_exception=ConnectionError,
+            auto_decompress=False,
+        )
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Start to serve each request whose head is complete."""
+        self.last_activity_at = self.gateway.clock.monotonic()
+        self.splitter.feed(data)
+        self.gateway.turns.on_input(self, self._loop)
+        if self.splitter.segment:
+            self._update_reading()
+
+    def take_turn(self) -> int:
+        """Serve some of the input, and return how many requests started."""
+        started = 0
+        for _ in range(_MAX_PIECES_PER_TURN):
+            if self.is_finished or self.ignores_input:
+                self.discarded_bytes += self.splitter.discard()
+            if started >= REQUESTS_PER_TURN or not self.waits_for_turn():
+                break
+            started += self._parse(self.splitter.take())
+        self._update_reading()
+        return started
+
+    def waits_for_turn(self) -> bool:
+        """Return whether input is kept that may be served."""
+        return self.has_kept_input() and self._has_room()
+
+    def has_kept_input(self) -> bool:
+        """Return whether input was read that has not been parsed."""
+        return bool(self.splitter.segment)
+
+    def end_if_left(self) -> bool:
+        """End a paused connection whose caller left; whether it is paused."""
+        if not self._buffer_paused or self.transport is None:
+            return False
+        if has_peer_left(self.transport):
+            self.transport.close()
+            return False
+        return True
+
+    def _has_room(self) -> bool:
+        """Return whether a further request may be parsed.
+
+        Input that is to be discarded always has room.
+        """
+        if self.is_finished or self.ignores_input:
+            return True
+        pipelined = len(self.pipeline)
+        if not pipelined or self._paused:
+            return not self._paused
+        return (
+            pipelined < _MAX_PIPELINED
+            and not self._has_too_large_body()
+            and (pipelined == 1 or self._has_room_behind(pipelined))
+        )
+
+    def _has_room_behind(self, pipelined: int) -> bool:
+        if pipelined * self.last_response_bytes > _MAX_EXPECTED_BYTES:
+            return False
+        return pipelined <= _MAX_QUEUED or self._queued_count() <= _MAX_QUEUED
+
+    def _queued_count(self) -> int:
+        return sum(
+            request.stage is RequestStage.QUEUED for request in self.pipeline
+        )
+
+    def _has_too_large_body(self) -> bool:
+        """Return whether the last request will be refused for its body."""
+        payload = self.pipeline[-1].payload
+        return payload.total_bytes > self.gateway.limits.body_bytes
+
+    def _update_reading(self) -> None:
+        """Read on only once all that was read is parsed."""
+        is_kept = self.has_kept_input()
+        if is_kept and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+            self.gateway.turns.hold(self, self._loop)
+        elif self._buffer_paused and not is_kept:
+            self._resume_reading_for_buffer()
+
+    def _parse(self, piece: bytes) -> int:
+        """Parse bytes, and return how many requests started."""
+        assert self._parser is not None
+        try:
+            messages, upgraded, _ = self._parser.feed_data(piece)
+        except Exception as error:  # noqa: BLE001 - any parser fault
+            self._reject(error)
+            return 0
+        self._note_partial_head(is_partial=not messages and not self.pipeline)
+        for message, payload in messages:
+            if not self._accepts_request():
+                self.ignores_input = True
+                return 0
+            self._start_request(message, payload)
+        if upgraded:
+            self._reject(BadHttpMessage('protocol switch'))
+        return len(messages)
+
+    def _accepts_request(self) -> bool:
+        """Return whether a request may start behind those in the pipeline."""
+        if self.closes_after_started:
+            return False
+        return not (self.gateway.is_draining and self.pipeline)
+
+    def _note_partial_head(self, *, is_partial: bool) -> None:
+        if not is_partial:
+            self.head_started_at = None
+        elif self.head_started_at is None:
+            self.head_started_at = self.last_activity_at
+
+    def _reject(self, error: BaseException) -> None:
+        """Refuse invalid input once all earlier responses were written.
+
+        There is no refusal if the connection closes after these.
+        """
+        # The parser can't continue after invalid input.
+        self.ignores_input = True
+        if not self._accepts_request():
+            return
+        request = rejected_request(error, self.gateway.clock.monotonic())
+        self.pipeline.append(request)
+        self._write_ready_responses()
+
+    def _start_request(
+        self, message: RawRequestMessage, payload: StreamReader
+    ) -> None:
+        raise NotImplementedError
+
+    def _write_ready_responses(self) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/src/crocusproxy/entry/turns.py
@@ -0,0 +1,114 @@
+"""Turns of the callers' connections, so that none delays the others.
+
+One run of the event loop starts a small number of requests. A connection whose
+input has more keeps it and waits for its next turn behind the others.
+"""
+
+import asyncio
+from collections import deque
+from itertools import islice
+from typing import Protocol
+
+#: Requests that one connection may start in one turn.
+REQUESTS_PER_TURN = 4
+#: Requests that are started as they are read, in one run of the loop.
+_MAX_READ_IN_RUN = 16
+#: Requests of waiting connections that are started in one run of the loop.
+_MAX_WAITING_IN_RUN = 4
+#: Turns in one run of the loop, as some only continue a body.
+_MAX_TURNS_IN_RUN = 8
+_CHECK_SECONDS = 0.01
+#: Held connections that are looked at at once.
+_MAX_CHECKED = 64
+
+
+class TurnTaker(Protocol):
+    """The part of a connection that takes turns."""
+
+    def take_turn(self) -> int:
+        """Serve some of the input that is kept, and return its requests."""
+
+    def waits_for_turn(self) -> bool:
+        """Return whether a further turn would serve input."""
+
+    def end_if_left(self) -> bool:
+        """End a paused connection that its caller left; whether to go on."""
+
+
+class Turns:
+    """Gives turns to connections, round robin.
+
+    ``held`` are the connections that aren't read. The kernel doesn't report
+    their end then, so it is looked for at an interval, as is room for their
+    requests.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: deque[TurnTaker] = deque()
+        self.members: set[TurnTaker] = set()
+        self.held: dict[TurnTaker, None] = {}
+        self.started_in_run = 0
+        self.is_scheduled = False
+        self.is_checking = False
+
+    def on_input(
+        self, connection: TurnTaker, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        """Serve new input at once, unless others have just had much."""
+        if connection in self.members:
+            return
+        if self.started_in_run < _MAX_READ_IN_RUN:
+            self.started_in_run += connection.take_turn()
+        self.wait(connection, loop)
+        if self.started_in_run:
+            self._schedule(loop)
+
+    def wait(
+        self, connection: TurnTaker, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        """Have a connection wait for a turn if it needs one."""
+        if connection not in self.members and connection.waits_for_turn():
+            self.members.add(connection)
+            self.waiting.append(connection)
+            self._schedule(loop)
+
+    def hold(
+        self, connection: TurnTaker, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        """Look for the end of a connection that isn't read."""
+        self.held[connection] = None
+        self._check_later(loop)
+
+    def _check_later(self, loop: asyncio.AbstractEventLoop) -> None:
+        if not self.is_checking:
+            self.is_checking = True
+            loop.call_later(_CHECK_SECONDS, self._check_held, loop)
+
+    def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
+        if not self.is_scheduled:
+            self.is_scheduled = True
+            loop.call_soon(self._run, loop)
+
+    def _run(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.is_scheduled = False
+        self.started_in_run = 0
+        started = 0
+        for _ in range(min(len(self.waiting), _MAX_TURNS_IN_RUN)):
+            connection = self.waiting.popleft()
+            self.members.discard(connection)
+            started += connection.take_turn()
+            self.wait(connection, loop)
+            if started >= _MAX_WAITING_IN_RUN:
+                break
+        if self.waiting:
+            self._schedule(loop)
+
+    def _check_held(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.is_checking = False
+        for connection in tuple(islice(self.held, _MAX_CHECKED)):
+            del self.held[connection]  # noqa: WPS420
+            if connection.end_if_left():
+                self.hold(connection, loop)
+                self.wait(connection, loop)
+        if self.held:
+            self._check_later(loop)
--- a/src/crocusproxy/http_server/socket_queues.py
+++ b/src/crocusproxy/http_server/socket_queues.py
@@ -8,6 +8,8 @@
 from contextlib import suppress
 
 _INT = struct.Struct('i')
+#: States of a TCP connection (tcp_states.h) whose peer sends no more.
+_CLOSED, _CLOSE_WAIT = 7, 8
 
 
 def outstanding_bytes(transport: asyncio.WriteTransport) -> int:
@@ -35,6 +37,21 @@
     return _length(connection, termios.FIONREAD)
 
 
+def has_peer_left(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the peer has ended the connection, also if unread.
+
+    Without a socket, or on a system that can't tell, it has not.
+    """
+    connection = transport.get_extra_info('socket')
+    if connection is None:
+        return False
+    # A transport that has closed has no descriptor.
+    with suppress(OSError, ValueError):
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] in {_CLOSED, _CLOSE_WAIT}
+    return False
+
+
 def _queue_length(transport: asyncio.BaseTransport, request: int) -> int:
     connection = transport.get_extra_info('socket')
     return 0 if connection is None else _length(connection, request)
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -10,6 +10,8 @@
 from crocusproxy.entry.caller_connection import CallerConnection
 from crocusproxy.entry.connection_end import EndCause
 from crocusproxy.entry.responses import CallerResponse
+from crocusproxy.entry.turns import Turns
+from crocusproxy.entry.unread_responses import UnreadResponses
 from crocusproxy.platform.headers import HEADER_NAMES
 from crocusproxy.routes.model import CallerLimits
 
@@ -37,6 +39,8 @@
         self.handled = []
         self.failing = set()
         self.ends = []
+        self.turns = Turns()
+        self.unread_responses = UnreadResponses()
 
     def record_end(self, end):
         self.ends.append(end)
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -105,7 +105,7 @@
     )
 
 
-def register(store, server, service):
+def register(store, server, service, sequence=1):
     entry = {
         'Address': server.address,
         'ServerInfo': {
@@ -114,7 +114,11 @@
             'Zone': 'a',
             'Slots': server.slots,
         },
-        'Status': {'State': 'ready', 'Sequence': 1, 'WarmupRemainingMs': 0},
+        'Status': {
+            'State': 'ready',
+            'Sequence': sequence,
+            'WarmupRemainingMs': 0,
+        },
         'born': 1700000000000,
     }
     store.put('keyed.servers', server.key, json.dumps(entry).encode())
