--- a/bench/closes/forms.py
+++ b/bench/closes/forms.py
@@ -4,7 +4,14 @@
 from pathlib import Path
 from random import Random
 
-from . import exchanges, pauses, series, slow_readers, trials
+from . import (
+    exchanges,
+    paused_homes,
+    pauses,
+    series,
+    slow_readers,
+    trials,
+)
 from .report import FormResult, make_result
 from .review_bed import bed
 from .testbed import ClosesTestbed
@@ -18,12 +25,13 @@
     routes: tuple[tuple, ...]
 
 
+PAUSES = pauses.FORMS | paused_homes.FORMS
 FORMS = {
     **{
         name: Form(slow_readers.ZONES, slow_readers.ROUTES)
         for name in slow_readers.FORMS
     },
-    **{name: Form(pauses.ZONES, slow_readers.ROUTES) for name in pauses.FORMS},
+    **{name: Form(pauses.ZONES, slow_readers.ROUTES) for name in PAUSES},
     **{
         name: Form(series.ZONES, deployment.routes())
         for name, deployment in series.DEPLOYMENTS.items()
@@ -52,8 +60,8 @@
     try:
         if name in slow_readers.FORMS:
             await slow_readers.FORMS[name](testbed)
-        elif name in pauses.FORMS:
-            await pauses.FORMS[name](testbed)
+        elif name in PAUSES:
+            await PAUSES[name](testbed)
         elif name in trials.TRIALS:
             await trials.TRIALS[name].play(testbed, seconds)
         else:
--- a/bench/closes/pauses.py
+++ b/bench/closes/pauses.py
@@ -19,7 +19,7 @@
 SLOTS = 12
 #: The pause begins so long before the step of the instance.
 _LEAD_SECONDS = 0.1
-_STOPPED_SECONDS = 0.05
+STOPPED_SECONDS = 0.05
 _IDLE_TIMEOUT_MS = 500
 #: The instance allows callers this much beyond the idle timeout.
 _IDLE_MARGIN_SECONDS = 1.0
@@ -38,6 +38,7 @@
 #: From the close of the port until the last response is due, and later.
 _PAUSES_UNTIL_END_SECONDS = (1.25, 1.35, 1.5)
 _LONG_DEADLINE_SECONDS = 4.0
+_SECOND_SECONDS = 0.1
 
 
 class Connections(StrEnum):
@@ -60,7 +61,8 @@
     """A pause near a step of an instance, ``step_seconds`` after a signal.
 
     With ``is_idle``, the step is the idle timeout of the kept connections.
-    With ``is_configured``, a configuration is sent as the pause begins.
+    With ``is_configured``, a configuration is sent as the pause begins. With
+    ``has_second``, further processes start on the address until its end.
     """
 
     connections: Connections
@@ -70,9 +72,10 @@
     is_configured: bool = False
     pauses_seconds: tuple[float, ...] = PAUSES_SECONDS
     deadline_seconds: float = _DEADLINE_SECONDS
+    has_second: bool = False
 
     async def play(self, testbed: ClosesTestbed) -> None:
-        await _add_upstreams(testbed)
+        await add_upstreams(testbed)
         if self.is_idle:
             testbed.idle_timeout_ms = _IDLE_TIMEOUT_MS
         await testbed.start_all()
@@ -85,14 +88,19 @@
         kept = await self._open_kept(testbed, instance)
         self._signal(testbed, instance)
         await asyncio.sleep(max(self._step_seconds() - _LEAD_SECONDS, 0))
-        instance.send_signal(signal.SIGSTOP)
+        process = instance.process
+        if self.has_second:
+            starting = asyncio.create_task(_start_seconds(testbed, instance))
+        process.send_signal(signal.SIGSTOP)
         # What arrives before the process has stopped is read with its events.
-        await asyncio.sleep(_STOPPED_SECONDS)
+        await asyncio.sleep(STOPPED_SECONDS)
         try:
-            connections = kept or await _open(testbed, instance, CALLERS)
+            connections = kept or await open_connections(
+                testbed, instance, CALLERS
+            )
             await asyncio.gather(
                 *(
-                    _send(testbed, connection, self.deadline_seconds)
+                    send_one(testbed, connection, self.deadline_seconds)
                     for connection in connections
                 )
             )
@@ -100,9 +108,11 @@
                 testbed.publish(testbed.configuration())
             await asyncio.sleep(seconds)
         finally:
-            instance.send_signal(signal.SIGCONT)
-        await asyncio.gather(*map(_wait_and_close, connections))
-        if self.signal is Signal.STOP:
+            process.send_signal(signal.SIGCONT)
+        await asyncio.gather(*map(wait_and_close, connections))
+        if self.has_second:
+            await starting
+        elif self.signal is Signal.STOP:
             await testbed.wait_ended(instance)
 
     async def _open_kept(
@@ -113,9 +123,11 @@
         To send on new ones, there are none; the one that was used is closed.
         """
         is_kept = self.connections is Connections.KEPT
-        used = await _open(testbed, instance, CALLERS if is_kept else 1)
+        used = await open_connections(
+            testbed, instance, CALLERS if is_kept else 1
+        )
         for connection in used:
-            await _send(testbed, connection)
+            await send_one(testbed, connection)
             await connection.wait_answered()
             if self.is_idle:
                 await asyncio.sleep(_IDLE_MARGIN_SECONDS / CALLERS)
@@ -144,12 +156,12 @@
     step_seconds: float
 
     async def play(self, testbed: ClosesTestbed) -> None:
-        await _add_upstreams(testbed)
+        await add_upstreams(testbed)
         await testbed.start_all()
         for instance, seconds in zip(
             testbed.instances, PAUSES_SECONDS, strict=False
         ):
-            connections = await _open(testbed, instance, CALLERS)
+            connections = await open_connections(testbed, instance, CALLERS)
             testbed.terminate(instance)
             await asyncio.sleep(self.step_seconds - _LONG_LEAD_SECONDS)
             await asyncio.gather(
@@ -163,8 +175,8 @@
                 )
             )
             await asyncio.sleep(_LONG_LEAD_SECONDS)
-            await _pause(instance, seconds)
-            await asyncio.gather(*map(_wait_and_close, connections))
+            await pause(instance, seconds)
+            await asyncio.gather(*map(wait_and_close, connections))
             await testbed.wait_ended(instance)
 
 
@@ -175,7 +187,7 @@
     is_paused: bool
 
     async def play(self, testbed: ClosesTestbed) -> None:
-        await _add_upstreams(testbed)
+        await add_upstreams(testbed)
         testbed.idle_timeout_ms = _FIRST_IDLE_TIMEOUT_MS
         await testbed.start_all()
         for instance, seconds in zip(
@@ -186,9 +198,9 @@
     async def _lower(self, testbed, instance, seconds: float) -> None:
         testbed.idle_timeout_ms = _FIRST_IDLE_TIMEOUT_MS
         testbed.publish(testbed.configuration())
-        connections = await _open(testbed, instance, CALLERS)
+        connections = await open_connections(testbed, instance, CALLERS)
         for connection in connections:
-            await _send(testbed, connection)
+            await send_one(testbed, connection)
             await connection.wait_answered()
         await asyncio.sleep(_FIRST_IDLE_TIMEOUT_MS / 1000 * _IDLE_SHARE)
         for milliseconds in _LOWERED_IDLE_TIMEOUTS_MS:
@@ -197,20 +209,35 @@
             await asyncio.sleep(_CONFIGURATION_SECONDS)
         sending = asyncio.create_task(_send_spread(testbed, connections))
         if self.is_paused:
-            await _pause(instance, seconds)
+            await pause(instance, seconds)
         await sending
-        await asyncio.gather(*map(_wait_and_close, connections))
+        await asyncio.gather(*map(wait_and_close, connections))
+
+
+async def _start_seconds(testbed, instance) -> None:
+    """Start processes on the address until the first one has ended."""
+    first = instance.process
+    stopped_at = testbed.ledger.stops[instance.name][-1]
+    while first.poll() is None:
+        if instance.process is first or instance.process.poll() is not None:
+            testbed.ledger.events['second processes'] += 1
+            instance.spawn()
+        if testbed.now() > stopped_at + GRACE_SECONDS:
+            testbed.ledger.events['killed at the end of the grace'] += 1
+            first.kill()
+        await asyncio.sleep(_SECOND_SECONDS)
 
 
 async def _send_spread(testbed, connections) -> None:
     """Send on one connection after another, over the interval of checks."""
-    await asyncio.sleep(_STOPPED_SECONDS)
+    await asyncio.sleep(STOPPED_SECONDS)
     for connection in connections:
-        await _send(testbed, connection)
+        await send_one(testbed, connection)
         await asyncio.sleep(_IDLE_MARGIN_SECONDS / CALLERS)
 
 
-async def _pause(instance, seconds: float) -> None:
+async def pause(instance, seconds: float) -> None:
+    """Give an instance no processor for some time."""
     instance.send_signal(signal.SIGSTOP)
     try:
         await asyncio.sleep(seconds)
@@ -218,24 +245,27 @@
         instance.send_signal(signal.SIGCONT)
 
 
-async def _add_upstreams(testbed) -> None:
+async def add_upstreams(testbed) -> None:
+    """Start the upstreams of all forms."""
     for number in range(UPSTREAMS):
         zone = ZONES[number % len(ZONES)]
         await testbed.add_upstream('reads', zone, slots=SLOTS, queue=200)
 
 
-async def _open(testbed, instance, count) -> tuple[CallerConnection, ...]:
+async def open_connections(
+    testbed, instance, count
+) -> tuple[CallerConnection, ...]:
     opened = [testbed.connect(instance) for _ in range(count)]
     return tuple(await asyncio.gather(*opened))
 
 
-async def _send(
+async def send_one(
     testbed, connection, deadline_seconds: float = _DEADLINE_SECONDS
 ) -> None:
     await testbed.send(connection, [_TARGET], deadline_seconds=deadline_seconds)
 
 
-async def _wait_and_close(connection) -> None:
+async def wait_and_close(connection) -> None:
     with suppress(TimeoutError):
         async with asyncio.timeout(_ANSWER_LIMIT_SECONDS):
             await connection.wait_answered()
@@ -265,6 +295,8 @@
         is_idle=True,
         is_configured=True,
     ).play,
+    'paused_second_kept': PausedClose(Connections.KEPT, has_second=True).play,
+    'paused_second_new': PausedClose(Connections.NEW, has_second=True).play,
     'paused_until_end_kept': PausedClose(
         Connections.KEPT,
         pauses_seconds=_PAUSES_UNTIL_END_SECONDS,
--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -179,7 +179,7 @@
             return True
         delivery.update(now)
         is_idle = not (self.is_finished or delivery.outstanding)
-        if is_idle and self._end_unless_unread(delivery, EndCause.STOP, now):
+        if is_idle and not self._end_unless_unread(EndCause.STOP, now):
             return True
         return delivery.is_receiving(now)
 
@@ -209,7 +209,7 @@
         elif delivery.outstanding:
             return
         elif now - active_at > limits.idle_timeout + _IDLE_MARGIN:
-            self._end_unless_unread(delivery, EndCause.IDLE_TIMEOUT, now)
+            self._end_unless_unread(EndCause.IDLE_TIMEOUT, now)
 
     def _is_head_late(self, delivery: ResponseDelivery, now: timedelta) -> bool:
         """Return whether a head is not complete after its time.
@@ -314,17 +314,12 @@
         self.delivery.end(self.gateway.clock.monotonic())
         self._note_finish(cause)
 
-    def _end_unless_unread(
-        self, delivery: ResponseDelivery, cause: EndCause, now: timedelta
-    ) -> bool:
-        """End the connection, unless the caller's input is still unread.
-
-        Return whether it is.
-        """
-        is_ended = delivery.end_unless_unread(now)
-        if is_ended:
-            self._note_finish(cause)
-        return not is_ended
+    def _end_unless_unread(self, cause: EndCause, now: timedelta) -> bool:
+        """End the connection unless input is unread; return whether it did."""
+        if self.delivery is None or not self.delivery.end_unless_unread(now):
+            return False
+        self._note_finish(cause)
+        return True
 
     def _note_finish(self, cause: EndCause) -> None:
         self.is_finished = True
