Borrow sockets without queries of their type

A platform that redirects sockets may not tell a socket's protocol, and an error there would have ended the drain. The type is passed in now, and without a usable socket the transport or the server ends as before.

--- a/src/crocusproxy/http_server/port_close.py
+++ b/src/crocusproxy/http_server/port_close.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from .borrowed_socket import borrowed_socket
+
 #: Bound on a flood of callers that connect as fast as they are accepted.
 _MAX_ACCEPTED = 4096
 
@@ -20,7 +22,7 @@
     """
     connections: list[socket.socket] = []
     for port in getattr(server, 'sockets', ()):
-        _accept_all(port.fileno(), connections)
+        _accept_all(port, connections)
     # Nothing runs between the last accept and the close.
     server.close()
     await asyncio.gather(
@@ -29,15 +31,16 @@
     return len(connections)
 
 
-def _accept_all(descriptor: int, connections: list[socket.socket]) -> None:
+def _accept_all(
+    listening: socket.socket, connections: list[socket.socket]
+) -> None:
     """Accept until no connection waits."""
-    # The socket of a server may lack the method.
-    port = socket.socket(fileno=descriptor)
-    port.setblocking(False)
-    with suppress(OSError):
+    with borrowed_socket(listening) as port, suppress(OSError):
+        if port is None:
+            return
+        port.setblocking(False)
         while len(connections) < _MAX_ACCEPTED:
             connections.append(port.accept()[0])
-    port.detach()
 
 
 async def _serve(
--- a/src/crocusproxy/http_server/write_end.py
+++ b/src/crocusproxy/http_server/write_end.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 
+from .borrowed_socket import borrowed_socket
 from .socket_queues import queued_input, unread_bytes
 
 
@@ -18,7 +18,7 @@
     if transport.get_write_buffer_size():
         _end_later(transport)
         return
-    with _socket_of(transport) as connection:
+    with borrowed_socket(_socket_of(transport)) as connection:
         if connection is None:
             _end_later(transport)
         else:
@@ -35,7 +35,7 @@
             return False
         _end_later(transport)
         return True
-    with _socket_of(transport) as connection:
+    with borrowed_socket(_socket_of(transport)) as connection:
         if connection is None:
             _end_later(transport)
             return True
@@ -51,27 +51,11 @@
         transport.write_eof()
 
 
+def _socket_of(transport: asyncio.WriteTransport) -> socket.socket | None:
+    connection: socket.socket | None = transport.get_extra_info('socket')
+    return connection
+
+
 def _shut(connection: socket.socket) -> None:
     with suppress(OSError):
         connection.shutdown(socket.SHUT_WR)
-
-
-@contextmanager
-def _socket_of(
-    transport: asyncio.WriteTransport,
-) -> Iterator[socket.socket | None]:
-    """Yield the socket, or None if there is none or it has closed.
-
-    The one of a transport may lack methods.
-    """
-    owned = transport.get_extra_info('socket')
-    if owned is None or owned.fileno() < 0:
-        yield None
-        return
-    connection = socket.socket(
-        owned.family, owned.type, owned.proto, fileno=owned.fileno()
-    )
-    try:
-        yield connection
-    finally:
-        connection.detach()
