Name the pause of an instance beside a violation of its request

Its instance n4 had logged a pause of 1.22 s without a fault of the run, busy for 0.015 s of it, and answered 0.26 s after it. The line of the violation now says so; the check is as it was.

--- a/soak/instance_pauses.py
+++ b/soak/instance_pauses.py
@@ -5,27 +5,10 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from .instance_log import InstanceLog
 from .propagation import unplanned_disturbances
-from .records import RunRecord
-
-
-@dataclass(frozen=True, slots=True)
-class InstancePause:
-    """A pause that an instance logged, in seconds of the run."""
-
-    instance: int
-    ended_at: float
-    seconds: float
-    busy_seconds: float
-
-    def __str__(self) -> str:
-        return (
-            f'n{self.instance} paused for {self.seconds:.2f} s before second '
-            f'{self.ended_at:.2f}, busy for {self.busy_seconds:.2f} s of it'
-        )
+from .records import InstancePause, RunRecord
 
 
 def own_pauses(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -14,7 +14,7 @@
     wrong_rejections,
 )
 from .delivery_invariants import lost_by_log, lost_responses, lost_unread
-from .own_pauses import with_own_pause
+from .own_pauses import with_instance_pause, with_own_pause
 from .placement_invariants import cold_bursts, evacuated_arrivals
 from .propagation import is_excused, unplanned_disturbances
 from .records import RunRecord, SentRequest
@@ -71,7 +71,9 @@
         *run.violations,
         *(line for check in checks for line in check(run)),
     ]
-    return [with_own_pause(run, line) for line in lines]
+    return [
+        with_instance_pause(run, with_own_pause(run, line)) for line in lines
+    ]
 
 
 def _duplicate_runs(run: RunRecord) -> Iterator[str]:
--- a/soak/own_pauses.py
+++ b/soak/own_pauses.py
@@ -1,13 +1,13 @@
-"""Names pauses of the soak's own process beside a violation.
+"""Names pauses of the soak's own process or of the instance beside a violation.
 
 The soak runs the store, the upstreams and the callers. A violation that happens
-beside a pause of it stays one, but the pause may be its cause.
+beside a pause stays one, but the pause may be its cause.
 """
 
 import re
 from collections.abc import Iterator
 
-from .records import ObserverDelay, RunRecord
+from .records import InstancePause, ObserverDelay, RunRecord, SentRequest
 
 #: A pause may have delayed the upstreams or the store before the request.
 BEFORE_REQUEST_SECONDS = 1.0
@@ -34,6 +34,27 @@
     )
 
 
+def with_instance_pause(run: RunRecord, line: str) -> str:
+    """Return the line of a violation, with the longest pause of its instance.
+
+    Only the violation of a request has an instance.
+    """
+    names = set(_REQUEST_ID.findall(line))
+    requests = [one for one in run.requests if one.request_id in names]
+    for pause in run.instance_pauses:
+        if any(_is_beside(pause, request) for request in requests):
+            return f'{line} (beside: {pause})'
+    return line
+
+
+def _is_beside(pause: InstancePause, request: SentRequest) -> bool:
+    return (
+        pause.instance == request.instance
+        and pause.ended_at - pause.seconds <= request.ended_at
+        and pause.ended_at >= request.sent_at
+    )
+
+
 def _periods(run: RunRecord, line: str) -> Iterator[tuple[float, float]]:
     names = set(_REQUEST_ID.findall(line))
     for request in run.requests:
--- a/soak/records.py
+++ b/soak/records.py
@@ -72,6 +72,22 @@
     end: float = inf
 
 
+@dataclass(frozen=True, slots=True)
+class InstancePause:
+    """A pause that an instance logged, in seconds of the run."""
+
+    instance: int
+    ended_at: float
+    seconds: float
+    busy_seconds: float
+
+    def __str__(self) -> str:
+        return (
+            f'n{self.instance} paused for {self.seconds:.2f} s before second '
+            f'{self.ended_at:.2f}, busy for {self.busy_seconds:.2f} s of it'
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamDisturbance:
     """A period in which an upstream or the link to it was faulty."""
@@ -201,6 +217,8 @@
         default_factory=list
     )
     brief_pauses: list[BriefPause] = field(default_factory=list)
+    #: Pauses that no fault caused, the longest ones first.
+    instance_pauses: list[InstancePause] = field(default_factory=list)
     upstream_disturbances: list[UpstreamDisturbance] = field(
         default_factory=list
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,12 +10,12 @@
 
 from .home_losses import PROPAGATION_SECONDS, serves_path
 from .injection import FaultInjector
-from .instance_pauses import InstancePause, own_pauses
+from .instance_pauses import own_pauses
 from .invariants import find_violations
 from .pause_plan import PausePlanner
 from .plan import Features, Planner
 from .planned_work import PlannedWorkPlanner
-from .records import RunRecord
+from .records import InstancePause, RunRecord
 from .testbed import SERVICES, UPSTREAMS_PER_SERVICE, Testbed
 
 #: All instances are ready and serve within this time after the last fault.
@@ -120,8 +120,9 @@
     finally:
         await testbed.stop()
         await asyncio.sleep(SETTLE_SECONDS)
-    violations = tuple(find_violations(testbed.run_record))
     instance_pauses = _instance_pauses(testbed)
+    testbed.run_record.instance_pauses.extend(instance_pauses)
+    violations = tuple(find_violations(testbed.run_record))
     if not violations:
         shutil.rmtree(folder)
     return Verdict(
--- a/tests/soak/test_instance_pauses.py
+++ b/tests/soak/test_instance_pauses.py
@@ -5,8 +5,13 @@
 import pytest
 
 from soak.instance_log import InstanceLog
-from soak.instance_pauses import InstancePause, own_pauses
-from soak.records import BriefPause, InstanceDisturbance, RunRecord
+from soak.instance_pauses import own_pauses
+from soak.records import (
+    BriefPause,
+    InstanceDisturbance,
+    InstancePause,
+    RunRecord,
+)
 
 RUN_STARTED_AT = 1000.0
 
--- a/tests/soak/test_own_pauses.py
+++ b/tests/soak/test_own_pauses.py
@@ -4,7 +4,12 @@
 
 from soak.invariants import find_violations
 from soak.own_pauses import with_own_pause
-from soak.records import ObserverDelay, RunRecord, SentRequest
+from soak.records import (
+    InstancePause,
+    ObserverDelay,
+    RunRecord,
+    SentRequest,
+)
 
 NOTE = 'beside a pause of the soak of 0.50 s, 0.30 s of it without a processor'
 
@@ -48,3 +53,19 @@
     assert NOTE in with_own_pause(
         run, 'cut off 1.00 s after it was sent: pause-n1-3.36k0-2 at n1'
     )
+
+
+@pytest.mark.parametrize(
+    ('instance', 'ended_at', 'is_named'),
+    [(0, 10.9, True), (0, 11.8, True), (1, 10.9, False), (0, 9.9, False)],
+)
+def test_violation_beside_a_pause_of_its_instance_names_it(
+    instance, ended_at, is_named
+):
+    """Seed 6001: an instance got no processor for 1.22 s (load 18)."""
+    run = run_with_pause(0.0)
+    pause = InstancePause(instance, ended_at, 0.6, 0.01)
+    run.instance_pauses.append(pause)
+    (line,) = find_violations(run)
+    note = f' (beside: {pause})' if is_named else ''
+    assert line == f'no response in time: c0-1{note}'
