--- a/src/crocusproxy/entry/request_intake.py
+++ b/src/crocusproxy/entry/request_intake.py
@@ -95,14 +95,15 @@
 
     def take_turn(self) -> int:
         """Serve some of the input, and return how many requests started."""
+        if self.is_finished or self.ignores_input:
+            self.discarded_bytes += self.splitter.discard()
         started = 0
         for _ in range(_MAX_PIECES_PER_TURN):
-            if self.is_finished or self.ignores_input:
-                self.discarded_bytes += self.splitter.discard()
             if started >= REQUESTS_PER_TURN or not self.waits_for_turn():
                 break
             started += self._parse(self.splitter.take())
-        self._update_reading()
+        if self.splitter.segment or self._buffer_paused:
+            self._update_reading()
         return started
 
     def waits_for_turn(self) -> bool:
@@ -164,6 +165,9 @@
 
     def _parse(self, piece: bytes) -> int:
         """Parse bytes, and return how many requests started."""
+        if self.is_finished or self.ignores_input:
+            self.discarded_bytes += len(piece)
+            return 0
         assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(piece)
--- a/src/crocusproxy/entry/turns.py
+++ b/src/crocusproxy/entry/turns.py
@@ -13,6 +13,8 @@
 REQUESTS_PER_TURN = 4
 #: Requests that are started as they are read, in one run of the loop.
 _MAX_READ_IN_RUN = 16
+#: The end of a run is noted after so many, as that takes a callback.
+_MIN_SCHEDULED = 4
 #: Requests of waiting connections that are started in one run of the loop.
 _MAX_WAITING_IN_RUN = 4
 #: Turns in one run of the loop, as some only continue a body.
@@ -28,6 +30,9 @@
     def take_turn(self) -> int:
         """Serve some of the input that is kept, and return its requests."""
 
+    def has_kept_input(self) -> bool:
+        """Return whether input was read that has not been parsed."""
+
     def waits_for_turn(self) -> bool:
         """Return whether a further turn would serve input."""
 
@@ -59,8 +64,9 @@
             return
         if self.started_in_run < _MAX_READ_IN_RUN:
             self.started_in_run += connection.take_turn()
-        self.wait(connection, loop)
-        if self.started_in_run:
+        if connection.has_kept_input():
+            self.wait(connection, loop)
+        if self.started_in_run >= _MIN_SCHEDULED:
             self._schedule(loop)
 
     def wait(
