Leave descriptors for others when callers open connections and send nothing

New callers were reset, and with all descriptors taken neither upstreams nor the directory can be connected to. Each silent connection is kept for IdleTimeoutMs and a second.

A connection with input in the kernel, a request or outstanding bytes is not unused.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -183,6 +183,23 @@
             return True
         return delivery.is_receiving(now)
 
+    def is_unused(self) -> bool:
+        """Return whether the caller waits for nothing and has sent nothing.
+
+        An end that is under way does not count.
+        """
+        if self.delivery is None or self.pipeline or self.has_kept_input():
+            return False
+        if self.is_finished or self.has_outstanding_bytes():
+            return False
+        return not unread_bytes(self.delivery.transport)
+
+    def end_unused(self) -> None:
+        """Close the connection at once, as descriptors are short."""
+        if self.delivery is not None:
+            self.end_cause = EndCause.LIMIT
+            self.delivery.transport.close()
+
     def has_outstanding_bytes(self) -> bool:
         """Return whether the caller has yet to acknowledge bytes."""
         if self.delivery is None:
--- a/src/crocusproxy/entry/connection_end.py
+++ b/src/crocusproxy/entry/connection_end.py
@@ -16,6 +16,8 @@
     #: The connection was lost, for instance by a reset.
     ERROR = 'error'
     IDLE_TIMEOUT = 'idle_timeout'
+    #: Callers had too many connections, and this one was unused.
+    LIMIT = 'limit'
     #: Callers read too little of their responses, this one least of all.
     MEMORY = 'memory'
     #: The last response closed the connection, other than for a stop.
--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -28,7 +28,7 @@
 from ..platform.watch import ConfigWatch
 from .addresses import find_addresses
 from .background_tasks import BackgroundTasks
-from .caller_connection import CallerConnection
+from .connection_limit import limit_for_process
 from .crash_watch import CrashWatch
 from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
@@ -371,9 +371,9 @@
         await self.listeners.add(
             settings.metrics, self.application.admin_routes()
         )
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: CallerConnection(self.gateway, loop),
+        connection_limit = limit_for_process(self.gateway)
+        self.server = await self.loop.create_server(
+            partial(connection_limit.connect, self.loop),
             settings.callers.host,
             settings.callers.port,
             backlog=_BACKLOG,
--- a/src/crocusproxy/entry/metrics.py
+++ b/src/crocusproxy/entry/metrics.py
@@ -63,6 +63,11 @@
             ('cause',),
             registry=registry,
         )
+        self.unused_ends = Counter(
+            'crocus_entry_unused_ends',
+            'Unused connections that were ended as callers had too many.',
+            registry=registry,
+        )
         self.authentications = Counter(
             'crocus_entry_authentications',
             'Requests by the result of their authentication.',
@@ -140,6 +145,10 @@
         if end.unread_bytes:
             self.unread_ends.labels(end.cause).inc()
 
+    def count_unused_ends(self, connections: int) -> None:
+        """Count unused connections that were ended."""
+        self.unused_ends.inc(connections)
+
     def count_authentication(
         self, identity: Identity | Rejected | None
     ) -> None:
