--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -10,25 +10,20 @@
 from ..clock import SystemClock
 from ..event_loop.peer_timeout import own_paused_seconds
 from ..membership.catalog import Catalog
-from ..membership.crash_exchange import CrashExchange
 from ..membership.domain_homes import DomainHomeTable
 from ..membership.home_elector import HomeElector
 from ..membership.member_client import MemberClient
 from ..membership.member_list import MemberList
-from ..membership.quota_exchange import QuotaExchange
-from ..membership.terms_exchange import TermsExchange
 from ..placement.upstream_reach import UpstreamReach
 from ..platform.config_completion import ConfigCompletion
 from ..platform.directory import DIRECTORY_API
 from ..platform.headers import HEADER_NAMES
 from ..platform.members import MemberRegistration
-from ..platform.outage import StoreOutage
 from ..platform.relay import StoreRelay
 from ..platform.store import StoreClient
-from ..platform.watch import ConfigWatch
 from .addresses import find_addresses
 from .background_tasks import BackgroundTasks
-from .connection_limit import limit_for_process
+from .caller_port import open_caller_port
 from .crash_watch import CrashWatch
 from .dispatch_role import DispatchRole
 from .dispatcher import Dispatcher
@@ -39,12 +34,13 @@
 from .home_tasks import home_tasks
 from .joining import join
 from .listeners import AddressList, Listeners
+from .member_exchanges import connect_members
 from .metrics import EntryMetrics
 from .own_member import own_member
 from .prober import Prober
 from .process_end import create_application
 from .quota_connection import connect_quotas
-from .reach_check import ReachCheck, ReachQueries
+from .reach_check import ReachCheck
 from .reload_signal import ReloadSignal
 from .reloading import reload_from_file
 from .remaining_connections import RemainingConnections
@@ -52,7 +48,7 @@
 from .response_observer import ResponseObserver
 from .role_tasks import RoleTasks
 from .settings import EntrySettings
-from .standby_reader import StandbyReader
+from .standby_reader import StandbyReader, follow_directly
 from .unread_responses import budget_of as unread_budget_of
 from .upstream_call import UpstreamClient
 from .upstream_messages import UpstreamMessages
@@ -60,7 +56,6 @@
 
 _STORE_TIMEOUT = timedelta(milliseconds=600)
 _CLOSE_IDLE_INTERVAL_SECONDS = 1.0
-_BACKLOG = 512
 
 
 class EntryDaemon:
@@ -246,7 +241,7 @@
             self.domain_homes,
             self.reach.unreached_if_doubtful,
         )
-        self.reach_check = ReachCheck(
+        reach_check = ReachCheck(
             self.pool,
             self.catalog,
             HEADER_NAMES,
@@ -254,32 +249,26 @@
             self.metrics,
             self.reach,
         )
-        self.reach_queries = ReachQueries(
-            member_client, self.settings.instance.name, self.reach_check
-        )
-        self.crash_exchange = CrashExchange(
-            member_client, self.elector, self.crash_watch.apply_report
-        )
-        self.crash_watch.send_report = self.crash_exchange.send
-        self.terms_exchange = TermsExchange(
-            member_client, self.elector, self.catalog.terms
-        )
-        self.quota_exchange = QuotaExchange(
-            member_client, self.member_list, self.quotas, self.clock
-        )
-        self.quota_exchange.find_homes = lambda: (
-            self.elector.epoch,
-            self.domain_homes.assignment,
+        self.exchanges = connect_members(
+            member_client,
+            self.elector,
+            self.member_list,
+            self.domain_homes,
+            reach_check,
+            self.crash_watch,
+            self.catalog,
+            self.quotas,
+            self.clock,
         )
         self.role_tasks.connect(
-            self.quota_exchange,
+            self.exchanges.quotas,
             partial(
                 home_tasks,
                 self.store,
                 self.elector,
                 self.clock,
                 self.dispatcher.random,
-                self.reach_queries,
+                self.exchanges.reach_queries,
                 self.settings.bounds.upstream_heartbeat,
             ),
         )
@@ -301,23 +290,22 @@
         )
         self.tasks.spawn(self.dispatcher.run_queues)
         self.tasks.spawn(self._close_idle_connections)
-        self.tasks.spawn(self.quota_exchange.run)
+        self.tasks.spawn(self.exchanges.quotas.run)
         self.tasks.spawn(self.config_completion.run)
         self.tasks.spawn(
             StandbyReader(
-                self.elector, self.clock, self._read_config_directly
+                self.elector,
+                self.clock,
+                partial(
+                    follow_directly,
+                    self.store,
+                    self.catalog,
+                    self.clock,
+                    self.dispatcher.random,
+                ),
             ).run
         )
 
-    async def _read_config_directly(self) -> None:
-        """Follow the operators' topic; relays would multiply the calls."""
-        await ConfigWatch(
-            self.store.without_relays(),
-            self.catalog,
-            self.clock,
-            StoreOutage(self.dispatcher.random),
-        ).run()
-
     def _create_prober(self) -> Prober:
         return Prober(
             self.pool,
@@ -356,28 +344,15 @@
         relay = StoreRelay(self.session, settings.store, _STORE_TIMEOUT)
         member_routes = self.elector.server.routes()
         await self.listeners.open(settings.directory, settings.readiness)
-        await self.listeners.add(
-            settings.internal,
-            [
-                *member_routes,
-                *self.crash_exchange.routes(),
-                *self.terms_exchange.routes(),
-                *self.quota_exchange.routes(),
-                *self.reach_check.routes(),
-                *relay.routes(),
-            ],
-        )
-        await self.listeners.add(settings.control, member_routes)
+        for listen, routes in (
+            (settings.internal, [*self.exchanges.routes(), *relay.routes()]),
+            (settings.control, []),
+        ):
+            await self.listeners.add(listen, [*member_routes, *routes])
         await self.listeners.add(
             settings.metrics, self.application.admin_routes()
         )
-        connection_limit = limit_for_process(self.gateway)
-        self.server = await self.loop.create_server(
-            partial(connection_limit.connect, self.loop),
-            settings.callers.host,
-            settings.callers.port,
-            backlog=_BACKLOG,
-        )
+        self.server = await open_caller_port(self.gateway, settings.callers)
 
     def _request_reload(self) -> None:
         # uvloop's add_signal_handler can miss a signal between two runs of the
--- a/src/crocusproxy/entry/standby_reader.py
+++ b/src/crocusproxy/entry/standby_reader.py
@@ -8,10 +8,15 @@
 
 import asyncio
 from datetime import timedelta
+from random import Random
 
 from ..clock import Clock
 from ..logs import log
+from ..membership.catalog import Catalog
 from ..membership.home_elector import HomeElector
+from ..platform.outage import StoreOutage
+from ..platform.store import StoreClient
+from ..platform.watch import ConfigWatch
 from .background_tasks import BackgroundTasks, Run
 
 CHECK_INTERVAL_SECONDS = 0.1
@@ -19,6 +24,17 @@
 MAX_FEED_SILENCE = timedelta(milliseconds=450)
 
 
+async def follow_directly(
+    store: StoreClient, catalog: Catalog, clock: Clock, random: Random
+) -> None:
+    """Follow the operators' topic without relays, until cancelled.
+
+    Relays would multiply the calls.
+    """
+    outage = StoreOutage(random)
+    await ConfigWatch(store.without_relays(), catalog, clock, outage).run()
+
+
 class StandbyReader:
     """Runs ``read_config`` while this member hears nothing from its home."""
 
