Release what an endless response has filled, at once

What callers saw: upstreams that send bytes without end filled the process that had called them, and the requests of others ended with it.

The error that ends an exchange refers to the frame of StreamReader.read(), which refers to the pieces and, over the payload, to the error: a cycle that stayed until a full garbage collection, of which there was none. The rest, some 400 MB, was free memory that glibc kept (739 MB resident after a collection, 62 after malloc_trim). The tests missed it: their endless forms had no request id, so they were skipped as late responses and never held, and memory was not measured.

The body now grows in one buffer, which is emptied as the exchange fails. The kernel holds at most some 256 kB a connection to an upstream or home; before, up to tcp_rmem's maximum.

Changed tests: the endless forms echo the request id; the old one is kept as "without id". RESPONSE_BUDGET_BYTES is the new default, and the bound on sent bytes is the same 40 MB. Red and listed: endless chunks of one byte take the processor of an instance, as before.

--- a/src/crocusproxy/entry/main.py
+++ b/src/crocusproxy/entry/main.py
@@ -8,6 +8,7 @@
 import os
 import sys
 
+from ..memory_limits import return_freed_memory
 from ..platform.process import SETTINGS_VARIABLE
 from .reload_signal import ReloadSignal
 
@@ -23,6 +24,7 @@
     # Imported modules live as long as the process, so collecting them is wasted
     # work. The application enables the collector once it has started.
     gc.disable()
+    return_freed_memory()
     from .program import run_entry  # noqa: WPS433, PLC0415 - see above
 
     path = settings or os.environ.get(SETTINGS_VARIABLE, '')
--- a/src/crocusproxy/entry/probe_exchange.py
+++ b/src/crocusproxy/entry/probe_exchange.py
@@ -30,5 +30,5 @@
         request.encode(), expects_body=True, timeout=timeout
     )
     if connection.payload is not None:
-        await connection.payload.read()
+        await connection.read_body()
     return message
--- a/src/crocusproxy/entry/upstream_connection.py
+++ b/src/crocusproxy/entry/upstream_connection.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from aiohttp import StreamReader
 from aiohttp.http import RawResponseMessage
 
+from ..memory_limits import limit_receive_buffer
 from ..proxy.connection import BrokenResponseError, UpstreamConnection
 from .response_budget import ResponseBudget
 
@@ -24,11 +26,14 @@
     connection is reset. On a connection that has carried another request, a
     response without an id may be a second copy of the one to that request, so
     ``requires_id`` is set. All bytes received during an exchange are taken from
-    ``budget``.
+    ``budget``, and ``body`` is what was read of a response that is incomplete.
+    ``failure`` is the first error that ended the exchange.
     """
 
     __slots__ = (
+        'body',
         'budget',
+        'failure',
         'has_been_used',
         'has_surplus_response',
         'held_bytes',
@@ -48,6 +53,8 @@
     ) -> None:
         super().__init__(loop, on_lost)
         self.budget = budget
+        self.body = bytearray()
+        self.failure: BrokenResponseError | None = None
         self.held_bytes = 0
         self.skipped_count = 0
         self.skipped_payload: StreamReader | None = None
@@ -56,6 +63,11 @@
         self.has_been_used = False
         self.requires_id = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what the kernel holds of a response."""
+        super().connection_made(transport)
+        limit_receive_buffer(transport)
+
     async def exchange(
         self,
         request: bytes,
@@ -80,18 +92,37 @@
             expects_body=expects_body,
             timeout=max(timeout, _MIN_TIMEOUT_SECONDS),
         )
+        return message, await self.read_body()
+
+    async def read_body(self) -> bytes:
+        """Return the whole body of the response.
+
+        It grows in place, as many pieces would take a multiple of its length.
+
+        Raises:
+            BrokenResponseError: the response did not arrive completely.
+        """
         payload = self.payload
         if payload is None:
             raise BrokenResponseError(self.fault)
-        if payload.is_eof():
-            return message, payload.read_nowait()
-        return message, await payload.read()
+        if payload.is_eof() and not self.body:
+            return payload.read_nowait()
+        try:
+            while not payload.at_eof():
+                self.body += await payload.readany()
+        except (BrokenResponseError, RuntimeError) as error:
+            # A reader whose buffer was released waits for the connection's end.
+            raise self.failure or error
+        whole_body = bytes(self.body)
+        self.body.clear()
+        return whole_body
 
     def send(
         self, request: bytes, *, expects_body: bool, timeout: float
     ) -> asyncio.Future[RawResponseMessage]:
         """Write a request; the future resolves to the head of its response."""
         self.has_been_used = True
+        self.failure = None
         return super().send(request, expects_body=expects_body, timeout=timeout)
 
     def finish(self) -> bool:
@@ -99,22 +130,30 @@
         self.requires_id = False
         self.skipped_payload = None
         self.skipped_count = 0
-        self._give_back()
+        self._release_incomplete()
+        self.body.clear()
+        self.budget.give_back(self)
         if self.has_surplus_response:
             self.fault = self.fault or 'more than one response'
         return super().finish()
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes unless the response is too large."""
-        if not self.budget.take(self.held_bytes, len(data)):
-            self._abort_with('the response is too large')
+        if self.is_aborted:
+            return
+        if data and not self.budget.take(self, len(data)):
+            self.drop_response()
             return
-        self.held_bytes += len(data)
         super().data_received(data)
         if self.skipped_payload is not None:
             # Nobody reads it, and the expected response comes after it.
             self.skipped_payload.read_nowait()
 
+    def drop_response(self) -> None:
+        """Abort the exchange and release what was received."""
+        self._abort_with('the response is too large')
+        self.budget.give_back(self)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End a response without length if the connection closed cleanly."""
         payload = self.payload
@@ -122,11 +161,28 @@
             if not payload.is_eof() and self._lacks_length():
                 payload.feed_eof()
         super().connection_lost(exc)
-        self._give_back()
+        self.budget.give_back(self)
 
-    def _give_back(self) -> None:
-        self.budget.give_back(self.held_bytes)
-        self.held_bytes = 0
+    def _fail(self, error: BrokenResponseError) -> None:
+        if self.failure is None:
+            self.failure = error
+        self._release_incomplete()
+        super()._fail(error)
+
+    def _release_incomplete(self) -> None:
+        """Release what was received unless the response is complete.
+
+        The error that ends an exchange refers to the objects that hold it, and
+        they to the error, so that it would stay until the garbage collection.
+        """
+        payload = self.payload
+        if payload is None or payload.is_eof():
+            return
+        self._parser = None
+        self.body.clear()
+        # Once it has failed, or while a read waits, its buffer is empty.
+        with suppress(RuntimeError, BrokenResponseError):
+            payload.read_nowait()
 
     def _accept(
         self, message: RawResponseMessage, payload: StreamReader
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -39,7 +39,7 @@
 
 HOST = 'a.example'
 #: As with the default of 256 MB of memory.
-RESPONSE_BUDGET_BYTES = 64 * 1024 * 1024
+RESPONSE_BUDGET_BYTES = 32 * 1024 * 1024
 
 
 def make_route(prefix, idempotent, timeout=1.0, attempts=3):
@@ -73,8 +73,8 @@
 
     peak_bytes = 0
 
-    def take(self, held_bytes, more_bytes):
-        is_taken = super().take(held_bytes, more_bytes)
+    def take(self, holder, more_bytes):
+        is_taken = super().take(holder, more_bytes)
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
         return is_taken
 
--- a/tests/entry/test_endless_responses.py
+++ b/tests/entry/test_endless_responses.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from standins.slot_server import SIGNATURE
+from standins.slot_server import REQUEST_ID, SIGNATURE
 
 from .harness import (
     RESPONSE_BUDGET_BYTES,
@@ -22,11 +22,13 @@
 #: An endless response is given up well before the deadline.
 MAX_SECONDS = 3
 #: The response budget of the test system, and what sockets hold besides.
-MAX_SENT_BYTES = RESPONSE_BUDGET_BYTES // 2 + 8 * 1024 * 1024
+MAX_SENT_BYTES = RESPONSE_BUDGET_BYTES + 8 * 1024 * 1024
 
 BLOCK = b'x' * 65536
 OK = b'HTTP/1.1 200 OK\r\n'
-SIGNED = OK + SIGNATURE.encode() + b': s\r\n'
+#: Without the id of the request, a success is skipped, and never held.
+SIGNED_WITHOUT_ID = OK + SIGNATURE.encode() + b': s\r\n'
+SIGNED = SIGNED_WITHOUT_ID + REQUEST_ID.encode() + b': %b\r\n'
 #: The first bytes and those that follow without end.
 FORMS = {
     'chunks': (
@@ -48,8 +50,9 @@
         )
         * 1000,
     ),
+    'without id': (SIGNED_WITHOUT_ID + b'\r\n', BLOCK),
     'late response': (
-        SIGNED + b'Content-Length: 99999999999\r\n'
+        SIGNED_WITHOUT_ID + b'Content-Length: 99999999999\r\n'
         b'X-Crocusproxy-Request-Id: other\r\n\r\n',
         BLOCK,
     ),
@@ -84,9 +87,11 @@
 
     async def serve(self, reader, writer):
         try:
-            await reader.readuntil(b'\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
             self.request_count += 1
-            writer.write(self.first)
+            _, _, rest = head.partition(f'{REQUEST_ID}: '.encode())
+            request_id, _, _ = rest.partition(b'\r\n')
+            writer.write(self.first.replace(b'%b', request_id))
             while True:
                 writer.write(self.block)
                 await writer.drain()
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -98,10 +98,14 @@
 
 
 def publish(store, version):
+    publish_config(store, version, CONFIG)
+
+
+def publish_config(store, version, document):
     store.put(
         'keyed.op',
         'config',
-        json.dumps({**CONFIG, 'Version': f'{version:08x}'}).encode(),
+        json.dumps({**document, 'Version': f'{version:08x}'}).encode(),
     )
 
 
