Read responses of the store and of other instances up to a limit

Responses are read up to 8 MiB, pages of the store have 1 MB; lines of a feed and what they decompress to up to 16 MiB, the state of 10,050 upstreams has some 3 MB. Longer ones end with the code response_too_large, as errors that the callers handle already; a line that is too long ended the reader with another error.

--- a/src/crocusproxy/membership/feed_lines.py
+++ b/src/crocusproxy/membership/feed_lines.py
@@ -17,7 +17,7 @@
 ENCODED_MESSAGES = 8
 #: Lines that are shorter are not compressed.
 MIN_COMPRESSED_BYTES = 2048
-MAX_LINE_BYTES = 64 * 1024 * 1024
+MAX_LINE_BYTES = 16 * 1024 * 1024
 _COMPRESSION_LEVEL = 1
 #: Starts a compressed line; other lines are JSON objects.
 _COMPRESSED_PREFIX = b'z'
--- a/src/crocusproxy/membership/member_client.py
+++ b/src/crocusproxy/membership/member_client.py
@@ -11,9 +11,10 @@
     StreamReader,
 )
 
+from ..bounded_read import read_bounded
 from ..errors import NotReachableError
 from ..event_loop.peer_timeout import PeerTimeout
-from ..protocol.codec import MalformedMessageError, decode, encode
+from ..protocol.codec import decode, encode
 from ..protocol.home_feed import (
     CrashReport,
     Departure,
@@ -129,7 +130,7 @@
                     method, f'http://{address}{path}', data=body
                 ) as response,
             ):
-                content = await response.read()
+                content = await read_bounded(response)
         except (ClientError, OSError, TimeoutError) as error:
             raise NotReachableError(f'{address}: {error!r}') from error
         if response.status == _NOT_FOUND:
@@ -143,7 +144,7 @@
     """Yield the lines of a feed; none if the member declines.
 
     Raises:
-        MalformedMessageError: a line is too long.
+        NotReachableError: a line is too long.
         TimeoutError: the feed is silent.
     """
     async with PeerTimeout(FEED_TIMEOUT_SECONDS):
@@ -168,7 +169,10 @@
             parts = [part]
             size = len(part)
         if size > MAX_LINE_BYTES:
-            raise MalformedMessageError('a line of the feed is too long')
+            raise NotReachableError(
+                f'over {MAX_LINE_BYTES} bytes in a line',
+                code='response_too_large',
+            )
     if size:
         yield b''.join(parts)
 
--- a/src/crocusproxy/platform/relay.py
+++ b/src/crocusproxy/platform/relay.py
@@ -4,6 +4,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ..bounded_read import read_bounded
 from ..event_loop.peer_timeout import PeerTimeout
 from ..logs import log
 from .store import INCARNATION_HEADER, RELAY_PREFIX
@@ -49,7 +50,7 @@
                     timeout=ClientTimeout(),
                 ) as response,
             ):
-                body = await response.read()
+                body = await read_bounded(response)
         except (ClientError, TimeoutError) as error:
             log('store_relay_failed', error=repr(error))
             return web.Response(status=_BAD_GATEWAY)
--- a/src/crocusproxy/platform/store.py
+++ b/src/crocusproxy/platform/store.py
@@ -5,6 +5,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from ..bounded_read import read_bounded
 from ..clock import Clock, SystemClock
 from ..errors import (
     REJECTED_APPEND_STATUSES,
@@ -148,7 +149,7 @@
                     timeout=ClientTimeout(),
                 ) as response,
             ):
-                await response.read()
+                await read_bounded(response)
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'append: {error!r}') from error
         if response.status in REJECTED_APPEND_STATUSES:
@@ -185,7 +186,7 @@
                     timeout=ClientTimeout(),
                 ) as response,
             ):
-                body = await response.read()
+                body = await read_bounded(response)
         except (ClientError, TimeoutError) as error:
             raise PlatformUnavailableError(f'{path}: {error!r}') from error
         if response.status == _GONE:
