Start no standby read at the first check after a pause

The first check after a pause now starts no read; the next one, 0.1 s later, may. Without a pause nothing is later.

--- a/src/crocusproxy/entry/daemon.py
+++ b/src/crocusproxy/entry/daemon.py
@@ -303,6 +303,7 @@
                     self.clock,
                     self.dispatcher.random,
                 ),
+                own_paused_seconds,
             ).run
         )
 
--- a/src/crocusproxy/entry/standby_reader.py
+++ b/src/crocusproxy/entry/standby_reader.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
@@ -36,11 +37,21 @@
 
 
 class StandbyReader:
-    """Runs ``read_config`` while this member hears nothing from its home."""
+    """Runs ``read_config`` while this member hears nothing from its home.
+
+    ``paused_seconds`` returns the sum of this process's pauses.
+    """
 
     def __init__(
-        self, elector: HomeElector, clock: Clock, read_config: Run
+        self,
+        elector: HomeElector,
+        clock: Clock,
+        read_config: Run,
+        paused_seconds: Callable[[], float] = float,
     ) -> None:
+        self.paused_seconds = paused_seconds
+        self.paused_before = float()
+        self.has_deferred = False
         self.elector = elector
         self.clock = clock
         self.read_config = read_config
@@ -58,7 +69,8 @@
     def update(self) -> None:
         """Start or stop to read."""
         is_reading = bool(self.tasks.tasks)
-        if self._is_needed() == is_reading:
+        must_defer = self._must_defer() and not is_reading
+        if must_defer or self._is_needed() == is_reading:
             return
         if is_reading:
             self.tasks.cancel()
@@ -69,6 +81,19 @@
         log('standby_reading_started', home=name)
         self.tasks.spawn(self.read_config)
 
+    def _must_defer(self) -> bool:
+        """Return whether a heartbeat may have arrived in a pause, unread.
+
+        Only one check in a row is deferred, so that repeated pauses don't keep
+        this member from reading.
+        """
+        paused = self.paused_seconds()
+        self.has_deferred = (
+            not self.has_deferred and paused > self.paused_before
+        )
+        self.paused_before = paused
+        return self.has_deferred
+
     def _is_needed(self) -> bool:
         elector = self.elector
         heard_at = elector.home_heard_at
--- a/tests/entry/test_paused_standby.py
+++ b/tests/entry/test_paused_standby.py
@@ -11,6 +11,7 @@
 from crocusproxy.clock import SystemClock
 from crocusproxy.entry.standby_reader import MAX_FEED_SILENCE, StandbyReader
 from crocusproxy.errors import NotReachableError
+from crocusproxy.event_loop.peer_timeout import own_paused_seconds
 from crocusproxy.membership.feed_lines import encode_line
 from crocusproxy.membership.feed_server import HEARTBEAT_INTERVAL_SECONDS
 from crocusproxy.membership.member_client import MemberClient
@@ -50,7 +51,7 @@
     async def read():
         reads.append(clock.monotonic())
 
-    reader = StandbyReader(elector, clock, read)
+    reader = StandbyReader(elector, clock, read, own_paused_seconds)
     task = asyncio.create_task(reader.run())
     asyncio.get_running_loop().call_later(
         pause_after, time.sleep, PAUSE_SECONDS
