Count the parsing of bodies as work of a turn

A turn counted the requests that it started only, so that connections with chunked bodies in one-byte chunks had 16 pieces of 16 KB parsed in each turn, without a limit for all.

--- a/src/crocusproxy/entry/head_splitter.py
+++ b/src/crocusproxy/entry/head_splitter.py
@@ -2,8 +2,8 @@
 
 HEAD_END = b'\r\n\r\n'
 _OVERLAP = len(HEAD_END) - 1
-#: The parser takes a few milliseconds for so many bytes of tiny chunks.
-MAX_PIECE_BYTES = 16_384
+#: Parsing tiny chunks takes a hundred times as long as parsing other bytes.
+MAX_PIECE_BYTES = 2048
 
 
 class HeadSplitter:
@@ -25,9 +25,9 @@
     [1, 4, 0]
     >>> splitter.feed(b'x' * (MAX_PIECE_BYTES + 1))
     >>> splitter.kept_bytes()
-    16385
+    2049
     >>> [len(splitter.take()) for _ in range(2)]
-    [16384, 1]
+    [2048, 1]
     """
 
     __slots__ = ('position', 'segment', 'tail')
--- a/src/crocusproxy/entry/request_intake.py
+++ b/src/crocusproxy/entry/request_intake.py
@@ -16,7 +16,7 @@
 from .caller_request import CallerRequest, RequestStage
 from .head_splitter import HeadSplitter
 from .rejected_request import rejected_request
-from .turns import REQUESTS_PER_TURN, Turns
+from .turns import REQUEST_WORK, REQUESTS_PER_TURN, Turns
 
 #: Requests of a connection that are parsed and not answered.
 _MAX_PIPELINED = 64
@@ -26,7 +26,7 @@
 #: Requests of a connection that wait for a slot of an upstream. More would
 #: take the places of other callers in the queue.
 _MAX_QUEUED = 8
-_MAX_PIECES_PER_TURN = 16
+_MAX_PIECES_PER_TURN = 8
 _READ_BUFFER_BYTES = 1 << 30  # the configuration limits the body size
 
 
@@ -94,17 +94,19 @@
             self._update_reading()
 
     def take_turn(self) -> int:
-        """Serve some of the input, and return how many requests started."""
+        """Serve some of the input, and return the work of it."""
         if self.is_finished or self.ignores_input:
             self.discarded_bytes += self.splitter.discard()
         started = 0
-        for _ in range(_MAX_PIECES_PER_TURN):
+        pieces = 0
+        while pieces < _MAX_PIECES_PER_TURN:
             if started >= REQUESTS_PER_TURN or not self.waits_for_turn():
                 break
             started += self._parse(self.splitter.take())
+            pieces += 1
         if self.splitter.segment or self._buffer_paused:
             self._update_reading()
-        return started
+        return pieces + started * REQUEST_WORK
 
     def waits_for_turn(self) -> bool:
         """Return whether input is kept that may be served."""
--- a/src/crocusproxy/entry/turns.py
+++ b/src/crocusproxy/entry/turns.py
@@ -11,14 +11,14 @@
 
 #: Requests that one connection may start in one turn.
 REQUESTS_PER_TURN = 4
-#: Requests that are started as they are read, in one run of the loop.
-_MAX_READ_IN_RUN = 16
-#: The end of a run is noted after so many, as that takes a callback.
-_MIN_SCHEDULED = 4
-#: Requests of waiting connections that are started in one run of the loop.
-_MAX_WAITING_IN_RUN = 4
-#: Turns in one run of the loop, as some only continue a body.
-_MAX_TURNS_IN_RUN = 8
+#: Work of starting a request, where parsing a piece of input is 1.
+REQUEST_WORK = 4
+#: Work that is done as input is read, in one run of the loop.
+_MAX_READ_IN_RUN = 64
+#: The end of a run is noted after so much work, as that takes a callback.
+_MIN_SCHEDULED = 16
+#: Work that is done for waiting connections in one run of the loop.
+_MAX_WAITING_IN_RUN = 16
 _CHECK_SECONDS = 0.01
 #: Held connections that are looked at at once.
 _MAX_CHECKED = 64
@@ -28,7 +28,7 @@
     """The part of a connection that takes turns."""
 
     def take_turn(self) -> int:
-        """Serve some of the input that is kept, and return its requests."""
+        """Serve some of the input that is kept, and return the work."""
 
     def has_kept_input(self) -> bool:
         """Return whether input was read that has not been parsed."""
@@ -52,7 +52,7 @@
         self.waiting: deque[TurnTaker] = deque()
         self.members: set[TurnTaker] = set()
         self.held: dict[TurnTaker, None] = {}
-        self.started_in_run = 0
+        self.work_in_run = 0
         self.is_scheduled = False
         self.is_checking = False
 
@@ -62,11 +62,11 @@
         """Serve new input at once, unless others have just had much."""
         if connection in self.members:
             return
-        if self.started_in_run < _MAX_READ_IN_RUN:
-            self.started_in_run += connection.take_turn()
+        if self.work_in_run < _MAX_READ_IN_RUN:
+            self.work_in_run += connection.take_turn()
         if connection.has_kept_input():
             self.wait(connection, loop)
-        if self.started_in_run >= _MIN_SCHEDULED:
+        if self.work_in_run >= _MIN_SCHEDULED:
             self._schedule(loop)
 
     def wait(
@@ -97,14 +97,14 @@
 
     def _run(self, loop: asyncio.AbstractEventLoop) -> None:
         self.is_scheduled = False
-        self.started_in_run = 0
-        started = 0
-        for _ in range(min(len(self.waiting), _MAX_TURNS_IN_RUN)):
+        self.work_in_run = 0
+        work = 0
+        for _ in tuple(self.waiting):
             connection = self.waiting.popleft()
             self.members.discard(connection)
-            started += connection.take_turn()
+            work += connection.take_turn()
             self.wait(connection, loop)
-            if started >= _MAX_WAITING_IN_RUN:
+            if work >= _MAX_WAITING_IN_RUN:
                 break
         if self.waiting:
             self._schedule(loop)
