--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -212,36 +212,18 @@
         self.end_cause = self.end_cause or EndCause.STOP
         self._record_end(None)
 
-    def has_requests(self) -> bool:
-        """Return whether a request has not been answered yet."""
-        return bool(self.pipeline)
-
     def _enforce_idle_timeouts(
         self, delivery: ResponseDelivery, now: timedelta
     ) -> None:
         limits = self.gateway.limits
         active_at = max(self.last_activity_at, delivery.acknowledged_at)
-        if self._is_head_late(delivery, now):
+        if self._is_head_late(now):
             self._reject(TimeoutError('the head took too long'))
         elif delivery.outstanding:
             return
         elif now - active_at > limits.idle_timeout + _IDLE_MARGIN:
             self._end_unless_unread(EndCause.IDLE_TIMEOUT, now)
 
-    def _is_head_late(self, delivery: ResponseDelivery, now: timedelta) -> bool:
-        """Return whether a head is not complete after its time.
-
-        What is unread may be the rest. It counts for as long again, as a caller
-        may go on sending one without an end.
-        """
-        if self.head_started_at is None:
-            return False
-        header_timeout = self.gateway.limits.header_timeout
-        excess = now - self.head_started_at - header_timeout
-        if excess <= timedelta() or excess > header_timeout:
-            return excess > timedelta()
-        return not unread_bytes(delivery.transport)
-
     def _start_request(
         self, message: RawRequestMessage, payload: StreamReader
     ) -> None:
@@ -361,10 +343,3 @@
         )
         if end.requests or end.discarded_bytes:
             self.gateway.record_end(end)
-
-    def _has_started_requests(self) -> bool:
-        """Return whether a request in the pipeline may be at an upstream."""
-        return any(
-            request.earlier_responses_written is None
-            for request in self.pipeline
-        )
--- a/src/crocusproxy/entry/connection_limit.py
+++ b/src/crocusproxy/entry/connection_limit.py
@@ -41,7 +41,8 @@
             connection.end_unused()
         ended = min(len(unused), _ENDED_AT_ONCE)
         self.gateway.metrics.count_unused_ends(ended)
-        log('connections_limited', open=len(connections), ended=ended)
+        if ended:
+            log('connections_limited', open=len(connections), ended=ended)
 
 
 def _rank(connection: CallerConnection) -> tuple[bool, float]:
--- a/src/crocusproxy/entry/request_intake.py
+++ b/src/crocusproxy/entry/request_intake.py
@@ -11,7 +11,7 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from ..clock import Clock
-from ..http_server.socket_queues import has_peer_left
+from ..http_server.socket_queues import has_peer_left, unread_bytes
 from ..routes.model import CallerLimits
 from .caller_request import CallerRequest, RequestStage
 from .head_splitter import HeadSplitter
@@ -125,6 +125,24 @@
             return False
         return True
 
+    def has_requests(self) -> bool:
+        """Return whether a request has not been answered yet."""
+        return bool(self.pipeline)
+
+    def _is_head_late(self, now: timedelta) -> bool:
+        """Return whether a head is not complete after its time.
+
+        What is unread may be the rest. It counts for as long again, as a caller
+        may go on sending one without an end.
+        """
+        if self.head_started_at is None:
+            return False
+        header_timeout = self.gateway.limits.header_timeout
+        excess = now - self.head_started_at - header_timeout
+        if excess <= timedelta() or excess > header_timeout:
+            return excess > timedelta()
+        return self.transport is None or not unread_bytes(self.transport)
+
     def _has_room(self) -> bool:
         """Return whether a further request may be parsed.
 
@@ -192,6 +210,13 @@
             return False
         return not (self.gateway.is_draining and self.pipeline)
 
+    def _has_started_requests(self) -> bool:
+        """Return whether a request in the pipeline may be at an upstream."""
+        return any(
+            request.earlier_responses_written is None
+            for request in self.pipeline
+        )
+
     def _note_partial_head(self, *, is_partial: bool) -> None:
         if not is_partial:
             self.head_started_at = None
