Bound what timers of a constantly busy loop wait for

An instance whose loop runs some 0.03 s late all the time always counted as pausing, and the monitor's own timer waited for six runs like others. The wait then counted as a pause, and began the next one.

The monitor's timer waits no more, and a timer that has waited for 0.05 s takes three runs at most.

--- a/src/crocusproxy/event_loop/input_first_loop.py
+++ b/src/crocusproxy/event_loop/input_first_loop.py
@@ -14,6 +14,11 @@
 from .pause_monitor import CATCH_UP_RUNS, PauseMonitor
 
 _Arguments = TypeVarTuple('_Arguments')
+#: Runs that a timer waits for at least: one reads, two are for tasks.
+_MIN_RUNS = 3
+#: A timer that has waited for longer takes no more than these. A loop whose
+#: runs are always long would delay all timers by many of them.
+_MAX_WAIT_SECONDS = 0.05
 
 
 class InputFirstLoop(uvloop.Loop):
@@ -36,11 +41,17 @@
         timer.handle = super().call_later(delay, timer, context=context)
         return timer.handle
 
+    def call_later_undelayed(
+        self, delay: float, callback: Callable[[], object]
+    ) -> asyncio.TimerHandle:
+        """Call ``callback`` after ``delay`` seconds, also in a pause."""
+        return uvloop.Loop.call_later(self, delay, callback)
+
 
 class _Timer:
     """Calls back at once, or once the input of a pause was read."""
 
-    __slots__ = ('args', 'callback', 'handle', 'loop', 'runs_left')
+    __slots__ = ('args', 'callback', 'handle', 'loop', 'runs', 'waits_since')
 
     def __init__(
         self,
@@ -52,11 +63,13 @@
         self.callback = callback
         self.args = args
         self.handle: asyncio.TimerHandle | None = None
-        self.runs_left = CATCH_UP_RUNS
+        self.runs = 0
+        self.waits_since = float()
 
     def __call__(self) -> None:
         pauses = self.loop.pauses
         if pauses is not None and pauses.is_ending():
+            self.waits_since = self.loop.time()
             self._wait_one_run()
         else:
             self.callback(*self.args)
@@ -66,8 +79,14 @@
         # What was read meanwhile may have made the timer needless.
         if handle is not None and handle.cancelled():
             return
-        if self.runs_left:
-            self.runs_left -= 1
-            self.loop.call_soon(self._wait_one_run)
-        else:
+        if self._has_waited():
             self.callback(*self.args)
+        else:
+            self.runs += 1
+            self.loop.call_soon(self._wait_one_run)
+
+    def _has_waited(self) -> bool:
+        if self.runs < _MIN_RUNS:
+            return False
+        waited_seconds = self.loop.time() - self.waits_since
+        return self.runs >= CATCH_UP_RUNS or waited_seconds > _MAX_WAIT_SECONDS
--- a/src/crocusproxy/event_loop/pause_monitor.py
+++ b/src/crocusproxy/event_loop/pause_monitor.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Any
 
 from prometheus_client import Histogram
@@ -100,8 +101,10 @@
         seconds = self._current_pause()
         if seconds:
             self.paused_seconds += seconds
+            is_counting = self.catch_up_runs > 0
             self.catch_up_runs = CATCH_UP_RUNS
-            loop.call_soon(self._count_run, loop)
+            if not is_counting:
+                loop.call_soon(self._count_run, loop)
         if seconds > LOGGED_SECONDS:
             self._log_pause(seconds)
         self._schedule(loop)
@@ -121,7 +124,9 @@
         self.processor_seconds = self.processor_time()
         self._forget_steps()
         self.due_at = self._now() + HEARTBEAT_SECONDS
-        self.timer = loop.call_later(HEARTBEAT_SECONDS, self._check, loop)
+        # A delay of the heartbeat itself would count as a longer pause.
+        call_later = getattr(loop, 'call_later_undelayed', loop.call_later)
+        self.timer = call_later(HEARTBEAT_SECONDS, partial(self._check, loop))
 
     def _forget_steps(self) -> None:
         self.collector_seconds = float()
