End connections for descriptors only while nothing is unread on them

A caller that was sending a head when callers had too many connections was reset, as half a head counted as nothing sent.

The kernel is now asked directly before the end, for the 32 that are to be ended only, and a search that ended none isn't repeated for 0.1 s.

--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -184,21 +184,30 @@
         return delivery.is_receiving(now)
 
     def is_unused(self) -> bool:
-        """Return whether the caller waits for nothing and has sent nothing.
+        """Return whether the caller waits for nothing and sends nothing.
 
-        An end that is under way does not count.
+        An end that is under way does not count. What the kernel holds is not
+        looked at.
         """
         if self.delivery is None or self.pipeline or self.has_kept_input():
             return False
-        if self.is_finished or self.has_outstanding_bytes():
+        if self.is_finished or self.head_started_at is not None:
             return False
-        return not unread_bytes(self.delivery.transport)
+        return not self.has_outstanding_bytes()
 
-    def end_unused(self) -> None:
-        """Close the connection at once, as descriptors are short."""
-        if self.delivery is not None:
-            self.end_cause = EndCause.LIMIT
-            self.delivery.transport.close()
+    def end_unused(self) -> bool:
+        """Close the connection, as descriptors are short, unless it has input.
+
+        Return whether it closes.
+        """
+        now = self.gateway.clock.monotonic()
+        transport = self.transport
+        if transport is None or not self._end_unless_unread(
+            EndCause.LIMIT, now
+        ):
+            return False
+        transport.close()
+        return True
 
     def has_outstanding_bytes(self) -> bool:
         """Return whether the caller has yet to acknowledge bytes."""
--- a/src/crocusproxy/entry/connection_limit.py
+++ b/src/crocusproxy/entry/connection_limit.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import resource
+from datetime import timedelta
 from heapq import nsmallest
 
 from ..logs import log
@@ -13,6 +14,8 @@
 _CALLERS_SHARE = 0.6
 #: Connections that are ended at once, as the search looks at all of them.
 _ENDED_AT_ONCE = 32
+#: Time after a search that ended none until the next one.
+_PAUSE = timedelta(milliseconds=100)
 
 
 class ConnectionLimit:
@@ -25,6 +28,7 @@
     def __init__(self, gateway: Gateway, max_connections: int) -> None:
         self.gateway = gateway
         self.max_connections = max_connections
+        self.next_search_at = timedelta()
 
     def connect(self, loop: asyncio.AbstractEventLoop) -> CallerConnection:
         """Return the protocol of a new connection, after making room."""
@@ -34,12 +38,14 @@
     def make_room(self) -> None:
         """End unused connections if callers have too many."""
         connections = self.gateway.connections
-        if len(connections) < self.max_connections:
+        now = self.gateway.clock.monotonic()
+        if len(connections) < self.max_connections or now < self.next_search_at:
             return
         unused = [one for one in connections if one.is_unused()]
-        for connection in nsmallest(_ENDED_AT_ONCE, unused, key=_rank):
-            connection.end_unused()
-        ended = min(len(unused), _ENDED_AT_ONCE)
+        silent_longest = nsmallest(_ENDED_AT_ONCE, unused, key=_rank)
+        ended = sum(connection.end_unused() for connection in silent_longest)
+        if not ended:
+            self.next_search_at = now + _PAUSE
         self.gateway.metrics.count_unused_ends(ended)
         if ended:
             log('connections_limited', open=len(connections), ended=ended)
