--- a/tests/proxy/harness.py
+++ b/tests/proxy/harness.py
@@ -20,7 +20,7 @@
 from crocusproxy.settings import InstanceIdentity, Listen
 from standins.scripted import ScriptedUpstream, read_message
 
-# Set when the tests are collected, some 15 minutes before the last of them runs;
+# Set when the tests are collected, many minutes before the last of them runs;
 # the horizon of expiries is an hour.
 _EXPIRY = datetime.now(timezone.utc) + timedelta(minutes=55)
 KEY = (
