--- a/soak/pause_callers.py
+++ b/soak/pause_callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from itertools import cycle
+from itertools import count, cycle
 from random import Random
 from typing import Any
 
@@ -18,6 +18,8 @@
 #: Instances allow callers this much beyond the idle timeout.
 IDLE_MARGIN_SECONDS = 1.0
 PATHS = ('/safe/', '/unsafe/', '/move/')
+#: Overlapping series may pause an instance twice at the same moment.
+_NUMBERS = count()
 
 
 class PauseCallers:
@@ -29,7 +31,7 @@
 
     def __init__(self, testbed: Testbed, instance: Instance) -> None:
         self.address = instance.addresses['callers']
-        name = f'pause-{instance.name}-{testbed.now():.2f}'
+        name = f'pause-{instance.name}-{testbed.now():.2f}-{next(_NUMBERS)}'
         self.kept = [testbed.new_caller(f'{name}k{n}') for n in range(KEPT)]
         self.new = [testbed.new_caller(f'{name}w{n}') for n in range(NEW)]
         self.pipelining = [
