--- a/src/crocusproxy/entry/caller_connection.py
+++ b/src/crocusproxy/entry/caller_connection.py
@@ -17,11 +17,7 @@
 from ..http_server.socket_queues import unread_bytes
 from ..logs import log
 from ..routes.model import CallerLimits
-from .caller_request import (
-    CallerRequest,
-    RequestStage,
-    expects_continue,
-)
+from .caller_request import CallerRequest, RequestStage, expects_continue
 from .connection_end import (
     ConnectionEnd,
     EndCause,
@@ -305,9 +301,7 @@
         if self._paused:
             self.gateway.unread_responses.note(self, now)
         if close:
-            self.dropped = open_requests(
-                self.pipeline, self.gateway.clock.monotonic()
-            )
+            self.dropped = open_requests(self.pipeline, now)
             for later_request in self.pipeline:
                 later_request.mark_disconnected()
             self.pipeline.clear()
